Lay the workspace: types, errors, metrics, frames and the platform's interfaces

Cause: there is no code yet; everything else stands on these packages. Ruled out: one big package (no seams to fake at), ts-jest (tests run from the compiled output instead, so what is tested is what ships). Change: a workspace of small packages, formatter, linter with the verb list and one export a file, jest over compiled output. Conclusion: the base to build the path on.

--- /dev/null
+++ b/packages/call-platform/src/attemptRef.ts
@@ -0,0 +1,5 @@
+/** Names one attempt of a task. */
+export interface AttemptRef {
+    readonly taskId: string;
+    readonly attempt: number;
+}
--- /dev/null
+++ b/packages/call-platform/src/index.ts
@@ -0,0 +1,16 @@
+export type { AttemptRef } from "./attemptRef.js";
+export { callPlatformHttp } from "./callPlatformHttp.js";
+export { checkAnswer } from "./checkAnswer.js";
+export { HttpLog } from "./httpLog.js";
+export { HttpVmList } from "./httpVmList.js";
+export { HttpWorker } from "./httpWorker.js";
+export type { LogPage } from "./logPage.js";
+export type { LogPort } from "./logPort.js";
+export type { LogRecord } from "./logRecord.js";
+export type { NewLogRecord } from "./newLogRecord.js";
+export { platformSchemas } from "./platformSchemas.js";
+export type { RenewOrder } from "./renewOrder.js";
+export type { StartOrder } from "./startOrder.js";
+export type { VmListPort } from "./vmListPort.js";
+export type { WorkerPort } from "./workerPort.js";
+export type { WorkerReport } from "./workerReport.js";
--- /dev/null
+++ b/packages/count-metrics/src/index.ts
@@ -0,0 +1,1 @@
+export { Metrics } from "./metrics.js";
--- /dev/null
+++ b/packages/exchange-frames/src/frameKind.ts
@@ -0,0 +1,11 @@
+/** What a frame between our own processes carries. */
+export enum FrameKind {
+    Hello = 1,
+    Reply = 2,
+    Failure = 3,
+    ReserveRequest = 10,
+    ReleaseRequest = 11,
+    PullGrants = 12,
+    ReadConfig = 13,
+    ShareStatus = 14,
+}
--- /dev/null
+++ b/packages/exchange-frames/src/frameLimits.ts
@@ -0,0 +1,2 @@
+/** The newest frame layout that this build speaks. */
+export const FRAME_VERSION = 1;
--- /dev/null
+++ b/packages/exchange-frames/src/peerClient.test.ts
@@ -0,0 +1,98 @@
+import { afterEach, describe, expect, it } from "@jest/globals";
+import { Metrics } from "@sardinestage/count-metrics";
+import { ErrorKind } from "@sardinestage/errors";
+import { createServer } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
+import { FrameKind } from "./frameKind.js";
+import { PeerClient } from "./peerClient.js";
+import { PeerServer } from "./peerServer.js";
+
+const ADDRESS = "127.0.0.1";
+const MAX_FRAME_BYTES = 4096;
+const closers: (() => void)[] = [];
+
+afterEach(() => {
+    for (const close of closers.splice(0)) {
+        close();
+    }
+});
+
+async function startServer(port: number, metrics: Metrics): Promise<void> {
+    const server = new PeerServer({
+        peerKey: "secret",
+        maxFrameBytes: MAX_FRAME_BYTES,
+        maxConnections: 10,
+        metrics,
+        handlers: new Map([[FrameKind.ShareStatus, body => ({ echoed: body })]]),
+    });
+    closers.push(() => server.close());
+    await server.listen(ADDRESS, port);
+}
+
+function createClient(port: number, peerKey: string, timeoutMs = 300): PeerClient {
+    const client = new PeerClient({ address: ADDRESS, port, peerKey, maxFrameBytes: MAX_FRAME_BYTES, timeoutMs });
+    closers.push(() => client.close());
+    return client;
+}
+
+async function findFreePort(): Promise<number> {
+    const server = createServer();
+    await listenOnAnyPort(server);
+    const port = (server.address() as AddressInfo).port;
+    await new Promise(resolve => server.close(resolve));
+    return port;
+}
+
+function listenOnAnyPort(server: Server): Promise<void> {
+    return new Promise(resolve => server.listen(0, ADDRESS, () => resolve()));
+}
+
+describe("PeerClient", () => {
+    describe("when the peer answers", () => {
+        it("pairs each reply with its own request", async () => {
+            const port = await findFreePort();
+            await startServer(port, new Metrics());
+            const client = createClient(port, "secret");
+            const replies = await Promise.all([1, 2, 3].map(n => client.request(FrameKind.ShareStatus, { n })));
+            expect(replies.map(reply => reply.val)).toEqual([1, 2, 3].map(n => ({ echoed: { n } })));
+        });
+    });
+
+    describe("when the key is wrong", () => {
+        it("gets no answer, and the refusal is counted", async () => {
+            const port = await findFreePort();
+            const metrics = new Metrics();
+            await startServer(port, metrics);
+            const reply = await createClient(port, "guess").request(FrameKind.ShareStatus, {});
+            expect(reply.err).toBe(true);
+            expect(await metrics.writeText()).toContain("peer_frames_refused_total{reason=\"unauthenticated\"} 1");
+        });
+    });
+
+    describe("when nothing listens", () => {
+        it("tells a refused connection from an unreachable peer", async () => {
+            const reply = await createClient(await findFreePort(), "secret").request(FrameKind.ShareStatus, {});
+            expect(reply.err && reply.val.kind).toBe(ErrorKind.PeerRefusedConnection);
+        });
+    });
+
+    describe("when a connection goes silent", () => {
+        it("fails the request in time and opens a new connection for the next", async () => {
+            const sockets: Socket[] = [];
+            const silent = createServer(socket => sockets.push(socket.resume()));
+            await listenOnAnyPort(silent);
+            closers.push(() => {
+                sockets.forEach(socket => socket.destroy());
+                silent.close();
+            });
+            const client = createClient((silent.address() as AddressInfo).port, "secret", 50);
+            const first = await client.request(FrameKind.ShareStatus, {});
+            const second = await client.request(FrameKind.ShareStatus, {});
+            expect([first, second].map(reply => reply.err && reply.val.kind)).toEqual([
+                ErrorKind.PeerUnreachable,
+                ErrorKind.PeerUnreachable,
+            ]);
+            expect(sockets.length).toBe(2);
+        });
+    });
+});
--- /dev/null
+++ b/packages/exchange-frames/src/peerServer.ts
@@ -0,0 +1,107 @@
+import type { Metrics } from "@sardinestage/count-metrics";
+import { describeFailure } from "@sardinestage/errors";
+import { timingSafeEqual } from "node:crypto";
+import { createServer } from "node:net";
+import type { Server, Socket } from "node:net";
+import { encodeFrame } from "./encodeFrame.js";
+import type { Frame } from "./frame.js";
+import { FrameKind } from "./frameKind.js";
+import { FrameReader } from "./frameReader.js";
+
+/** Answers one kind of request from a peer; what it throws becomes a failure reply. */
+type FrameHandler = (body: unknown) => Promise<unknown> | unknown;
+
+/** Settings of a peer server. */
+interface PeerServerOptions {
+    readonly peerKey: string;
+    readonly maxFrameBytes: number;
+    readonly maxConnections: number;
+    readonly metrics: Metrics;
+    readonly handlers: ReadonlyMap<FrameKind, FrameHandler>;
+}
+
+/** Takes requests from peers in length-prefixed frames. A peer's first frame must carry the shared key. */
+export class PeerServer {
+    private readonly server: Server;
+    private readonly sockets = new Set<Socket>();
+
+    constructor(private readonly options: PeerServerOptions) {
+        this.server = createServer(socket => this.takeConnection(socket));
+        this.server.maxConnections = options.maxConnections;
+    }
+
+    /** Listens; rejects with the operating system's error when the port is in use. */
+    listen(address: string, port: number): Promise<void> {
+        return new Promise((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(port, address, () => resolve());
+        });
+    }
+
+    /** Stops listening and closes what is open. */
+    close(): void {
+        this.server.close();
+        for (const socket of this.sockets) {
+            socket.destroy();
+        }
+    }
+
+    private takeConnection(socket: Socket): void {
+        const reader = new FrameReader(this.options.maxFrameBytes);
+        let authenticated = false;
+        this.sockets.add(socket);
+        socket.setNoDelay(true);
+        socket.on("close", () => this.sockets.delete(socket));
+        socket.on("error", () => socket.destroy());
+        socket.on("data", chunk => {
+            const frames = reader.takeChunk(chunk);
+            if (frames.err) {
+                this.options.metrics.count("peer_frames_refused_total", frames.val.kind);
+                socket.destroy();
+                return;
+            }
+            for (const frame of frames.val) {
+                if (authenticated) {
+                    void this.answerFrame(socket, frame);
+                }
+                else if (this.checkHello(frame)) {
+                    authenticated = true;
+                }
+                else {
+                    this.options.metrics.count("peer_frames_refused_total", "unauthenticated");
+                    socket.destroy();
+                    return;
+                }
+            }
+        });
+    }
+
+    private checkHello(frame: Frame): boolean {
+        const key = (frame.body as { key?: unknown } | undefined)?.key;
+        if (frame.kind !== FrameKind.Hello || typeof key !== "string") {
+            return false;
+        }
+        const given = Buffer.from(key);
+        const expected = Buffer.from(this.options.peerKey);
+        return given.length === expected.length && timingSafeEqual(given, expected);
+    }
+
+    private async answerFrame(socket: Socket, frame: Frame): Promise<void> {
+        const handler = this.options.handlers.get(frame.kind);
+        if (handler === undefined) {
+            this.options.metrics.count("peer_frames_refused_total", "unknown-kind");
+            return;
+        }
+        let answer: Frame;
+        try {
+            answer = { kind: FrameKind.Reply, sequence: frame.sequence, body: await handler(frame.body) };
+        }
+        catch (failure) {
+            this.options.metrics.count("peer_frames_refused_total", "handler-failed");
+            answer = { kind: FrameKind.Failure, sequence: frame.sequence, body: describeFailure(failure) };
+        }
+        if (!socket.destroyed && socket.writableLength < this.options.maxFrameBytes) {
+            socket.write(encodeFrame(answer));
+        }
+    }
+}
--- /dev/null
+++ b/packages/log-events/src/index.ts
@@ -0,0 +1,2 @@
+export { createLogger } from "./createLogger.js";
+export type { EventLogger } from "./eventLogger.js";
--- /dev/null
+++ b/packages/types/src/index.ts
@@ -0,0 +1,15 @@
+export type { ConfigDocument } from "./configDocument.js";
+export { RequestOutcome } from "./requestOutcome.js";
+export type { Resources } from "./resources.js";
+export { RunState } from "./runState.js";
+export type { ServiceSpec } from "./serviceSpec.js";
+export { TaskPhase } from "./taskPhase.js";
+export type { TaskSpec } from "./taskSpec.js";
+export type { TaskUsage } from "./taskUsage.js";
+export type { TeamQuota } from "./teamQuota.js";
+export { Urgency } from "./urgency.js";
+export type { VmRecord } from "./vmRecord.js";
+export { VmRole } from "./vmRole.js";
+export { VmState } from "./vmState.js";
+export type { WorkerTask } from "./workerTask.js";
+export { WorkKind } from "./workKind.js";
--- /dev/null
+++ b/packages/types/src/resources.ts
@@ -0,0 +1,11 @@
+/** An amount of what a worker can give, or of what a task needs. */
+export interface Resources {
+    /** Processor time, in thousandths of a core. */
+    readonly cpuMillis: number;
+    /** Memory, in megabytes. */
+    readonly memoryMb: number;
+    /** Whole accelerators. */
+    readonly accelerators: number;
+    /** Task slots. */
+    readonly slots: number;
+}
--- /dev/null
+++ b/packages/types/src/vmState.ts
@@ -0,0 +1,5 @@
+/** What the platform's list says of a VM. */
+export enum VmState {
+    Live = "live",
+    Leaving = "leaving",
+}
