Add settings, the log's folds and the stand-ins of the platform

Cause: the path needs what was accepted (folds of the log), checked settings and something to run against. Ruled out: claims by process (a paused claimant and its superseding need a wait and a question to every worker); tasks are bound to workers instead, so the worker's own lease fences them. Change: fold-config, fold-tasks, follow-log, read-settings, run-process, choose-owner, stand-ins.

--- /dev/null
+++ b/packages/choose-owner/src/index.ts
@@ -0,0 +1,1 @@
+export { listOwnersByRank } from "./listOwnersByRank.js";
--- /dev/null
+++ b/packages/fold-config/src/configHistory.test.ts
@@ -0,0 +1,73 @@
+import { describe, expect, it } from "@jest/globals";
+import fc from "fast-check";
+import { ConfigHistory } from "./configHistory.js";
+import { ConfigRecordKind } from "./configRecordKind.js";
+import { PublishVerdict } from "./publishVerdict.js";
+
+const SEED = 20261204;
+
+function createDocument(batchShare: number): object {
+    return { services: [], teams: [], batchShare };
+}
+
+function applyChange(history: ConfigHistory, offset: number, id: string, basedOn: number, document: object): void {
+    const data = { kind: ConfigRecordKind.Publish, basedOn, operator: "op", document };
+    history.applyRecord({ offset, id, appendedAtMs: offset, data });
+}
+
+describe("ConfigHistory", () => {
+    describe("when operators race", () => {
+        it("accepts the first change made from a version and tells the other of the conflict", () => {
+            const history = new ConfigHistory();
+            applyChange(history, 0, "a", 0, createDocument(0.1));
+            applyChange(history, 1, "b", 0, createDocument(0.2));
+            expect(history.getVerdict("a")).toBe(PublishVerdict.Accepted);
+            expect(history.getVerdict("b")).toBe(PublishVerdict.Conflict);
+            expect(history.getCurrent().document.batchShare).toBe(0.1);
+        });
+
+        it("takes a record that landed twice once", () => {
+            const history = new ConfigHistory();
+            applyChange(history, 0, "a", 0, createDocument(0.1));
+            applyChange(history, 1, "a", 0, createDocument(0.1));
+            expect(history.getVerdict("a")).toBe(PublishVerdict.Accepted);
+            expect(history.getCurrent().version).toBe(1);
+        });
+    });
+
+    describe("when a document is wrong", () => {
+        it("is not accepted, whoever reads it", () => {
+            const history = new ConfigHistory();
+            applyChange(history, 0, "a", 0, { services: [], teams: [], batchShare: 7 });
+            expect(history.getVerdict("a")).toBe(PublishVerdict.Invalid);
+            expect(history.getCurrent().version).toBe(0);
+        });
+    });
+
+    describe("when versions arrive from peers and from the log in any order", () => {
+        it("never falls back and ends where the log ends", () => {
+            const step = fc.record({ peer: fc.boolean(), upTo: fc.integer({ min: 1, max: 12 }) });
+            fc.assert(
+                fc.property(fc.array(step), steps => {
+                    const history = new ConfigHistory();
+                    let read = 0;
+                    let last = 0;
+                    for (const { peer, upTo } of [...steps, { peer: false, upTo: 12 }]) {
+                        if (peer) {
+                            history.acceptFromElsewhere(upTo, createDocument(upTo / 100), 0);
+                        }
+                        for (; !peer && read < upTo; read++) {
+                            applyChange(history, read, `change-${read}`, read, createDocument((read + 1) / 100));
+                        }
+                        const { version, document } = history.getCurrent();
+                        expect(version).toBeGreaterThanOrEqual(last);
+                        expect(document.batchShare).toBe(version / 100);
+                        last = version;
+                    }
+                    expect(last).toBe(12);
+                }),
+                { seed: SEED },
+            );
+        });
+    });
+});
--- /dev/null
+++ b/packages/fold-tasks/src/index.ts
@@ -0,0 +1,11 @@
+export { applyTaskRecord } from "./applyTaskRecord.js";
+export type { Condemnation } from "./condemnation.js";
+export { Logbook } from "./logbook.js";
+export type { LogbookEntry } from "./logbookEntry.js";
+export { LogbookEvent } from "./logbookEvent.js";
+export type { TaskEntry } from "./taskEntry.js";
+export { TaskLedger } from "./taskLedger.js";
+export type { TaskRecord } from "./taskRecord.js";
+export { TaskRecordKind } from "./taskRecordKind.js";
+export { taskRecordSchema } from "./taskRecordSchema.js";
+export type { WorkerHold } from "./workerHold.js";
--- /dev/null
+++ b/packages/fold-tasks/src/logbookEvent.ts
@@ -0,0 +1,17 @@
+/** What the logbook says happened to an attempt. */
+export enum LogbookEvent {
+    Submitted = "submitted",
+    Bound = "bound",
+    Started = "started",
+    Throttled = "throttled",
+    Checkpointed = "checkpointed",
+    Evicted = "evicted",
+    Lapsed = "lapsed",
+    Released = "released",
+    Succeeded = "succeeded",
+    Failed = "failed",
+    CancelRequested = "cancel-requested",
+    Cancelled = "cancelled",
+    Parked = "parked",
+    Unparked = "unparked",
+}
--- /dev/null
+++ b/packages/follow-log/src/index.ts
@@ -0,0 +1,2 @@
+export { LogAppender } from "./logAppender.js";
+export { LogFollower } from "./logFollower.js";
--- /dev/null
+++ b/packages/run-process/src/runProcess.ts
@@ -0,0 +1,87 @@
+import { ErrorKind, StageError } from "@sardinestage/errors";
+import type { SettingFault } from "@sardinestage/read-settings";
+import { parseSettings } from "@sardinestage/read-settings";
+import { Command } from "commander";
+import { readFileSync } from "node:fs";
+import type { z } from "zod";
+import { ExitCode } from "./exitCode.js";
+import type { RunningProcess } from "./runningProcess.js";
+
+/** What tells one binary from another. */
+interface ProcessDefinition<Settings> {
+    readonly name: string;
+    readonly description: string;
+    readonly version: string;
+    readonly schema: z.ZodType<Settings>;
+    readonly start: (settings: Settings) => Promise<RunningProcess>;
+}
+
+/** Runs a binary: reads the command line and the settings, starts it, and drains it on SIGTERM or SIGINT. */
+export async function runProcess<Settings>(definition: ProcessDefinition<Settings>): Promise<void> {
+    const program = new Command(definition.name)
+        .description(definition.description)
+        .version(definition.version)
+        .option("--config <file>", "settings file in TOML")
+        .action(async (options: { config?: string }) => {
+            await startProcess(definition, loadSettings(definition.schema, options.config));
+        });
+    program.command("check-config")
+        .description("check the settings file and exit")
+        .action(() => {
+            loadSettings(definition.schema, program.opts<{ config?: string }>().config);
+            process.stdout.write("The settings are right.\n");
+        });
+    await program.parseAsync();
+}
+
+async function startProcess<Settings>(definition: ProcessDefinition<Settings>, settings: Settings): Promise<void> {
+    let running: RunningProcess;
+    try {
+        running = await definition.start(settings);
+    }
+    catch (failure) {
+        stopWithFailure(failure);
+    }
+    let draining = false;
+    const stop = () => {
+        if (!draining) {
+            draining = true;
+            void running.drain().then(() => process.exit(ExitCode.Success), stopWithFailure);
+        }
+    };
+    process.on("SIGTERM", stop);
+    process.on("SIGINT", stop);
+}
+
+function loadSettings<Settings>(schema: z.ZodType<Settings>, file: string | undefined): Settings {
+    if (file === undefined) {
+        return stopWithFaults([{ key: "--config", problem: "names no file; give the path of a settings file" }]);
+    }
+    let text: string;
+    try {
+        text = readFileSync(file, "utf8");
+    }
+    catch {
+        return stopWithFaults([{ key: "--config", problem: `can't read ${file}; check the path and its rights` }]);
+    }
+    const settings = parseSettings(schema, text);
+    return settings.ok ? settings.val : stopWithFaults(settings.val);
+}
+
+function stopWithFaults(faults: readonly SettingFault[]): never {
+    for (const fault of faults) {
+        const place = fault.line === undefined ? "" : ` (line ${fault.line})`;
+        process.stderr.write(`${fault.key}${place}: ${fault.problem}.\n`);
+    }
+    process.exit(ExitCode.InvalidSettings);
+}
+
+function stopWithFailure(failure: unknown): never {
+    process.stderr.write(`${failure instanceof Error ? failure.message : String(failure)}\n`);
+    if ((failure as NodeJS.ErrnoException).code === "EADDRINUSE") {
+        process.stderr.write("Another process uses the port: stop it or change the port in the settings.\n");
+        process.exit(ExitCode.PortInUse);
+    }
+    const refused = failure instanceof StageError && failure.kind === ErrorKind.StartRefused;
+    process.exit(refused ? ExitCode.StartRefused : ExitCode.InternalError);
+}
--- /dev/null
+++ b/packages/run-process/src/serveStatus.ts
@@ -0,0 +1,42 @@
+import type { Metrics } from "@sardinestage/count-metrics";
+import express from "express";
+import type { Server } from "node:http";
+
+/** Where and what to serve. */
+interface StatusServerOptions {
+    readonly address: string;
+    readonly port: number;
+    readonly metrics: Metrics;
+    /** What an operator on call looks at first. */
+    readonly readStatus: () => object;
+    /** Whether the balancer may send work here. */
+    readonly isReady: () => boolean;
+}
+
+/**
+ * Serves `/metrics` (Prometheus text), `/status` (JSON) and `/health` (200 while the balancer may send work here).
+ *
+ * @returns The listening server; rejects with the operating system's error when the port is in use.
+ */
+export function serveStatus(options: StatusServerOptions): Promise<Server> {
+    const app = express();
+    app.get("/metrics", async (_request, response) => {
+        response.type("text/plain; version=0.0.4").send(await options.metrics.writeText());
+    });
+    app.get("/status", (_request, response) => {
+        response.json(options.readStatus());
+    });
+    app.get("/health", (_request, response) => {
+        response.status(options.isReady() ? 200 : 503).end();
+    });
+    return new Promise((resolve, reject) => {
+        const server = app.listen(options.port, options.address, failure => {
+            if (failure === undefined) {
+                resolve(server);
+            }
+            else {
+                reject(failure);
+            }
+        });
+    });
+}
--- /dev/null
+++ b/packages/stand-ins/src/standInWorker.ts
@@ -0,0 +1,230 @@
+import type { RenewOrder, StartOrder } from "@sardinestage/call-platform";
+import type { Resources, TaskSpec, TaskUsage } from "@sardinestage/types";
+import { RunState, WorkKind } from "@sardinestage/types";
+import type { Recorder } from "./recorder.js";
+import type { JsonAnswer } from "./serveJson.js";
+import { StandInTask } from "./standInTask.js";
+
+/** Extra time that one task costs another on the same worker, as a share; hidden from the product. */
+type Interference = (victim: TaskSpec, other: TaskSpec) => number;
+
+/** What a stand-in worker is. */
+export interface StandInWorkerOptions {
+    readonly name: string;
+    readonly capacity: Resources;
+    readonly connections: number;
+    readonly usageLagMs: number;
+    readonly recorder: Recorder;
+    readonly interference: Interference;
+}
+
+type Order = { token: number; taskId: string; attempt: number };
+
+const OK: JsonAnswer = { status: 200, body: {} };
+
+/** A worker: runs tasks under leases, reports use with a lag, and can checkpoint, throttle or stop a task. */
+export class StandInWorker {
+    /** Whether every attempt fails soon after its start. */
+    failsEverything = false;
+    /** Requests open at its replicas. */
+    openRequests = 0;
+    private token = 0;
+    private holder = "";
+    private leaseUntilMs = 0;
+    private readonly tasks = new Map<string, StandInTask>();
+    private readonly usageHistory: { atMs: number; usage: TaskUsage[] }[] = [];
+
+    constructor(readonly options: StandInWorkerOptions) {}
+
+    /** Answers one HTTP call of the control interface. */
+    handleCall(path: string, body: unknown): JsonAnswer {
+        if (path === "/lease") {
+            return this.acquireLease(body as { holder: string; ttlMs: number });
+        }
+        const order = body as Order;
+        if (order.token !== this.token || performance.now() >= this.leaseUntilMs) {
+            return { status: 410, body: { reason: "stale token" } };
+        }
+        switch (path) {
+            case "/renew":
+                return this.renewLease(body as RenewOrder);
+            case "/release":
+                this.leaseUntilMs = 0;
+                return OK;
+            case "/start":
+                return this.startTask(body as StartOrder);
+            default:
+                return this.changeTask(path, body as Order & { share: number });
+        }
+    }
+
+    /** Lets time pass: work is done, leases lapse. */
+    run(elapsedMs: number): void {
+        const nowMs = performance.now();
+        for (const task of this.tasks.values()) {
+            if (task.state !== RunState.Running) {
+                continue;
+            }
+            task.run(elapsedMs, 1 / this.computeSlowdown(task));
+            if (task.leaseUntilMs <= nowMs) {
+                this.options.recorder.lapses++;
+                this.endTask(task, RunState.Lapsed);
+            }
+            else if (this.failsEverything || task.model.failsAfterMs !== undefined) {
+                this.endTask(task, RunState.Failed);
+            }
+            else if (task.progress >= 1) {
+                this.endTask(task, RunState.Succeeded);
+                this.options.recorder.recordCompletion(task.spec.taskId);
+            }
+        }
+        this.recordUsage(nowMs);
+    }
+
+    /** Loses everything, as a VM does that dies. */
+    reset(): void {
+        for (const task of this.tasks.values()) {
+            this.options.recorder.recordEnd(this.options.name, task.spec.taskId);
+            task.state = RunState.Lapsed;
+        }
+        this.tasks.clear();
+        this.leaseUntilMs = 0;
+    }
+
+    /** A running replica of a service. */
+    findReplica(service: string): StandInTask | undefined {
+        const replicas = [...this.tasks.values()].filter(task =>
+            task.spec.service === service && task.state === RunState.Running
+        );
+        return replicas.sort((a, b) => a.openRequests - b.openRequests)[0];
+    }
+
+    /** Tasks that run now. */
+    listRunning(): readonly StandInTask[] {
+        return [...this.tasks.values()].filter(task => task.state === RunState.Running);
+    }
+
+    /** How much longer than alone a task takes here now. */
+    computeSlowdown(victim: StandInTask): number {
+        let slowdown = 1;
+        for (const other of this.listRunning()) {
+            if (other !== victim) {
+                slowdown += this.options.interference(victim.spec, other.spec) * (1 - other.throttle);
+            }
+        }
+        return slowdown;
+    }
+
+    private acquireLease(body: { holder: string; ttlMs: number }): JsonAnswer {
+        const nowMs = performance.now();
+        if (nowMs < this.leaseUntilMs && this.holder !== body.holder) {
+            return { status: 409, body: { reason: "held" } };
+        }
+        if (nowMs >= this.leaseUntilMs || this.holder !== body.holder) {
+            this.token = Math.max(this.token + 1, Date.now());
+        }
+        this.holder = body.holder;
+        this.leaseUntilMs = nowMs + body.ttlMs;
+        return { status: 200, body: { token: this.token } };
+    }
+
+    private renewLease(order: RenewOrder): JsonAnswer {
+        const nowMs = performance.now();
+        this.leaseUntilMs = nowMs + order.ttlMs;
+        for (const { taskId, attempt } of order.acknowledged) {
+            const task = this.tasks.get(taskId);
+            if (task !== undefined && task.attempt <= attempt && task.state !== RunState.Running) {
+                this.tasks.delete(taskId);
+            }
+        }
+        if (order.taskTtlMs !== undefined) {
+            for (const task of this.tasks.values()) {
+                task.leaseUntilMs = nowMs + order.taskTtlMs;
+            }
+        }
+        const lagged = this.usageHistory.findLast(entry => entry.atMs <= nowMs - this.options.usageLagMs);
+        const tasks = [...this.tasks.values()].map(task => task.describe());
+        return { status: 200, body: { tasks, usage: lagged?.usage ?? [] } };
+    }
+
+    private startTask(order: StartOrder): JsonAnswer {
+        const known = this.tasks.get(order.taskId);
+        if (known !== undefined && known.attempt === order.attempt) {
+            return OK;
+        }
+        if (known !== undefined && (known.attempt > order.attempt || known.state === RunState.Running)) {
+            return { status: 422, body: { reason: "another attempt" } };
+        }
+        const { spec, generation, attempt, checkpoint } = order;
+        const leaseUntilMs = performance.now() + order.taskTtlMs;
+        this.tasks.set(order.taskId, new StandInTask(spec, generation, attempt, leaseUntilMs, checkpoint));
+        this.options.recorder.recordStart(this.options.name, spec, attempt);
+        this.options.recorder.recordCommitment(this.options.name, this.computeGiven(), this.options.capacity);
+        return OK;
+    }
+
+    private changeTask(path: string, order: Order & { share: number }): JsonAnswer {
+        const task = this.tasks.get(order.taskId);
+        if (task === undefined || task.attempt !== order.attempt) {
+            return { status: 422, body: { reason: "unknown attempt" } };
+        }
+        switch (path) {
+            case "/checkpoint":
+                task.checkpoint = String(task.progress);
+                return { status: 200, body: { checkpoint: task.checkpoint } };
+            case "/throttle":
+                task.throttle = order.share;
+                return OK;
+            case "/stop":
+                if (task.state === RunState.Running) {
+                    this.options.recorder.stops++;
+                    this.endTask(task, RunState.Stopped);
+                }
+                return OK;
+            default:
+                return { status: 404, body: {} };
+        }
+    }
+
+    private endTask(task: StandInTask, state: RunState): void {
+        task.state = state;
+        this.options.recorder.recordEnd(this.options.name, task.spec.taskId);
+        if (task.openRequests > 0) {
+            this.options.recorder.requestsCutOff += task.openRequests;
+        }
+    }
+
+    private computeGiven(): Resources {
+        const given = { cpuMillis: 0, memoryMb: 0, accelerators: 0, slots: 0 };
+        for (const { spec } of this.listRunning()) {
+            given.cpuMillis += spec.size.cpuMillis;
+            given.memoryMb += spec.size.memoryMb;
+            given.accelerators += spec.size.accelerators;
+            given.slots += spec.size.slots;
+        }
+        return given;
+    }
+
+    private recordUsage(nowMs: number): void {
+        const last = this.usageHistory[this.usageHistory.length - 1];
+        const elapsedMs = nowMs - (last?.atMs ?? nowMs - 1000);
+        if (elapsedMs < 250) {
+            return;
+        }
+        this.usageHistory.push({ atMs: nowMs, usage: this.listRunning().map(task => describeUsage(task, elapsedMs)) });
+        if (this.usageHistory.length > 100) {
+            this.usageHistory.shift();
+        }
+    }
+}
+
+function describeUsage(task: StandInTask, elapsedMs: number): TaskUsage {
+    const { spec, model } = task;
+    const cpuMillis = (model.trueCpuMillis ?? spec.size.cpuMillis) * (1 - task.throttle);
+    const usage = { taskId: spec.taskId, cpuMillis, memoryMb: spec.size.memoryMb };
+    if (spec.kind !== WorkKind.LatencyCritical) {
+        return usage;
+    }
+    const { mean, count } = task.takeLatencies();
+    return count === 0 ? usage : { ...usage, latencyMs: mean, requestsPerSecond: count / elapsedMs * 1000 };
+}
--- a/packages/types/src/configDocument.ts
+++ b/packages/types/src/configDocument.ts
@@ -5,6 +5,8 @@
 export interface ConfigDocument {
     readonly services: readonly ServiceSpec[];
     readonly teams: readonly TeamQuota[];
-    /** Share of each worker's processors that batch work is guaranteed, 0 to 1. */
+    /** Share of the processors that batch work is guaranteed, 0 to 1. */
     readonly batchShare: number;
+    /** Workers that take no new work until they are restored. */
+    readonly drainedWorkers: readonly string[];
 }
