--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -56,6 +56,7 @@
             "curly": ["error", "all"],
             "eqeqeq": "error",
             "max-lines": ["error", { max: 300, skipBlankLines: true, skipComments: true }],
+            "@typescript-eslint/no-unused-vars": ["error", { varsIgnorePattern: "^_" }],
             "no-restricted-syntax": [
                 "error",
                 { selector: "TSInterfaceDeclaration[id.name=/^I[A-Z]/]", message: "No I before an interface's name." },
--- /dev/null
+++ b/packages/admit-requests/src/index.ts
@@ -0,0 +1,3 @@
+export { RefusalReason } from "./refusalReason.js";
+export { ServiceQueue } from "./serviceQueue.js";
+export type { WaitingRequest } from "./waitingRequest.js";
--- a/packages/fold-tasks/src/applyTaskRecord.test.ts
+++ b/packages/fold-tasks/src/applyTaskRecord.test.ts
@@ -26,7 +26,16 @@
 }
 
 function createRelease(worker: string, generation: number, by: { token?: number; condemnId?: string }): TaskRecord {
-    return { kind: TaskRecordKind.Release, taskId: "t1", generation, worker, lastAttempt: 1, reason: "", ...by };
+    return {
+        kind: TaskRecordKind.Release,
+        taskId: "t1",
+        generation,
+        worker,
+        lastAttempt: 1,
+        reason: "",
+        failed: false,
+        ...by,
+    };
 }
 
 function createFinish(worker: string, generation: number): TaskRecord {
@@ -140,6 +149,7 @@
             generation: 1,
             worker: "w1",
             lastAttempt: 0,
+            failedOn: [],
             cancelRequested: false,
             submittedAtMs: 0,
             asOf: 0,
--- a/packages/fold-tasks/src/applyTaskRecord.ts
+++ b/packages/fold-tasks/src/applyTaskRecord.ts
@@ -60,6 +60,7 @@
         phase: TaskPhase.Waiting,
         generation: 0,
         lastAttempt: 0,
+        failedOn: [],
         cancelRequested: false,
         submittedAtMs: at.atMs,
         changedAtMs: at.atMs,
@@ -103,9 +104,9 @@
     if (record.asOf < newestOffset) {
         return false;
     }
-    const { spec, phase, generation, worker, lastAttempt, checkpoint, cancelRequested, submittedAtMs } = record;
+    const { kind: _kind, asOf: _asOf, ...carried } = record;
     ledger.setTask({
-        ...(known ?? { spec, phase, generation, worker, lastAttempt, checkpoint, cancelRequested, submittedAtMs }),
+        ...(known ?? carried),
         changedAtMs: at.atMs,
         lastOffset: at.offset,
     });
@@ -198,6 +199,7 @@
         worker: undefined,
         lastAttempt: Math.max(entry.lastAttempt, record.lastAttempt),
         checkpoint: record.checkpoint ?? entry.checkpoint,
+        failedOn: record.failed ? [...entry.failedOn, record.worker] : entry.failedOn,
     };
 }
 
--- a/packages/fold-tasks/src/logbookEvent.ts
+++ b/packages/fold-tasks/src/logbookEvent.ts
@@ -4,6 +4,7 @@
     Bound = "bound",
     Started = "started",
     Throttled = "throttled",
+    Stopped = "stopped",
     Checkpointed = "checkpointed",
     Evicted = "evicted",
     Lapsed = "lapsed",
--- a/packages/fold-tasks/src/taskEntry.ts
+++ b/packages/fold-tasks/src/taskEntry.ts
@@ -11,6 +11,8 @@
     /** The highest attempt that is known to have ended. */
     readonly lastAttempt: number;
     readonly checkpoint?: string;
+    /** Workers on which an attempt failed by itself, one entry a failure. */
+    readonly failedOn: readonly string[];
     readonly cancelRequested: boolean;
     /** Why it was parked, failed or cancelled. */
     readonly reason?: string;
--- a/packages/fold-tasks/src/taskRecordSchema.ts
+++ b/packages/fold-tasks/src/taskRecordSchema.ts
@@ -27,6 +27,8 @@
         lastAttempt: z.number().int(),
         checkpoint: z.string().optional(),
         reason,
+        /** The attempt failed by itself, which counts against the task. */
+        failed: z.boolean(),
     }),
     z.object({
         kind: z.literal(TaskRecordKind.Finish),
@@ -49,6 +51,7 @@
         worker: worker.optional(),
         lastAttempt: z.number().int(),
         checkpoint: z.string().optional(),
+        failedOn: z.array(z.string()),
         cancelRequested: z.boolean(),
         submittedAtMs: z.number(),
         /** The offset of the task's newest record that this copy knows. */
--- /dev/null
+++ b/packages/follow-config/src/index.ts
@@ -0,0 +1,1 @@
+export { ConfigFollower } from "./configFollower.js";
--- /dev/null
+++ b/packages/grant-connections/src/replicaEndpoint.ts
@@ -0,0 +1,7 @@
+/** A running replica that can take requests. */
+export interface ReplicaEndpoint {
+    readonly worker: string;
+    readonly service: string;
+    readonly address: string;
+    readonly port: number;
+}
--- /dev/null
+++ b/packages/plan-replicas/src/index.ts
@@ -0,0 +1,1 @@
+export { planReplicas } from "./planReplicas.js";
--- /dev/null
+++ b/packages/plan-replicas/src/planReplicas.ts
@@ -0,0 +1,107 @@
+import type { NewLogRecord } from "@sardinestage/call-platform";
+import type { TaskEntry, TaskRecord } from "@sardinestage/fold-tasks";
+import { TaskRecordKind } from "@sardinestage/fold-tasks";
+import type { ConfigDocument, ServiceSpec, TaskSpec } from "@sardinestage/types";
+import { TaskPhase, Urgency, WorkKind } from "@sardinestage/types";
+import { createHash } from "node:crypto";
+
+const TASK_PREFIX = "service";
+const DIGEST_LENGTH = 8;
+
+interface ReplicaView {
+    readonly config: ConfigDocument;
+    readonly domain: string;
+    readonly tasks: Iterable<TaskEntry>;
+}
+
+/** A replica's task id, taken apart. */
+interface ReplicaId {
+    readonly service: string;
+    readonly index: number;
+    readonly digest: string;
+}
+
+/**
+ * Decides which replica tasks are submitted and which are cancelled, so that each service has what its configuration
+ * asks for in one failure domain. All schedulers of a domain plan the same ids, and the first record wins.
+ * A changed service gets its new replica first; the old one goes when the new one is bound.
+ */
+export function planReplicas(view: ReplicaView): NewLogRecord[] {
+    const records: NewLogRecord[] = [];
+    const known = collectReplicas(view.tasks);
+    const wanted = new Set<string>();
+    for (const service of view.config.services) {
+        const digest = computeDigest(service);
+        for (let index = 0; index < (service.replicas[view.domain] ?? 0); index++) {
+            const key = createKey({ service: service.name, index, digest });
+            wanted.add(key);
+            const entries = known.get(key) ?? [];
+            if (!entries.some(isOpen)) {
+                const predecessor = Math.max(0, ...entries.map(entry => entry.lastOffset));
+                records.push(createSubmit(service, view.domain, `${key}/${predecessor}`));
+            }
+        }
+    }
+    for (const [key, entries] of known) {
+        if (!wanted.has(key) && !isReplacementMissing(key, wanted, known)) {
+            records.push(...entries.filter(isOpen).filter(entry => !entry.cancelRequested).map(createCancel));
+        }
+    }
+    return records;
+}
+
+function collectReplicas(tasks: Iterable<TaskEntry>): Map<string, TaskEntry[]> {
+    const known = new Map<string, TaskEntry[]>();
+    for (const entry of tasks) {
+        if (entry.spec.taskId.startsWith(`${TASK_PREFIX}/`)) {
+            const key = entry.spec.taskId.slice(0, entry.spec.taskId.lastIndexOf("/"));
+            known.set(key, [...known.get(key) ?? [], entry]);
+        }
+    }
+    return known;
+}
+
+function isReplacementMissing(key: string, wanted: Set<string>, known: Map<string, TaskEntry[]>): boolean {
+    const withoutDigest = key.slice(0, key.lastIndexOf("/") + 1);
+    const replacement = [...wanted].find(each => each.startsWith(withoutDigest));
+    if (replacement === undefined) {
+        return false;
+    }
+    return !(known.get(replacement) ?? []).some(entry => entry.phase === TaskPhase.Bound);
+}
+
+function isOpen(entry: TaskEntry): boolean {
+    return entry.phase === TaskPhase.Waiting || entry.phase === TaskPhase.Bound || entry.phase === TaskPhase.Parked;
+}
+
+function createKey(id: ReplicaId): string {
+    return `${TASK_PREFIX}/${id.service}/${id.index}/${id.digest}`;
+}
+
+function computeDigest(service: ServiceSpec): string {
+    const { team, size, concurrency, payload } = service;
+    const text = JSON.stringify([team, size, concurrency, payload]);
+    return createHash("sha256").update(text).digest("hex").slice(0, DIGEST_LENGTH);
+}
+
+function createSubmit(service: ServiceSpec, domain: string, taskId: string): NewLogRecord {
+    const spec: TaskSpec = {
+        taskId,
+        team: service.team,
+        kind: WorkKind.LatencyCritical,
+        urgency: Urgency.High,
+        taskClass: service.name,
+        size: service.size,
+        expectedRunMs: 0,
+        service: service.name,
+        payload: service.payload,
+    };
+    const data: TaskRecord = { kind: TaskRecordKind.Submit, spec };
+    return { id: `submit:${domain}:${taskId}`, data };
+}
+
+function createCancel(entry: TaskEntry): NewLogRecord {
+    const { taskId } = entry.spec;
+    const data: TaskRecord = { kind: TaskRecordKind.Cancel, taskId, reason: "the configuration changed" };
+    return { id: `cancel:${taskId}`, data };
+}
--- /dev/null
+++ b/packages/plan-worker-orders/src/planWorkerOrders.test.ts
@@ -0,0 +1,157 @@
+import { describe, expect, it } from "@jest/globals";
+import type { TaskEntry } from "@sardinestage/fold-tasks";
+import { TaskRecordKind } from "@sardinestage/fold-tasks";
+import type { WorkerTask } from "@sardinestage/types";
+import { RunState, TaskPhase, Urgency, WorkKind } from "@sardinestage/types";
+import { OrderKind } from "./orderKind.js";
+import { planWorkerOrders } from "./planWorkerOrders.js";
+import type { WorkerView } from "./workerView.js";
+
+const SPEC = {
+    taskId: "t",
+    team: "p",
+    kind: WorkKind.Batch,
+    urgency: Urgency.Normal,
+    taskClass: "c",
+    size: { cpuMillis: 1000, memoryMb: 10, accelerators: 0, slots: 1 },
+    expectedRunMs: 1,
+    payload: "",
+};
+
+function createEntry(changes: Partial<TaskEntry> = {}): TaskEntry {
+    return {
+        spec: SPEC,
+        phase: TaskPhase.Bound,
+        generation: 1,
+        worker: "w",
+        lastAttempt: 0,
+        failedOn: [],
+        cancelRequested: false,
+        submittedAtMs: 0,
+        changedAtMs: 0,
+        lastOffset: 0,
+        ...changes,
+    };
+}
+
+function createTask(state: RunState, changes: Partial<WorkerTask> = {}): WorkerTask {
+    return { taskId: "t", generation: 1, attempt: 1, state, spec: SPEC, progress: 0, throttle: 0, ...changes };
+}
+
+function createView(
+    entry: TaskEntry | undefined,
+    task: WorkerTask | undefined,
+    changes: Partial<WorkerView> = {},
+): WorkerView {
+    return {
+        worker: "w",
+        token: 7,
+        capacity: { cpuMillis: 1000, memoryMb: 10, accelerators: 0, slots: 1 },
+        tasks: task === undefined ? [] : [task],
+        bound: entry?.phase === TaskPhase.Bound && entry.worker === "w" ? [entry] : [],
+        findEntry: () => entry,
+        mayStart: true,
+        isLogFresh: true,
+        isLeaving: false,
+        isIdle: () => true,
+        maxFailures: 3,
+        estimateSize: spec => spec.size,
+        reactions: [],
+        ...changes,
+    };
+}
+
+describe("planWorkerOrders", () => {
+    describe("when a bound task doesn't run", () => {
+        it("starts its first attempt", () => {
+            const { orders } = planWorkerOrders(createView(createEntry(), undefined));
+            expect(orders).toMatchObject([{ kind: OrderKind.Start, attempt: 1 }]);
+        });
+
+        it("starts nothing without authority", () => {
+            expect(planWorkerOrders(createView(createEntry(), undefined, { mayStart: false })).orders).toEqual([]);
+        });
+
+        it("starts nothing that doesn't fit", () => {
+            const estimateSize = () => ({ ...SPEC.size, cpuMillis: 1001 });
+            expect(planWorkerOrders(createView(createEntry(), undefined, { estimateSize })).orders).toEqual([]);
+        });
+
+        it("resumes a lapsed attempt from its checkpoint under the next number", () => {
+            const lapsed = createTask(RunState.Lapsed, { attempt: 4, checkpoint: "0.5" });
+            const { orders } = planWorkerOrders(createView(createEntry(), lapsed));
+            expect(orders).toMatchObject([{ kind: OrderKind.Start, attempt: 5, checkpoint: "0.5" }]);
+        });
+
+        it("releases an evicted attempt, or resumes it here when the log is out", () => {
+            const stopped = createTask(RunState.Stopped, { checkpoint: "0.5" });
+            const { records } = planWorkerOrders(createView(createEntry(), stopped));
+            expect(records[0].data).toMatchObject({ kind: TaskRecordKind.Release, lastAttempt: 1, checkpoint: "0.5" });
+            const { orders } = planWorkerOrders(createView(createEntry(), stopped, { isLogFresh: false }));
+            expect(orders).toMatchObject([{ kind: OrderKind.Start, attempt: 2 }]);
+        });
+    });
+
+    describe("when a task runs that the log gave elsewhere", () => {
+        const elsewhere = createEntry({ worker: "other", generation: 2 });
+
+        it("stops it", () => {
+            const { orders } = planWorkerOrders(createView(elsewhere, createTask(RunState.Running)));
+            expect(orders).toMatchObject([{ kind: OrderKind.Stop }]);
+        });
+
+        it("leaves it alone while the log may be behind", () => {
+            const view = createView(elsewhere, createTask(RunState.Running), { isLogFresh: false });
+            expect(planWorkerOrders(view).orders).toEqual([]);
+        });
+    });
+
+    describe("when an attempt has ended", () => {
+        it("records its result, and lets the worker forget it only once that stands in the log", () => {
+            const done = createTask(RunState.Succeeded);
+            const before = planWorkerOrders(createView(createEntry(), done));
+            expect(before.records[0].data).toMatchObject({ kind: TaskRecordKind.Finish, phase: TaskPhase.Finished });
+            expect(before.acknowledged).toEqual([]);
+            const after = planWorkerOrders(
+                createView(createEntry({ phase: TaskPhase.Finished, worker: undefined }), done),
+            );
+            expect(after.acknowledged).toEqual([{ taskId: "t", attempt: 1 }]);
+        });
+
+        it("tries a failed task elsewhere until it has failed too often", () => {
+            const failed = createTask(RunState.Failed);
+            const first = planWorkerOrders(createView(createEntry(), failed));
+            expect(first.records[0].data).toMatchObject({ kind: TaskRecordKind.Release, failed: true });
+            const last = planWorkerOrders(createView(createEntry({ failedOn: ["a", "b"] }), failed));
+            expect(last.records[0].data).toMatchObject({ kind: TaskRecordKind.Finish, phase: TaskPhase.Failed });
+        });
+    });
+
+    describe("when a task is cancelled", () => {
+        const cancelled = createEntry({ cancelRequested: true });
+
+        it("stops it first and says so only when it doesn't run", () => {
+            const running = planWorkerOrders(createView(cancelled, createTask(RunState.Running)));
+            expect(running.orders).toMatchObject([{ kind: OrderKind.Stop }]);
+            expect(running.records).toEqual([]);
+            const stopped = planWorkerOrders(createView(cancelled, createTask(RunState.Stopped)));
+            expect(stopped.records[0].data).toMatchObject({ phase: TaskPhase.Cancelled });
+        });
+
+        it("waits until no request is open at a replica", () => {
+            const view = createView(cancelled, createTask(RunState.Running), { isIdle: () => false });
+            expect(planWorkerOrders(view).orders).toEqual([]);
+        });
+    });
+
+    describe("when the worker leaves", () => {
+        it("evicts what runs and releases what doesn't", () => {
+            const running = planWorkerOrders(
+                createView(createEntry(), createTask(RunState.Running), { isLeaving: true }),
+            );
+            expect(running.orders).toMatchObject([{ kind: OrderKind.Evict }]);
+            const idle = planWorkerOrders(createView(createEntry(), undefined, { isLeaving: true }));
+            expect(idle.records[0].data).toMatchObject({ kind: TaskRecordKind.Release });
+        });
+    });
+});
--- /dev/null
+++ b/packages/remember-requests/src/index.ts
@@ -0,0 +1,3 @@
+export { IdVerdict } from "./idVerdict.js";
+export { readIdTime } from "./readIdTime.js";
+export { RequestMemory } from "./requestMemory.js";
--- /dev/null
+++ b/packages/scheduler/src/createScheduler.ts
@@ -0,0 +1,183 @@
+import "reflect-metadata";
+import { HttpLog, HttpVmList, HttpWorker } from "@sardinestage/call-platform";
+import { Metrics } from "@sardinestage/count-metrics";
+import { ConfigFollower } from "@sardinestage/follow-config";
+import { GrantLedger } from "@sardinestage/grant-connections";
+import type { EventLogger } from "@sardinestage/log-events";
+import { createLogger } from "@sardinestage/log-events";
+import { EvictionBudget } from "@sardinestage/plan-reactions";
+import { PeerPool, VmDirectory } from "@sardinestage/track-members";
+import type { VmRecord } from "@sardinestage/types";
+import { VmState } from "@sardinestage/types";
+import { Container } from "inversify";
+import { randomUUID } from "node:crypto";
+import { Behaviour } from "./behaviour.js";
+import { GrantService } from "./grantService.js";
+import { Scheduler } from "./scheduler.js";
+import { SchedulerMembers } from "./schedulerMembers.js";
+import type { SchedulerSettings } from "./schedulerSettings.js";
+import { TaskPlacer } from "./taskPlacer.js";
+import { TaskStream } from "./taskStream.js";
+import { TaskUpkeep } from "./taskUpkeep.js";
+import { WorkerFleet } from "./workerFleet.js";
+import { WorkerGuard } from "./workerGuard.js";
+
+const now = () => performance.now();
+/** A peer that missed so many status exchanges is passed over. */
+const MISSED_EXCHANGES = 3;
+const loggerId = Symbol.for("logger");
+
+/**
+ * Wires the parts of a scheduler.
+ *
+ * @param settings The checked settings.
+ * @returns The scheduler, not started.
+ */
+export function createScheduler(settings: SchedulerSettings): Scheduler {
+    const container = new Container({ defaultScope: "Singleton" });
+    bindSharedParts(container, settings);
+    bindWorkerParts(container, settings);
+    bindDecisionParts(container, settings);
+    const scheduler = new Scheduler({
+        settings,
+        metrics: container.get(Metrics),
+        logger: container.get<EventLogger>(loggerId),
+        directory: container.get(VmDirectory),
+        peers: container.get(PeerPool),
+        config: container.get(ConfigFollower),
+        stream: container.get(TaskStream),
+        members: container.get(SchedulerMembers),
+        fleet: container.get(WorkerFleet),
+        placer: container.get(TaskPlacer),
+        guard: container.get(WorkerGuard),
+        upkeep: container.get(TaskUpkeep),
+        grantService: container.get(GrantService),
+    });
+    return scheduler;
+}
+
+function bindSharedParts(container: Container, settings: SchedulerSettings): void {
+    const { process, platform, peers, placement } = settings;
+    const metrics = new Metrics();
+    const logger = createLogger({ process: process.name, domain: process.domain }, process.logLevel);
+    const log = new HttpLog(platform.logUrl, platform.callTimeoutMs);
+    const list = new HttpVmList(platform.listUrl, platform.callTimeoutMs);
+    container.bind(Metrics).toConstantValue(metrics);
+    container.bind<EventLogger>(loggerId).toConstantValue(logger);
+    container.bind(VmDirectory).toDynamicValue(() =>
+        new VmDirectory(list, failure => metrics.count("list_failures_total", failure.kind))
+    );
+    container.bind(PeerPool).toDynamicValue(() =>
+        new PeerPool({ peerKey: peers.key, timeoutMs: peers.timeoutMs, maxFrameBytes: peers.maxFrameBytes })
+    );
+    container.bind(ConfigFollower).toDynamicValue(() =>
+        new ConfigFollower({
+            log,
+            waitMs: platform.readWaitMs,
+            retryMs: platform.appendFlushMs,
+            now,
+            metrics,
+            logger,
+            applyVersion: () => {},
+        })
+    );
+    container.bind(TaskStream).toDynamicValue(() => new TaskStream({ settings, log, metrics, now }));
+    container.bind(Behaviour).toDynamicValue(() => new Behaviour(placement.sizeQuantile));
+}
+
+function bindWorkerParts(container: Container, settings: SchedulerSettings): void {
+    const { process, leases, grants, reaction, peers } = settings;
+    const holder = `${process.name}:${randomUUID()}`;
+    container.bind(GrantLedger).toDynamicValue(() =>
+        new GrantLedger({ ...grants, clockMarginMs: leases.clockMarginMs })
+    );
+    container.bind(SchedulerMembers).toDynamicValue(() =>
+        new SchedulerMembers({
+            domain: process.domain,
+            vm: process.vm,
+            directory: container.get(VmDirectory),
+            peers: container.get(PeerPool),
+            now,
+            silentAfterMs: peers.statusIntervalMs * MISSED_EXCHANGES,
+            listCondemned: () => container.get(WorkerGuard).listCondemned(),
+            isInContact: worker => container.get(WorkerFleet).findControl(worker)?.getToken() !== undefined,
+        })
+    );
+    container.bind(WorkerFleet).toDynamicValue(() =>
+        new WorkerFleet({
+            settings,
+            holder,
+            stream: container.get(TaskStream),
+            members: container.get(SchedulerMembers),
+            behaviour: container.get(Behaviour),
+            grants: container.get(GrantLedger),
+            evictions: new EvictionBudget(reaction.evictionsPerMinute),
+            metrics: container.get(Metrics),
+            logger: container.get<EventLogger>(loggerId),
+            now,
+            createPort: vm => createWorkerPort(vm, leases.orderTimeoutMs),
+            isLeaving: worker => checkLeaving(container, settings, worker),
+            mayGiveWay: (victim, urgent) => container.get(TaskPlacer).checkGiveWay(victim, urgent),
+        })
+    );
+    container.bind(WorkerGuard).toDynamicValue(() =>
+        new WorkerGuard({
+            settings,
+            holder,
+            stream: container.get(TaskStream),
+            fleet: container.get(WorkerFleet),
+            members: container.get(SchedulerMembers),
+            metrics: container.get(Metrics),
+            logger: container.get<EventLogger>(loggerId),
+            now,
+        })
+    );
+}
+
+function bindDecisionParts(container: Container, settings: SchedulerSettings): void {
+    container.bind(TaskPlacer).toDynamicValue(() =>
+        new TaskPlacer({
+            settings,
+            stream: container.get(TaskStream),
+            fleet: container.get(WorkerFleet),
+            members: container.get(SchedulerMembers),
+            behaviour: container.get(Behaviour),
+            config: container.get(ConfigFollower),
+            directory: container.get(VmDirectory),
+            metrics: container.get(Metrics),
+            now,
+            isLeaving: worker => checkLeaving(container, settings, worker),
+            pickRandom: Math.random,
+        })
+    );
+    container.bind(TaskUpkeep).toDynamicValue(() =>
+        new TaskUpkeep({
+            settings,
+            stream: container.get(TaskStream),
+            config: container.get(ConfigFollower),
+            members: container.get(SchedulerMembers),
+            directory: container.get(VmDirectory),
+            fleet: container.get(WorkerFleet),
+        })
+    );
+    container.bind(GrantService).toDynamicValue(() =>
+        new GrantService({
+            domain: settings.process.domain,
+            grants: container.get(GrantLedger),
+            directory: container.get(VmDirectory),
+            fleet: container.get(WorkerFleet),
+            now,
+        })
+    );
+}
+
+function createWorkerPort(vm: VmRecord, timeoutMs: number): HttpWorker {
+    return new HttpWorker(`http://${vm.address}:${vm.controlPort}`, timeoutMs);
+}
+
+/** A worker takes no new work when its VM leaves, when the list has dropped it, or when an operator drains it. */
+function checkLeaving(container: Container, settings: SchedulerSettings, worker: string): boolean {
+    const { drainedWorkers } = container.get(ConfigFollower).history.getCurrent().document;
+    const vm = container.get(VmDirectory).listWorkers(settings.process.domain).find(each => each.vm === worker);
+    return vm?.state !== VmState.Live || drainedWorkers.includes(worker);
+}
--- /dev/null
+++ b/packages/scheduler/src/planWorkerReactions.ts
@@ -0,0 +1,60 @@
+import type { WorkerReport } from "@sardinestage/call-platform";
+import type { TaskEntry } from "@sardinestage/fold-tasks";
+import { resourceMath } from "@sardinestage/place-tasks";
+import type { Reaction, RunningBatch } from "@sardinestage/plan-reactions";
+import { planInterferenceStep, planPreemption } from "@sardinestage/plan-reactions";
+import type { Resources, WorkerTask } from "@sardinestage/types";
+import { RunState, WorkKind } from "@sardinestage/types";
+import type { WorkerContext } from "./workerContext.js";
+
+interface ReactionView {
+    readonly context: WorkerContext;
+    readonly worker: string;
+    readonly capacity: Resources;
+    readonly report: WorkerReport;
+    /** Tasks that the log binds to the worker. */
+    readonly bound: readonly TaskEntry[];
+    /** Whether the last step has had time to show. */
+    readonly isSettled: boolean;
+}
+
+/** Decides which running batch tasks of a worker are throttled or evicted now. */
+export function planWorkerReactions(view: ReactionView): Reaction[] {
+    const { behaviour, evictions, settings, now, mayGiveWay } = view.context;
+    const running = view.report.tasks.filter(task => task.state === RunState.Running);
+    const batch = running.filter(task => task.spec.kind === WorkKind.Batch)
+        .map(task => describeBatch(task, running, view.context));
+    const evictionsLeft = evictions.getLeft(now());
+    const runningIds = new Set(running.map(task => task.taskId));
+    const estimateSize = behaviour.estimateSize.bind(behaviour);
+    const used = running
+        .map(task => resourceMath.max(task.spec.size, estimateSize(task.spec)))
+        .reduce(resourceMath.add, resourceMath.none);
+    const preemptions = planPreemption({
+        pending: view.bound.filter(entry => !runningIds.has(entry.spec.taskId)).map(entry => entry.spec),
+        batch,
+        room: resourceMath.subtract(view.capacity, used),
+        estimateSize,
+        mayGiveWay,
+        maxEvictions: evictionsLeft,
+    });
+    if (preemptions.length > 0) {
+        return preemptions;
+    }
+    const step = planInterferenceStep({
+        slowdown: behaviour.getSlowdown(view.worker),
+        slowdownLimit: settings.reaction.slowdownLimit,
+        batch,
+        isSettled: view.isSettled,
+        mayEvict: evictionsLeft > 0,
+    });
+    return step === undefined ? [] : [step];
+}
+
+function describeBatch(task: WorkerTask, running: readonly WorkerTask[], context: WorkerContext): RunningBatch {
+    const harm = running.filter(other => other.spec.kind === WorkKind.LatencyCritical)
+        .reduce((sum, service) => sum + context.behaviour.estimateHarm(service.spec, task.spec), 0);
+    const saved = Number(task.checkpoint ?? 0);
+    const lost = Math.max(0, task.progress - (Number.isFinite(saved) ? saved : 0));
+    return { spec: task.spec, throttle: task.throttle, harm, lossMs: lost * task.spec.expectedRunMs };
+}
--- /dev/null
+++ b/packages/scheduler/src/scheduler.ts
@@ -0,0 +1,140 @@
+import type { Metrics } from "@sardinestage/count-metrics";
+import { describeFailure } from "@sardinestage/errors";
+import { FrameKind, PeerServer } from "@sardinestage/exchange-frames";
+import { TaskRecordKind } from "@sardinestage/fold-tasks";
+import type { ConfigFollower } from "@sardinestage/follow-config";
+import type { EventLogger } from "@sardinestage/log-events";
+import type { RunningProcess } from "@sardinestage/run-process";
+import { serveStatus } from "@sardinestage/run-process";
+import type { PeerPool, VmDirectory } from "@sardinestage/track-members";
+import { runPeriodically } from "@sardinestage/track-members";
+import type { Server } from "node:http";
+import type { GrantService } from "./grantService.js";
+import type { SchedulerMembers } from "./schedulerMembers.js";
+import type { SchedulerSettings } from "./schedulerSettings.js";
+import type { TaskPlacer } from "./taskPlacer.js";
+import type { TaskStream } from "./taskStream.js";
+import type { TaskUpkeep } from "./taskUpkeep.js";
+import type { WorkerFleet } from "./workerFleet.js";
+import type { WorkerGuard } from "./workerGuard.js";
+
+const UPKEEP_MS = 500;
+
+/** The parts of a scheduler. */
+interface SchedulerParts {
+    readonly settings: SchedulerSettings;
+    readonly metrics: Metrics;
+    readonly logger: EventLogger;
+    readonly directory: VmDirectory;
+    readonly peers: PeerPool;
+    readonly config: ConfigFollower;
+    readonly stream: TaskStream;
+    readonly members: SchedulerMembers;
+    readonly fleet: WorkerFleet;
+    readonly placer: TaskPlacer;
+    readonly guard: WorkerGuard;
+    readonly upkeep: TaskUpkeep;
+    readonly grantService: GrantService;
+}
+
+/** Runs the loops of a scheduler. */
+export class Scheduler implements RunningProcess {
+    private readonly stops: (() => Promise<void>)[] = [];
+    private peerServer: PeerServer | undefined;
+    private statusServer: Server | undefined;
+
+    constructor(private readonly parts: SchedulerParts) {}
+
+    /** Opens the ports and starts the loops; rejects when a port is in use. */
+    async start(): Promise<void> {
+        const { settings, metrics, config, stream, directory, peers } = this.parts;
+        const { address, metricsPort, domain, vm } = settings.process;
+        this.peerServer = this.createPeerServer();
+        await this.peerServer.listen(address, settings.scheduler.peerPort);
+        const readStatus = () => this.readStatus();
+        const isReady = () => stream.isLoaded();
+        this.statusServer = await serveStatus({ address, port: metricsPort, metrics, readStatus, isReady });
+        stream.onEffect = record => {
+            if (record.kind === TaskRecordKind.Bind || record.kind === TaskRecordKind.Cancel) {
+                this.wakeHolder(record.taskId);
+            }
+            else if (record.kind === TaskRecordKind.Hold) {
+                this.parts.fleet.wakeWorker(record.worker);
+            }
+        };
+        void config.follow();
+        void stream.follow();
+        this.runLoop(settings.platform.listIntervalMs, async () => {
+            await directory.refresh();
+            this.parts.fleet.updateWorkers(directory.listWorkers(domain));
+            const schedulers = directory.listSchedulerPeers(domain, vm);
+            peers.closeUnlisted(schedulers);
+            await config.pullFromPeers(peers, schedulers);
+        });
+        this.runLoop(settings.peers.statusIntervalMs, () => this.parts.members.shareStatus());
+        this.runLoop(settings.placement.intervalMs, () => this.parts.placer.bindWaiting());
+        this.runLoop(UPKEEP_MS, () => {
+            this.parts.guard.checkWorkers();
+            this.parts.upkeep.run();
+        });
+    }
+
+    /** Gives back every worker and closes the ports; tasks run on. */
+    async drain(): Promise<void> {
+        const { fleet, stream, config, peers, logger } = this.parts;
+        logger.info("drain-started");
+        await Promise.all(this.stops.map(stop => stop()));
+        await fleet.drain();
+        stream.stop();
+        config.stop();
+        peers.close();
+        this.peerServer?.close();
+        this.statusServer?.closeAllConnections();
+        this.statusServer?.close();
+        logger.info("drain-finished");
+    }
+
+    private runLoop(pauseMs: number, job: () => Promise<void> | void): void {
+        const handleFailure = (failure: unknown) => {
+            this.parts.metrics.count("loop_failures_total", "scheduler");
+            this.parts.logger.error("loop-failed", { reason: describeFailure(failure) });
+        };
+        this.stops.push(runPeriodically(pauseMs, job, handleFailure));
+    }
+
+    private wakeHolder(taskId: string): void {
+        const worker = this.parts.stream.ledger.getTask(taskId)?.worker;
+        if (worker !== undefined) {
+            this.parts.fleet.wakeWorker(worker);
+        }
+    }
+
+    private createPeerServer(): PeerServer {
+        const { settings, metrics, config, members, grantService } = this.parts;
+        return new PeerServer({
+            peerKey: settings.peers.key,
+            maxFrameBytes: settings.peers.maxFrameBytes,
+            maxConnections: settings.peers.maxConnections,
+            metrics,
+            handlers: new Map([
+                [FrameKind.ReadConfig, body => config.answerPeer(body)],
+                [FrameKind.ShareStatus, body => members.answerStatus(body)],
+                [FrameKind.PullGrants, body => grantService.answerPull(body)],
+            ]),
+        });
+    }
+
+    private readStatus(): object {
+        const { settings, stream, fleet, config, guard } = this.parts;
+        return {
+            process: settings.process.name,
+            domain: settings.process.domain,
+            configVersion: config.history.getCurrent().version,
+            logFresh: stream.isFresh(),
+            pendingRecords: stream.getPendingCount(),
+            waitingTasks: stream.ledger.listWaiting().size,
+            heldWorkers: fleet.listHeld().map(control => control.vm.vm),
+            condemnedWorkers: guard.listCondemned(),
+        };
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/taskUpkeep.ts
@@ -0,0 +1,102 @@
+import type { TaskEntry, TaskRecord } from "@sardinestage/fold-tasks";
+import { TaskRecordKind } from "@sardinestage/fold-tasks";
+import type { ConfigFollower } from "@sardinestage/follow-config";
+import { resourceMath } from "@sardinestage/place-tasks";
+import { planReplicas } from "@sardinestage/plan-replicas";
+import type { VmDirectory } from "@sardinestage/track-members";
+import { TaskPhase } from "@sardinestage/types";
+import type { SchedulerMembers } from "./schedulerMembers.js";
+import type { SchedulerSettings } from "./schedulerSettings.js";
+import type { TaskStream } from "./taskStream.js";
+import type { WorkerFleet } from "./workerFleet.js";
+
+interface TaskUpkeepOptions {
+    readonly settings: SchedulerSettings;
+    readonly stream: TaskStream;
+    readonly config: ConfigFollower;
+    readonly members: SchedulerMembers;
+    readonly directory: VmDirectory;
+    readonly fleet: WorkerFleet;
+}
+
+/** Work that keeps the stream in order: replicas as configured, parked tasks that fit again, retention. */
+export class TaskUpkeep {
+    constructor(private readonly options: TaskUpkeepOptions) {}
+
+    /** Does everything that is due. */
+    run(): void {
+        const { stream, settings } = this.options;
+        if (!stream.isFresh()) {
+            return;
+        }
+        this.submitReplicas();
+        this.unparkTasks();
+        this.renewRecords();
+        stream.ledger.expireEnded(Date.now() - settings.retention.keepEndedMs);
+    }
+
+    private submitReplicas(): void {
+        const { config, stream, settings } = this.options;
+        const current = config.history.getCurrent();
+        // Without any configuration nothing is known of services, so none is cancelled.
+        if (current.version > 0) {
+            const tasks = stream.ledger.listTasks();
+            planReplicas({ config: current.document, domain: settings.process.domain, tasks })
+                .forEach(record => stream.append(record));
+        }
+    }
+
+    private unparkTasks(): void {
+        const { directory, settings, stream, members } = this.options;
+        const workers = directory.listWorkers(settings.process.domain);
+        for (const { spec, phase, lastOffset } of stream.ledger.listTasks()) {
+            const { taskId } = spec;
+            if (phase !== TaskPhase.Parked || members.computeRank(taskId) > 0) {
+                continue;
+            }
+            if (workers.some(vm => resourceMath.fits(spec.size, vm.capacity ?? resourceMath.none))) {
+                stream.append({ id: `unpark:${taskId}:${lastOffset}`, data: { kind: TaskRecordKind.Unpark, taskId } });
+            }
+        }
+    }
+
+    private renewRecords(): void {
+        const { stream, settings, members, fleet } = this.options;
+        const beforeMs = Date.now() - settings.retention.carryAfterMs;
+        for (const entry of stream.ledger.listTasks()) {
+            if (entry.changedAtMs < beforeMs && isOpen(entry) && members.computeRank(entry.spec.taskId) === 0) {
+                stream.append({ id: `carry:${entry.spec.taskId}:${entry.lastOffset}`, data: createCarry(entry) });
+            }
+        }
+        for (const { vm } of fleet.listHeld()) {
+            const hold = stream.ledger.getHold(vm.vm);
+            if (hold !== undefined && hold.changedAtMs < beforeMs) {
+                const { token, holder, changedAtMs } = hold;
+                const data: TaskRecord = { kind: TaskRecordKind.Hold, worker: vm.vm, token, holder };
+                stream.append({ id: `hold:${vm.vm}:${token}:${changedAtMs}`, data });
+            }
+        }
+    }
+}
+
+function isOpen({ phase }: TaskEntry): boolean {
+    return phase === TaskPhase.Waiting || phase === TaskPhase.Bound || phase === TaskPhase.Parked;
+}
+
+function createCarry(entry: TaskEntry): TaskRecord {
+    const { spec, phase, generation, worker, lastAttempt, checkpoint, failedOn, cancelRequested, submittedAtMs } =
+        entry;
+    return {
+        kind: TaskRecordKind.Carry,
+        spec,
+        phase,
+        generation,
+        worker,
+        lastAttempt,
+        checkpoint,
+        failedOn: [...failedOn],
+        cancelRequested,
+        submittedAtMs,
+        asOf: entry.lastOffset,
+    };
+}
--- /dev/null
+++ b/packages/scheduler/src/workerControl.ts
@@ -0,0 +1,242 @@
+import type { AttemptRef, WorkerPort, WorkerReport } from "@sardinestage/call-platform";
+import type { TaskEntry } from "@sardinestage/fold-tasks";
+import { LogbookEvent, TaskRecordKind } from "@sardinestage/fold-tasks";
+import type { ReplicaEndpoint } from "@sardinestage/grant-connections";
+import { computeAuthorityMoment } from "@sardinestage/hold-workers";
+import type { WorkerOrder } from "@sardinestage/plan-worker-orders";
+import { OrderKind, planWorkerOrders } from "@sardinestage/plan-worker-orders";
+import type { VmRecord } from "@sardinestage/types";
+import { RunState, TaskPhase } from "@sardinestage/types";
+import { applyOrder } from "./applyOrder.js";
+import { planWorkerReactions } from "./planWorkerReactions.js";
+import type { WorkerContext } from "./workerContext.js";
+import { WorkerLease } from "./workerLease.js";
+
+/** A worker is handed to the scheduler that ranks first only after it was held so long, in milliseconds. */
+const MIN_HOLD_MS = 10_000;
+const NO_RESOURCES = { cpuMillis: 0, memoryMb: 0, accelerators: 0, slots: 0 };
+
+/** Controls one worker: holds its lease, keeps its tasks going, and makes it do what the log says. */
+export class WorkerControl {
+    private readonly port: WorkerPort;
+    private readonly lease: WorkerLease;
+    private report: WorkerReport | undefined;
+    private acknowledged: readonly AttemptRef[] = [];
+    private authorityAtMs = Number.NEGATIVE_INFINITY;
+    private heldSinceMs = 0;
+    private lastReactionAtMs = Number.NEGATIVE_INFINITY;
+
+    constructor(private readonly context: WorkerContext, readonly vm: VmRecord) {
+        const { holder, settings, now } = context;
+        this.port = context.createPort(vm);
+        this.lease = new WorkerLease({ port: this.port, holder, ttlMs: settings.leases.workerTtlMs, now });
+    }
+
+    /** Whether this process holds the worker and the log says so. */
+    isHeld(): boolean {
+        const token = this.lease.getToken();
+        return token !== undefined && this.context.stream.ledger.getHold(this.vm.vm)?.token === token;
+    }
+
+    /** The token of the lease while it holds. */
+    getToken(): number | undefined {
+        return this.lease.getToken();
+    }
+
+    /** Since when the worker has not answered. */
+    getSilentSinceMs(): number | undefined {
+        return this.lease.getSilentSinceMs();
+    }
+
+    /** Whether task leases may be renewed and tasks started. */
+    hasAuthority(): boolean {
+        const { authorityMs, clockMarginMs } = this.context.settings.leases;
+        return this.context.now() < this.authorityAtMs + authorityMs - clockMarginMs;
+    }
+
+    /** Replicas on this worker that take requests. */
+    listEndpoints(): ReplicaEndpoint[] {
+        const { vm, address, servePort } = this.vm;
+        if (this.lease.getToken() === undefined || servePort === undefined || this.context.isLeaving(vm)) {
+            return [];
+        }
+        const running = this.report?.tasks.filter(task => task.state === RunState.Running) ?? [];
+        const services = new Set(
+            running.flatMap(({ spec }) =>
+                spec.service === undefined || this.findBound(spec.taskId)?.cancelRequested !== false
+                    ? []
+                    : [spec.service]
+            ),
+        );
+        return [...services].map(service => ({ worker: vm, service, address, port: servePort }));
+    }
+
+    /** Does one round: lease, report, orders. */
+    async run(): Promise<void> {
+        const token = this.lease.getToken() ?? await this.tryAcquire();
+        if (token === undefined) {
+            return;
+        }
+        this.authorityAtMs = Math.max(this.authorityAtMs, this.computeAuthority());
+        const taskTtlMs = this.hasAuthority() ? this.context.settings.leases.taskTtlMs : undefined;
+        const report = await this.lease.renew(token, { taskTtlMs, acknowledged: this.acknowledged });
+        if (report === undefined) {
+            this.noteLost();
+            return;
+        }
+        this.takeReport(report);
+        this.refuseCondemnation();
+        await this.applyPlan(token, report);
+        if (this.isHandoverDue()) {
+            await this.release();
+        }
+    }
+
+    /** Gives the lease back; tasks run on under their own leases. */
+    async release(): Promise<void> {
+        this.context.grants.closeWorker(this.vm.vm);
+        await this.lease.release();
+    }
+
+    private async tryAcquire(): Promise<number | undefined> {
+        const { members, stream, grants, now, metrics, logger, holder } = this.context;
+        const worker = this.vm.vm;
+        if (members.computeRank(worker) > 0 || !stream.isLoaded()) {
+            return undefined;
+        }
+        const token = await this.lease.acquire();
+        if (token === undefined) {
+            return undefined;
+        }
+        const takenOver = stream.ledger.getHold(worker) !== undefined || !stream.isFresh();
+        metrics.count("worker_leases_acquired_total", takenOver ? "taken-over" : "first");
+        logger.info("worker-lease-acquired", { worker, token });
+        stream.append({ id: `hold:${worker}:${token}`, data: { kind: TaskRecordKind.Hold, worker, token, holder } });
+        grants.openWorker(worker, token, this.vm.connections ?? 0, takenOver, now());
+        this.heldSinceMs = now();
+        this.report = undefined;
+        this.acknowledged = [];
+        return token;
+    }
+
+    private computeAuthority(): number {
+        const { stream, members, now } = this.context;
+        return computeAuthorityMoment({
+            isCondemned: stream.ledger.getCondemnation(this.vm.vm) !== undefined,
+            logFreshAtMs: stream.getFreshAtMs(),
+            peerPromisedAtMs: members.listPromises(this.vm.vm),
+        }, now());
+    }
+
+    private takeReport(report: WorkerReport): void {
+        const { behaviour, now } = this.context;
+        const worker = this.vm.vm;
+        const known = new Set(this.report?.tasks.filter(task => task.state !== RunState.Running).map(describeAttempt));
+        for (const task of report.tasks) {
+            const ended = task.state === RunState.Succeeded || task.state === RunState.Failed;
+            if (ended && !known.has(describeAttempt(task))) {
+                behaviour.health.recordEnd(worker, task.state === RunState.Succeeded, now());
+            }
+        }
+        behaviour.learnReport(worker, report);
+        this.report = report;
+    }
+
+    /** The worker answers: a condemnation by somebody who can't reach it must not stand. */
+    private refuseCondemnation(): void {
+        const { stream } = this.context;
+        const worker = this.vm.vm;
+        const condemnation = stream.ledger.getCondemnation(worker);
+        if (condemnation !== undefined) {
+            const { condemnId } = condemnation;
+            stream.append({ id: `contest:${condemnId}`, data: { kind: TaskRecordKind.Contest, worker, condemnId } });
+        }
+    }
+
+    private async applyPlan(token: number, report: WorkerReport): Promise<void> {
+        const { stream, behaviour, settings, isLeaving, now } = this.context;
+        const worker = this.vm.vm;
+        const capacity = this.vm.capacity ?? NO_RESOURCES;
+        const bound = this.listBound();
+        const estimateSize = behaviour.estimateSize.bind(behaviour);
+        const plan = planWorkerOrders({
+            worker,
+            token,
+            capacity,
+            tasks: report.tasks,
+            bound,
+            findEntry: taskId => stream.ledger.getTask(taskId),
+            mayStart: this.isHeld() && this.hasAuthority(),
+            isLogFresh: stream.isFresh(),
+            isLeaving: isLeaving(worker),
+            isIdle: taskId => this.isIdle(taskId),
+            maxFailures: settings.placement.maxFailures,
+            estimateSize,
+            reactions: planWorkerReactions({
+                context: this.context,
+                worker,
+                capacity,
+                report,
+                bound,
+                isSettled: now() - this.lastReactionAtMs >= settings.reaction.settleMs,
+            }),
+        });
+        plan.records.forEach(record => stream.append(record));
+        this.acknowledged = plan.acknowledged;
+        await Promise.all(plan.orders.map(order => this.sendOrder(token, order)));
+    }
+
+    private async sendOrder(token: number, order: WorkerOrder): Promise<void> {
+        const { stream, metrics, settings, evictions, now } = this.context;
+        const applied = await applyOrder(order, { port: this.port, token, taskTtlMs: settings.leases.taskTtlMs });
+        if (applied.err) {
+            metrics.count("orders_failed_total", applied.val.kind);
+            return;
+        }
+        metrics.count("orders_total", order.kind);
+        stream.appendEvent(applied.val, order, this.vm.vm, order.kind === OrderKind.Start ? "" : order.reason);
+        if (applied.val === LogbookEvent.Evicted) {
+            evictions.recordEviction(now());
+        }
+        if (order.kind === OrderKind.Throttle || order.kind === OrderKind.Evict) {
+            this.lastReactionAtMs = now();
+        }
+    }
+
+    private listBound(): TaskEntry[] {
+        const { ledger } = this.context.stream;
+        return [...ledger.listBound(this.vm.vm)].flatMap(taskId => ledger.getTask(taskId) ?? []);
+    }
+
+    private findBound(taskId: string): TaskEntry | undefined {
+        const entry = this.context.stream.ledger.getTask(taskId);
+        return entry?.phase === TaskPhase.Bound && entry.worker === this.vm.vm ? entry : undefined;
+    }
+
+    /** Whether no request can be open at a replica; batch tasks take none. */
+    private isIdle(taskId: string): boolean {
+        const service = this.report?.tasks.find(task => task.taskId === taskId)?.spec.service;
+        if (service === undefined) {
+            return true;
+        }
+        const { grants, now } = this.context;
+        return !grants.isQuiet(this.vm.vm, now()) && grants.getOutstanding(this.vm.vm, service) === 0;
+    }
+
+    private isHandoverDue(): boolean {
+        const { members, now } = this.context;
+        return now() - this.heldSinceMs > MIN_HOLD_MS && members.computeRank(this.vm.vm) > 0;
+    }
+
+    private noteLost(): void {
+        if (this.lease.getToken() === undefined) {
+            this.context.grants.closeWorker(this.vm.vm);
+            this.context.metrics.count("worker_leases_lost_total", "lapsed");
+            this.context.logger.warn("worker-lease-lost", { worker: this.vm.vm });
+        }
+    }
+}
+
+function describeAttempt(task: { taskId: string; attempt: number }): string {
+    return `${task.taskId}#${task.attempt}`;
+}
--- /dev/null
+++ b/packages/scheduler/src/workerGuard.ts
@@ -0,0 +1,150 @@
+import type { Metrics } from "@sardinestage/count-metrics";
+import { TaskRecordKind } from "@sardinestage/fold-tasks";
+import { CondemnStep, planCondemnStep } from "@sardinestage/hold-workers";
+import type { EventLogger } from "@sardinestage/log-events";
+import { TaskPhase } from "@sardinestage/types";
+import { randomUUID } from "node:crypto";
+import type { SchedulerMembers } from "./schedulerMembers.js";
+import type { SchedulerSettings } from "./schedulerSettings.js";
+import type { TaskStream } from "./taskStream.js";
+import type { WorkerFleet } from "./workerFleet.js";
+
+interface WorkerGuardOptions {
+    readonly settings: SchedulerSettings;
+    readonly holder: string;
+    readonly stream: TaskStream;
+    readonly fleet: WorkerFleet;
+    readonly members: SchedulerMembers;
+    readonly metrics: Metrics;
+    readonly logger: EventLogger;
+    readonly now: () => number;
+}
+
+interface Announcement {
+    readonly condemnId: string;
+    readBackAtMs: number | undefined;
+}
+
+/** Frees the tasks of workers that are gone, once they certainly don't run there any more. */
+export class WorkerGuard {
+    private readonly announcements = new Map<string, Announcement>();
+    private readonly startedAtMs: number;
+
+    constructor(private readonly options: WorkerGuardOptions) {
+        this.startedAtMs = options.now();
+    }
+
+    /** Workers that this process condemns, announced or about to be. */
+    listCondemned(): readonly string[] {
+        return [...this.announcements.keys()];
+    }
+
+    /** Takes one step for each worker that has tasks. */
+    checkWorkers(): void {
+        const { stream } = this.options;
+        const logContinuousSinceMs = stream.updateContinuity();
+        const workers = new Set([...stream.ledger.listBoundWorkers(), ...this.announcements.keys()]);
+        for (const worker of workers) {
+            this.takeStep(worker, logContinuousSinceMs);
+        }
+    }
+
+    private takeStep(worker: string, logContinuousSinceMs: number): void {
+        const { stream, fleet, members, settings, now } = this.options;
+        this.updateAnnouncement(worker);
+        const control = fleet.findControl(worker);
+        const { leases } = settings;
+        const step = planCondemnStep({
+            nowMs: now(),
+            startedAtMs: this.startedAtMs,
+            // A worker that the list has dropped before this process ever tried it is as silent as one that fails.
+            silentSinceMs: control === undefined ? this.startedAtMs : control.getSilentSinceMs(),
+            hasTasks: stream.ledger.listBound(worker).size > 0,
+            isPreferred: members.computeRank(worker) === 0,
+            announcedAtMs: this.announcements.get(worker)?.readBackAtMs,
+            isCondemned: stream.ledger.getCondemnation(worker) !== undefined || this.announcements.has(worker),
+            logContinuousSinceMs: members.isContested(worker) ? Number.POSITIVE_INFINITY : logContinuousSinceMs,
+        }, {
+            condemnAfterMs: leases.condemnAfterMs,
+            startupQuietMs: leases.startupQuietMs,
+            waitMs: leases.authorityMs + leases.taskTtlMs + leases.clockMarginMs,
+        });
+        this.applyStep(worker, step);
+    }
+
+    private applyStep(worker: string, step: CondemnStep): void {
+        switch (step) {
+            case CondemnStep.Nothing:
+                return;
+            case CondemnStep.Announce:
+                this.announce(worker);
+                break;
+            case CondemnStep.Withdraw:
+                this.withdraw(worker);
+                break;
+            case CondemnStep.Release:
+                this.releaseTasks(worker);
+                break;
+        }
+        this.options.metrics.count("condemn_steps_total", step);
+        this.options.logger.warn("worker-condemn-step", { worker, step });
+    }
+
+    /** Follows the log: an announcement counts from when it was read back, and ends when somebody objected. */
+    private updateAnnouncement(worker: string): void {
+        const { stream, now } = this.options;
+        const announcement = this.announcements.get(worker);
+        if (announcement === undefined) {
+            return;
+        }
+        const standing = stream.ledger.getCondemnation(worker)?.condemnId;
+        if (standing === announcement.condemnId) {
+            announcement.readBackAtMs ??= now();
+        }
+        else if (announcement.readBackAtMs !== undefined || standing !== undefined) {
+            this.announcements.delete(worker);
+        }
+    }
+
+    private announce(worker: string): void {
+        const condemnId = `condemn:${worker}:${randomUUID()}`;
+        this.announcements.set(worker, { condemnId, readBackAtMs: undefined });
+        const data = { kind: TaskRecordKind.Condemn, worker, by: this.options.holder };
+        this.options.stream.append({ id: condemnId, data });
+    }
+
+    private withdraw(worker: string): void {
+        const { stream } = this.options;
+        const condemnId = this.announcements.get(worker)?.condemnId;
+        if (condemnId !== undefined) {
+            stream.append({ id: `contest:${condemnId}`, data: { kind: TaskRecordKind.Contest, worker, condemnId } });
+        }
+    }
+
+    private releaseTasks(worker: string): void {
+        const { stream } = this.options;
+        const condemnId = this.announcements.get(worker)?.condemnId;
+        for (const taskId of stream.ledger.listBound(worker)) {
+            const entry = stream.ledger.getTask(taskId);
+            if (entry?.phase === TaskPhase.Bound) {
+                const { generation, checkpoint } = entry;
+                const data = {
+                    kind: TaskRecordKind.Release,
+                    taskId,
+                    generation,
+                    worker,
+                    condemnId,
+                    // Attempts that the worker made and that nobody recorded must not be numbered again.
+                    lastAttempt: entry.lastAttempt + UNSEEN_ATTEMPTS,
+                    checkpoint,
+                    reason: "the worker is gone",
+                    failed: false,
+                };
+                stream.append({ id: `release:${taskId}:${generation}:${condemnId}`, data });
+            }
+        }
+    }
+}
+
+/** More attempts than a worker can have made of one task without any record of them in the log. */
+const UNSEEN_ATTEMPTS = 1_000;
--- a/packages/stand-ins/src/faultProxy.ts
+++ b/packages/stand-ins/src/faultProxy.ts
@@ -63,9 +63,9 @@
         near.setNoDelay(true);
         this.pairs.add(pair);
         far.on("error", () => near.destroy());
-        near.on("data", chunk => this.passOn(pair, far, chunk, this.isBlocked(pair)));
+        near.on("data", chunk => this.forwardChunk(far, chunk, this.isBlocked(pair)));
         far.on("data", chunk => {
-            this.passOn(pair, near, chunk, this.isBlocked(pair) || this.fault === LinkFault.AnswersDropped);
+            this.forwardChunk(near, chunk, this.isBlocked(pair) || this.fault === LinkFault.AnswersDropped);
         });
         near.on("close", () => this.closeLater(pair, far));
         far.on("close", () => this.closeLater(pair, near));
@@ -75,7 +75,7 @@
         return pair.silent || this.fault === LinkFault.Cut;
     }
 
-    private passOn(pair: Pair, to: Socket, chunk: Buffer, blocked: boolean): void {
+    private forwardChunk(to: Socket, chunk: Buffer, blocked: boolean): void {
         if (blocked) {
             return;
         }
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,14 +1,13 @@
 export { FaultProxy } from "./faultProxy.js";
+export type { JsonAnswer } from "./jsonAnswer.js";
 export { LinkFault } from "./linkFault.js";
 export { LogFault } from "./logFault.js";
 export { PortAllocator } from "./portAllocator.js";
 export { Recorder } from "./recorder.js";
-export type { JsonAnswer } from "./serveJson.js";
 export { serveJson } from "./serveJson.js";
 export { serveTarget } from "./serveTarget.js";
 export { StandInLog } from "./standInLog.js";
 export { StandInTask } from "./standInTask.js";
 export { StandInVmList } from "./standInVmList.js";
-export type { StandInWorkerOptions } from "./standInWorker.js";
 export { StandInWorker } from "./standInWorker.js";
 export type { TaskModel } from "./taskModel.js";
--- a/packages/stand-ins/src/serveJson.ts
+++ b/packages/stand-ins/src/serveJson.ts
@@ -1,8 +1,6 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-
-/** What a stand-in answers: a status and a JSON body, or `undefined` for no answer at all. */
-export type JsonAnswer = { readonly status: number; readonly body: unknown } | undefined;
+import type { JsonAnswer } from "./jsonAnswer.js";
 
 /** Answers one call. */
 type JsonHandler = (path: string, query: URLSearchParams, body: unknown) => Promise<JsonAnswer> | JsonAnswer;
--- a/packages/stand-ins/src/standInLog.ts
+++ b/packages/stand-ins/src/standInLog.ts
@@ -1,6 +1,6 @@
 import type { LogRecord } from "@sardinestage/call-platform";
+import type { JsonAnswer } from "./jsonAnswer.js";
 import { LogFault } from "./logFault.js";
-import type { JsonAnswer } from "./serveJson.js";
 
 interface Stream {
     oldest: number;
--- a/packages/stand-ins/src/standInWorker.ts
+++ b/packages/stand-ins/src/standInWorker.ts
@@ -1,15 +1,15 @@
 import type { RenewOrder, StartOrder } from "@sardinestage/call-platform";
 import type { Resources, TaskSpec, TaskUsage } from "@sardinestage/types";
 import { RunState, WorkKind } from "@sardinestage/types";
+import type { JsonAnswer } from "./jsonAnswer.js";
 import type { Recorder } from "./recorder.js";
-import type { JsonAnswer } from "./serveJson.js";
 import { StandInTask } from "./standInTask.js";
 
 /** Extra time that one task costs another on the same worker, as a share; hidden from the product. */
 type Interference = (victim: TaskSpec, other: TaskSpec) => number;
 
 /** What a stand-in worker is. */
-export interface StandInWorkerOptions {
+interface StandInWorkerOptions {
     readonly name: string;
     readonly capacity: Resources;
     readonly connections: number;
@@ -54,7 +54,7 @@
             case "/start":
                 return this.startTask(body as StartOrder);
             default:
-                return this.changeTask(path, body as Order & { share: number });
+                return this.updateTask(path, body as Order & { share: number });
         }
     }
 
@@ -68,13 +68,13 @@
             task.run(elapsedMs, 1 / this.computeSlowdown(task));
             if (task.leaseUntilMs <= nowMs) {
                 this.options.recorder.lapses++;
-                this.endTask(task, RunState.Lapsed);
+                this.finishTask(task, RunState.Lapsed);
             }
             else if (this.failsEverything || task.model.failsAfterMs !== undefined) {
-                this.endTask(task, RunState.Failed);
+                this.finishTask(task, RunState.Failed);
             }
             else if (task.progress >= 1) {
-                this.endTask(task, RunState.Succeeded);
+                this.finishTask(task, RunState.Succeeded);
                 this.options.recorder.recordCompletion(task.spec.taskId);
             }
         }
@@ -163,7 +163,7 @@
         return OK;
     }
 
-    private changeTask(path: string, order: Order & { share: number }): JsonAnswer {
+    private updateTask(path: string, order: Order & { share: number }): JsonAnswer {
         const task = this.tasks.get(order.taskId);
         if (task === undefined || task.attempt !== order.attempt) {
             return { status: 422, body: { reason: "unknown attempt" } };
@@ -178,7 +178,7 @@
             case "/stop":
                 if (task.state === RunState.Running) {
                     this.options.recorder.stops++;
-                    this.endTask(task, RunState.Stopped);
+                    this.finishTask(task, RunState.Stopped);
                 }
                 return OK;
             default:
@@ -186,7 +186,7 @@
         }
     }
 
-    private endTask(task: StandInTask, state: RunState): void {
+    private finishTask(task: StandInTask, state: RunState): void {
         task.state = state;
         this.options.recorder.recordEnd(this.options.name, task.spec.taskId);
         if (task.openRequests > 0) {
--- /dev/null
+++ b/packages/track-members/src/index.ts
@@ -0,0 +1,4 @@
+export type { PeerAddress } from "./peerAddress.js";
+export { PeerPool } from "./peerPool.js";
+export { runPeriodically } from "./runPeriodically.js";
+export { VmDirectory } from "./vmDirectory.js";
--- /dev/null
+++ b/packages/track-members/src/peerPool.ts
@@ -0,0 +1,43 @@
+import type { StageError } from "@sardinestage/errors";
+import type { FrameKind } from "@sardinestage/exchange-frames";
+import { PeerClient } from "@sardinestage/exchange-frames";
+import type { Result } from "ts-results";
+import type { PeerAddress } from "./peerAddress.js";
+
+interface PeerPoolOptions {
+    readonly peerKey: string;
+    readonly timeoutMs: number;
+    readonly maxFrameBytes: number;
+}
+
+/** One connection to each peer, opened when first needed. */
+export class PeerPool {
+    private readonly clients = new Map<string, PeerClient>();
+
+    constructor(private readonly options: PeerPoolOptions) {}
+
+    /** Sends a request to a peer and waits for its reply. */
+    request(peer: PeerAddress, kind: FrameKind, body: unknown): Promise<Result<unknown, StageError>> {
+        const key = `${peer.address}:${peer.port}`;
+        const client = this.clients.get(key)
+            ?? new PeerClient({ address: peer.address, port: peer.port, ...this.options });
+        this.clients.set(key, client);
+        return client.request(kind, body);
+    }
+
+    /** Closes connections to peers that are not listed any more. */
+    closeUnlisted(listed: readonly PeerAddress[]): void {
+        const keys = new Set(listed.map(peer => `${peer.address}:${peer.port}`));
+        for (const [key, client] of this.clients) {
+            if (!keys.has(key)) {
+                client.close();
+                this.clients.delete(key);
+            }
+        }
+    }
+
+    /** Closes all connections. */
+    close(): void {
+        this.closeUnlisted([]);
+    }
+}
