--- /dev/null
+++ b/packages/admin/src/index.ts
@@ -0,0 +1,16 @@
+export { Admin } from "./admin.js";
+export type { AdminSettings } from "./adminSettings.js";
+export { ConfigCommands } from "./configCommands.js";
+export { ConfigPublisher } from "./configPublisher.js";
+export { convertConfig } from "./convertConfig.js";
+export { convertError } from "./convertError.js";
+export { convertTask } from "./convertTask.js";
+export { createAdmin } from "./createAdmin.js";
+export { createOperatorRoutes } from "./createOperatorRoutes.js";
+export { DomainView } from "./domainView.js";
+export { findDomain } from "./findDomain.js";
+export type { OperatorContext } from "./operatorContext.js";
+export { operatorKey } from "./operatorKey.js";
+export { OperatorQueries } from "./operatorQueries.js";
+export { TaskCommands } from "./taskCommands.js";
+export { waitAtMost } from "./waitAtMost.js";
--- /dev/null
+++ b/packages/admin/src/waitAtMost.ts
@@ -0,0 +1,14 @@
+/**
+ * Waits for something, but not for longer than a limit.
+ *
+ * @returns Whether it came in time.
+ */
+export async function waitAtMost(awaited: Promise<unknown>, limitMs: number): Promise<boolean> {
+    let timer: NodeJS.Timeout | undefined;
+    const limit = new Promise<boolean>(resolve => {
+        timer = setTimeout(() => resolve(false), limitMs);
+    });
+    const inTime = await Promise.race([awaited.then(() => true), limit]);
+    clearTimeout(timer);
+    return inTime;
+}
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,53 @@
+#!/usr/bin/env node
+import { ConnectError } from "@connectrpc/connect";
+import { ErrorDetailSchema } from "@sardinestage/operator-rpc";
+import { Command } from "commander";
+import { addConfigCommand } from "./commands/config/index.js";
+import { addLogbookCommand } from "./commands/logbook/index.js";
+import { addServiceCommand } from "./commands/service/index.js";
+import { addStatusCommand } from "./commands/status/index.js";
+import { addTaskCommand } from "./commands/task/index.js";
+import { addWorkerCommand } from "./commands/worker/index.js";
+import { createOperatorClient } from "./createOperatorClient.js";
+
+const CALL_FAILED = 1;
+const NO_KEY = 2;
+
+const program = new Command("stagectl")
+    .description("Makes operators' calls.")
+    .version("0.1.0")
+    .option(
+        "--url <url>",
+        "administration process; or STAGECTL_URL",
+        process.env.STAGECTL_URL ?? "http://127.0.0.1:7000",
+    )
+    .option("--key <key>", "operator's key; or STAGECTL_KEY", process.env.STAGECTL_KEY);
+
+const openClient = () => {
+    const { url, key } = program.opts<{ url: string; key?: string }>();
+    if (key === undefined) {
+        process.stderr.write("There is no key: give --key or set STAGECTL_KEY.\n");
+        process.exit(NO_KEY);
+    }
+    return createOperatorClient(url, key);
+};
+const additions = [
+    addStatusCommand,
+    addConfigCommand,
+    addServiceCommand,
+    addTaskCommand,
+    addWorkerCommand,
+    addLogbookCommand,
+];
+additions.forEach(add => add(program, openClient));
+
+try {
+    await program.parseAsync();
+}
+catch (failure) {
+    const error = ConnectError.from(failure);
+    const detail = error.findDetails(ErrorDetailSchema)[0];
+    const effect = detail === undefined ? "" : `\nThe call ${detail.mayHaveRun ? "may have had" : "had no"} effect.`;
+    process.stderr.write(`${error.rawMessage}${effect}\n`);
+    process.exit(CALL_FAILED);
+}
--- /dev/null
+++ b/packages/entry/src/createEntry.ts
@@ -0,0 +1,127 @@
+import "reflect-metadata";
+import { HttpLog, HttpVmList } from "@sardinestage/call-platform";
+import { Metrics } from "@sardinestage/count-metrics";
+import { ConfigFollower } from "@sardinestage/follow-config";
+import type { EventLogger } from "@sardinestage/log-events";
+import { createLogger } from "@sardinestage/log-events";
+import { RequestMemory } from "@sardinestage/remember-requests";
+import { ByteBudget, TargetTable } from "@sardinestage/route-requests";
+import { PeerPool, VmDirectory } from "@sardinestage/track-members";
+import { Container } from "inversify";
+import { CallerServer } from "./callerServer.js";
+import { DomainForwarder } from "./domainForwarder.js";
+import { Entry } from "./entry.js";
+import type { EntrySettings } from "./entrySettings.js";
+import { GrantPuller } from "./grantPuller.js";
+import { IdReserver } from "./idReserver.js";
+import { RequestRunner } from "./requestRunner.js";
+
+const now = () => performance.now();
+const pickRandom = Math.random;
+const MAX_REMEMBERED_IDS = 1_000_000;
+const loggerId = Symbol.for("logger");
+
+/**
+ * Wires the parts of an entry.
+ *
+ * @param settings The checked settings.
+ * @returns The entry, not started.
+ */
+export function createEntry(settings: EntrySettings): Entry {
+    const container = new Container({ defaultScope: "Singleton" });
+    bindSharedParts(container, settings);
+    bindRequestParts(container, settings);
+    return new Entry({
+        settings,
+        metrics: container.get(Metrics),
+        logger: container.get<EventLogger>(loggerId),
+        directory: container.get(VmDirectory),
+        peers: container.get(PeerPool),
+        config: container.get(ConfigFollower),
+        memory: container.get(RequestMemory),
+        reserver: container.get(IdReserver),
+        table: container.get(TargetTable),
+        puller: container.get(GrantPuller),
+        runner: container.get(RequestRunner),
+        callers: container.get(CallerServer),
+    });
+}
+
+function bindSharedParts(container: Container, settings: EntrySettings): void {
+    const { process, platform, peers } = settings;
+    const metrics = new Metrics();
+    const logger = createLogger({ process: process.name, domain: process.domain }, process.logLevel);
+    const log = new HttpLog(platform.logUrl, platform.callTimeoutMs);
+    const list = new HttpVmList(platform.listUrl, platform.callTimeoutMs);
+    container.bind(Metrics).toConstantValue(metrics);
+    container.bind<EventLogger>(loggerId).toConstantValue(logger);
+    container.bind(VmDirectory).toDynamicValue(() =>
+        new VmDirectory(list, failure => metrics.count("list_failures_total", failure.kind))
+    );
+    container.bind(PeerPool).toDynamicValue(() =>
+        new PeerPool({ peerKey: peers.key, timeoutMs: peers.timeoutMs, maxFrameBytes: peers.maxFrameBytes })
+    );
+    container.bind(ConfigFollower).toDynamicValue(() =>
+        new ConfigFollower({
+            log,
+            waitMs: platform.readWaitMs,
+            retryMs: platform.appendFlushMs,
+            now,
+            metrics,
+            logger,
+            applyVersion: () => {},
+        })
+    );
+}
+
+function bindRequestParts(container: Container, settings: EntrySettings): void {
+    const { domain, vm } = settings.process;
+    const { entry, routing, crossDomain } = settings;
+    container.bind(RequestMemory).toDynamicValue(() =>
+        new RequestMemory({
+            keepMs: entry.duplicateKeepMs,
+            clockSkewMs: entry.clockSkewMs,
+            maxIds: MAX_REMEMBERED_IDS,
+            now: Date.now,
+        })
+    );
+    container.bind(TargetTable).toDynamicValue(() => new TargetTable({ ...routing, now, pickRandom }));
+    container.bind(IdReserver).toDynamicValue(({ get }) =>
+        new IdReserver({ domain, vm, memory: get(RequestMemory), directory: get(VmDirectory), peers: get(PeerPool) })
+    );
+    container.bind(GrantPuller).toDynamicValue(({ get }) =>
+        new GrantPuller({ domain, vm, table: get(TargetTable), directory: get(VmDirectory), peers: get(PeerPool), now })
+    );
+    container.bind(DomainForwarder).toDynamicValue(({ get }) =>
+        new DomainForwarder({
+            settings,
+            directory: get(VmDirectory),
+            config: get(ConfigFollower),
+            budget: new ByteBudget(crossDomain.bytesPerSecond, now),
+            metrics: get(Metrics),
+            now,
+            pickRandom,
+        })
+    );
+    container.bind(RequestRunner).toDynamicValue(({ get }) =>
+        new RequestRunner({
+            settings,
+            table: get(TargetTable),
+            config: get(ConfigFollower),
+            reserver: get(IdReserver),
+            forwarder: get(DomainForwarder),
+            metrics: get(Metrics),
+            now,
+        })
+    );
+    container.bind(CallerServer).toDynamicValue(({ get }) => {
+        const runner = get(RequestRunner);
+        return new CallerServer({
+            settings,
+            metrics: get(Metrics),
+            now,
+            pickRandom,
+            run: context => runner.run(context),
+        });
+    });
+}
--- /dev/null
+++ b/packages/entry/src/idReserver.ts
@@ -0,0 +1,98 @@
+import { RefusalReason } from "@sardinestage/admit-requests";
+import type { StageError } from "@sardinestage/errors";
+import { ErrorKind } from "@sardinestage/errors";
+import { FrameKind } from "@sardinestage/exchange-frames";
+import type { RequestMemory } from "@sardinestage/remember-requests";
+import { IdVerdict } from "@sardinestage/remember-requests";
+import type { PeerAddress, PeerPool, VmDirectory } from "@sardinestage/track-members";
+import type { Result } from "ts-results";
+import { z } from "zod";
+
+interface IdReserverOptions {
+    readonly domain: string;
+    readonly vm: string;
+    readonly memory: RequestMemory;
+    readonly directory: VmDirectory;
+    readonly peers: PeerPool;
+}
+
+const idBody = z.object({ id: z.string().max(200) });
+const verdictReply = z.object({ verdict: z.enum(IdVerdict) });
+
+/** Makes sure that an id is let run by one entry of the failure domain only, and only once. */
+export class IdReserver {
+    constructor(private readonly options: IdReserverOptions) {}
+
+    /**
+     * Reserves an id here and at every listed peer. A peer on whose VM nothing listens knows nothing and lets nothing
+     * run; when it comes back, its memory begins after this id.
+     *
+     * @returns Why the request may not run, or `undefined` when it may.
+     */
+    async reserve(id: string): Promise<RefusalReason | undefined> {
+        const { domain, vm, memory, directory, peers } = this.options;
+        if (!directory.listEntryVms(domain).some(each => each.vm === vm)) {
+            return RefusalReason.NotReady;
+        }
+        const own = convertVerdict(memory.remember(id));
+        if (own !== undefined) {
+            return own;
+        }
+        const others = directory.listEntryPeers(domain, vm);
+        const replies = await Promise.all(others.map(peer => peers.request(peer, FrameKind.ReserveRequest, { id })));
+        const refusals = replies.flatMap(reply => convertReply(reply) ?? []);
+        const refusal =
+            refusals.find(reason => reason === RefusalReason.DuplicateId || reason === RefusalReason.IdTooOld)
+                ?? refusals[0];
+        if (refusal !== undefined && refusal !== RefusalReason.DuplicateId && refusal !== RefusalReason.IdTooOld) {
+            await this.release(id, others);
+        }
+        return refusal;
+    }
+
+    /** Gives an id free whose request certainly did not run. */
+    async release(id: string, others = this.listOthers()): Promise<void> {
+        this.options.memory.drop(id);
+        await Promise.all(others.map(peer => this.options.peers.request(peer, FrameKind.ReleaseRequest, { id })));
+    }
+
+    /** Answers a peer that reserves an id. */
+    answerReserve(body: unknown): z.infer<typeof verdictReply> {
+        return { verdict: this.options.memory.remember(idBody.parse(body).id) };
+    }
+
+    /** Answers a peer that gives an id free. */
+    answerRelease(body: unknown): object {
+        this.options.memory.drop(idBody.parse(body).id);
+        return {};
+    }
+
+    private listOthers(): readonly PeerAddress[] {
+        return this.options.directory.listEntryPeers(this.options.domain, this.options.vm);
+    }
+}
+
+function convertReply(reply: Result<unknown, StageError>): RefusalReason | undefined {
+    if (reply.err) {
+        return reply.val.kind === ErrorKind.PeerRefusedConnection ? undefined : RefusalReason.PeerUnreachable;
+    }
+    const parsed = verdictReply.safeParse(reply.val);
+    return parsed.success ? convertVerdict(parsed.data.verdict) : RefusalReason.PeerUnreachable;
+}
+
+function convertVerdict(verdict: IdVerdict): RefusalReason | undefined {
+    switch (verdict) {
+        case IdVerdict.Fresh:
+            return undefined;
+        case IdVerdict.Known:
+            return RefusalReason.DuplicateId;
+        case IdVerdict.TooOld:
+            return RefusalReason.IdTooOld;
+        case IdVerdict.FromFuture:
+            return RefusalReason.IdFromFuture;
+        case IdVerdict.Malformed:
+            return RefusalReason.Malformed;
+        case IdVerdict.TableFull:
+            return RefusalReason.TooManyRequests;
+    }
+}
--- /dev/null
+++ b/packages/entry/src/main.ts
@@ -0,0 +1,16 @@
+#!/usr/bin/env node
+import { entrySettingsSchema } from "@sardinestage/read-settings";
+import { runProcess } from "@sardinestage/run-process";
+import { createEntry } from "./createEntry.js";
+
+await runProcess({
+    name: "stage-entry",
+    description: "Takes callers' requests and sends them to targets under grants.",
+    version: "0.1.0",
+    schema: entrySettingsSchema,
+    start: async settings => {
+        const entry = createEntry(settings);
+        await entry.start();
+        return entry;
+    },
+});
--- a/packages/exchange-frames/src/frameKind.ts
+++ b/packages/exchange-frames/src/frameKind.ts
@@ -8,4 +8,5 @@
     PullGrants = 12,
     ReadConfig = 13,
     ShareStatus = 14,
+    ReadStatus = 15,
 }
--- a/packages/exchange-frames/src/peerServer.ts
+++ b/packages/exchange-frames/src/peerServer.ts
@@ -5,12 +5,10 @@
 import type { Server, Socket } from "node:net";
 import { encodeFrame } from "./encodeFrame.js";
 import type { Frame } from "./frame.js";
+import type { FrameHandler } from "./frameHandler.js";
 import { FrameKind } from "./frameKind.js";
 import { FrameReader } from "./frameReader.js";
 
-/** Answers one kind of request from a peer; what it throws becomes a failure reply. */
-type FrameHandler = (body: unknown) => Promise<unknown> | unknown;
-
 /** Settings of a peer server. */
 interface PeerServerOptions {
     readonly peerKey: string;
--- /dev/null
+++ b/packages/follow-tasks/src/index.ts
@@ -0,0 +1,1 @@
+export { TaskStream } from "./taskStream.js";
--- a/packages/scheduler/src/taskStream.ts
+++ b/packages/follow-tasks/src/taskStream.ts
@@ -1,13 +1,21 @@
-import type { LogPort, NewLogRecord } from "@sardinestage/call-platform";
+import type { LogPort, LogRecord, NewLogRecord } from "@sardinestage/call-platform";
 import type { Metrics } from "@sardinestage/count-metrics";
 import type { LogbookEvent } from "@sardinestage/fold-tasks";
 import { applyTaskRecord, TaskLedger, TaskRecordKind } from "@sardinestage/fold-tasks";
 import type { TaskRecord } from "@sardinestage/fold-tasks";
 import { LogAppender, LogFollower } from "@sardinestage/follow-log";
-import type { SchedulerSettings } from "./schedulerSettings.js";
+
+/** How the log is read and appended to; see the settings page. */
+interface PlatformLimits {
+    readonly readWaitMs: number;
+    readonly appendFlushMs: number;
+    readonly resendMs: number;
+    readonly maxPendingRecords: number;
+}
 
 interface TaskStreamOptions {
-    readonly settings: SchedulerSettings;
+    readonly domain: string;
+    readonly platform: PlatformLimits;
     readonly log: LogPort;
     readonly metrics: Metrics;
     readonly now: () => number;
@@ -22,7 +30,7 @@
     /** The tasks as the log's order has them. */
     readonly ledger = new TaskLedger();
     /** Listens to each record that took effect. */
-    onEffect: (record: TaskRecord, id: string) => void = () => {};
+    onEffect: (record: TaskRecord, position: LogRecord) => void = () => {};
     private readonly follower: LogFollower;
     private readonly appender: LogAppender;
     private readonly maxGapMs: number;
@@ -30,9 +38,8 @@
     private lastFreshAtMs = Number.NEGATIVE_INFINITY;
 
     constructor(private readonly options: TaskStreamOptions) {
-        const { settings, log, metrics, now } = options;
-        const { platform } = settings;
-        const stream = `tasks.${settings.process.domain}`;
+        const { platform, domain, log, metrics, now } = options;
+        const stream = `tasks.${domain}`;
         const countFailure = (failure: { kind: string }) => metrics.count("log_failures_total", failure.kind);
         this.maxGapMs = platform.readWaitMs * GAP_WAITS;
         this.appender = new LogAppender({
@@ -58,7 +65,7 @@
                     metrics.count("log_records_void_total", String((record.data as { kind?: unknown })?.kind));
                 }
                 else {
-                    this.onEffect(effect, record.id);
+                    this.onEffect(effect, record);
                 }
             },
             handleGap: () => this.ledger.reset(),
@@ -77,11 +84,27 @@
         this.appender.stop();
     }
 
-    /** Appends a record; a record with a fixed id can be added again while it is pending. */
-    append(record: NewLogRecord): void {
+    /**
+     * Appends a record; a record with a fixed id can be added again while it is pending.
+     *
+     * @returns Whether it was taken; `false` when the log has been out for too long.
+     */
+    append(record: NewLogRecord): boolean {
         if (this.appender.add(record).err) {
             this.options.metrics.count("log_records_dropped_total", "too-many-pending");
+            return false;
         }
+        return true;
+    }
+
+    /** Waits until a record was read back; its place in the log's order is decided then. */
+    waitForRecord(id: string): Promise<number> {
+        return this.follower.waitForRecord(id);
+    }
+
+    /** Waits until a read sent after this call has reached the log's end. */
+    waitForHead(): Promise<void> {
+        return this.follower.waitForHead();
     }
 
     /** Writes a line of the logbook. */
--- a/packages/grant-connections/src/grantLedger.ts
+++ b/packages/grant-connections/src/grantLedger.ts
@@ -132,7 +132,7 @@
         endpoints: readonly ReplicaEndpoint[],
         nowMs: number,
     ): ConnectionGrant | undefined {
-        const { worker, service, address, port } = endpoint;
+        const { worker, service, address, port, concurrency } = endpoint;
         const held = this.workers.get(worker);
         if (held === undefined) {
             return undefined;
@@ -140,7 +140,9 @@
         const mine = held.outstanding.get(entry)?.get(service);
         const free = held.connections - this.computeSum(held) + (mine?.limit ?? 0);
         const sharers = endpoints.filter(each => each.worker === worker).length;
-        const fair = Math.floor(held.connections / (Math.max(1, entries.length) * sharers));
+        const together = Math.min(Math.floor(held.connections / sharers), concurrency);
+        // Each entry gets at least one, as far as connections go, or a service would be out of its reach.
+        const fair = Math.max(1, Math.floor(together / Math.max(1, entries.length)));
         const reported = reports.find(report => report.worker === worker && report.service === service)?.limit ?? 0;
         const wanted = nowMs < held.quietUntilMs ? reported : fair;
         const limit = Math.max(0, Math.min(free, wanted));
--- a/packages/grant-connections/src/replicaEndpoint.ts
+++ b/packages/grant-connections/src/replicaEndpoint.ts
@@ -4,4 +4,6 @@
     readonly service: string;
     readonly address: string;
     readonly port: number;
+    /** Requests that its replicas there are expected to work on at once. */
+    readonly concurrency: number;
 }
--- /dev/null
+++ b/packages/operator-rpc/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./gen/sardinestage/v1/operator_pb.js";
--- a/packages/read-settings/src/entrySettingsSchema.ts
+++ b/packages/read-settings/src/entrySettingsSchema.ts
@@ -10,6 +10,12 @@
     entry: z.strictObject({
         peerPort: createPort("Port on which peers reach this entry."),
         callerPort: createPort("Port on which callers connect."),
+        drainNoticeMs: createMilliseconds(
+            3_000,
+            0,
+            600_000,
+            "When draining, requests are still taken so long, until the balancer has noticed.",
+        ),
         maxBodyBytes: createBytes(8_388_608, 1, 1_073_741_824, "Largest body of a request."),
         maxRequests: createCount(2_000, 1, 100_000, "Requests in progress at once, queued ones included."),
         defaultDeadlineMs: createMilliseconds(5_000, 1, 600_000, "Deadline of a request that names none."),
--- a/packages/route-requests/src/targetTable.test.ts
+++ b/packages/route-requests/src/targetTable.test.ts
@@ -112,7 +112,13 @@
                     );
                     const late: (() => void)[] = [];
                     const options = { ttlMs: 100, maxDeadlineMs: 200, clockMarginMs: 0 };
-                    const all = ["s", "s2"].map(service => ({ worker: "w", service, address: "", port: 1 }));
+                    const all = ["s", "s2"].map(service => ({
+                        worker: "w",
+                        service,
+                        address: "",
+                        port: 1,
+                        concurrency: 99,
+                    }));
                     let endpoints = all;
                     let token = 1;
                     let ledger = new GrantLedger(options);
--- a/packages/scheduler/src/createScheduler.ts
+++ b/packages/scheduler/src/createScheduler.ts
@@ -2,6 +2,7 @@
 import { HttpLog, HttpVmList, HttpWorker } from "@sardinestage/call-platform";
 import { Metrics } from "@sardinestage/count-metrics";
 import { ConfigFollower } from "@sardinestage/follow-config";
+import { TaskStream } from "@sardinestage/follow-tasks";
 import { GrantLedger } from "@sardinestage/grant-connections";
 import type { EventLogger } from "@sardinestage/log-events";
 import { createLogger } from "@sardinestage/log-events";
@@ -17,7 +18,6 @@
 import { SchedulerMembers } from "./schedulerMembers.js";
 import type { SchedulerSettings } from "./schedulerSettings.js";
 import { TaskPlacer } from "./taskPlacer.js";
-import { TaskStream } from "./taskStream.js";
 import { TaskUpkeep } from "./taskUpkeep.js";
 import { WorkerFleet } from "./workerFleet.js";
 import { WorkerGuard } from "./workerGuard.js";
@@ -81,7 +81,9 @@
             applyVersion: () => {},
         })
     );
-    container.bind(TaskStream).toDynamicValue(() => new TaskStream({ settings, log, metrics, now }));
+    container.bind(TaskStream).toDynamicValue(() =>
+        new TaskStream({ domain: process.domain, platform, log, metrics, now })
+    );
     container.bind(Behaviour).toDynamicValue(() => new Behaviour(placement.sizeQuantile));
 }
 
@@ -117,6 +119,7 @@
             now,
             createPort: vm => createWorkerPort(vm, leases.orderTimeoutMs),
             isLeaving: worker => checkLeaving(container, settings, worker),
+            getConcurrency: service => findConcurrency(container, service),
             mayGiveWay: (victim, urgent) => container.get(TaskPlacer).checkGiveWay(victim, urgent),
         })
     );
@@ -171,6 +174,11 @@
     );
 }
 
+function findConcurrency(container: Container, service: string): number {
+    const { services } = container.get(ConfigFollower).history.getCurrent().document;
+    return services.find(each => each.name === service)?.concurrency ?? 1;
+}
+
 function createWorkerPort(vm: VmRecord, timeoutMs: number): HttpWorker {
     return new HttpWorker(`http://${vm.address}:${vm.controlPort}`, timeoutMs);
 }
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -7,7 +7,6 @@
 export { SchedulerMembers } from "./schedulerMembers.js";
 export type { SchedulerSettings } from "./schedulerSettings.js";
 export { TaskPlacer } from "./taskPlacer.js";
-export { TaskStream } from "./taskStream.js";
 export { TaskUpkeep } from "./taskUpkeep.js";
 export type { WorkerContext } from "./workerContext.js";
 export { WorkerControl } from "./workerControl.js";
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -1,8 +1,10 @@
 import type { Metrics } from "@sardinestage/count-metrics";
 import { describeFailure } from "@sardinestage/errors";
+import type { FrameHandler } from "@sardinestage/exchange-frames";
 import { FrameKind, PeerServer } from "@sardinestage/exchange-frames";
 import { TaskRecordKind } from "@sardinestage/fold-tasks";
 import type { ConfigFollower } from "@sardinestage/follow-config";
+import type { TaskStream } from "@sardinestage/follow-tasks";
 import type { EventLogger } from "@sardinestage/log-events";
 import type { RunningProcess } from "@sardinestage/run-process";
 import { serveStatus } from "@sardinestage/run-process";
@@ -13,7 +15,6 @@
 import type { SchedulerMembers } from "./schedulerMembers.js";
 import type { SchedulerSettings } from "./schedulerSettings.js";
 import type { TaskPlacer } from "./taskPlacer.js";
-import type { TaskStream } from "./taskStream.js";
 import type { TaskUpkeep } from "./taskUpkeep.js";
 import type { WorkerFleet } from "./workerFleet.js";
 import type { WorkerGuard } from "./workerGuard.js";
@@ -116,9 +117,10 @@
             maxFrameBytes: settings.peers.maxFrameBytes,
             maxConnections: settings.peers.maxConnections,
             metrics,
-            handlers: new Map([
+            handlers: new Map<FrameKind, FrameHandler>([
                 [FrameKind.ReadConfig, body => config.answerPeer(body)],
                 [FrameKind.ShareStatus, body => members.answerStatus(body)],
+                [FrameKind.ReadStatus, () => this.readStatus()],
                 [FrameKind.PullGrants, body => grantService.answerPull(body)],
             ]),
         });
--- a/packages/scheduler/src/taskPlacer.ts
+++ b/packages/scheduler/src/taskPlacer.ts
@@ -3,6 +3,7 @@
 import type { TaskEntry } from "@sardinestage/fold-tasks";
 import { TaskRecordKind } from "@sardinestage/fold-tasks";
 import type { ConfigFollower } from "@sardinestage/follow-config";
+import type { TaskStream } from "@sardinestage/follow-tasks";
 import type { CandidateWorker, Placement } from "@sardinestage/place-tasks";
 import { PlacementRefusal, planPlacement, resourceMath, ShareLedger } from "@sardinestage/place-tasks";
 import type { VmDirectory } from "@sardinestage/track-members";
@@ -11,7 +12,6 @@
 import type { Behaviour } from "./behaviour.js";
 import type { SchedulerMembers } from "./schedulerMembers.js";
 import type { SchedulerSettings } from "./schedulerSettings.js";
-import type { TaskStream } from "./taskStream.js";
 import type { WorkerControl } from "./workerControl.js";
 import type { WorkerFleet } from "./workerFleet.js";
 
--- a/packages/scheduler/src/taskUpkeep.ts
+++ b/packages/scheduler/src/taskUpkeep.ts
@@ -1,13 +1,13 @@
 import type { TaskEntry, TaskRecord } from "@sardinestage/fold-tasks";
 import { TaskRecordKind } from "@sardinestage/fold-tasks";
 import type { ConfigFollower } from "@sardinestage/follow-config";
+import type { TaskStream } from "@sardinestage/follow-tasks";
 import { resourceMath } from "@sardinestage/place-tasks";
 import { planReplicas } from "@sardinestage/plan-replicas";
 import type { VmDirectory } from "@sardinestage/track-members";
 import { TaskPhase } from "@sardinestage/types";
 import type { SchedulerMembers } from "./schedulerMembers.js";
 import type { SchedulerSettings } from "./schedulerSettings.js";
-import type { TaskStream } from "./taskStream.js";
 import type { WorkerFleet } from "./workerFleet.js";
 
 interface TaskUpkeepOptions {
--- a/packages/scheduler/src/workerContext.ts
+++ b/packages/scheduler/src/workerContext.ts
@@ -1,5 +1,6 @@
 import type { WorkerPort } from "@sardinestage/call-platform";
 import type { Metrics } from "@sardinestage/count-metrics";
+import type { TaskStream } from "@sardinestage/follow-tasks";
 import type { GrantLedger } from "@sardinestage/grant-connections";
 import type { EventLogger } from "@sardinestage/log-events";
 import type { EvictionBudget } from "@sardinestage/plan-reactions";
@@ -7,7 +8,6 @@
 import type { Behaviour } from "./behaviour.js";
 import type { SchedulerMembers } from "./schedulerMembers.js";
 import type { SchedulerSettings } from "./schedulerSettings.js";
-import type { TaskStream } from "./taskStream.js";
 
 /** What every worker's control uses together. */
 export interface WorkerContext {
@@ -25,6 +25,8 @@
     readonly createPort: (vm: VmRecord) => WorkerPort;
     /** Whether a worker takes no new work: its VM leaves or an operator drains it. */
     readonly isLeaving: (worker: string) => boolean;
+    /** Requests that one replica of a service is expected to work on at once. */
+    readonly getConcurrency: (service: string) => number;
     /** Whether guaranteed shares allow that one task gives way to another. */
     readonly mayGiveWay: (victim: TaskSpec, urgent: TaskSpec) => boolean;
 }
--- a/packages/scheduler/src/workerControl.ts
+++ b/packages/scheduler/src/workerControl.ts
@@ -61,14 +61,16 @@
             return [];
         }
         const running = this.report?.tasks.filter(task => task.state === RunState.Running) ?? [];
-        const services = new Set(
-            running.flatMap(({ spec }) =>
-                spec.service === undefined || this.findBound(spec.taskId)?.cancelRequested !== false
-                    ? []
-                    : [spec.service]
-            ),
-        );
-        return [...services].map(service => ({ worker: vm, service, address, port: servePort }));
+        const replicas = new Map<string, number>();
+        for (const { spec } of running) {
+            if (spec.service !== undefined && this.findBound(spec.taskId)?.cancelRequested === false) {
+                replicas.set(spec.service, (replicas.get(spec.service) ?? 0) + 1);
+            }
+        }
+        return [...replicas].map(([service, count]) => {
+            const concurrency = count * this.context.getConcurrency(service);
+            return { worker: vm, service, address, port: servePort, concurrency };
+        });
     }
 
     /** Does one round: lease, report, orders. */
--- a/packages/scheduler/src/workerGuard.ts
+++ b/packages/scheduler/src/workerGuard.ts
@@ -1,12 +1,12 @@
 import type { Metrics } from "@sardinestage/count-metrics";
 import { TaskRecordKind } from "@sardinestage/fold-tasks";
+import type { TaskStream } from "@sardinestage/follow-tasks";
 import { CondemnStep, planCondemnStep } from "@sardinestage/hold-workers";
 import type { EventLogger } from "@sardinestage/log-events";
 import { TaskPhase } from "@sardinestage/types";
 import { randomUUID } from "node:crypto";
 import type { SchedulerMembers } from "./schedulerMembers.js";
 import type { SchedulerSettings } from "./schedulerSettings.js";
-import type { TaskStream } from "./taskStream.js";
 import type { WorkerFleet } from "./workerFleet.js";
 
 interface WorkerGuardOptions {
