Add the demonstration, and name replicas by their failure domain

Cause: the demonstration's recorder saw 16 broken promises: a service's replicas had the same task id in each failure domain, so one id ran in three places. Ruled out: a double start within a failure domain (each was in another domain). Change: a replica's id begins with its failure domain, as an operator's task does. Conclusion: ids that say where they are decided must hold for replicas too.

--- a/packages/admin/src/taskCommands.ts
+++ b/packages/admin/src/taskCommands.ts
@@ -26,7 +26,7 @@
         const domain = findDomain(this.context, spec.taskId);
         const known = domain.stream.ledger.getTask(spec.taskId);
         if (known === undefined) {
-            await this.append(domain, `submit:${domain.domain}:${spec.taskId}`, { kind: TaskRecordKind.Submit, spec });
+            await this.append(domain, `submit:${spec.taskId}`, { kind: TaskRecordKind.Submit, spec });
         }
         const entry = this.findTask(domain, spec.taskId);
         if (!isDeepStrictEqual(entry.spec, spec)) {
--- a/packages/plan-replicas/src/planReplicas.test.ts
+++ b/packages/plan-replicas/src/planReplicas.test.ts
@@ -38,6 +38,17 @@
         });
     });
 
+    describe("when a service runs in two failure domains", () => {
+        it("gives its replicas different ids", () => {
+            const config = createConfig(1);
+            const [service] = config.services;
+            const both = { ...config, services: [{ ...service, replicas: { here: 1, there: 1 } }] };
+            const ids = ["here", "there"].flatMap(domain => planReplicas({ config: both, domain, tasks: [] }))
+                .map(record => record.id);
+            expect(new Set(ids).size).toBe(2);
+        });
+    });
+
     describe("when a replica has ended", () => {
         it("submits another under a new id", () => {
             const ledger = new TaskLedger();
--- a/packages/plan-replicas/src/planReplicas.ts
+++ b/packages/plan-replicas/src/planReplicas.ts
@@ -5,7 +5,7 @@
 import { TaskPhase, Urgency, WorkKind } from "@sardinestage/types";
 import { createHash } from "node:crypto";
 
-const TASK_PREFIX = "service";
+const REPLICA_FOLDER = "service";
 const DIGEST_LENGTH = 8;
 
 interface ReplicaView {
@@ -16,6 +16,8 @@
 
 /** A replica's task id, taken apart. */
 interface ReplicaId {
+    /** Task ids begin with their failure domain: a service runs in several, under different ids. */
+    readonly domain: string;
     readonly service: string;
     readonly index: number;
     readonly digest: string;
@@ -28,17 +30,17 @@
  */
 export function planReplicas(view: ReplicaView): NewLogRecord[] {
     const records: NewLogRecord[] = [];
-    const known = collectReplicas(view.tasks);
+    const known = collectReplicas(view);
     const wanted = new Set<string>();
     for (const service of view.config.services) {
         const digest = computeDigest(service);
         for (let index = 0; index < (service.replicas[view.domain] ?? 0); index++) {
-            const key = createKey({ service: service.name, index, digest });
+            const key = createKey({ domain: view.domain, service: service.name, index, digest });
             wanted.add(key);
             const entries = known.get(key) ?? [];
             if (!entries.some(isOpen)) {
                 const predecessor = Math.max(0, ...entries.map(entry => entry.lastOffset));
-                records.push(createSubmit(service, view.domain, `${key}/${predecessor}`));
+                records.push(createSubmit(service, `${key}/${predecessor}`));
             }
         }
     }
@@ -50,10 +52,10 @@
     return records;
 }
 
-function collectReplicas(tasks: Iterable<TaskEntry>): Map<string, TaskEntry[]> {
+function collectReplicas({ domain, tasks }: ReplicaView): Map<string, TaskEntry[]> {
     const known = new Map<string, TaskEntry[]>();
     for (const entry of tasks) {
-        if (entry.spec.taskId.startsWith(`${TASK_PREFIX}/`)) {
+        if (entry.spec.taskId.startsWith(`${domain}/${REPLICA_FOLDER}/`)) {
             const key = entry.spec.taskId.slice(0, entry.spec.taskId.lastIndexOf("/"));
             known.set(key, [...known.get(key) ?? [], entry]);
         }
@@ -75,7 +77,7 @@
 }
 
 function createKey(id: ReplicaId): string {
-    return `${TASK_PREFIX}/${id.service}/${id.index}/${id.digest}`;
+    return `${id.domain}/${REPLICA_FOLDER}/${id.service}/${id.index}/${id.digest}`;
 }
 
 function computeDigest(service: ServiceSpec): string {
@@ -84,7 +86,7 @@
     return createHash("sha256").update(text).digest("hex").slice(0, DIGEST_LENGTH);
 }
 
-function createSubmit(service: ServiceSpec, domain: string, taskId: string): NewLogRecord {
+function createSubmit(service: ServiceSpec, taskId: string): NewLogRecord {
     const spec: TaskSpec = {
         taskId,
         team: service.team,
@@ -97,7 +99,7 @@
         payload: service.payload,
     };
     const data: TaskRecord = { kind: TaskRecordKind.Submit, spec };
-    return { id: `submit:${domain}:${taskId}`, data };
+    return { id: `submit:${taskId}`, data };
 }
 
 function createCancel(entry: TaskEntry): NewLogRecord {
--- /dev/null
+++ b/packages/stand-ins/src/demo/demoReport.ts
@@ -0,0 +1,46 @@
+import { computePercentile } from "../computePercentile.js";
+import type { Installation } from "../installation.js";
+import type { TrafficTotals } from "../trafficTotals.js";
+
+interface DemoOutcome {
+    readonly installation: Installation;
+    readonly traffic: readonly TrafficTotals[];
+    readonly submitted: readonly string[];
+}
+
+/**
+ * Prints the table that the demonstration ends with.
+ *
+ * @returns Whether nothing was lost, doubled, over-committed or answered wrongly.
+ */
+export function printDemoReport({ installation, traffic, submitted }: DemoOutcome): boolean {
+    const { recorder } = installation;
+    const sum = (read: (totals: TrafficTotals) => number) => traffic.reduce((total, each) => total + read(each), 0);
+    const latencies = traffic.flatMap(each => each.latenciesMs);
+    const lost = submitted.filter(taskId => !recorder.completions.has(taskId));
+    const twice = submitted.filter(taskId => (recorder.completions.get(taskId) ?? 0) > 1);
+    const wrong = sum(each => each.wrong);
+    const rows: [string, string | number][] = [
+        ["requests sent", sum(each => each.sent)],
+        ["  answered", sum(each => each.answered)],
+        ["  refused (did not run)", sum(each => each.refused)],
+        ["  unknown (may have run)", sum(each => each.unknown)],
+        ["  connection broken by the kill", sum(each => each.broken)],
+        ["  answered wrongly", wrong],
+        [
+            "latency p50 / p99 ms",
+            `${computePercentile(latencies, 50).toFixed(1)} / ${computePercentile(latencies, 99).toFixed(1)}`,
+        ],
+        ["tasks submitted", submitted.length],
+        ["  finished", submitted.length - lost.length],
+        ["  run twice", twice.length],
+        ["  lost", lost.length],
+        ["attempts started / evicted", `${recorder.starts} / ${recorder.stops}`],
+        ["promises broken", recorder.violations.length],
+    ];
+    for (const [name, value] of rows) {
+        process.stdout.write(`${name.padEnd(32)} ${value}\n`);
+    }
+    recorder.violations.slice(0, 10).forEach(violation => process.stdout.write(`BROKEN: ${violation}\n`));
+    return lost.length === 0 && twice.length === 0 && wrong === 0 && recorder.violations.length === 0;
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,5 +1,9 @@
 export { buildSettings } from "./buildSettings.js";
 export type { CallerAnswer } from "./callerAnswer.js";
+export { CallerTraffic } from "./callerTraffic.js";
+export { computePercentile } from "./computePercentile.js";
+export { createBatchTask } from "./createBatchTask.js";
+export { createConfig } from "./createConfig.js";
 export { createDefaultPlan } from "./createDefaultPlan.js";
 export type { DomainPlan } from "./domainPlan.js";
 export type { EntryVm } from "./entryVm.js";
@@ -24,4 +28,5 @@
 export { StandInVmList } from "./standInVmList.js";
 export { StandInWorker } from "./standInWorker.js";
 export type { TaskModel } from "./taskModel.js";
+export type { TrafficTotals } from "./trafficTotals.js";
 export { waitUntil } from "./waitUntil.js";
