Prove the path and the once-only promise with real processes; mend what it found

(1) An answer over 64 KB broke off: its beginning was read by an iterator and its rest piped from the same stream, so two readers fought. (2) An idempotent request whose pooled connection had gone silent was tried again over another silent pooled connection and ended after its second wait as unknown. Ruled out: the proxy (a body of 1,000 bytes came back whole through it). Change: the rest goes on from the same iterator; retries and hedges take a new connection, and the idle ones to a silent target are closed. The proxy now ends a connection after what was written went out, which it had cut off. Conclusion: a pooled connection is never trusted twice for one request.

--- a/packages/entry/src/domainForwarder.ts
+++ b/packages/entry/src/domainForwarder.ts
@@ -96,7 +96,7 @@
                 ...(homeDomain === undefined ? {} : { [headerNames.homeDomain]: homeDomain }),
             },
             body,
-            isIdempotent,
+            isConnectionFresh: !isIdempotent,
             remainingMs,
             firstByteMs: Math.max(settings.routing.firstByteMs, remainingMs),
             idleMs: Math.max(settings.routing.idleMs, remainingMs),
--- a/packages/entry/src/runTries.ts
+++ b/packages/entry/src/runTries.ts
@@ -75,7 +75,7 @@
     const hedgeAfterMs = context.isIdempotent && context.body.isWhole
         ? latencies.readPercentile(settings.retries.hedgePercentile)
         : undefined;
-    const first = startTry(view, target);
+    const first = startTry(view, target, tried.size > 1);
     if (hedgeAfterMs === undefined) {
         return first.ended;
     }
@@ -110,18 +110,26 @@
     }
     tried.add(target.worker);
     metrics.count("retries_total", "hedge");
-    return startTry(view, target);
+    return startTry(view, target, true);
 }
 
-function startTry(view: TriesView, target: Target): StartedTry {
+function startTry(view: TriesView, target: Target, isConnectionFresh: boolean): StartedTry {
     const aborter = new AbortController();
     const { context } = view;
     // A non-idempotent request is not given up when its caller goes away: its outcome should be a known one.
     const signal = context.isIdempotent ? AbortSignal.any([context.signal, aborter.signal]) : aborter.signal;
-    return { ended: sendToTarget(view, target, signal), abort: () => aborter.abort() };
+    return {
+        ended: sendToTarget(view, target, isConnectionFresh || !context.isIdempotent, signal),
+        abort: () => aborter.abort(),
+    };
 }
 
-async function sendToTarget(view: TriesView, target: Target, signal: AbortSignal): Promise<TryResult> {
+async function sendToTarget(
+    view: TriesView,
+    target: Target,
+    isConnectionFresh: boolean,
+    signal: AbortSignal,
+): Promise<TryResult> {
     const { context, settings, table, latencies, metrics, now, handleFreed } = view;
     const startedAtMs = now();
     const remainingMs = context.deadlineAtMs - startedAtMs;
@@ -135,7 +143,7 @@
             [headerNames.deadlineMs]: String(Math.max(1, Math.floor(remainingMs))),
         },
         body: context.body,
-        isIdempotent: context.isIdempotent,
+        isConnectionFresh,
         remainingMs,
         firstByteMs: settings.routing.firstByteMs,
         idleMs: settings.routing.idleMs,
--- a/packages/entry/src/sendTry.ts
+++ b/packages/entry/src/sendTry.ts
@@ -1,7 +1,7 @@
 import got, { RequestError, TimeoutError } from "got";
 import { Agent } from "node:http";
 import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
-import type { Readable } from "node:stream";
+import { Readable } from "node:stream";
 import { pipeline } from "node:stream/promises";
 import { headerNames } from "./headerNames.js";
 import type { RequestBody } from "./requestBody.js";
@@ -29,9 +29,8 @@
     headerNames.reserved,
 ]);
 
-const keptAgent = { http: new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS_PER_TARGET }) };
-/** An open connection can have gone silent; a request that must not run twice gets a new one. */
-const freshAgent = { http: new Agent({ keepAlive: false }) };
+const keptAgent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS_PER_TARGET });
+const freshAgent = new Agent({ keepAlive: false });
 
 /** One try. */
 interface TryOrder {
@@ -41,7 +40,8 @@
     /** Set over the caller's. */
     readonly extraHeaders: Readonly<Record<string, string>>;
     readonly body: RequestBody;
-    readonly isIdempotent: boolean;
+    /** An open connection can have gone silent: retries, and requests that must not run twice, get a new one. */
+    readonly isConnectionFresh: boolean;
     readonly remainingMs: number;
     readonly firstByteMs: number;
     readonly idleMs: number;
@@ -55,7 +55,7 @@
         headers: { ...removeHopHeaders(order.headers), ...order.extraHeaders },
         body: order.body.isWhole && order.body.bytes.length > 0 ? order.body.bytes : undefined,
         allowGetBody: true,
-        agent: order.isIdempotent ? keptAgent : freshAgent,
+        agent: { http: order.isConnectionFresh ? freshAgent : keptAgent },
         throwHttpErrors: false,
         followRedirect: false,
         decompress: false,
@@ -78,7 +78,21 @@
     catch (failure) {
         void sending;
         request.destroy();
-        return { end: order.signal.aborted ? TryEnd.Aborted : convertFailure(failure) };
+        const end = order.signal.aborted ? TryEnd.Aborted : convertFailure(failure);
+        if (end === TryEnd.Silent) {
+            dropIdleConnections(order.url);
+        }
+        return { end };
+    }
+}
+
+/** What made one connection to a target go silent has likely lost the others too. */
+function dropIdleConnections(url: string): void {
+    const { host } = new URL(url);
+    for (const [name, sockets] of Object.entries(keptAgent.freeSockets)) {
+        if (name.startsWith(`${host}:`)) {
+            sockets?.forEach(socket => socket.destroy());
+        }
     }
 }
 
@@ -105,7 +119,9 @@
         size += value.length;
         if (size > KEPT_BYTES) {
             const bytes = Buffer.concat(chunks);
-            return { end: TryEnd.Answered, reply: { isAnswer: true, status, headers, bytes, rest: request } };
+            const rest = Readable.from(iterator, { objectMode: false });
+            rest.once("close", () => request.destroy());
+            return { end: TryEnd.Answered, reply: { isAnswer: true, status, headers, bytes, rest } };
         }
     }
 }
--- /dev/null
+++ b/packages/prove-promises/src/index.ts
@@ -0,0 +1,1 @@
+export { testBed } from "./testBed.js";
--- /dev/null
+++ b/packages/prove-promises/src/wholePath.test.ts
@@ -0,0 +1,137 @@
+import { afterAll, beforeAll, describe, expect, it } from "@jest/globals";
+import { OperatorCalls, sendRequest, standInKeys, waitUntil } from "@sardinestage/stand-ins";
+import type { Installation } from "@sardinestage/stand-ins";
+import { RequestOutcome } from "@sardinestage/types";
+import got from "got";
+import { randomBytes } from "node:crypto";
+import { testBed } from "./testBed.js";
+
+let installation: Installation;
+let operator: OperatorCalls;
+let port: number;
+
+beforeAll(async () => {
+    installation = await testBed.start({
+        settings: {
+            ...(await import("@sardinestage/stand-ins")).createDefaultPlan().settings,
+            entry: {
+                entry: { maxBodyBytes: 300_000, clockSkewMs: 300 },
+                routing: { grantIntervalMs: 200 },
+            },
+        },
+    });
+    operator = new OperatorCalls([...installation.entryVms.values()][0].ports.admin);
+    port = testBed.getCallerPort(installation, 0);
+});
+
+afterAll(async () => {
+    expect(installation.recorder.violations).toEqual([]);
+    await installation.close();
+});
+
+function createIdempotent(requestId: string) {
+    return { port, service: testBed.service, requestId, isIdempotent: true };
+}
+
+describe("the path of a request", () => {
+    describe("when it is well formed", () => {
+        for (const size of [0, 1_000, 250_000]) {
+            it(`brings a body of ${size} bytes there and back whole`, async () => {
+                const body = randomBytes(size);
+                const answer = await sendRequest({ ...createIdempotent(`size-${size}`), body });
+                expect(answer.outcome).toBe(RequestOutcome.Answered);
+                expect(answer.body.equals(body)).toBe(true);
+            });
+        }
+    });
+
+    describe("when it is not", () => {
+        const cases: [string, object, string][] = [
+            ["an unknown service", { service: "nothing" }, "unknown-service"],
+            ["a wrong key", { key: "not-a-key" }, "unauthenticated"],
+            ["a body over the limit", { body: Buffer.alloc(300_001) }, "body-too-large"],
+            ["a deadline out of range", { deadlineMs: 0 }, "malformed"],
+            ["an id that is no UUID of version 7", { isIdempotent: false, homeDomain: testBed.domain }, "malformed"],
+            ["no home for a request that must not run twice", { isIdempotent: false }, "malformed"],
+        ];
+        for (const [name, change, reason] of cases) {
+            it(`refuses ${name} with its reason, as not run`, async () => {
+                const answer = await sendRequest({ ...createIdempotent("bad"), ...change });
+                expect([answer.outcome, answer.reason]).toEqual([RequestOutcome.Refused, reason]);
+                expect(installation.recorder.requestRuns.has("bad")).toBe(false);
+            });
+        }
+
+        it("counts each refusal by its reason and goes on serving", async () => {
+            const { entryMetrics } = [...installation.entryVms.values()][0].ports;
+            expect(await installation.readMetrics(entryMetrics)).toContain(
+                "refusals_total{reason=\"unknown-service\"} 1",
+            );
+            expect((await sendRequest(createIdempotent("after"))).outcome).toBe(RequestOutcome.Answered);
+        });
+    });
+});
+
+describe("the path of a task", () => {
+    const task = {
+        taskId: "gent-haven/t1",
+        team: "plans",
+        urgency: 1,
+        taskClass: "plan",
+        expectedRunMs: 200,
+        size: { cpuMillis: 1000, memoryMb: 100, slots: 1 },
+        payload: JSON.stringify({ workMs: 200 }),
+    };
+
+    it("runs once, however often it is submitted, and stands in the logbook", async () => {
+        await Promise.all([1, 2, 3].map(() => operator.call("SubmitTask", { task })));
+        await waitUntil("the task is finished", async () => {
+            const { status } = (await operator.call("InspectTask", { taskId: task.taskId })).body as {
+                status: { phase: string };
+            };
+            return status.phase === "finished";
+        }, testBed.limitMs);
+        expect(installation.recorder.completions.get(task.taskId)).toBe(1);
+        const { lines } = (await operator.call("ReadLogbook", { taskId: task.taskId })).body as {
+            lines: { event: string }[];
+        };
+        expect(lines.map(line => line.event)).toEqual(["submitted", "bound", "started", "succeeded"]);
+    });
+
+    it("refuses wrong submissions with a kind, an effect and a remedy", async () => {
+        const cases: [object, string][] = [
+            [{ team: "nobody" }, "invalid-argument"],
+            [{ taskId: "nowhere/t2" }, "invalid-argument"],
+            [{ taskId: "gent-haven/t2", size: { cpuMillis: 99_000, slots: 1 } }, "invalid-argument"],
+            [{ payload: "other" }, "already_exists"],
+        ];
+        for (const [change, code] of cases) {
+            const answer = await operator.call("SubmitTask", { task: { ...task, ...change } });
+            expect(answer.ok).toBe(false);
+            expect(JSON.stringify(answer.body)).toContain(code.replace("invalid-argument", "invalid_argument"));
+        }
+    });
+
+    it("changes nothing without a key", async () => {
+        const { admin } = [...installation.entryVms.values()][0].ports;
+        const url = `http://127.0.0.1:${admin}/sardinestage.v1.OperatorService/SubmitTask`;
+        const answer = await got.post(url, {
+            json: { task: { ...task, taskId: "gent-haven/t9" } },
+            throwHttpErrors: false,
+        });
+        expect(answer.statusCode).toBe(401);
+        expect((await operator.call("InspectTask", { taskId: "gent-haven/t9" })).ok).toBe(false);
+        expect(standInKeys.operator.length).toBeGreaterThan(0);
+    });
+});
+
+describe("a process that can't start", () => {
+    it("says which settings are wrong, and each cause has its own exit code", async () => {
+        const { ManagedProcess } = await import("@sardinestage/stand-ins");
+        const { mkdtempSync } = await import("node:fs");
+        const folder = mkdtempSync("/tmp/sardinestage-settings-");
+        const wrong = new ManagedProcess("entry", "wrong", { process: { name: "x" } }, folder);
+        wrong.start();
+        expect(await wrong.waitForExit()).toBe(3);
+    });
+});
--- a/packages/stand-ins/src/demo/demoReport.ts
+++ b/packages/stand-ins/src/demo/demoReport.ts
@@ -41,6 +41,9 @@
     for (const [name, value] of rows) {
         process.stdout.write(`${name.padEnd(32)} ${value}\n`);
     }
+    for (const [reason, count] of traffic.flatMap(each => [...each.reasons])) {
+        process.stdout.write(`${`  not answered: ${reason}`.padEnd(32)} ${count}\n`);
+    }
     recorder.violations.slice(0, 10).forEach(violation => process.stdout.write(`BROKEN: ${violation}\n`));
     return lost.length === 0 && twice.length === 0 && wrong === 0 && recorder.violations.length === 0;
 }
--- a/packages/stand-ins/src/faultProxy.ts
+++ b/packages/stand-ins/src/faultProxy.ts
@@ -93,7 +93,8 @@
             this.pairs.delete(pair);
         }
         if (!this.isBlocked(pair)) {
-            setTimeout(() => other.destroy(), this.delayMs + 1);
+            // What was written before the close still has to go out.
+            setTimeout(() => other.end(() => other.destroy()), this.delayMs);
         }
     }
 }
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -27,6 +27,8 @@
 export { StandInTask } from "./standInTask.js";
 export { StandInVmList } from "./standInVmList.js";
 export { StandInWorker } from "./standInWorker.js";
+export { startConfigured } from "./startConfigured.js";
+export { submitTasks } from "./submitTasks.js";
 export type { TaskModel } from "./taskModel.js";
 export type { TrafficTotals } from "./trafficTotals.js";
 export { waitUntil } from "./waitUntil.js";
