--- /dev/null
+++ b/packages/prove-promises/src/targetsLeave.test.ts
@@ -0,0 +1,194 @@
+import { afterEach, describe, expect, it } from "@jest/globals";
+import {
+    CallerTraffic,
+    createConfig,
+    createDefaultPlan,
+    LinkFault,
+    LogFault,
+    OperatorCalls,
+    sendRequest,
+    startConfigured,
+    waitUntil,
+} from "@sardinestage/stand-ins";
+import type { Installation } from "@sardinestage/stand-ins";
+import { RequestOutcome } from "@sardinestage/types";
+import { testBed } from "./testBed.js";
+
+/** A target that appears as leaving gets no new work after this, in milliseconds. */
+const LEAVING_MS = 3_000;
+
+let installation: Installation;
+
+afterEach(async () => {
+    expect(installation.recorder.violations).toEqual([]);
+    await installation.close();
+});
+
+function startTraffic(requestsPerSecond: number, isIdempotent = true): CallerTraffic {
+    const vms = [...installation.entryVms.values()];
+    let next = 0;
+    const traffic = new CallerTraffic({
+        service: testBed.service,
+        requestsPerSecond,
+        isIdempotent,
+        deadlineMs: 5_000,
+        urgency: 1,
+        bodyBytes: 100,
+        maxTries: 6,
+        chooseEntry: () => {
+            const { ports, record } = vms[next++ % vms.length];
+            return { port: ports.caller, domain: record.domain };
+        },
+    });
+    traffic.start();
+    return traffic;
+}
+
+function countOpenOn(worker: string): number {
+    return installation.fleet.getWorker(worker).worker.openRequests;
+}
+
+describe("a target that leaves", () => {
+    it("gets no new request after the limit, and no request on it is cut off", async () => {
+        installation = await testBed.start({ listLagMs: 0 }, { replicas: 3, serviceMs: 300 });
+        const traffic = startTraffic(30);
+        const worker = [...installation.fleet.workers.keys()]
+            .find(name => installation.fleet.getWorker(name).worker.findReplica(testBed.service) !== undefined) ?? "";
+        await waitUntil("it works on requests", () => countOpenOn(worker) > 0, testBed.limitMs);
+        installation.setLeaving(worker);
+        const leftAtMs = performance.now();
+        let lastSeenMs = 0;
+        await waitUntil("the limit and the longest request have passed", () => {
+            lastSeenMs = countOpenOn(worker) > 0 ? performance.now() - leftAtMs : lastSeenMs;
+            return performance.now() - leftAtMs > LEAVING_MS + 2_000;
+        }, testBed.limitMs);
+        const totals = await traffic.stop();
+        expect(lastSeenMs).toBeLessThan(LEAVING_MS + 300);
+        expect(installation.recorder.requestsCutOff).toBe(0);
+        expect(totals.answered).toBe(totals.sent);
+    });
+});
+
+describe("an entry that is told to stop", () => {
+    it("finishes what is in progress and cuts nothing off", async () => {
+        installation = await testBed.start({}, { serviceMs: 800 });
+        const [{ entry, ports }] = installation.entryVms.values();
+        const open = Array.from(
+            { length: 8 },
+            (_, i) =>
+                sendRequest({
+                    port: ports.caller,
+                    service: testBed.service,
+                    requestId: `open-${i}`,
+                    isIdempotent: true,
+                    deadlineMs: 9_000,
+                }),
+        );
+        await waitUntil("they are being worked on", () => installation.recorder.requestRuns.size > 0, testBed.limitMs);
+        entry.sendSignal("SIGTERM");
+        const answers = await Promise.all(open);
+        expect(answers.map(answer => answer.outcome)).toEqual(open.map(() => RequestOutcome.Answered));
+        expect(await entry.waitForExit()).toBe(0);
+    });
+});
+
+describe("a scheduler that is told to stop", () => {
+    it("hands its workers over, and no request fails meanwhile", async () => {
+        installation = await testBed.start({}, { replicas: 3 });
+        const traffic = startTraffic(40);
+        await waitUntil("requests are answered", () => traffic.totals.answered > 20, testBed.limitMs);
+        const [first, second] = installation.entryVms.values();
+        first.scheduler.sendSignal("SIGTERM");
+        expect(await first.scheduler.waitForExit()).toBe(0);
+        await waitUntil("the other holds every worker", async () => {
+            const { heldWorkers } = await installation.readStatus(second.ports.schedulerMetrics) as {
+                heldWorkers: string[];
+            };
+            return heldWorkers.length === 4;
+        }, testBed.limitMs);
+        const totals = await traffic.stop();
+        expect(totals.answered).toBe(totals.sent);
+        expect(installation.recorder.lapses).toBe(0);
+    });
+});
+
+describe("targets under a flood", () => {
+    it("never have more requests open than they take, through a take-over as well", async () => {
+        installation = await testBed.start({ workerConnections: 8 }, { replicas: 2, serviceMs: 100 });
+        const traffic = startTraffic(300);
+        await waitUntil("the flood is on", () => traffic.totals.answered > 100, testBed.limitMs);
+        const [{ scheduler }] = installation.entryVms.values();
+        scheduler.sendSignal("SIGKILL");
+        await scheduler.waitForExit();
+        scheduler.start();
+        const before = traffic.totals.answered;
+        await waitUntil("the flood goes on", () => traffic.totals.answered > before + 300, testBed.limitMs);
+        const totals = await traffic.stop();
+        expect(totals.refused).toBeGreaterThan(0);
+        expect(totals.wrong).toBe(0);
+    });
+});
+
+describe("a failure domain that is cut off", () => {
+    it("goes on serving its own callers, and both sides tell the truth about the rest", async () => {
+        const domains = [
+            { domain: "gent-haven", region: "vlaanderen", entryVms: 2, workers: 2, workersPerRack: 1 },
+            { domain: "luik-oven", region: "wallonie", entryVms: 2, workers: 2, workersPerRack: 1 },
+        ];
+        const replicas = { "gent-haven": 2, "luik-oven": 2 };
+        installation = await startConfigured(
+            createDefaultPlan({ domains }),
+            createConfig({
+                services: { [testBed.service]: replicas },
+                serviceMs: 20,
+                concurrency: 16,
+                batchShare: 0.2,
+            }),
+        );
+        const isLuik = (name: string) => name.startsWith("luik-oven");
+        installation.network.setFault(LinkFault.Cut, (from, to) => isLuik(from) !== isLuik(to));
+        const [gent, luik] = ["gent-haven-e0", "luik-oven-e0"].map(name => installation.getEntryVm(name));
+        const send = (port: number, homeDomain: string) =>
+            sendRequest({ ...testBed.createOnceRequest(port), homeDomain, deadlineMs: 2_000 });
+        const answers = await Promise.all([
+            send(luik.ports.caller, "luik-oven"),
+            send(gent.ports.caller, "gent-haven"),
+            send(luik.ports.caller, "gent-haven"),
+            send(gent.ports.caller, "luik-oven"),
+        ]);
+        expect(answers.slice(0, 2).map(answer => answer.outcome)).toEqual([
+            RequestOutcome.Answered,
+            RequestOutcome.Answered,
+        ]);
+        for (const answer of answers.slice(2)) {
+            expect(answer.outcome).not.toBe(RequestOutcome.Answered);
+        }
+        installation.network.reset();
+        await waitUntil(
+            "requests for the other side are answered again",
+            async () => (await send(luik.ports.caller, "gent-haven")).outcome === RequestOutcome.Answered,
+            testBed.limitMs,
+        );
+    });
+});
+
+describe("an installation whose platform is out", () => {
+    it("goes on serving requests", async () => {
+        installation = await testBed.start({}, { replicas: 2 });
+        installation.log.fault = LogFault.Out;
+        installation.list.isOut = true;
+        const traffic = startTraffic(40, false);
+        await waitUntil(
+            "requests are answered for longer than any lease",
+            () => traffic.totals.answered > 320,
+            testBed.limitMs,
+        );
+        const totals = await traffic.stop();
+        expect(totals.answered).toBe(totals.sent);
+        const [{ ports }] = installation.entryVms.values();
+        const refused = await new OperatorCalls(ports.admin).call("SubmitTask", {
+            task: { taskId: "gent-haven/late", team: "plans", taskClass: "x", size: { cpuMillis: 1, slots: 1 } },
+        });
+        expect(refused.body.code).toBe("unavailable");
+    });
+});
--- /dev/null
+++ b/packages/prove-promises/src/waitForPhase.ts
@@ -0,0 +1,21 @@
+import { OperatorCalls, waitUntil } from "@sardinestage/stand-ins";
+import type { Installation } from "@sardinestage/stand-ins";
+
+/** Waits until every task has the phase, asking whichever administration process answers. */
+export async function waitForPhase(
+    installation: Installation,
+    taskIds: readonly string[],
+    phase: string,
+    limitMs: number,
+): Promise<void> {
+    const missing = new Set(taskIds);
+    await waitUntil(`all tasks are ${phase}`, async () => {
+        for (const { ports } of installation.entryVms.values()) {
+            const request = { domain: taskIds[0].split("/")[0], phase, limit: 10_000 };
+            const answer = await new OperatorCalls(ports.admin).call("ListTasks", request).catch(() => undefined);
+            const tasks = (answer?.body.tasks ?? []) as { task: { taskId: string } }[];
+            tasks.forEach(({ task }) => missing.delete(task.taskId));
+        }
+        return missing.size === 0;
+    }, limitMs);
+}
