--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -4,5 +4,5 @@
     testMatch: ["<rootDir>/packages/*/dist/**/*.test.js"],
     transform: {},
     testTimeout: 60_000,
-    maxWorkers: 3,
+    maxWorkers: 2,
 };
--- a/packages/entry/src/runTries.ts
+++ b/packages/entry/src/runTries.ts
@@ -156,23 +156,32 @@
         metrics.recordDuration("target_answer", latencyMs);
     }
     const release = () => {
-        table.release(
-            target,
-            answered || result.end === TryEnd.RefusedByTarget || result.end === TryEnd.Aborted,
-            latencyMs,
-        );
+        table.release(target, isTargetWell(result.end), latencyMs);
         handleFreed();
     };
     const rest = result.reply?.isAnswer ? result.reply.rest : undefined;
-    if (rest === undefined) {
+    if (rest !== undefined) {
+        rest.once("close", release);
+    }
+    else if (isOverForTarget(result.end)) {
         release();
     }
     else {
-        rest.once("close", release);
+        setTimeout(release, settings.routing.lingerMs);
     }
     return result;
 }
 
+/** A try that was aborted says nothing against its target. */
+function isTargetWell(end: TryEnd): boolean {
+    return end === TryEnd.Answered || end === TryEnd.RefusedByTarget || end === TryEnd.Aborted;
+}
+
+/** Whether the target certainly has nothing open any more; what was given up on this side may be open on that. */
+function isOverForTarget(end: TryEnd): boolean {
+    return end === TryEnd.Answered || end === TryEnd.RefusedByTarget || end === TryEnd.NotSent;
+}
+
 function waitAtMost(ended: Promise<TryResult>, milliseconds: number): Promise<TryResult | undefined> {
     return new Promise(resolve => {
         const timer = setTimeout(() => resolve(undefined), milliseconds);
--- a/packages/hold-workers/src/condemnView.ts
+++ b/packages/hold-workers/src/condemnView.ts
@@ -5,6 +5,8 @@
     readonly startedAtMs: number;
     /** Since when the worker has not answered, or `undefined` when it answers. */
     readonly silentSinceMs: number | undefined;
+    /** The platform's list has dropped the worker, or an operator drains it. */
+    readonly isGivenUp: boolean;
     /** Whether tasks are bound to it. */
     readonly hasTasks: boolean;
     /** Whether this scheduler should act, by rank among the live ones. */
--- a/packages/hold-workers/src/planCondemnStep.test.ts
+++ b/packages/hold-workers/src/planCondemnStep.test.ts
@@ -9,6 +9,7 @@
     nowMs: 100_000,
     startedAtMs: 0,
     silentSinceMs: 90_000,
+    isGivenUp: true,
     hasTasks: true,
     isPreferred: true,
     announcedAtMs: undefined,
@@ -23,6 +24,10 @@
             expect(planCondemnStep({ ...SILENT, silentSinceMs: 96_000 }, LIMITS)).toBe(CondemnStep.Nothing);
         });
 
+        it("waits for it while the platform lists its VM and no operator drains it", () => {
+            expect(planCondemnStep({ ...SILENT, isGivenUp: false }, LIMITS)).toBe(CondemnStep.Nothing);
+        });
+
         it("doesn't announce right after its own start, during an outage, or in a peer's place", () => {
             const changes = [{ startedAtMs: 95_000 }, { logContinuousSinceMs: Number.POSITIVE_INFINITY }, {
                 isPreferred: false,
--- a/packages/hold-workers/src/planCondemnStep.ts
+++ b/packages/hold-workers/src/planCondemnStep.ts
@@ -9,7 +9,8 @@
 }
 
 /**
- * Decides about a worker that doesn't answer. Suspicion alone never moves a task: the announcement stands in the log
+ * Decides about a worker that doesn't answer. While the platform lists its VM, work there may have come to its end
+ * unseen, so it is waited for; an operator who knows better drains the worker. Suspicion alone never moves a task: the announcement stands in the log
  * for as long as a holder that is still in contact could act without seeing it, and the log must have been readable
  * all that time, or else the holder had no chance to object.
  */
@@ -26,7 +27,8 @@
         && view.nowMs - view.silentSinceMs >= limits.condemnAfterMs;
     const settledIn = view.nowMs - view.startedAtMs >= limits.startupQuietMs;
     const logReadable = view.logContinuousSinceMs <= view.nowMs;
-    return view.hasTasks && view.isPreferred && !view.isCondemned && silentLongEnough && settledIn && logReadable
+    return view.hasTasks && view.isGivenUp && view.isPreferred && !view.isCondemned && silentLongEnough && settledIn
+            && logReadable
         ? CondemnStep.Announce
         : CondemnStep.Nothing;
 }
--- a/packages/place-tasks/src/placementView.ts
+++ b/packages/place-tasks/src/placementView.ts
@@ -1,10 +1,19 @@
 import type { Resources, TaskSpec, TeamQuota } from "@sardinestage/types";
 import type { CandidateWorker } from "./candidateWorker.js";
 
+/** A task that waits for a worker. */
+interface WaitingTask {
+    readonly spec: TaskSpec;
+    /** Workers on which an attempt of it failed. */
+    readonly failedOn: readonly string[];
+    /** Whether it has waited long enough for other schedulers to have found room, if there were any. */
+    readonly mayBindAhead: boolean;
+}
+
 /** Everything that placement decides by. */
 export interface PlacementView {
-    /** Tasks that wait, oldest first, with the workers on which they failed. */
-    readonly waiting: readonly { readonly spec: TaskSpec; readonly failedOn: readonly string[] }[];
+    /** Tasks that wait, oldest first. */
+    readonly waiting: readonly WaitingTask[];
     readonly workers: readonly CandidateWorker[];
     /** Every task that is bound in the failure domain, also by other schedulers. */
     readonly domainTasks: readonly TaskSpec[];
--- a/packages/place-tasks/src/planPlacement.ts
+++ b/packages/place-tasks/src/planPlacement.ts
@@ -34,7 +34,8 @@
     const open = view.workers.map(worker => createOpenWorker(worker, view));
     const placements: Placement[] = [];
     const refusals = new Map<string, PlacementRefusal>();
-    for (const { spec, failedOn } of listInOrder(view, shares)) {
+    for (const waiting of listInOrder(view, shares)) {
+        const { spec } = waiting;
         if (placements.length >= view.maxPlacements) {
             break;
         }
@@ -42,7 +43,7 @@
         const refusal = resourceMath.fits(need, view.largestWorker)
             ? shares.checkShare(spec)
             : PlacementRefusal.NeverFits;
-        const chosen = refusal === undefined ? chooseWorker(spec, need, failedOn, open, view) : undefined;
+        const chosen = refusal === undefined ? chooseWorker(waiting, need, open, view) : undefined;
         if (chosen === undefined) {
             refusals.set(spec.taskId, refusal ?? PlacementRefusal.NoRoom);
             continue;
@@ -97,9 +98,8 @@
 }
 
 function chooseWorker(
-    spec: TaskSpec,
+    { spec, failedOn, mayBindAhead }: Waiting,
     need: Resources,
-    failedOn: readonly string[],
     open: readonly OpenWorker[],
     view: PlacementView,
 ): OpenWorker | undefined {
@@ -110,7 +110,7 @@
     if (roomy.length > 0) {
         return chooseCheapest(spec, roomy, open, view);
     }
-    if (spec.kind !== WorkKind.Batch) {
+    if (spec.kind !== WorkKind.Batch || !mayBindAhead) {
         return undefined;
     }
     const full = choices.filter(each => each.ahead < view.bindAhead && resourceMath.fits(need, each.worker.capacity));
--- a/packages/plan-worker-orders/src/planWorkerOrders.test.ts
+++ b/packages/plan-worker-orders/src/planWorkerOrders.test.ts
@@ -54,6 +54,7 @@
         isLogFresh: true,
         isLeaving: false,
         isIdle: () => true,
+        hasRoomElsewhere: () => false,
         maxFailures: 3,
         estimateSize: spec => spec.size,
         reactions: [],
@@ -77,6 +78,12 @@
             expect(planWorkerOrders(createView(createEntry(), undefined, { estimateSize })).orders).toEqual([]);
         });
 
+        it("lets go of what doesn't fit when there is room elsewhere", () => {
+            const changes = { estimateSize: () => ({ ...SPEC.size, cpuMillis: 1001 }), hasRoomElsewhere: () => true };
+            const { records } = planWorkerOrders(createView(createEntry(), undefined, changes));
+            expect(records[0].data).toMatchObject({ kind: TaskRecordKind.Release, lastAttempt: 0 });
+        });
+
         it("resumes a lapsed attempt from its checkpoint under the next number", () => {
             const lapsed = createTask(RunState.Lapsed, { attempt: 4, checkpoint: "0.5" });
             const { orders } = planWorkerOrders(createView(createEntry(), lapsed));
--- a/packages/plan-worker-orders/src/planWorkerOrders.ts
+++ b/packages/plan-worker-orders/src/planWorkerOrders.ts
@@ -150,7 +150,12 @@
     private startTask(entry: TaskEntry, attempt: number, checkpoint: string | undefined): void {
         const { spec, generation } = entry;
         const need = this.estimateNeed(entry);
-        if (this.view.mayStart && resourceMath.fits(need, this.room)) {
+        if (!resourceMath.fits(need, this.room)) {
+            if (this.view.isLogFresh && this.view.hasRoomElsewhere(entry)) {
+                this.releaseTask(entry, attempt - 1, checkpoint, "there is room elsewhere", false);
+            }
+        }
+        else if (this.view.mayStart) {
             this.room = resourceMath.subtract(this.room, need);
             this.orders.push({ kind: OrderKind.Start, taskId: spec.taskId, generation, attempt, spec, checkpoint });
         }
--- a/packages/plan-worker-orders/src/workerView.ts
+++ b/packages/plan-worker-orders/src/workerView.ts
@@ -17,6 +17,8 @@
     readonly isLogFresh: boolean;
     /** The VM leaves, or an operator drains it. */
     readonly isLeaving: boolean;
+    /** Whether a task that waits here for room could run on another worker now. */
+    readonly hasRoomElsewhere: (entry: TaskEntry) => boolean;
     /** Whether no request can be open at a replica. */
     readonly isIdle: (taskId: string) => boolean;
     readonly maxFailures: number;
--- a/packages/read-settings/src/entrySettingsSchema.ts
+++ b/packages/read-settings/src/entrySettingsSchema.ts
@@ -37,6 +37,12 @@
         grantIntervalMs: createMilliseconds(500, 20, 60_000, "Time between two pulls of grants from a scheduler."),
         firstByteMs: createMilliseconds(2_000, 10, 600_000, "Longest wait for the first byte of a target's answer."),
         idleMs: createMilliseconds(2_000, 10, 600_000, "Longest gap between bytes of a target's answer."),
+        lingerMs: createMilliseconds(
+            1_000,
+            0,
+            60_000,
+            "A try that was given up counts as open so long, until the target has noticed.",
+        ),
         probationMs: createMilliseconds(5_000, 10, 600_000, "First length of a failing target's probation."),
         maxProbationShare: createShare(0.5, "Largest share of a service's targets on probation at once."),
     }).prefault({}),
--- a/packages/scheduler/src/createScheduler.ts
+++ b/packages/scheduler/src/createScheduler.ts
@@ -102,6 +102,7 @@
             now,
             silentAfterMs: peers.statusIntervalMs * MISSED_EXCHANGES,
             listCondemned: () => container.get(WorkerGuard).listCondemned(),
+            listSilent: () => container.get(WorkerFleet).listSilent(),
             isInContact: worker => container.get(WorkerFleet).findControl(worker)?.getToken() !== undefined,
         })
     );
@@ -119,12 +120,14 @@
             now,
             createPort: vm => createWorkerPort(vm, leases.orderTimeoutMs),
             isLeaving: worker => checkLeaving(container, settings, worker),
+            hasRoomElsewhere: entry => container.get(TaskPlacer).hasRoomElsewhere(entry),
             getConcurrency: service => findConcurrency(container, service),
             mayGiveWay: (victim, urgent) => container.get(TaskPlacer).checkGiveWay(victim, urgent),
         })
     );
     container.bind(WorkerGuard).toDynamicValue(() =>
         new WorkerGuard({
+            isGivenUp: worker => checkGivenUp(container, settings, worker),
             settings,
             holder,
             stream: container.get(TaskStream),
@@ -183,6 +186,14 @@
     return new HttpWorker(`http://${vm.address}:${vm.controlPort}`, timeoutMs);
 }
 
+/** A directory that was never read has dropped nobody. */
+function checkGivenUp(container: Container, settings: SchedulerSettings, worker: string): boolean {
+    const directory = container.get(VmDirectory);
+    const { drainedWorkers } = container.get(ConfigFollower).history.getCurrent().document;
+    const isListed = directory.listWorkers(settings.process.domain).some(each => each.vm === worker);
+    return directory.isLoaded() && !isListed || drainedWorkers.includes(worker);
+}
+
 /** A worker takes no new work when its VM leaves, when the list has dropped it, or when an operator drains it. */
 function checkLeaving(container: Container, settings: SchedulerSettings, worker: string): boolean {
     const { drainedWorkers } = container.get(ConfigFollower).history.getCurrent().document;
--- a/packages/scheduler/src/schedulerMembers.ts
+++ b/packages/scheduler/src/schedulerMembers.ts
@@ -15,18 +15,22 @@
     readonly listCondemned: () => readonly string[];
     /** Whether this process holds a worker and hears from it. */
     readonly isInContact: (worker: string) => boolean;
+    /** Workers that don't answer this process. */
+    readonly listSilent: () => readonly string[];
 }
 
 const workerNames = z.array(z.string()).max(10_000);
 const statusRequest = z.object({ condemned: workerNames });
 /** `contested` are those of the asking peer's condemned workers that the answering peer hears from. */
-const statusReply = z.object({ condemned: workerNames, contested: workerNames });
+const statusReply = z.object({ condemned: workerNames, contested: workerNames, silent: workerNames });
 
 interface PeerState {
     /** When the newest exchange was sent that was answered. */
     answeredAtMs: number;
     condemned: readonly string[];
     contested: readonly string[];
+    /** Workers that don't answer the peer. */
+    silent: readonly string[];
 }
 
 /** The schedulers of this failure domain: who they are, who answers, and what they have said. */
@@ -55,7 +59,11 @@
     /** Answers a peer's status exchange. */
     answerStatus(body: unknown): z.infer<typeof statusReply> {
         const { condemned } = statusRequest.parse(body);
-        return { condemned: [...this.options.listCondemned()], contested: condemned.filter(this.options.isInContact) };
+        return {
+            condemned: [...this.options.listCondemned()],
+            contested: condemned.filter(this.options.isInContact),
+            silent: [...this.options.listSilent()],
+        };
     }
 
     /** Whether a peer hears from a worker that this process condemns. */
@@ -76,10 +84,19 @@
 
     /** Where this process stands among the live schedulers for a key: 0 is the one that should act. */
     computeRank(key: string): number {
+        return listOwnersByRank(key, [...this.listLive(), this.options.vm]).indexOf(this.options.vm);
+    }
+
+    /** Where this process stands for holding a worker among the live schedulers whom the worker answers. */
+    computeHoldRank(worker: string): number {
+        const able = this.listLive().filter(peer => !this.states.get(peer)?.silent.includes(worker));
+        return listOwnersByRank(worker, [...able, this.options.vm]).indexOf(this.options.vm);
+    }
+
+    private listLive(): string[] {
         const { directory, domain, vm, now, silentAfterMs } = this.options;
-        const live = directory.listSchedulerPeers(domain, vm)
+        return directory.listSchedulerPeers(domain, vm)
             .map(peer => peer.vm)
             .filter(peer => now() - (this.states.get(peer)?.answeredAtMs ?? Number.NEGATIVE_INFINITY) <= silentAfterMs);
-        return listOwnersByRank(key, [...live, vm]).indexOf(vm);
     }
 }
--- a/packages/scheduler/src/taskPlacer.ts
+++ b/packages/scheduler/src/taskPlacer.ts
@@ -49,7 +49,11 @@
             return;
         }
         const plan = planPlacement({
-            waiting: waiting.map(({ spec, failedOn }) => ({ spec, failedOn })),
+            waiting: waiting.map(({ spec, failedOn, changedAtMs }) => ({
+                spec,
+                failedOn,
+                mayBindAhead: Date.now() - changedAtMs >= settings.placement.aheadAfterMs,
+            })),
             workers: this.listCandidates(),
             ...this.describeDomain(),
             bindAhead: settings.placement.bindAhead,
@@ -75,6 +79,23 @@
         return victim.team === urgent.team || shares.computeTeamFill(victim.team) > 1;
     }
 
+    /** Whether another worker of the failure domain, whoever holds it, has room for a task that waits on a full one. */
+    hasRoomElsewhere(entry: TaskEntry): boolean {
+        const { directory, settings, stream, isLeaving } = this.options;
+        if (Date.now() - entry.changedAtMs < settings.placement.aheadAfterMs) {
+            return false;
+        }
+        return directory.listWorkers(settings.process.domain).some(({ vm, capacity }) => {
+            const { ledger } = stream;
+            const isUsable = vm !== entry.worker && !isLeaving(vm) && ledger.getCondemnation(vm) === undefined
+                && ledger.getHold(vm) !== undefined;
+            const committed = [...ledger.listBound(vm)]
+                .map(taskId => ledger.getTask(taskId)?.spec.size ?? resourceMath.none)
+                .reduce(resourceMath.add, entry.spec.size);
+            return isUsable && resourceMath.fits(committed, capacity ?? resourceMath.none);
+        });
+    }
+
     /** Waiting tasks that this process should bind: its own by rank, and those that waited too long for their owner. */
     private listWaiting(): TaskEntry[] {
         const { stream, settings, members } = this.options;
--- a/packages/scheduler/src/workerContext.ts
+++ b/packages/scheduler/src/workerContext.ts
@@ -1,5 +1,6 @@
 import type { WorkerPort } from "@sardinestage/call-platform";
 import type { Metrics } from "@sardinestage/count-metrics";
+import type { TaskEntry } from "@sardinestage/fold-tasks";
 import type { TaskStream } from "@sardinestage/follow-tasks";
 import type { GrantLedger } from "@sardinestage/grant-connections";
 import type { EventLogger } from "@sardinestage/log-events";
@@ -25,6 +26,8 @@
     readonly createPort: (vm: VmRecord) => WorkerPort;
     /** Whether a worker takes no new work: its VM leaves or an operator drains it. */
     readonly isLeaving: (worker: string) => boolean;
+    /** Whether a task bound to a full worker could run on another now. */
+    readonly hasRoomElsewhere: (entry: TaskEntry) => boolean;
     /** Requests that one replica of a service is expected to work on at once. */
     readonly getConcurrency: (service: string) => number;
     /** Whether guaranteed shares allow that one task gives way to another. */
--- a/packages/scheduler/src/workerControl.ts
+++ b/packages/scheduler/src/workerControl.ts
@@ -103,7 +103,7 @@
     private async tryAcquire(): Promise<number | undefined> {
         const { members, stream, grants, now, metrics, logger, holder } = this.context;
         const worker = this.vm.vm;
-        if (members.computeRank(worker) > 0 || !stream.isLoaded()) {
+        if (members.computeHoldRank(worker) > 0 || !stream.isLoaded()) {
             return undefined;
         }
         const token = await this.lease.acquire();
@@ -171,6 +171,7 @@
             mayStart: this.isHeld() && this.hasAuthority(),
             isLogFresh: stream.isFresh(),
             isLeaving: isLeaving(worker),
+            hasRoomElsewhere: this.context.hasRoomElsewhere,
             isIdle: taskId => this.isIdle(taskId),
             maxFailures: settings.placement.maxFailures,
             estimateSize,
@@ -227,7 +228,7 @@
 
     private isHandoverDue(): boolean {
         const { members, now } = this.context;
-        return now() - this.heldSinceMs > MIN_HOLD_MS && members.computeRank(this.vm.vm) > 0;
+        return now() - this.heldSinceMs > MIN_HOLD_MS && members.computeHoldRank(this.vm.vm) > 0;
     }
 
     private noteLost(): void {
--- a/packages/scheduler/src/workerFleet.ts
+++ b/packages/scheduler/src/workerFleet.ts
@@ -50,6 +50,13 @@
         return [...this.controls.values()].map(running => running.control).filter(control => control.isHeld());
     }
 
+    /** Workers that don't answer. */
+    listSilent(): string[] {
+        return [...this.controls].filter(([, { control }]) => control.getSilentSinceMs() !== undefined).map(([name]) =>
+            name
+        );
+    }
+
     /** Replicas on held workers that take requests. */
     listEndpoints(): ReplicaEndpoint[] {
         return [...this.controls.values()].flatMap(running => running.control.listEndpoints());
--- a/packages/scheduler/src/workerGuard.ts
+++ b/packages/scheduler/src/workerGuard.ts
@@ -18,6 +18,8 @@
     readonly metrics: Metrics;
     readonly logger: EventLogger;
     readonly now: () => number;
+    /** Whether the platform's list has dropped a worker, or an operator drains it. */
+    readonly isGivenUp: (worker: string) => boolean;
 }
 
 interface Announcement {
@@ -59,6 +61,7 @@
             startedAtMs: this.startedAtMs,
             // A worker that the list has dropped before this process ever tried it is as silent as one that fails.
             silentSinceMs: control === undefined ? this.startedAtMs : control.getSilentSinceMs(),
+            isGivenUp: this.options.isGivenUp(worker),
             hasTasks: stream.ledger.listBound(worker).size > 0,
             isPreferred: members.computeRank(worker) === 0,
             announcedAtMs: this.announcements.get(worker)?.readBackAtMs,
--- a/packages/stand-ins/src/serveTarget.ts
+++ b/packages/stand-ins/src/serveTarget.ts
@@ -39,14 +39,14 @@
     const replica = worker.findReplica(service);
     worker.openRequests++;
     recorder.recordConnections(name, worker.openRequests, connections);
-    response.on("close", () => worker.openRequests--);
+    callOnceEnded(response, () => worker.openRequests--);
     if (replica === undefined) {
         request.resume();
         response.writeHead(503, { "x-not-run": "true" }).end();
         return;
     }
     replica.openRequests++;
-    response.on("close", () => replica.openRequests--);
+    callOnceEnded(response, () => replica.openRequests--);
     const body = await readBody(request);
     if (body === undefined || faults.silent) {
         return;
@@ -68,6 +68,19 @@
     }
 }
 
+/** A request is over for its target when the answer was handed to the system, or when its connection is gone. */
+function callOnceEnded(response: ServerResponse, handleEnd: () => void): void {
+    let ended = false;
+    const end = () => {
+        if (!ended) {
+            ended = true;
+            handleEnd();
+        }
+    };
+    response.once("finish", end);
+    response.once("close", end);
+}
+
 async function readBody(request: IncomingMessage): Promise<Buffer | undefined> {
     const chunks: Buffer[] = [];
     try {
