--- /dev/null
+++ b/packages/bench/src/scenarios/slopes.ts
@@ -0,0 +1,174 @@
+import type { LogRecord } from "@sardinestage/call-platform";
+import { encodeFrame, FrameKind } from "@sardinestage/exchange-frames";
+import type { TaskRecord } from "@sardinestage/fold-tasks";
+import { applyTaskRecord, TaskLedger, TaskRecordKind } from "@sardinestage/fold-tasks";
+import { createConfig, createDefaultPlan, startConfigured } from "@sardinestage/stand-ins";
+import { TaskPhase, Urgency, WorkKind } from "@sardinestage/types";
+import { computeLineFit } from "../computeLineFit.js";
+import type { Figure } from "../figure.js";
+import { readProcessUse } from "../readProcessUse.js";
+import type { Scenario } from "../scenario.js";
+
+const WORKER_COUNTS = [6, 18, 42];
+const TASK_COUNTS = [5_000, 10_000, 20_000];
+const SETTLE_MS = 3_000;
+const MEASURE_MS = 6_000;
+const BYTES_PER_KILOBYTE = 1_000;
+
+/** Slopes from which docs/CAPACITY.md is worked out. */
+export const slopes: Scenario = {
+    name: "slopes",
+    what: "what a scheduler costs by workers held, the log by records, the ledger by tasks",
+    run: async (_seed, printProgress) => [
+        ...await measureSchedulers(printProgress),
+        ...measureLedger(),
+        ...measureMessages(),
+    ],
+};
+
+async function measureSchedulers(printProgress: (what: string) => void): Promise<Figure[]> {
+    const cpu: [number, number][] = [];
+    const memory: [number, number][] = [];
+    const traffic: [number, number][] = [];
+    const entryCpu: [number, number][] = [];
+    for (const workers of WORKER_COUNTS) {
+        printProgress(`a failure domain with ${workers} workers, at rest`);
+        const domains = [{ domain: "d", region: "r", entryVms: 2, workers, workersPerRack: 8 }];
+        // The product's own default times: the test installation's short ones would cost more.
+        const settings = { scheduler: { leases: { startupQuietMs: 1_000 } } };
+        const config = createConfig({ services: { s: { d: workers } }, serviceMs: 1, concurrency: 8, batchShare: 0 });
+        const installation = await startConfigured(
+            createDefaultPlan({ domains, settings, platformRegion: "r" }),
+            config,
+        );
+        try {
+            await new Promise(resolve => setTimeout(resolve, SETTLE_MS));
+            const vms = [...installation.entryVms.values()];
+            const read = () =>
+                vms.map(vm => ({
+                    scheduler: readProcessUse(vm.scheduler.getPid() ?? 0),
+                    entry: readProcessUse(vm.entry.getPid() ?? 0),
+                }));
+            const before = { use: read(), bytes: installation.network.countBytes(), atMs: performance.now() };
+            await new Promise(resolve => setTimeout(resolve, MEASURE_MS));
+            const after = { use: read(), bytes: installation.network.countBytes(), atMs: performance.now() };
+            const seconds = (after.atMs - before.atMs) / 1000;
+            const average = (select: (use: typeof before.use[number]) => number) =>
+                vms.reduce((sum, _, i) => sum + select(after.use[i]) - select(before.use[i]), 0) / vms.length / seconds
+                * 100;
+            const held = workers / vms.length;
+            cpu.push([held, average(use => use.scheduler.cpuSeconds)]);
+            entryCpu.push([workers, average(use => use.entry.cpuSeconds)]);
+            memory.push([held, after.use.reduce((sum, use) => sum + use.scheduler.memoryMb, 0) / vms.length]);
+            traffic.push([held, (after.bytes - before.bytes) / vms.length / seconds / BYTES_PER_KILOBYTE]);
+        }
+        finally {
+            await installation.close();
+        }
+    }
+    return [
+        ...describeFit("scheduler's core share by workers held", "%", cpu),
+        ...describeFit("entry's core share at rest by targets", "%", entryCpu),
+        ...describeFit("scheduler's memory by workers held", "MB", memory),
+        ...describeFit("traffic of an entry VM by workers held", "KB/s", traffic),
+    ];
+}
+
+function measureLedger(): Figure[] {
+    const memory: [number, number][] = [];
+    const time: [number, number][] = [];
+    for (const count of TASK_COUNTS) {
+        const records = createHistory(count);
+        global.gc?.();
+        const heapBefore = process.memoryUsage().heapUsed;
+        const startedAtMs = performance.now();
+        const ledger = new TaskLedger();
+        records.forEach(record => applyTaskRecord(ledger, record));
+        time.push([records.length, (performance.now() - startedAtMs) * 1000]);
+        global.gc?.();
+        memory.push([count, (process.memoryUsage().heapUsed - heapBefore) / count * count / 1e6]);
+        if ([...ledger.listTasks()].length !== count) {
+            throw new Error("The ledger doesn't hold what was put into it.");
+        }
+    }
+    return [
+        ...describeFit("ledger's memory by tasks", "MB", memory),
+        ...describeFit("folding the log by records", "us", time),
+    ];
+}
+
+function createHistory(count: number): LogRecord[] {
+    const records: LogRecord[] = [];
+    const add = (data: TaskRecord) => {
+        const offset = records.length;
+        records.push({
+            offset,
+            id: `r${offset}`,
+            appendedAtMs: offset,
+            data: JSON.parse(JSON.stringify(data)) as unknown,
+        });
+    };
+    add({ kind: TaskRecordKind.Hold, worker: "w", token: 1, holder: "h" });
+    for (let i = 0; i < count; i++) {
+        const taskId = `domain/task-${i}`;
+        add({ kind: TaskRecordKind.Submit, spec: createSpec(taskId) });
+        add({ kind: TaskRecordKind.Bind, taskId, generation: 1, worker: "w", token: 1 });
+        add({
+            kind: TaskRecordKind.Finish,
+            taskId,
+            generation: 1,
+            worker: "w",
+            attempt: 1,
+            phase: TaskPhase.Finished,
+            reason: "",
+        });
+    }
+    return records;
+}
+
+function createSpec(taskId: string) {
+    return {
+        taskId,
+        team: "team-100",
+        kind: WorkKind.Batch,
+        urgency: Urgency.Normal,
+        taskClass: "class-10",
+        size: { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 0, slots: 1 },
+        expectedRunMs: 60_000,
+        payload: "x".repeat(200),
+    };
+}
+
+function measureMessages(): Figure[] {
+    const [hold, submit, bind, finish] = createHistory(1).map(record => JSON.stringify(record).length);
+    const report = {
+        worker: "gent-haven-w100",
+        token: 1_796_366_457_096,
+        service: "attendance",
+        limit: 8,
+        inFlight: 3,
+    };
+    const pull = { kind: FrameKind.PullGrants, sequence: 1, body: { entry: "gent-haven-e0", reports: [report] } };
+    const pullOfTwo = { ...pull, body: { ...pull.body, reports: [report, report] } };
+    return [
+        { name: "records of one start (submit, bind, finish)", unit: "bytes", value: submit + bind + finish, ok: true },
+        { name: "record of a hold", unit: "bytes", value: hold, ok: true },
+        {
+            name: "a target in a pull of grants",
+            unit: "bytes",
+            value: encodeFrame(pullOfTwo).length - encodeFrame(pull).length,
+            ok: true,
+        },
+    ];
+}
+
+function describeFit(name: string, unit: string, points: readonly (readonly [number, number])[]): Figure[] {
+    const { slope, intercept, r2 } = computeLineFit(points);
+    const measured = points.map(([x, y]) => ({ name: `${name}, at ${x}`, unit, value: y, ok: true }));
+    return [
+        ...measured,
+        { name: `${name}, slope`, unit: `${unit} each`, value: slope, ok: true },
+        { name: `${name}, intercept`, unit, value: intercept, ok: true },
+        { name: `${name}, r2`, unit: "", value: r2, ok: true },
+    ];
+}
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -135,6 +135,7 @@
             logFresh: stream.isFresh(),
             pendingRecords: stream.getPendingCount(),
             waitingTasks: stream.ledger.listWaiting().size,
+            leasedWorkers: fleet.listLeased(),
             heldWorkers: fleet.listHeld().map(control => control.vm.vm),
             condemnedWorkers: guard.listCondemned(),
         };
--- a/packages/scheduler/src/workerFleet.ts
+++ b/packages/scheduler/src/workerFleet.ts
@@ -50,6 +50,11 @@
         return [...this.controls.values()].map(running => running.control).filter(control => control.isHeld());
     }
 
+    /** Workers whose lease this process has, whether or not the log says so yet. */
+    listLeased(): string[] {
+        return [...this.controls].filter(([, { control }]) => control.getToken() !== undefined).map(([name]) => name);
+    }
+
     /** Workers that don't answer. */
     listSilent(): string[] {
         return [...this.controls].filter(([, { control }]) => control.getSilentSinceMs() !== undefined).map(([name]) =>
--- a/packages/stand-ins/src/faultProxy.ts
+++ b/packages/stand-ins/src/faultProxy.ts
@@ -10,6 +10,8 @@
 
 /** Passes TCP connections on to one port, with a delay, and with faults on demand. */
 export class FaultProxy {
+    /** Bytes passed on in both directions. */
+    bytesPassed = 0;
     private fault = LinkFault.None;
     private readonly server: Server;
     private readonly pairs = new Set<Pair>();
@@ -79,6 +81,7 @@
         if (blocked) {
             return;
         }
+        this.bytesPassed += chunk.length;
         if (this.delayMs === 0) {
             to.write(chunk);
         }
--- a/packages/stand-ins/src/linkNetwork.ts
+++ b/packages/stand-ins/src/linkNetwork.ts
@@ -49,6 +49,11 @@
         }
     }
 
+    /** Bytes that all links have passed on. */
+    countBytes(): number {
+        return [...this.links.values()].reduce((sum, { proxy }) => sum + proxy.bytesPassed, 0);
+    }
+
     /** Ends all faults. */
     reset(): void {
         this.setFault(LinkFault.None, () => true);
