--- /dev/null
+++ b/packages/scheduler/src/ownership.test.ts
@@ -0,0 +1,137 @@
+import { describe, expect, it } from "@jest/globals";
+import { parseSettings, schedulerSettingsSchema } from "@sardinestage/read-settings";
+import fc from "fast-check";
+import { FakeDomain } from "./testing/fakeDomain.js";
+
+const SEED = Number(process.env.FUZZ_SEED ?? 20261204);
+const RUNS = Number(process.env.FUZZ_RUNS ?? 150);
+const SCHEDULERS = 2;
+const WORKERS = 3;
+const HEAL_TICKS = 200;
+
+const settings = parseSettings(
+    schedulerSettingsSchema,
+    `
+[process]
+name = "s"
+vm = "v"
+domain = "d"
+region = "r"
+address = "127.0.0.1"
+metricsPort = 1
+[platform]
+logUrl = "http://127.0.0.1:1"
+listUrl = "http://127.0.0.1:1"
+[peers]
+key = "0123456789abcdef"
+[scheduler]
+peerPort = 1
+`,
+).unwrap();
+
+const index = fc.nat(5);
+const step = fc.oneof(
+    {
+        weight: 6,
+        arbitrary: fc.record({ kind: fc.constant("wait" as const), ticks: fc.integer({ min: 1, max: 45 }), index }),
+    },
+    { weight: 2, arbitrary: fc.record({ kind: fc.constant("submit" as const), index }) },
+    {
+        weight: 4,
+        arbitrary: fc.record({
+            kind: fc.constant("link" as const),
+            index,
+            worker: index,
+            link: fc.constantFrom("up" as const, "cut" as const, "answersLost" as const, "late" as const),
+        }),
+    },
+    { weight: 2, arbitrary: fc.record({ kind: fc.constantFrom("pause" as const, "resume" as const), index }) },
+    { weight: 2, arbitrary: fc.record({ kind: fc.constantFrom("logOut" as const, "logBack" as const), index }) },
+    {
+        weight: 4,
+        arbitrary: fc.record({
+            kind: fc.constantFrom(
+                "restart" as const,
+                "workerDies" as const,
+                "unlist" as const,
+                "drain" as const,
+                "restore" as const,
+                "deliver" as const,
+            ),
+            index,
+        }),
+    },
+);
+type Step = typeof step extends fc.Arbitrary<infer T> ? T : never;
+
+async function applyStep(domain: FakeDomain, each: Step): Promise<void> {
+    const scheduler = domain.schedulers[each.index % SCHEDULERS];
+    const worker = each.index % WORKERS;
+    switch (each.kind) {
+        case "wait":
+            for (let i = 0; i < each.ticks; i++) {
+                await domain.runTick(each.index + i);
+            }
+            break;
+        case "submit":
+            domain.submitTask();
+            break;
+        case "link":
+            domain.links.set(`${scheduler.name}>${domain.workers[each.worker % WORKERS].name}`, each.link);
+            break;
+        case "pause":
+        case "resume":
+            scheduler.isPaused = each.kind === "pause";
+            break;
+        case "logOut":
+        case "logBack":
+            scheduler.isLogOut = each.kind === "logOut";
+            break;
+        case "restart":
+            domain.startAgain(each.index % SCHEDULERS);
+            break;
+        case "workerDies":
+            // One worker always lives, or nothing could finish.
+            if (worker > 0) {
+                domain.stopWorker(worker);
+            }
+            break;
+        case "unlist":
+            if (domain.workers[worker].isDead) {
+                domain.unlisted.add(domain.workers[worker].name);
+            }
+            break;
+        case "drain":
+        case "restore":
+            domain.setDrained(worker, each.kind === "drain");
+            break;
+        case "deliver":
+            domain.handleLate();
+            break;
+    }
+}
+
+describe("schedulers that share workers", () => {
+    describe("whatever is cut, paused, killed, lost, late or drained", () => {
+        it(`run no task in two places and lose none (seed ${SEED})`, async () => {
+            await fc.assert(
+                fc.asyncProperty(fc.array(step, { minLength: 5, maxLength: 40 }), async steps => {
+                    const domain = new FakeDomain(settings, SCHEDULERS, WORKERS);
+                    domain.submitTask();
+                    domain.submitTask();
+                    for (const each of steps) {
+                        await applyStep(domain, each);
+                        expect(domain.oracle.violations).toEqual([]);
+                    }
+                    domain.reset();
+                    for (let i = 0; i < HEAL_TICKS; i++) {
+                        await domain.runTick(i);
+                    }
+                    expect(domain.oracle.violations).toEqual([]);
+                    expect(domain.listOpen()).toEqual([]);
+                }),
+                { seed: SEED, numRuns: RUNS },
+            );
+        }, 120_000);
+    });
+});
--- /dev/null
+++ b/packages/scheduler/src/testing/createFakePort.ts
@@ -0,0 +1,58 @@
+import type { WorkerPort } from "@sardinestage/call-platform";
+import { ErrorKind, StageError } from "@sardinestage/errors";
+import type { Result } from "ts-results";
+import tsResults from "ts-results";
+import type { FakeLink } from "./fakeLink.js";
+import type { FakeWorker } from "./fakeWorker.js";
+
+const { Err, Ok } = tsResults;
+
+interface FakePortOptions {
+    /** The worker, `undefined` once it is dead. */
+    readonly findWorker: () => FakeWorker | undefined;
+    readonly getLink: () => FakeLink;
+    /** Whether the life of the scheduler that this port belongs to goes on. */
+    readonly isAlive: () => boolean;
+    /** Keeps a call that is to arrive later. */
+    readonly handleLate: (arrive: () => void) => void;
+}
+
+/** A scheduler's way to a fake worker, over a link with faults. */
+export function createFakePort(options: FakePortOptions): WorkerPort {
+    const unreachable = Err(new StageError(ErrorKind.WorkerUnreachable, "No answer.", "Wait."));
+    const stale = Err(new StageError(ErrorKind.StaleToken, "Stale.", "Acquire it anew."));
+    const held = Err(new StageError(ErrorKind.LeaseHeld, "Held.", "Wait."));
+
+    async function call<T>(token: number | undefined, act: (worker: FakeWorker) => T): Promise<Result<T, StageError>> {
+        const run = (): Result<T, StageError> => {
+            const worker = options.findWorker();
+            if (worker === undefined) {
+                return unreachable;
+            }
+            return token === undefined || worker.checkToken(token) ? Ok(act(worker)) : stale;
+        };
+        const link = options.getLink();
+        if (link === "cut" || !options.isAlive()) {
+            return unreachable;
+        }
+        if (link === "late") {
+            options.handleLate(run);
+            return unreachable;
+        }
+        const result = run();
+        return link === "answersLost" ? unreachable : result;
+    }
+
+    return {
+        acquireLease: async (holder, ttlMs) => {
+            const acquired = await call(undefined, worker => worker.acquireLease(holder, ttlMs));
+            return acquired.andThen(token => token === undefined ? held : Ok(token));
+        },
+        renewLease: (token, order) => call(token, worker => worker.renewLease(order)),
+        releaseLease: token => call(token, worker => worker.releaseLease()),
+        startTask: (token, order) => call(token, worker => worker.startTask(order)),
+        checkpointTask: token => call(token, () => "0"),
+        throttleTask: token => call(token, () => undefined),
+        stopTask: (token, attempt) => call(token, worker => worker.stopTask(attempt)),
+    };
+}
