Put a failing target on probation after two failures, and allow ten retries at once

Cause: with a third of the targets failing, 0.6 % of idempotent requests failed: each of two entries sent three requests into each failing target before passing it over, and the first retries found the budget of five spent. Ruled out: amplification (1.007 of 1.1 allowed). Change: two failures until probation, a burst of ten.

--- a/packages/route-requests/src/retryBudget.ts
+++ b/packages/route-requests/src/retryBudget.ts
@@ -1,4 +1,4 @@
-const BURST = 5;
+const BURST = 10;
 
 /** Bounds retries and hedges to a share of first tries, so that a failing fleet is not hit harder. */
 export class RetryBudget {
--- a/packages/route-requests/src/targetHealth.ts
+++ b/packages/route-requests/src/targetHealth.ts
@@ -6,7 +6,7 @@
 }
 
 const SMOOTHING = 0.2;
-const FAILURES_UNTIL_PROBATION = 3;
+const FAILURES_UNTIL_PROBATION = 2;
 const MAX_PROBATION_MS = 60_000;
 /** Assumed of a target that has answered nothing yet. */
 const FIRST_LATENCY_MS = 1;
