--- a/packages/fold-config/src/configHistory.test.ts
+++ b/packages/fold-config/src/configHistory.test.ts
@@ -35,6 +35,17 @@
         });
     });
 
+    describe("when retention has dropped the change", () => {
+        it("is known from the retained copy, which later changes build on", () => {
+            const history = new ConfigHistory();
+            const data = { kind: ConfigRecordKind.Retain, version: 7, document: createDocument(0.3) };
+            history.applyRecord({ offset: 90, id: "r", appendedAtMs: 90, data });
+            expect([history.getCurrent().version, history.getWrittenAtMs()]).toEqual([7, 90]);
+            applyChange(history, 91, "b", 7, createDocument(0.4));
+            expect([history.getCurrent().version, history.getWrittenAtMs()]).toEqual([8, 91]);
+        });
+    });
+
     describe("when a document is wrong", () => {
         it("is not accepted, whoever reads it", () => {
             const history = new ConfigHistory();
--- a/packages/fold-config/src/configHistory.ts
+++ b/packages/fold-config/src/configHistory.ts
@@ -22,12 +22,18 @@
 export class ConfigHistory {
     private readonly versions: ConfigVersion[] = [EMPTY];
     private readonly verdicts = new Map<string, PublishVerdict>();
+    private writtenAtMs = 0;
 
     /** The newest accepted configuration. */
     getCurrent(): ConfigVersion {
         return this.versions[this.versions.length - 1];
     }
 
+    /** When the newest copy of the current version was appended to the log, in Unix milliseconds. */
+    getWrittenAtMs(): number {
+        return this.writtenAtMs;
+    }
+
     /** The newest versions, oldest first. */
     listVersions(): readonly ConfigVersion[] {
         return this.versions;
@@ -49,6 +55,7 @@
         }
         else {
             this.acceptFromElsewhere(parsed.data.version, parsed.data.document, record.appendedAtMs);
+            this.noteWritten(parsed.data.version, record.appendedAtMs);
         }
     }
 
@@ -81,6 +88,13 @@
                 operator: change.operator,
                 acceptedAtMs: record.appendedAtMs,
             });
+            this.noteWritten(current.version + 1, record.appendedAtMs);
+        }
+    }
+
+    private noteWritten(version: number, atMs: number): void {
+        if (version === this.getCurrent().version) {
+            this.writtenAtMs = atMs;
         }
     }
 
--- a/packages/scheduler/src/createScheduler.ts
+++ b/packages/scheduler/src/createScheduler.ts
@@ -158,6 +158,7 @@
     );
     container.bind(TaskUpkeep).toDynamicValue(() =>
         new TaskUpkeep({
+            log: new HttpLog(settings.platform.logUrl, settings.platform.callTimeoutMs),
             settings,
             stream: container.get(TaskStream),
             config: container.get(ConfigFollower),
--- a/packages/scheduler/src/taskUpkeep.ts
+++ b/packages/scheduler/src/taskUpkeep.ts
@@ -1,3 +1,5 @@
+import type { LogPort } from "@sardinestage/call-platform";
+import { ConfigRecordKind } from "@sardinestage/fold-config";
 import type { TaskEntry, TaskRecord } from "@sardinestage/fold-tasks";
 import { TaskRecordKind } from "@sardinestage/fold-tasks";
 import type { ConfigFollower } from "@sardinestage/follow-config";
@@ -10,6 +12,8 @@
 import type { SchedulerSettings } from "./schedulerSettings.js";
 import type { WorkerFleet } from "./workerFleet.js";
 
+const CONFIG_STREAM = "config";
+
 interface TaskUpkeepOptions {
     readonly settings: SchedulerSettings;
     readonly stream: TaskStream;
@@ -17,10 +21,13 @@
     readonly members: SchedulerMembers;
     readonly directory: VmDirectory;
     readonly fleet: WorkerFleet;
+    readonly log: LogPort;
 }
 
 /** Work that keeps the stream in order: replicas as configured, parked tasks that fit again, retention. */
 export class TaskUpkeep {
+    private retainedAtMs = 0;
+
     constructor(private readonly options: TaskUpkeepOptions) {}
 
     /** Does everything that is due. */
@@ -32,9 +39,22 @@
         this.submitReplicas();
         this.unparkTasks();
         this.renewRecords();
+        this.renewConfig();
         stream.ledger.expireEnded(Date.now() - settings.retention.keepEndedMs);
     }
 
+    /** Writes the configuration once more before retention drops it; said again later if it doesn't land. */
+    private renewConfig(): void {
+        const { config, settings, members, log } = this.options;
+        const { version, document } = config.history.getCurrent();
+        const dueAtMs = Math.max(config.history.getWrittenAtMs(), this.retainedAtMs) + settings.retention.carryAfterMs;
+        if (version > 0 && dueAtMs < Date.now() && members.computeRank(CONFIG_STREAM) === 0) {
+            this.retainedAtMs = Date.now();
+            const data = { kind: ConfigRecordKind.Retain, version, document };
+            void log.append(CONFIG_STREAM, [{ id: `retain:${version}:${this.retainedAtMs}`, data }]);
+        }
+    }
+
     private submitReplicas(): void {
         const { config, stream, settings } = this.options;
         const current = config.history.getCurrent();
