--- /dev/null
+++ b/packages/bind-shared-parts/src/index.ts
@@ -0,0 +1,2 @@
+export { bindSharedParts } from "./bindSharedParts.js";
+export { sharedIds } from "./sharedIds.js";
--- a/packages/entry/src/createEntry.ts
+++ b/packages/entry/src/createEntry.ts
@@ -1,9 +1,8 @@
 import "reflect-metadata";
-import { HttpLog, HttpVmList } from "@sardinestage/call-platform";
+import { bindSharedParts, sharedIds } from "@sardinestage/bind-shared-parts";
 import { Metrics } from "@sardinestage/count-metrics";
 import { ConfigFollower } from "@sardinestage/follow-config";
 import type { EventLogger } from "@sardinestage/log-events";
-import { createLogger } from "@sardinestage/log-events";
 import { RequestMemory } from "@sardinestage/remember-requests";
 import { ByteBudget, TargetTable } from "@sardinestage/route-requests";
 import { PeerPool, VmDirectory } from "@sardinestage/track-members";
@@ -19,7 +18,6 @@
 const now = () => performance.now();
 const pickRandom = Math.random;
 const MAX_REMEMBERED_IDS = 1_000_000;
-const loggerId = Symbol.for("logger");
 
 /**
  * Wires the parts of an entry.
@@ -29,12 +27,12 @@
  */
 export function createEntry(settings: EntrySettings): Entry {
     const container = new Container({ defaultScope: "Singleton" });
-    bindSharedParts(container, settings);
+    bindSharedParts(container, settings, now);
     bindRequestParts(container, settings);
     return new Entry({
         settings,
         metrics: container.get(Metrics),
-        logger: container.get<EventLogger>(loggerId),
+        logger: container.get<EventLogger>(sharedIds.logger),
         directory: container.get(VmDirectory),
         peers: container.get(PeerPool),
         config: container.get(ConfigFollower),
@@ -47,33 +45,6 @@
     });
 }
 
-function bindSharedParts(container: Container, settings: EntrySettings): void {
-    const { process, platform, peers } = settings;
-    const metrics = new Metrics();
-    const logger = createLogger({ process: process.name, domain: process.domain }, process.logLevel);
-    const log = new HttpLog(platform.logUrl, platform.callTimeoutMs);
-    const list = new HttpVmList(platform.listUrl, platform.callTimeoutMs);
-    container.bind(Metrics).toConstantValue(metrics);
-    container.bind<EventLogger>(loggerId).toConstantValue(logger);
-    container.bind(VmDirectory).toDynamicValue(() =>
-        new VmDirectory(list, failure => metrics.count("list_failures_total", failure.kind))
-    );
-    container.bind(PeerPool).toDynamicValue(() =>
-        new PeerPool({ peerKey: peers.key, timeoutMs: peers.timeoutMs, maxFrameBytes: peers.maxFrameBytes })
-    );
-    container.bind(ConfigFollower).toDynamicValue(() =>
-        new ConfigFollower({
-            log,
-            waitMs: platform.readWaitMs,
-            retryMs: platform.appendFlushMs,
-            now,
-            metrics,
-            logger,
-            applyVersion: () => {},
-        })
-    );
-}
-
 function bindRequestParts(container: Container, settings: EntrySettings): void {
     const { domain, vm } = settings.process;
     const { entry, routing, crossDomain } = settings;
--- a/packages/follow-config/src/configFollower.ts
+++ b/packages/follow-config/src/configFollower.ts
@@ -2,7 +2,6 @@
 import type { Metrics } from "@sardinestage/count-metrics";
 import { FrameKind } from "@sardinestage/exchange-frames";
 import { ConfigHistory } from "@sardinestage/fold-config";
-import type { ConfigVersion } from "@sardinestage/fold-config";
 import { LogFollower } from "@sardinestage/follow-log";
 import type { EventLogger } from "@sardinestage/log-events";
 import type { PeerAddress, PeerPool } from "@sardinestage/track-members";
@@ -20,8 +19,6 @@
     readonly now: () => number;
     readonly metrics: Metrics;
     readonly logger: EventLogger;
-    /** Called when a higher version comes into force. */
-    readonly applyVersion: (version: ConfigVersion) => void;
 }
 
 /**
@@ -43,7 +40,7 @@
             now: options.now,
             applyRecord: record => {
                 this.history.applyRecord(record);
-                this.applyNewest();
+                this.noteNewest();
             },
             handleGap: () => {},
             handleFailure: failure => options.metrics.count("log_failures_total", failure.kind),
@@ -90,10 +87,10 @@
                 this.history.acceptFromElsewhere(parsed.data.version, parsed.data.document, parsed.data.acceptedAtMs);
             }
         }
-        this.applyNewest();
+        this.noteNewest();
     }
 
-    private applyNewest(): void {
+    private noteNewest(): void {
         const current = this.history.getCurrent();
         if (current.version <= this.inForce) {
             return;
@@ -101,6 +98,5 @@
         this.inForce = current.version;
         this.options.metrics.setGauge("config_version", current.version);
         this.options.logger.info("config-in-force", { version: current.version });
-        this.options.applyVersion(current);
     }
 }
--- a/packages/scheduler/src/createScheduler.ts
+++ b/packages/scheduler/src/createScheduler.ts
@@ -1,11 +1,12 @@
 import "reflect-metadata";
-import { HttpLog, HttpVmList, HttpWorker } from "@sardinestage/call-platform";
+import { bindSharedParts, sharedIds } from "@sardinestage/bind-shared-parts";
+import type { LogPort } from "@sardinestage/call-platform";
+import { HttpWorker } from "@sardinestage/call-platform";
 import { Metrics } from "@sardinestage/count-metrics";
 import { ConfigFollower } from "@sardinestage/follow-config";
 import { TaskStream } from "@sardinestage/follow-tasks";
 import { GrantLedger } from "@sardinestage/grant-connections";
 import type { EventLogger } from "@sardinestage/log-events";
-import { createLogger } from "@sardinestage/log-events";
 import { EvictionBudget } from "@sardinestage/plan-reactions";
 import { PeerPool, VmDirectory } from "@sardinestage/track-members";
 import type { VmRecord } from "@sardinestage/types";
@@ -25,7 +26,6 @@
 const now = () => performance.now();
 /** A peer that missed so many status exchanges is passed over. */
 const MISSED_EXCHANGES = 3;
-const loggerId = Symbol.for("logger");
 
 /**
  * Wires the parts of a scheduler.
@@ -35,13 +35,13 @@
  */
 export function createScheduler(settings: SchedulerSettings): Scheduler {
     const container = new Container({ defaultScope: "Singleton" });
-    bindSharedParts(container, settings);
+    bindSharedParts(container, settings, now);
     bindWorkerParts(container, settings);
     bindDecisionParts(container, settings);
     const scheduler = new Scheduler({
         settings,
         metrics: container.get(Metrics),
-        logger: container.get<EventLogger>(loggerId),
+        logger: container.get<EventLogger>(sharedIds.logger),
         directory: container.get(VmDirectory),
         peers: container.get(PeerPool),
         config: container.get(ConfigFollower),
@@ -56,40 +56,19 @@
     return scheduler;
 }
 
-function bindSharedParts(container: Container, settings: SchedulerSettings): void {
-    const { process, platform, peers, placement } = settings;
-    const metrics = new Metrics();
-    const logger = createLogger({ process: process.name, domain: process.domain }, process.logLevel);
-    const log = new HttpLog(platform.logUrl, platform.callTimeoutMs);
-    const list = new HttpVmList(platform.listUrl, platform.callTimeoutMs);
-    container.bind(Metrics).toConstantValue(metrics);
-    container.bind<EventLogger>(loggerId).toConstantValue(logger);
-    container.bind(VmDirectory).toDynamicValue(() =>
-        new VmDirectory(list, failure => metrics.count("list_failures_total", failure.kind))
-    );
-    container.bind(PeerPool).toDynamicValue(() =>
-        new PeerPool({ peerKey: peers.key, timeoutMs: peers.timeoutMs, maxFrameBytes: peers.maxFrameBytes })
-    );
-    container.bind(ConfigFollower).toDynamicValue(() =>
-        new ConfigFollower({
-            log,
-            waitMs: platform.readWaitMs,
-            retryMs: platform.appendFlushMs,
-            now,
-            metrics,
-            logger,
-            applyVersion: () => {},
-        })
-    );
-    container.bind(TaskStream).toDynamicValue(() =>
-        new TaskStream({ domain: process.domain, platform, log, metrics, now })
-    );
-    container.bind(Behaviour).toDynamicValue(() => new Behaviour(placement.sizeQuantile));
-}
-
 function bindWorkerParts(container: Container, settings: SchedulerSettings): void {
     const { process, leases, grants, reaction, peers } = settings;
     const holder = `${process.name}:${randomUUID()}`;
+    container.bind(TaskStream).toDynamicValue(() =>
+        new TaskStream({
+            domain: process.domain,
+            platform: settings.platform,
+            log: container.get<LogPort>(sharedIds.log),
+            metrics: container.get(Metrics),
+            now,
+        })
+    );
+    container.bind(Behaviour).toDynamicValue(() => new Behaviour(settings.placement.sizeQuantile));
     container.bind(GrantLedger).toDynamicValue(() =>
         new GrantLedger({ ...grants, clockMarginMs: leases.clockMarginMs })
     );
@@ -116,7 +95,7 @@
             grants: container.get(GrantLedger),
             evictions: new EvictionBudget(reaction.evictionsPerMinute),
             metrics: container.get(Metrics),
-            logger: container.get<EventLogger>(loggerId),
+            logger: container.get<EventLogger>(sharedIds.logger),
             now,
             createPort: vm => createWorkerPort(vm, leases.orderTimeoutMs),
             isLeaving: worker => checkLeaving(container, settings, worker),
@@ -134,7 +113,7 @@
             fleet: container.get(WorkerFleet),
             members: container.get(SchedulerMembers),
             metrics: container.get(Metrics),
-            logger: container.get<EventLogger>(loggerId),
+            logger: container.get<EventLogger>(sharedIds.logger),
             now,
         })
     );
@@ -158,7 +137,7 @@
     );
     container.bind(TaskUpkeep).toDynamicValue(() =>
         new TaskUpkeep({
-            log: new HttpLog(settings.platform.logUrl, settings.platform.callTimeoutMs),
+            log: container.get<LogPort>(sharedIds.log),
             settings,
             stream: container.get(TaskStream),
             config: container.get(ConfigFollower),
