Never say of a request passed on that it did not run when an answer was lost

Cause: reading the forwarder once more: an idempotent request whose answer was lost in one failure domain and which another refused was told no-target, that is 'did not run', though it may have run. And a target that was given back unused counted as having answered in 0 ms, which made it look fast. Ruled out: the same in runTries (it keeps whether any try may have run). Change: a lost try decides the outcome; a target is given back as answered, failed or unjudged. Conclusion: the promise holds for requests that are passed on, too.

--- a/packages/entry/src/domainForwarder.ts
+++ b/packages/entry/src/domainForwarder.ts
@@ -57,24 +57,25 @@
     ): Promise<Reply> {
         const { metrics, budget } = this.options;
         const bytes = (context.body.isWhole ? context.body.bytes.length : 0) + ASSUMED_ANSWER_BYTES;
+        let lost: RefusalReason | undefined;
         for (const vm of domains.flatMap(domain => this.listEntries(domain))) {
             if (vm.region !== this.options.settings.process.region && !budget.tryAcquire(bytes)) {
-                return { isAnswer: false, reason: RefusalReason.CrossDomainBudget };
+                return { isAnswer: false, reason: lost ?? RefusalReason.CrossDomainBudget };
             }
             const { end, reply } = await this.sendTo(vm, context, isReserved);
             metrics.count("forwards_total", end);
             if (reply !== undefined) {
                 return reply;
             }
-            if (end !== TryEnd.NotSent && end !== TryEnd.RefusedByTarget && !context.isIdempotent) {
-                const reason = end === TryEnd.Silent ? RefusalReason.TargetSilent : RefusalReason.TargetLost;
-                return { isAnswer: false, reason };
+            if (end !== TryEnd.NotSent && end !== TryEnd.RefusedByTarget) {
+                lost = end === TryEnd.Silent ? RefusalReason.TargetSilent : RefusalReason.TargetLost;
             }
-            if (!context.body.isWhole) {
+            if (!context.body.isWhole || lost !== undefined && !context.isIdempotent) {
                 break;
             }
         }
-        return { isAnswer: false, reason: unreachable };
+        // What may have run in one place is never said not to have run because another place refused it.
+        return { isAnswer: false, reason: lost ?? unreachable };
     }
 
     private sendTo(vm: VmRecord, context: RequestContext, isReserved: boolean) {
--- a/packages/entry/src/requestRunner.ts
+++ b/packages/entry/src/requestRunner.ts
@@ -2,7 +2,7 @@
 import { RefusalReason, ServiceQueue } from "@sardinestage/admit-requests";
 import type { Metrics } from "@sardinestage/count-metrics";
 import type { ConfigFollower } from "@sardinestage/follow-config";
-import { LatencyWindow, RetryBudget } from "@sardinestage/route-requests";
+import { LatencyWindow, RetryBudget, TargetUse } from "@sardinestage/route-requests";
 import type { Target, TargetTable } from "@sardinestage/route-requests";
 import type { Result } from "ts-results";
 import tsResults from "ts-results";
@@ -86,7 +86,7 @@
         }
         const refusal = await this.reserveId(context);
         if (refusal !== undefined) {
-            this.options.table.release(acquired.val, true, 0);
+            this.options.table.release(acquired.val, TargetUse.Unjudged);
             state.queue.admitWaiting();
             return { isAnswer: false, reason: refusal };
         }
--- a/packages/entry/src/runTries.ts
+++ b/packages/entry/src/runTries.ts
@@ -1,6 +1,7 @@
 import { RefusalReason } from "@sardinestage/admit-requests";
 import type { Metrics } from "@sardinestage/count-metrics";
 import type { LatencyWindow, RetryBudget, Target, TargetTable } from "@sardinestage/route-requests";
+import { TargetUse } from "@sardinestage/route-requests";
 import type { EntrySettings } from "./entrySettings.js";
 import { headerNames } from "./headerNames.js";
 import type { Reply } from "./reply.js";
@@ -156,7 +157,7 @@
         metrics.recordDuration("target_answer", latencyMs);
     }
     const release = () => {
-        table.release(target, isTargetWell(result.end), latencyMs);
+        table.release(target, convertToUse(result.end), latencyMs);
         handleFreed();
     };
     const rest = result.reply?.isAnswer ? result.reply.rest : undefined;
@@ -172,9 +173,16 @@
     return result;
 }
 
-/** A try that was aborted says nothing against its target. */
-function isTargetWell(end: TryEnd): boolean {
-    return end === TryEnd.Answered || end === TryEnd.RefusedByTarget || end === TryEnd.Aborted;
+function convertToUse(end: TryEnd): TargetUse {
+    switch (end) {
+        case TryEnd.Answered:
+        case TryEnd.RefusedByTarget:
+            return TargetUse.Answered;
+        case TryEnd.Aborted:
+            return TargetUse.Unjudged;
+        default:
+            return TargetUse.Failed;
+    }
 }
 
 /** Whether the target certainly has nothing open any more; what was given up on this side may be open on that. */
--- a/packages/prove-promises/src/targetsLeave.test.ts
+++ b/packages/prove-promises/src/targetsLeave.test.ts
@@ -176,6 +176,34 @@
     });
 });
 
+describe("a request passed on to another failure domain whose answer is lost on the way", () => {
+    it("has an unknown outcome, idempotent or not, and is never said not to have run", async () => {
+        const domains = [
+            { domain: "gent-haven", region: "vlaanderen", entryVms: 2, workers: 2, workersPerRack: 1 },
+            { domain: "luik-oven", region: "wallonie", entryVms: 1, workers: 1, workersPerRack: 1 },
+        ];
+        installation = await startConfigured(
+            createDefaultPlan({ domains }),
+            createConfig({ services: { far: { "gent-haven": 2 } }, serviceMs: 20, concurrency: 16, batchShare: 0.2 }),
+        );
+        const { ports } = installation.getEntryVm("luik-oven-e0");
+        const send = (requestId: string) =>
+            sendRequest({ port: ports.caller, service: "far", requestId, isIdempotent: true, deadlineMs: 2_000 });
+        await waitUntil(
+            "it is answered from afar",
+            async () => (await send(`warm-${performance.now()}`)).outcome === RequestOutcome.Answered,
+            testBed.limitMs,
+        );
+        installation.network.setFault(
+            LinkFault.AnswersDropped,
+            (from, to) => from === "luik-oven-e0" && to.startsWith("gent-haven"),
+        );
+        const answer = await send("lost");
+        expect(installation.recorder.requestRuns.get("lost")).toBeGreaterThan(0);
+        expect(answer.outcome).toBe(RequestOutcome.Unknown);
+    });
+});
+
 describe("an installation whose platform is out", () => {
     it("goes on serving requests", async () => {
         installation = await testBed.start({}, { replicas: 2 });
--- a/packages/route-requests/src/targetTable.test.ts
+++ b/packages/route-requests/src/targetTable.test.ts
@@ -4,6 +4,7 @@
 import fc from "fast-check";
 import { RetryBudget } from "./retryBudget.js";
 import { TargetTable } from "./targetTable.js";
+import { TargetUse } from "./targetUse.js";
 
 const SEED = 20261204;
 
@@ -24,7 +25,7 @@
             const target = table.tryAcquire("s");
             expect(target?.worker).toBe("w");
             expect(table.tryAcquire("s")).toBeUndefined();
-            table.release(target!, true, 1);
+            table.release(target!, TargetUse.Answered, 1);
             clock.nowMs = 100;
             expect(table.tryAcquire("s")).toBeUndefined();
         });
@@ -42,7 +43,7 @@
             const target = table.tryAcquire("s");
             table.applyGrants("s1", [], 0);
             expect(table.listReports()).toMatchObject([{ limit: 0, inFlight: 1 }]);
-            table.release(target!, true, 1);
+            table.release(target!, TargetUse.Answered, 1);
             expect(table.listReports()).toEqual([]);
         });
     });
@@ -57,7 +58,7 @@
                 for (let i = 0; i < 2; i++) {
                     const target = table.tryAcquire("s", new Set([exclude]));
                     expect(target?.worker).toBe(worker);
-                    table.release(target!, false, 0);
+                    table.release(target!, TargetUse.Failed);
                 }
             };
             failOften("bad", "good");
@@ -151,7 +152,7 @@
                             case "end": {
                                 const ended = open[entry].shift();
                                 if (ended?.target !== undefined) {
-                                    tables[entry].release(ended.target, true, 1);
+                                    tables[entry].release(ended.target, TargetUse.Answered, 1);
                                 }
                                 break;
                             }
@@ -169,7 +170,7 @@
                         }
                         names.forEach((_, i) => {
                             while (open[i].length > 0 && open[i][0].untilMs <= clock.nowMs) {
-                                tables[i].release(open[i].shift()!.target!, true, 1);
+                                tables[i].release(open[i].shift()!.target!, TargetUse.Answered, 1);
                             }
                         });
                         const total = open.reduce((sum, each) => sum + each.length, 0);
--- a/packages/route-requests/src/targetTable.ts
+++ b/packages/route-requests/src/targetTable.ts
@@ -1,6 +1,7 @@
 import type { ConnectionGrant, GrantReport } from "@sardinestage/grant-connections";
 import type { Target } from "./target.js";
 import { TargetHealth } from "./targetHealth.js";
+import { TargetUse } from "./targetUse.js";
 
 interface TargetTableOptions {
     readonly probationMs: number;
@@ -99,22 +100,18 @@
         return chosen?.target;
     }
 
-    /**
-     * Gives a target back.
-     *
-     * @param answered Whether it answered, a refusal included.
-     */
-    release(target: Target, answered: boolean, latencyMs: number): void {
+    /** Gives a target back; `latencyMs` counts when it answered. */
+    release(target: Target, use: TargetUse, latencyMs = 0): void {
         const key = createKey(target.worker, target.service);
         const slot = this.slots.get(key);
         if (slot === undefined) {
             return;
         }
         slot.inFlight--;
-        if (answered) {
+        if (use === TargetUse.Answered) {
             slot.health.recordAnswer(latencyMs);
         }
-        else {
+        else if (use === TargetUse.Failed) {
             slot.health.recordFailure(this.options.now());
         }
         this.dropWhenIdle(key, slot);
