Give each refused start its exit code, and test the codes with real processes

Cause: the exit code of a refused start stood in the code and nothing caused it; only the code of wrong settings was tested. Ruled out: nothing else ends a start (a platform that is out doesn't). Change: an address or port that the system refuses ends with 5; three error kinds that nothing used are gone; dynamic imports in tests are plain ones. A check that could not fail (that a constant is not empty) is taken out.

--- a/packages/errors/src/errorKind.ts
+++ b/packages/errors/src/errorKind.ts
@@ -1,8 +1,5 @@
 /** Kinds of expected failures; each has one remedy family. */
 export enum ErrorKind {
-    InvalidSettings = "invalid-settings",
-    PortInUse = "port-in-use",
-    StartRefused = "start-refused",
     Unauthenticated = "unauthenticated",
     InvalidArgument = "invalid-argument",
     UnknownTask = "unknown-task",
--- a/packages/prove-promises/src/evictionsResume.test.ts
+++ b/packages/prove-promises/src/evictionsResume.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
-import { createBatchTask, submitTasks, waitUntil } from "@sardinestage/stand-ins";
+import { createBatchTask, OperatorCalls, submitTasks, waitUntil } from "@sardinestage/stand-ins";
 import type { Installation } from "@sardinestage/stand-ins";
 import { testBed } from "./testBed.js";
 import { waitForPhase } from "./waitForPhase.js";
@@ -42,7 +42,6 @@
 
     describe("when an operator drains the worker", () => {
         it("resumes exactly once on another, and the drained worker gets nothing new", async () => {
-            const { OperatorCalls } = await import("@sardinestage/stand-ins");
             const taskIds = Array.from({ length: 8 }, (_, i) => `${testBed.domain}/t${i}`);
             await submitTasks(installation, taskIds.map(taskId => createBatchTask(taskId, WORK_MS)));
             await waitUntil("all tasks run", () => installation.recorder.starts >= 8, testBed.limitMs);
--- a/packages/prove-promises/src/tasksSurvive.test.ts
+++ b/packages/prove-promises/src/tasksSurvive.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, describe, expect, it } from "@jest/globals";
-import { createBatchTask, LinkFault, LogFault, submitTasks, waitUntil } from "@sardinestage/stand-ins";
+import { createBatchTask, LinkFault, LogFault, OperatorCalls, submitTasks, waitUntil } from "@sardinestage/stand-ins";
 import type { Installation } from "@sardinestage/stand-ins";
 import { testBed } from "./testBed.js";
 import { waitForPhase } from "./waitForPhase.js";
@@ -139,7 +139,6 @@
 
     describe("when a wave of cancellations comes", () => {
         it("end as cancelled or finished, and none runs on", async () => {
-            const { OperatorCalls } = await import("@sardinestage/stand-ins");
             const calls = new OperatorCalls([...installation.entryVms.values()][0].ports.admin);
             const answers = await Promise.all(
                 taskIds.map(taskId => calls.call("CancelTask", { taskId, reason: "wave" })),
--- a/packages/prove-promises/src/wholePath.test.ts
+++ b/packages/prove-promises/src/wholePath.test.ts
@@ -1,9 +1,21 @@
 import { afterAll, beforeAll, describe, expect, it } from "@jest/globals";
-import { OperatorCalls, sendRequest, standInKeys, waitUntil } from "@sardinestage/stand-ins";
+import { ExitCode } from "@sardinestage/run-process";
+import {
+    buildSettings,
+    createDefaultPlan,
+    ManagedProcess,
+    OperatorCalls,
+    sendRequest,
+    waitUntil,
+} from "@sardinestage/stand-ins";
 import type { Installation } from "@sardinestage/stand-ins";
+import type { VmRecord } from "@sardinestage/types";
 import { RequestOutcome } from "@sardinestage/types";
 import got from "got";
 import { randomBytes } from "node:crypto";
+import { mkdtempSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { testBed } from "./testBed.js";
 
 let installation: Installation;
@@ -13,7 +25,7 @@
 beforeAll(async () => {
     installation = await testBed.start({
         settings: {
-            ...(await import("@sardinestage/stand-ins")).createDefaultPlan().settings,
+            ...createDefaultPlan().settings,
             entry: {
                 entry: { maxBodyBytes: 300_000, clockSkewMs: 300 },
                 routing: { grantIntervalMs: 200 },
@@ -121,17 +133,22 @@
         });
         expect(answer.statusCode).toBe(401);
         expect((await operator.call("InspectTask", { taskId: "gent-haven/t9" })).ok).toBe(false);
-        expect(standInKeys.operator.length).toBeGreaterThan(0);
     });
 });
 
 describe("a process that can't start", () => {
-    it("says which settings are wrong, and each cause has its own exit code", async () => {
-        const { ManagedProcess } = await import("@sardinestage/stand-ins");
-        const { mkdtempSync } = await import("node:fs");
-        const folder = mkdtempSync("/tmp/sardinestage-settings-");
-        const wrong = new ManagedProcess("entry", "wrong", { process: { name: "x" } }, folder);
-        wrong.start();
-        expect(await wrong.waitForExit()).toBe(3);
+    async function runUntilExit(name: string, settings: object): Promise<number | undefined> {
+        const started = new ManagedProcess("entry", name, settings, mkdtempSync(join(tmpdir(), "sardinestage-start-")));
+        started.start();
+        return started.waitForExit();
+    }
+
+    it("has an exit code for each cause", async () => {
+        const [{ record, ports }] = installation.entryVms.values();
+        const build = (changes: Partial<VmRecord>) =>
+            buildSettings(installation.plan, { ...record, ...changes }, ports, 1).entry;
+        expect(await runUntilExit("wrong-settings", { process: { name: "x" } })).toBe(ExitCode.InvalidSettings);
+        expect(await runUntilExit("port-in-use", build({}))).toBe(ExitCode.PortInUse);
+        expect(await runUntilExit("address-refused", build({ address: "192.0.2.1" }))).toBe(ExitCode.StartRefused);
     });
 });
--- a/packages/run-process/src/runProcess.ts
+++ b/packages/run-process/src/runProcess.ts
@@ -1,4 +1,3 @@
-import { ErrorKind, StageError } from "@sardinestage/errors";
 import type { SettingFault } from "@sardinestage/read-settings";
 import { parseSettings } from "@sardinestage/read-settings";
 import { Command } from "commander";
@@ -77,11 +76,15 @@
 }
 
 function stopWithFailure(failure: unknown): never {
+    const { code } = failure as NodeJS.ErrnoException;
     process.stderr.write(`${failure instanceof Error ? failure.message : String(failure)}\n`);
-    if ((failure as NodeJS.ErrnoException).code === "EADDRINUSE") {
+    if (code === "EADDRINUSE") {
         process.stderr.write("Another process uses the port: stop it or change the port in the settings.\n");
         process.exit(ExitCode.PortInUse);
     }
-    const refused = failure instanceof StageError && failure.kind === ErrorKind.StartRefused;
-    process.exit(refused ? ExitCode.StartRefused : ExitCode.InternalError);
+    if (code === "EADDRNOTAVAIL" || code === "EACCES") {
+        process.stderr.write("The system refuses the address or port: check process.address and the ports.\n");
+        process.exit(ExitCode.StartRefused);
+    }
+    process.exit(ExitCode.InternalError);
 }
