--- a/packages/admin/src/main.ts
+++ b/packages/admin/src/main.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 import { adminSettingsSchema } from "@sardinestage/read-settings";
 import { runProcess } from "@sardinestage/run-process";
 import { createAdmin } from "./createAdmin.js";
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 import { ConnectError } from "@connectrpc/connect";
 import { ErrorDetailSchema } from "@sardinestage/operator-rpc";
 import { Command } from "commander";
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 import { entrySettingsSchema } from "@sardinestage/read-settings";
 import { runProcess } from "@sardinestage/run-process";
 import { createEntry } from "./createEntry.js";
--- /dev/null
+++ b/packages/scheduler/bin.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "./dist/main.js";
--- a/packages/scheduler/src/main.ts
+++ b/packages/scheduler/src/main.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 import { schedulerSettingsSchema } from "@sardinestage/read-settings";
 import { runProcess } from "@sardinestage/run-process";
 import { createScheduler } from "./createScheduler.js";
