Let no stand-in launcher leave processes behind

Cause: the demonstration crashed in a fresh clone: a worker's stand-in got a call without a body. 23 processes of earlier launchers were still there, which had ended without their clean-up, and one of them met a port that was used anew. Ruled out: the product's own worker calls (each has a body). Change: processes are killed when their launcher ends in any way; a call without an order is refused.

--- a/packages/stand-ins/src/managedProcess.ts
+++ b/packages/stand-ins/src/managedProcess.ts
@@ -7,6 +7,8 @@
 import { stringify } from "smol-toml";
 
 const require = createRequire(import.meta.url);
+/** One listener for each process that is started. */
+process.setMaxListeners(200);
 
 /** One of the product's processes, as a supervisor runs it. */
 export class ManagedProcess {
@@ -33,6 +35,8 @@
         const child = spawn(process.execPath, [main, "--config", file], { stdio: ["ignore", "ignore", "pipe"] });
         child.stderr.pipe(createWriteStream(join(this.folder, `${this.name}.log`), { flags: "a" }));
         this.child = child;
+        // A launcher that ends by a failure must not leave its processes behind: they would meet the next one's ports.
+        process.once("exit", () => child.kill("SIGKILL"));
     }
 
     /** Sends a signal: SIGKILL, SIGSTOP, SIGCONT or SIGTERM. */
--- a/packages/stand-ins/src/standInWorker.ts
+++ b/packages/stand-ins/src/standInWorker.ts
@@ -41,6 +41,9 @@
         if (path === "/lease") {
             return this.acquireLease(body as { holder: string; ttlMs: number });
         }
+        if (typeof body !== "object") {
+            return { status: 400, body: { reason: "no order" } };
+        }
         const order = body as Order;
         if (order.token !== this.token || performance.now() >= this.leaseUntilMs) {
             return { status: 410, body: { reason: "stale token" } };
