--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -9,6 +9,9 @@
 import { addWorkerCommand } from "./commands/worker/index.js";
 import { createOperatorClient } from "./createOperatorClient.js";
 
+// Whoever reads the output may stop before its end, as `head` does.
+process.stdout.on("error", () => process.exit(0));
+
 const CALL_FAILED = 1;
 const NO_KEY = 2;
 
