Stop an old replica that shares its worker with the new one

Cause: a new test of the operators' calls waited 30 s in vain for an updated service's old replicas to stop: a scheduler that holds the workers of the old ones can place the new ones there, and a replica counts as idle by worker and service, so the new one's requests kept the old one busy for good. Ruled out: the plan of replicas (the old ones were cancelled at once; where the new ones ran elsewhere, they stopped).

--- a/packages/scheduler/src/workerControl.ts
+++ b/packages/scheduler/src/workerControl.ts
@@ -62,11 +62,17 @@
         }
         const running = this.report?.tasks.filter(task => task.state === RunState.Running) ?? [];
         const replicas = new Map<string, number>();
-        for (const { spec } of running) {
-            if (spec.service !== undefined && this.findBound(spec.taskId)?.cancelRequested === false) {
-                replicas.set(spec.service, (replicas.get(spec.service) ?? 0) + 1);
+        const stopping = new Set<string>();
+        for (const { spec: { taskId, service } } of running) {
+            if (service !== undefined && this.findBound(taskId)?.cancelRequested === false) {
+                replicas.set(service, (replicas.get(service) ?? 0) + 1);
+            }
+            else if (service !== undefined) {
+                stopping.add(service);
             }
         }
+        // The worker chooses among its replicas, so one of them can only be stopped while none is given requests.
+        stopping.forEach(service => replicas.delete(service));
         return [...replicas].map(([service, count]) => {
             const concurrency = count * this.context.getConcurrency(service);
             return { worker: vm, service, address, port: servePort, concurrency };
