--- /dev/null
+++ b/packages/accept-jobs/src/recordDesk.ts
@@ -0,0 +1,113 @@
+import type { Clock, KeyedRecord, StorePort } from "@sardinestage/describe-ports";
+import { AppendOutcome, Topic } from "@sardinestage/describe-ports";
+import type { Metrics } from "@sardinestage/count-metrics";
+import type { CoordinatorLine } from "./coordinatorLine.js";
+import { CoordinatorCallKind } from "./coordinatorCallKind.js";
+import { SubmitOutcome } from "./submitOutcome.js";
+
+/** How long an append may take, in milliseconds, before another way is tried. */
+const APPEND_TIMEOUT_MS = 700;
+/** A store that failed is first asked through the coordinator for so long, in milliseconds. */
+const DOUBT_STORE_MS = 1000;
+/** How long the coordinator may take for an append, in milliseconds. */
+const RELAYED_TIMEOUT_MS = 1000;
+
+/** What a record desk works with. */
+interface RecordDeskParts {
+    readonly store: StorePort;
+    readonly line: CoordinatorLine;
+    readonly clock: Clock;
+    readonly metrics: Metrics;
+}
+
+/** A record that waits for the next append. */
+interface Entry {
+    readonly record: KeyedRecord;
+    readonly settle: (outcome: SubmitOutcome) => void;
+}
+
+/**
+ * Puts callers' records into the store, many in one append. Where the store doesn't answer this VM, the coordinator
+ * appends for it; a record that is appended twice is the same record.
+ */
+export class RecordDesk {
+    private waiting: Entry[] = [];
+    private isBusy = false;
+    private failedAtMs = -Infinity;
+
+    constructor(private readonly parts: RecordDeskParts) {}
+
+    /** Puts a record into the store. */
+    append(record: KeyedRecord): Promise<SubmitOutcome> {
+        return new Promise(resolve => {
+            this.waiting.push({ record, settle: resolve });
+            if (!this.isBusy) {
+                void this.runAppends();
+            }
+        });
+    }
+
+    private async runAppends(): Promise<void> {
+        this.isBusy = true;
+        while (this.waiting.length > 0) {
+            const entries = this.waiting;
+            this.waiting = [];
+            const outcome = await this.appendAnyWay(entries.map(entry => entry.record));
+            entries.forEach(entry => entry.settle(outcome));
+        }
+        this.isBusy = false;
+    }
+
+    private async appendAnyWay(records: readonly KeyedRecord[]): Promise<SubmitOutcome> {
+        const isDoubted = this.parts.clock.getNow() - this.failedAtMs < DOUBT_STORE_MS;
+        const ways = isDoubted
+            ? [this.appendRelayed.bind(this), this.appendDirectly.bind(this)]
+            : [this.appendDirectly.bind(this), this.appendRelayed.bind(this)];
+        let isUnknown = false;
+        for (const appendOneWay of ways) {
+            const outcome = await appendOneWay(records);
+            if (outcome === SubmitOutcome.Accepted) {
+                return outcome;
+            }
+            isUnknown ||= outcome === SubmitOutcome.Unknown;
+        }
+        return isUnknown ? SubmitOutcome.Unknown : SubmitOutcome.Refused;
+    }
+
+    private async appendDirectly(records: readonly KeyedRecord[]): Promise<SubmitOutcome> {
+        const { store, clock, metrics } = this.parts;
+        const sentAtMs = clock.getNow();
+        const answer = await store.append({ topic: Topic.Jobs, records, timeoutMs: APPEND_TIMEOUT_MS });
+        metrics.recordDuration("accept_append", clock.getNow() - sentAtMs);
+        const outcome = convertOutcome(answer.outcome);
+        if (outcome === SubmitOutcome.Accepted) {
+            this.failedAtMs = -Infinity;
+        }
+        else {
+            this.failedAtMs = clock.getNow();
+            metrics.count("accept_failures_total", `store-${AppendOutcome[answer.outcome]}`);
+        }
+        return outcome;
+    }
+
+    private async appendRelayed(records: readonly KeyedRecord[]): Promise<SubmitOutcome> {
+        const call = { kind: CoordinatorCallKind.Append, records };
+        const reply = await this.parts.line.call(call, RELAYED_TIMEOUT_MS);
+        if (reply === undefined) {
+            this.parts.metrics.count("accept_failures_total", "no-coordinator");
+            return SubmitOutcome.Unknown;
+        }
+        if (reply.isUnsent === true) {
+            this.parts.metrics.count("accept_failures_total", "coordinator-unreached");
+            return SubmitOutcome.Refused;
+        }
+        return convertOutcome(reply.outcome ?? AppendOutcome.Refused);
+    }
+}
+
+function convertOutcome(outcome: AppendOutcome): SubmitOutcome {
+    if (outcome === AppendOutcome.Appended) {
+        return SubmitOutcome.Accepted;
+    }
+    return outcome === AppendOutcome.Unknown ? SubmitOutcome.Unknown : SubmitOutcome.Refused;
+}
--- /dev/null
+++ b/packages/coordinate-work/src/adviceBook.ts
@@ -0,0 +1,87 @@
+import type { Task } from "@sardinestage/track-jobs";
+import type { CoordinatorParts } from "./coordinatorParts.js";
+
+/** Workers that one call asks about: the service takes longer for each. */
+const WORKERS_A_CALL = 30;
+/** A ticket is used only while it holds for this much longer, in milliseconds: a start is under way for a while. */
+const TICKET_RESERVE_MS = 300;
+/** A step is asked about again after this, in milliseconds. */
+const ASK_AGAIN_MS = 400;
+
+/** A permission for a step on one life of a worker. */
+interface Ticket {
+    readonly ticket: string;
+    readonly untilMs: number;
+}
+
+/** Gathers the advice service's permissions for steps of queues that need them. */
+export class AdviceBook {
+    private readonly tickets = new Map<string, Map<string, Ticket>>();
+    private readonly askedAtMs = new Map<string, number>();
+    private readonly offsets = new Map<string, number>();
+
+    constructor(private readonly parts: CoordinatorParts, private readonly wake: () => void) {}
+
+    /** Whether a task may run on a worker as far as advice goes. */
+    isAdvised(task: Task, workerId: string): boolean {
+        return task.step.occurrence.job.queue.advice === undefined || this.getTicket(task, workerId) !== "";
+    }
+
+    /** The permission for a task on a worker; empty where there is none. */
+    getTicket(task: Task, workerId: string): string {
+        const found = this.tickets.get(formatStepKey(task))?.get(workerId);
+        const isValid = found !== undefined && found.untilMs - TICKET_RESERVE_MS > this.parts.clock.getNow();
+        return isValid ? found.ticket : "";
+    }
+
+    /** Asks about a step that found no worker with a ticket; the answer wakes the next round. */
+    request(task: Task, workers: readonly string[]): void {
+        const key = formatStepKey(task);
+        const nowMs = this.parts.clock.getNow();
+        if (workers.length === 0 || nowMs - (this.askedAtMs.get(key) ?? -Infinity) < ASK_AGAIN_MS) {
+            return;
+        }
+        this.askedAtMs.set(key, nowMs);
+        const offset = this.offsets.get(key) ?? 0;
+        this.offsets.set(key, offset + WORKERS_A_CALL);
+        const start = offset % workers.length;
+        const chosen = [...workers.slice(start), ...workers.slice(0, start)].slice(0, WORKERS_A_CALL);
+        void this.ask(task, key, chosen);
+    }
+
+    /** Forgets a job's tickets. */
+    dropJob(jobId: string): void {
+        for (const key of [...this.askedAtMs.keys()]) {
+            if (key.startsWith(`${jobId}/`)) {
+                this.askedAtMs.delete(key);
+                this.tickets.delete(key);
+                this.offsets.delete(key);
+            }
+        }
+    }
+
+    private async ask(task: Task, key: string, workers: readonly string[]): Promise<void> {
+        const { advice, clock, metrics, logger } = this.parts;
+        const sentAtMs = clock.getNow();
+        const { jobId, occurrence, step } = task.ref;
+        const answer = await advice.requestTickets(jobId, occurrence, step, workers);
+        metrics.recordDuration("advice_call", clock.getNow() - sentAtMs);
+        if (answer.tickets === undefined) {
+            metrics.count("advice_failures_total", "unanswered");
+            this.askedAtMs.delete(key);
+            return;
+        }
+        logger.info("advice-taken", { step: key, asked: workers.length, good: answer.tickets.length });
+        const known = this.tickets.get(key) ?? new Map<string, Ticket>();
+        for (const { workerId, ticket } of answer.tickets) {
+            known.set(workerId, { ticket, untilMs: sentAtMs + answer.validMs });
+        }
+        this.tickets.set(key, known);
+        this.wake();
+    }
+}
+
+function formatStepKey(task: Task): string {
+    const { jobId, occurrence, step } = task.ref;
+    return `${jobId}/${occurrence}/${step}`;
+}
--- /dev/null
+++ b/packages/coordinate-work/src/fleet.ts
@@ -0,0 +1,118 @@
+import type { KeyedRecord } from "@sardinestage/describe-ports";
+import type { WorkerEntry } from "@sardinestage/describe-work";
+import { WorkerState } from "@sardinestage/describe-work";
+import type { CoordinatorParts } from "./coordinatorParts.js";
+import { SLOWEST_CLOCK } from "./limits.js";
+import { WorkerLink } from "./workerLink.js";
+
+/** An earlier coordinator notices within this that it no longer counts, in milliseconds. */
+const PREDECESSOR_NOTICE_MS = 1000;
+/** A worker that is gone and runs nothing is forgotten after this, in milliseconds. */
+const FORGET_AFTER_MS = 10_000;
+
+/** What a fleet tells the coordinator. */
+interface FleetHandlers {
+    /** A worker has come, and is to be held. */
+    readonly noteWorker: (link: WorkerLink) => void;
+    /** A worker says that it leaves. */
+    readonly noteDraining: (link: WorkerLink) => void;
+}
+
+/** The workers that the platform lists, and those that may still run what is recorded of them. */
+export class Fleet {
+    readonly links = new Map<string, WorkerLink>();
+    private readonly openedAtMs: number;
+
+    constructor(private readonly parts: CoordinatorParts, private readonly handlers: FleetHandlers) {
+        this.openedAtMs = parts.clock.getNow();
+    }
+
+    /** Takes a record of the workers' list. */
+    takeRecord(record: KeyedRecord): void {
+        if (record.value === undefined) {
+            this.noteGone(record.key);
+            return;
+        }
+        const entry = this.parts.codec.decodeWorker(record);
+        if (entry === undefined) {
+            // Another writer's entry names no worker, and takes none away.
+            this.parts.metrics.count("worker_entries_skipped_total", "unreadable");
+            return;
+        }
+        this.takeEntry(entry);
+    }
+
+    /** The link to a worker that something is recorded of, listed or not. */
+    getOrAddLink(workerId: string): WorkerLink {
+        return this.links.get(workerId) ?? this.addGhost(workerId);
+    }
+
+    /** Forgets workers that are gone for good. */
+    dropGone(nowMs: number): void {
+        for (const [id, link] of this.links) {
+            const isSilent = nowMs - Math.max(link.clockAtMs, this.openedAtMs) > FORGET_AFTER_MS;
+            if (link.isGone && link.tasks.size === 0 && isSilent) {
+                this.links.delete(id);
+            }
+        }
+    }
+
+    private takeEntry(entry: WorkerEntry): void {
+        const known = this.links.get(entry.id);
+        if (known === undefined) {
+            const link = new WorkerLink(entry, this.computeFallbackLapse());
+            this.links.set(entry.id, link);
+            this.parts.logger.info("worker-listed", { worker: entry.id, domain: entry.domain, bornMs: entry.bornMs });
+            this.handlers.noteWorker(link);
+        }
+        else {
+            const wasGhost = known.entry.address === "";
+            const wasGone = known.isGone;
+            known.entry = entry;
+            known.isGone = false;
+            if (wasGhost) {
+                this.handlers.noteWorker(known);
+            }
+            if (wasGone) {
+                this.parts.logger.info("worker-listed-again", { worker: entry.id, bornMs: entry.bornMs });
+            }
+        }
+        const link = this.links.get(entry.id);
+        if (entry.state === WorkerState.Draining && link !== undefined) {
+            this.handlers.noteDraining(link);
+        }
+    }
+
+    private addGhost(workerId: string): WorkerLink {
+        const entry: WorkerEntry = {
+            id: workerId,
+            bornMs: 0,
+            service: "",
+            address: "",
+            domain: "",
+            state: WorkerState.Draining,
+            capacity: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
+            labels: [],
+            rack: "",
+            remainingMs: 0,
+        };
+        const link = new WorkerLink(entry, this.computeFallbackLapse());
+        link.isGone = true;
+        this.links.set(workerId, link);
+        this.parts.logger.warn("worker-unlisted", { worker: workerId });
+        return link;
+    }
+
+    private noteGone(id: string): void {
+        const link = this.links.get(id);
+        if (link !== undefined && !link.isGone) {
+            link.isGone = true;
+            this.parts.logger.info("worker-unlisted", { worker: id, tasks: link.tasks.size });
+        }
+    }
+
+    /** Everything that an earlier coordinator let run has lapsed by then, wherever nobody could be asked. */
+    private computeFallbackLapse(): number {
+        return this.openedAtMs + PREDECESSOR_NOTICE_MS + this.parts.rules.maxLeaseMs / SLOWEST_CLOCK;
+    }
+}
--- /dev/null
+++ b/packages/coordinate-work/src/holdLoop.ts
@@ -0,0 +1,89 @@
+import type { HoldAnswer } from "@sardinestage/describe-ports";
+import { OrderOutcome, waitFor } from "@sardinestage/describe-ports";
+import type { CoordinatorParts } from "./coordinatorParts.js";
+import { END_RECORD_WAIT_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, HOLDS_BEFORE_LAPSE } from "./limits.js";
+import type { WorkerLink } from "./workerLink.js";
+
+/** What a hold loop tells the coordinator. */
+interface HoldHandlers {
+    /** Takes what a worker listed. */
+    readonly takeAnswer: (link: WorkerLink, answer: HoldAnswer, sentAtMs: number) => void;
+    /** Whether the worker need not be asked any more. */
+    readonly isOver: (link: WorkerLink) => boolean;
+}
+
+/** Keeps one worker held: extends its lease, acknowledges recorded ends and learns of new ones as they come. */
+export class HoldLoop {
+    constructor(
+        private readonly parts: CoordinatorParts,
+        private readonly link: WorkerLink,
+        private readonly handlers: HoldHandlers,
+    ) {}
+
+    /** Runs until the worker is no longer of interest. */
+    async run(): Promise<void> {
+        while (!this.handlers.isOver(this.link)) {
+            const sentAtMs = this.parts.clock.getNow();
+            const answer = await this.sendHold(sentAtMs);
+            if (this.handlers.isOver(this.link)) {
+                return;
+            }
+            this.link.lastOutcome = answer.outcome;
+            if (answer.outcome === OrderOutcome.Accepted) {
+                this.link.missedHolds = 0;
+                this.handlers.takeAnswer(this.link, answer, sentAtMs);
+                await this.waitForRecord();
+            }
+            else if (answer.outcome === OrderOutcome.StaleFence) {
+                this.parts.onDeposed("hold:stale-fence");
+                return;
+            }
+            else {
+                this.noteMiss(answer.outcome);
+                await waitFor(this.parts.clock, HOLD_RETRY_MS);
+            }
+        }
+    }
+
+    private sendHold(nowMs: number): Promise<HoldAnswer> {
+        const { link, parts } = this;
+        const { id, address } = link.entry;
+        let leaseUntilMs: number | undefined;
+        if (link.clockAtMs > 0 && link.missedHolds < HOLDS_BEFORE_LAPSE) {
+            leaseUntilMs = Math.floor(link.getClock(nowMs) + parts.rules.leaseMs);
+            link.leaseUntilMs = Math.max(link.leaseUntilMs, leaseUntilMs);
+        }
+        const waitMs = link.isHeld && link.clockAtMs > 0 && link.missedHolds === 0 ? HOLD_WAIT_MS : 0;
+        const order = { fence: parts.term, lastSeen: link.recordedEnd, leaseUntilMs, waitMs };
+        return parts.workers.hold({ id, address }, order);
+    }
+
+    private noteMiss(outcome: OrderOutcome): void {
+        const { link, parts } = this;
+        link.missedHolds++;
+        if (link.missedHolds === 1) {
+            parts.metrics.count("hold_failures_total", OrderOutcome[outcome]);
+        }
+        if (link.missedHolds === HOLDS_BEFORE_LAPSE) {
+            const fields = { worker: link.entry.id, outcome: OrderOutcome[outcome], tasks: link.tasks.size };
+            parts.logger.warn("worker-silent", { ...fields, lapsesAtMs: Math.round(link.getLapseTime()) });
+        }
+    }
+
+    /** Ends are acknowledged only once they are recorded; asking earlier would list the same ends again. */
+    private waitForRecord(): Promise<void> {
+        const { link } = this;
+        if (link.recordedEnd >= link.appliedEnd) {
+            return Promise.resolve();
+        }
+        return new Promise(resolve => {
+            const wake = () => {
+                link.wakeHold = undefined;
+                cancel();
+                resolve();
+            };
+            const cancel = this.parts.clock.schedule(END_RECORD_WAIT_MS, wake);
+            link.wakeHold = wake;
+        });
+    }
+}
--- /dev/null
+++ b/packages/coordinate-work/src/index.ts
@@ -0,0 +1,3 @@
+export { Coordinator } from "./coordinator.js";
+export type { CoordinatorParts } from "./coordinatorParts.js";
+export type { CoordinatorRules } from "./coordinatorRules.js";
--- /dev/null
+++ b/packages/coordinate-work/src/jobBook.ts
@@ -0,0 +1,137 @@
+import type { KeyedRecord } from "@sardinestage/describe-ports";
+import { JobState } from "@sardinestage/describe-work";
+import type { StepRun, Task } from "@sardinestage/track-jobs";
+import {
+    applyProgress,
+    CANCEL_SUFFIX,
+    decodeFinished,
+    decodeJobRecord,
+    Job,
+    openDueOccurrences,
+    TaskPhase,
+} from "@sardinestage/track-jobs";
+
+/** A job that has ended, of which only the end is kept. */
+interface FinishedJob {
+    readonly state: JobState;
+    readonly finishedAtMs: number;
+}
+
+/** All jobs that a coordinator knows: the live ones in full, of the ended ones the end. */
+export class JobBook {
+    readonly live = new Map<string, Job>();
+    readonly finished = new Map<string, FinishedJob>();
+    /** Jobs that were cancelled before they were read. */
+    private readonly cancelledEarly = new Set<string>();
+
+    /** Takes a job's progress at a takeover; jobs that ended need nothing else. */
+    takeProgress(record: KeyedRecord, pending: Map<string, Uint8Array>): void {
+        if (record.value === undefined) {
+            return;
+        }
+        const finished = decodeFinished(record.value);
+        if (finished === undefined) {
+            pending.set(record.key, record.value);
+        }
+        else {
+            this.finished.set(record.key, finished);
+        }
+    }
+
+    /**
+     * Takes a job that was accepted.
+     *
+     * @param progress How far it was under an earlier coordinator, if it was.
+     * @returns The job if it is new here.
+     */
+    takeJob(record: KeyedRecord, progress?: Uint8Array): Job | undefined {
+        if (record.value === undefined || this.live.has(record.key) || this.finished.has(record.key)) {
+            return undefined;
+        }
+        const { spec, queue, acceptedAtMs } = decodeJobRecord(record.value);
+        const job = new Job(record.key, spec, queue, acceptedAtMs);
+        if (progress !== undefined) {
+            applyProgress(job, progress);
+        }
+        this.live.set(job.id, job);
+        return job;
+    }
+
+    /** Notes a cancellation; returns the job when it is known and hasn't ended. */
+    takeCancel(id: string): Job | undefined {
+        const job = this.live.get(id);
+        if (job === undefined && !this.finished.has(id)) {
+            this.cancelledEarly.add(id);
+        }
+        return job;
+    }
+
+    /** Whether a cancellation came before the job did. */
+    isCancelledEarly(id: string): boolean {
+        return this.cancelledEarly.has(id);
+    }
+
+    /** Moves a job that has come to its end, and of which nothing runs, to the ended ones. */
+    finishJob(job: Job): void {
+        this.live.delete(job.id);
+        this.cancelledEarly.delete(job.id);
+        this.finished.set(job.id, { state: job.state, finishedAtMs: job.finishedAtMs });
+    }
+
+    /** Drops the ended jobs whose state nobody asks for any more. */
+    dropFinished(wallNowMs: number, keepMs: number): string[] {
+        const dropped: string[] = [];
+        for (const [id, job] of this.finished) {
+            if (wallNowMs - job.finishedAtMs > keepMs) {
+                this.finished.delete(id);
+                dropped.push(id);
+            }
+        }
+        return dropped;
+    }
+
+    /** Finds a task by name, if its occurrence is open. */
+    findTask(ref: { jobId: string; occurrence: number; step: number; index: number }): Task | undefined {
+        return this.live.get(ref.jobId)?.open.get(ref.occurrence)?.steps.at(ref.step)?.tasks.at(ref.index);
+    }
+
+    /** Counts the jobs of a queue of which nothing has run yet. */
+    getPending(queue: string): number {
+        let pending = 0;
+        for (const job of this.live.values()) {
+            pending += job.queue.name === queue && job.state === JobState.Queued ? 1 : 0;
+        }
+        return pending;
+    }
+
+    /**
+     * Lists the steps that could start tasks now.
+     *
+     * @returns The steps, and when the next occurrence of any job is due (Unix milliseconds), if one is.
+     */
+    listReady(wallNowMs: number): { steps: { step: StepRun; waiting: Task[] }[]; nextDueMs: number | undefined } {
+        const steps: { step: StepRun; waiting: Task[] }[] = [];
+        let nextDueMs: number | undefined;
+        for (const job of this.live.values()) {
+            if (job.isFinished) {
+                continue;
+            }
+            const dueMs = openDueOccurrences(job, wallNowMs);
+            nextDueMs = dueMs === undefined ? nextDueMs : Math.min(dueMs, nextDueMs ?? Infinity);
+            for (const occurrence of job.open.values()) {
+                for (const step of occurrence.steps) {
+                    const waiting = step.tasks.filter(task => task.phase === TaskPhase.Waiting);
+                    if (waiting.length > 0 && step.isReady) {
+                        steps.push({ step, waiting });
+                    }
+                }
+            }
+        }
+        return { steps, nextDueMs };
+    }
+
+    /** Reads the id of a cancellation's key; undefined for a job's key. */
+    static parseCancelKey(key: string): string | undefined {
+        return key.endsWith(CANCEL_SUFFIX) ? key.slice(0, -CANCEL_SUFFIX.length) : undefined;
+    }
+}
--- /dev/null
+++ b/packages/coordinate-work/src/progressWriter.ts
@@ -0,0 +1,173 @@
+import type { AppendAnswer, KeyedRecord } from "@sardinestage/describe-ports";
+import { AppendOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
+import { encodeProgress } from "@sardinestage/track-jobs";
+import type { Job } from "@sardinestage/track-jobs";
+import type { CoordinatorParts } from "./coordinatorParts.js";
+import { FLUSH_BYTES, FLUSH_GAP_MS, FLUSH_RETRY_MS, FLUSH_TIMEOUT_MS, UNRECORDED_AFTER_MS } from "./limits.js";
+
+const WRITER_NAME = "coordinator";
+
+/** What waits until the state as of its making is recorded. */
+interface Waiter {
+    readonly run: () => void;
+    /** Whether it may go ahead unrecorded while the store is away. */
+    readonly mayGoUnrecorded: boolean;
+}
+
+/**
+ * Records the progress of jobs, one append at a time. Whatever depends on a record (an order, an acknowledgement, an
+ * answer to a caller) waits here until it is written.
+ */
+export class ProgressWriter {
+    private readonly dirty = new Map<string, Job | undefined>();
+    private waiters: Waiter[] = [];
+    private sequence = 0;
+    private isFlushing = false;
+    private isClosed = false;
+    /** When a record was last written, or nothing was left to write, in steady milliseconds. */
+    private writtenAtMs: number;
+
+    constructor(private readonly parts: CoordinatorParts) {
+        this.writtenAtMs = parts.clock.getNow();
+    }
+
+    /** Takes the topic over: from then on no earlier coordinator can write. */
+    async open(): Promise<boolean> {
+        const answer = await this.append([]);
+        return answer.outcome === AppendOutcome.Appended;
+    }
+
+    /** Has a job's progress recorded; a job that was dropped loses its record. */
+    note(id: string, job: Job | undefined): void {
+        this.dirty.set(id, job);
+        this.startFlush();
+    }
+
+    /** Calls back when all that was noted so far is recorded. */
+    waitRecorded(run: () => void, mayGoUnrecorded: boolean): void {
+        if (this.dirty.size === 0 && !this.isFlushing) {
+            run();
+            return;
+        }
+        if (mayGoUnrecorded && this.isStoreAway) {
+            this.parts.metrics.count("unrecorded_starts_total", "store-away");
+            run();
+            return;
+        }
+        this.waiters.push({ run, mayGoUnrecorded });
+    }
+
+    /** Whether the store hasn't taken a record for so long that work goes on without. */
+    get isStoreAway(): boolean {
+        return this.isFlushing && this.parts.clock.getNow() - this.writtenAtMs >= UNRECORDED_AFTER_MS;
+    }
+
+    /** Stops writing; what waits is dropped. */
+    close(): void {
+        this.isClosed = true;
+        this.waiters = [];
+        this.dirty.clear();
+    }
+
+    private startFlush(): void {
+        if (!this.isFlushing && !this.isClosed) {
+            this.isFlushing = true;
+            this.writtenAtMs = this.parts.clock.getNow();
+            void this.runFlushes();
+        }
+    }
+
+    private async runFlushes(): Promise<void> {
+        const { clock } = this.parts;
+        let lastAtMs = clock.getNow();
+        await Promise.resolve();
+        while (this.dirty.size > 0 && !this.isClosed) {
+            const records = this.takeRecords();
+            const waiters = this.dirty.size === 0 ? this.waiters : [];
+            this.waiters = this.dirty.size === 0 ? [] : this.waiters;
+            lastAtMs = clock.getNow();
+            const wasWritten = await this.write(records, waiters);
+            if (!wasWritten) {
+                return;
+            }
+            this.writtenAtMs = clock.getNow();
+            this.parts.metrics.recordDuration("progress_append", this.writtenAtMs - lastAtMs);
+            waiters.forEach(waiter => waiter.run());
+            await waitFor(clock, Math.max(0, FLUSH_GAP_MS - (clock.getNow() - lastAtMs)));
+        }
+        this.isFlushing = false;
+        const waiters = this.waiters;
+        this.waiters = [];
+        waiters.forEach(waiter => waiter.run());
+    }
+
+    private takeRecords(): KeyedRecord[] {
+        const records: KeyedRecord[] = [];
+        let bytes = 0;
+        for (const [key, job] of this.dirty) {
+            const value = job === undefined ? undefined : encodeProgress(job);
+            bytes += key.length + (value?.length ?? 0);
+            records.push({ key, value });
+            this.dirty.delete(key);
+            if (bytes >= FLUSH_BYTES) {
+                break;
+            }
+        }
+        return records;
+    }
+
+    /** Appends until the store says that it is done; false when this coordinator may no longer write. */
+    private async write(records: readonly KeyedRecord[], waiters: Waiter[]): Promise<boolean> {
+        const { clock, logger, metrics } = this.parts;
+        let tries = 0;
+        while (!this.isClosed) {
+            const answer = await this.append(records);
+            if (answer.outcome === AppendOutcome.Appended) {
+                if (tries > 0) {
+                    logger.info("progress-write-regained", { tries, term: this.parts.term });
+                }
+                return true;
+            }
+            if (answer.outcome === AppendOutcome.Fenced || answer.outcome === AppendOutcome.SequenceMismatch) {
+                const reason = AppendOutcome[answer.outcome];
+                logger.warn("progress-write-fenced", { reason, term: this.parts.term });
+                this.parts.onDeposed(`progress:${reason}`);
+                return false;
+            }
+            if (tries === 0) {
+                logger.warn("progress-write-failed", { outcome: AppendOutcome[answer.outcome], records: records.length });
+            }
+            tries++;
+            metrics.count("progress_write_failures_total", AppendOutcome[answer.outcome]);
+            await waitFor(clock, FLUSH_RETRY_MS);
+            this.releaseUnrecorded(waiters);
+        }
+        return false;
+    }
+
+    private releaseUnrecorded(underWay: Waiter[]): void {
+        if (!this.isStoreAway) {
+            return;
+        }
+        for (const waiters of [underWay, this.waiters]) {
+            const released = waiters.filter(waiter => waiter.mayGoUnrecorded);
+            waiters.splice(0, waiters.length, ...waiters.filter(waiter => !waiter.mayGoUnrecorded));
+            released.forEach(waiter => waiter.run());
+            this.parts.metrics.count("unrecorded_starts_total", "store-away", released.length);
+        }
+    }
+
+    private async append(records: readonly KeyedRecord[]): Promise<AppendAnswer> {
+        const writer = { name: WRITER_NAME, epoch: this.parts.term, sequence: this.sequence };
+        const answer = await this.parts.store.append({
+            topic: Topic.Progress,
+            records,
+            writer,
+            timeoutMs: FLUSH_TIMEOUT_MS,
+        });
+        if (answer.outcome === AppendOutcome.Appended && records.length > 0) {
+            this.sequence++;
+        }
+        return answer;
+    }
+}
--- /dev/null
+++ b/packages/describe-ports/src/vmState.ts
@@ -0,0 +1,7 @@
+/** What a worker's VM is doing. */
+export enum VmState {
+    Up,
+    Moving,
+    Upkeep,
+    Down,
+}
--- /dev/null
+++ b/packages/describe-work/src/index.ts
@@ -0,0 +1,16 @@
+export type { AdvicePolicy } from "./advicePolicy.js";
+export type { CallerLimits } from "./callerLimits.js";
+export type { Capacity } from "./capacity.js";
+export { formatTaskKey } from "./formatTaskKey.js";
+export type { JobSpec } from "./jobSpec.js";
+export { JobState } from "./jobState.js";
+export type { QueueConfig } from "./queueConfig.js";
+export { RunEnd } from "./runEnd.js";
+export type { ServiceConfig } from "./serviceConfig.js";
+export type { StepSpec } from "./stepSpec.js";
+export type { TaskRef } from "./taskRef.js";
+export type { UpkeepWave } from "./upkeepWave.js";
+export { WaveState } from "./waveState.js";
+export type { WorkConfig } from "./workConfig.js";
+export type { WorkerEntry } from "./workerEntry.js";
+export { WorkerState } from "./workerState.js";
--- a/packages/exchange-frames/src/frameKind.ts
+++ b/packages/exchange-frames/src/frameKind.ts
@@ -9,4 +9,7 @@
     ReadConfig = 13,
     ShareStatus = 14,
     ReadStatus = 15,
+    FollowCoordinator = 20,
+    AskPeer = 21,
+    CallCoordinator = 22,
 }
--- /dev/null
+++ b/packages/follow-topic/src/index.ts
@@ -0,0 +1,1 @@
+export { TopicFollower } from "./topicFollower.js";
--- /dev/null
+++ b/packages/keep-term/src/chooseCandidacyStep.ts
@@ -0,0 +1,30 @@
+import type { CandidacyRules } from "./candidacyRules.js";
+import { CandidacyStep } from "./candidacyStep.js";
+import type { CoordinatorView } from "./coordinatorView.js";
+
+/**
+ * Decides whether a process should try to coordinate. A wrong decision costs a needless change of coordinator, never
+ * safety: the store lets one win, and workers refuse the orders of the other.
+ */
+export function chooseCandidacyStep(view: CoordinatorView, rules: CandidacyRules): CandidacyStep {
+    if (!view.hasStore) {
+        return view.isHeardByPeer ? CandidacyStep.Relay : CandidacyStep.Follow;
+    }
+    if (!view.isKnown) {
+        return CandidacyStep.Stand;
+    }
+    if (view.isLeaving || view.storeSilentMs >= rules.storeSilenceMs) {
+        return CandidacyStep.Stand;
+    }
+    if (!view.isRefused && view.silentMs < rules.silenceMs) {
+        return CandidacyStep.Follow;
+    }
+    if (view.isHeardByPeer) {
+        return CandidacyStep.Relay;
+    }
+    const isIsolated = view.peers > 0 && view.peersAnswered === 0 && !view.isRefused;
+    if (isIsolated && view.renewalAgeMs < rules.renewalSilenceMs) {
+        return CandidacyStep.Follow;
+    }
+    return CandidacyStep.Stand;
+}
--- /dev/null
+++ b/packages/keep-term/src/termLog.ts
@@ -0,0 +1,90 @@
+import type { StorePort } from "@sardinestage/describe-ports";
+import { AppendOutcome, Topic } from "@sardinestage/describe-ports";
+import { Encoder } from "cbor-x";
+import type { Candidate } from "./candidate.js";
+import { RenewalOutcome } from "./renewalOutcome.js";
+import type { TermHolder } from "./termHolder.js";
+import type { TermView } from "./termView.js";
+
+const TERM_KEY = "coordinator";
+/** How long an append to the term's topic may take, in milliseconds. */
+const APPEND_TIMEOUT_MS = 1000;
+
+const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
+/** `[vm, incarnation, host, port, term]`; term 0 in the record that wins it. */
+type TermRow = [string, string, string, number, number];
+
+/**
+ * The topic that decides who coordinates. Every append names the offset at which it expects the topic to end, so that
+ * of two candidates one wins, and a renewal fails as soon as somebody else has won.
+ */
+export class TermLog {
+    private end = 0;
+
+    constructor(private readonly store: StorePort, private readonly candidate: Candidate) {}
+
+    /** Reads who coordinates; undefined when the store doesn't answer. */
+    async readTerm(): Promise<TermView | undefined> {
+        const page = await this.store.readNewest(Topic.Term, undefined);
+        if (!page.succeeded) {
+            return undefined;
+        }
+        const record = page.records.find(entry => entry.key === TERM_KEY);
+        if (record?.value === undefined) {
+            return { holder: undefined, end: page.end };
+        }
+        const [vm, incarnation, host, port, term] = encoder.decode(record.value) as TermRow;
+        const holder: TermHolder = { term: term === 0 ? record.offset + 1 : term, vm, incarnation, host, port };
+        return { holder, end: Math.max(page.end, record.offset + 1) };
+    }
+
+    /**
+     * Tries to win the next term.
+     *
+     * @param end Where the topic ended when it was read.
+     * @returns The own term; or undefined when somebody else was faster or the store didn't take it. An append without
+     *   an answer may still win: then the next `readTerm` names this process.
+     */
+    async tryWin(end: number): Promise<TermHolder | undefined> {
+        const answer = await this.append(end, 0);
+        if (answer.outcome !== AppendOutcome.Appended) {
+            return undefined;
+        }
+        this.end = answer.offset + 1;
+        return { ...this.candidate, term: answer.offset + 1 };
+    }
+
+    /** Takes over a term that an append won whose answer was lost. */
+    resumeTerm(view: TermView): void {
+        this.end = view.end;
+    }
+
+    /** Says that the term's holder lives; finds out when it no longer holds it. */
+    async renew(term: number): Promise<RenewalOutcome> {
+        const answer = await this.append(this.end, term);
+        if (answer.outcome === AppendOutcome.Appended) {
+            this.end = answer.offset + 1;
+            return RenewalOutcome.Renewed;
+        }
+        if (answer.outcome !== AppendOutcome.ConditionFailed) {
+            return RenewalOutcome.Failed;
+        }
+        const view = await this.readTerm();
+        if (view === undefined) {
+            return RenewalOutcome.Failed;
+        }
+        if (view.holder?.term !== term) {
+            return RenewalOutcome.Deposed;
+        }
+        // An earlier renewal without an answer has been written after all.
+        this.end = view.end;
+        return RenewalOutcome.Renewed;
+    }
+
+    private append(at: number, term: number) {
+        const { vm, incarnation, host, port } = this.candidate;
+        const row: TermRow = [vm, incarnation, host, port, term];
+        const records = [{ key: TERM_KEY, value: encoder.encode(row) }];
+        return this.store.append({ topic: Topic.Term, records, at, timeoutMs: APPEND_TIMEOUT_MS });
+    }
+}
--- /dev/null
+++ b/packages/keep-term/src/termView.ts
@@ -0,0 +1,9 @@
+import type { TermHolder } from "./termHolder.js";
+
+/** What the store says of the term. */
+export interface TermView {
+    /** Undefined while nobody has won yet. */
+    readonly holder: TermHolder | undefined;
+    /** Where the topic ends: the condition of the next append. */
+    readonly end: number;
+}
--- a/packages/log-events/src/index.ts
+++ b/packages/log-events/src/index.ts
@@ -1,2 +1,3 @@
+export { createBoundedLogger } from "./createBoundedLogger.js";
 export { createLogger } from "./createLogger.js";
 export type { EventLogger } from "./eventLogger.js";
--- /dev/null
+++ b/packages/plan-pace/src/index.ts
@@ -0,0 +1,4 @@
+export type { PaceRules } from "./paceRules.js";
+export type { PaceState } from "./paceState.js";
+export { planPace } from "./planPace.js";
+export type { ServerView } from "./serverView.js";
--- /dev/null
+++ b/packages/plan-pace/src/paceRules.ts
@@ -0,0 +1,7 @@
+/** Limits of the pacing decision. */
+export interface PaceRules {
+    /** Time until a new pace shows in the figures, in milliseconds. */
+    readonly settleMs: number;
+    /** Over the target for so long with filling tasks at work: they are stopped for good. */
+    readonly stopAfterMs: number;
+}
--- /dev/null
+++ b/packages/plan-starts/src/compareDemands.ts
@@ -0,0 +1,24 @@
+import type { StepDemand } from "./stepDemand.js";
+
+/**
+ * Orders demands: by priority, then those that can still be in time, then those that are late but of use,
+ * and within these the tightest first. Answers bursts: work that is past saving must not hold up the rest.
+ *
+ * @returns Negative when `left` goes first.
+ */
+export function compareDemands(left: StepDemand, right: StepDemand): number {
+    return getPriority(left) - getPriority(right)
+        || getLateness(left) - getLateness(right)
+        || left.slackMs - right.slackMs;
+}
+
+function getPriority(demand: StepDemand): number {
+    return demand.step.occurrence.job.queue.priority;
+}
+
+function getLateness(demand: StepDemand): number {
+    if (demand.slackMs >= 0 || demand.step.spec.longRunning) {
+        return 0;
+    }
+    return demand.lateSlackMs >= 0 ? 1 : 2;
+}
--- /dev/null
+++ b/packages/plan-starts/src/index.ts
@@ -0,0 +1,7 @@
+export { compareDemands } from "./compareDemands.js";
+export { planDisplacement } from "./planDisplacement.js";
+export type { PlannedStart } from "./plannedStart.js";
+export { planStarts } from "./planStarts.js";
+export type { StartPlan } from "./startPlan.js";
+export type { StepDemand } from "./stepDemand.js";
+export type { WorkerRoom } from "./workerRoom.js";
--- /dev/null
+++ b/packages/plan-starts/src/planGang.ts
@@ -0,0 +1,72 @@
+import type { Task } from "@sardinestage/track-jobs";
+import { computePlaceScore } from "./computePlaceScore.js";
+import { hasRoom } from "./hasRoom.js";
+import { mayRunOn } from "./mayRunOn.js";
+import type { PlannedStart } from "./plannedStart.js";
+import type { StepDemand } from "./stepDemand.js";
+import { takeRoom } from "./takeRoom.js";
+import type { WorkerRoom } from "./workerRoom.js";
+
+/**
+ * Places all tasks of a gang, or none: part of a gang would only hold room. A gang that is faster in one rack is
+ * tried rack by rack first.
+ *
+ * @param starts Takes the starts when the whole gang found room.
+ * @returns Whether it did.
+ */
+export function planGang(
+    demand: StepDemand,
+    rooms: readonly WorkerRoom[],
+    isAdvised: (task: Task, workerId: string) => boolean,
+    starts: PlannedStart[],
+): boolean {
+    const { step } = demand;
+    if (demand.waiting.length < step.tasks.length) {
+        return true;
+    }
+    const usable = rooms.filter(room => mayRunOn(step, room));
+    const racks = step.spec.sameRack ? [...new Set(usable.map(room => room.rack))] : [];
+    const candidates = [...racks.map(rack => usable.filter(room => room.rack === rack)), usable];
+    for (const candidate of candidates) {
+        const found = tryPlacing(demand, candidate, isAdvised);
+        if (found !== undefined) {
+            for (const start of found) {
+                takeRoom(start.room, step.spec);
+                starts.push({ task: start.task, workerId: start.room.workerId });
+            }
+            return true;
+        }
+    }
+    return false;
+}
+
+/** A member of a gang and where it would go. */
+interface Placed {
+    readonly task: Task;
+    readonly room: WorkerRoom;
+}
+
+function tryPlacing(
+    demand: StepDemand,
+    rooms: readonly WorkerRoom[],
+    isAdvised: (task: Task, workerId: string) => boolean,
+): Placed[] | undefined {
+    const { spec } = demand.step;
+    const copies = rooms.map(room => ({ room, copy: { ...room }, taken: 0 }));
+    const placed: Placed[] = [];
+    for (const task of demand.waiting) {
+        const best = copies
+            .filter(entry => hasRoom(entry.copy, spec))
+            .filter(entry => spec.maxTasksPerWorker === 0 || entry.taken < spec.maxTasksPerWorker)
+            .filter(entry => isAdvised(task, entry.room.workerId))
+            .sort((left, right) => computePlaceScore(right.copy, spec) - computePlaceScore(left.copy, spec))
+            .at(0);
+        if (best === undefined) {
+            return undefined;
+        }
+        takeRoom(best.copy, spec);
+        best.taken++;
+        placed.push({ task, room: best.room });
+    }
+    return placed;
+}
--- /dev/null
+++ b/packages/plan-starts/src/planStarts.ts
@@ -0,0 +1,109 @@
+import type { Task } from "@sardinestage/track-jobs";
+import { compareDemands } from "./compareDemands.js";
+import { computePlaceScore } from "./computePlaceScore.js";
+import { hasRoom } from "./hasRoom.js";
+import { mayRunOn } from "./mayRunOn.js";
+import { planGang } from "./planGang.js";
+import type { PlannedStart } from "./plannedStart.js";
+import type { StartPlan } from "./startPlan.js";
+import type { StepDemand } from "./stepDemand.js";
+import { takeRoom } from "./takeRoom.js";
+import type { WorkerRoom } from "./workerRoom.js";
+
+/** What a round may not do. */
+interface StartRules {
+    /** At most so many starts in one round; the next round follows at once. */
+    readonly maxStarts: number;
+    /** Whether the advice service, where the queue has one, lets the task run there. */
+    readonly isAdvised: (task: Task, workerId: string) => boolean;
+}
+
+/**
+ * Decides which waiting tasks start on which workers.
+ *
+ * @param demands What waits.
+ * @param rooms What the workers have left; the plan is taken from it.
+ * @param rules Limits of the round.
+ */
+export function planStarts(
+    demands: readonly StepDemand[],
+    rooms: readonly WorkerRoom[],
+    rules: StartRules,
+): StartPlan {
+    const starts: PlannedStart[] = [];
+    const unmet: StepDemand[] = [];
+    for (const demand of [...demands].sort(compareDemands)) {
+        if (starts.length >= rules.maxStarts) {
+            break;
+        }
+        const isMet = demand.step.spec.gang
+            ? planGang(demand, rooms, rules.isAdvised, starts)
+            : planTasks(demand, rooms, rules, starts);
+        if (!isMet) {
+            unmet.push(demand);
+        }
+    }
+    return { starts, unmet };
+}
+
+function planTasks(
+    demand: StepDemand,
+    rooms: readonly WorkerRoom[],
+    rules: StartRules,
+    starts: PlannedStart[],
+): boolean {
+    const { step } = demand;
+    const usable = rooms.filter(room => mayRunOn(step, room));
+    const perWorker = countPerWorker(demand);
+    for (const task of demand.waiting) {
+        if (starts.length >= rules.maxStarts) {
+            return true;
+        }
+        const room = chooseRoom(task, usable, perWorker, rules);
+        if (room === undefined) {
+            return false;
+        }
+        takeRoom(room, step.spec);
+        perWorker.set(room.workerId, (perWorker.get(room.workerId) ?? 0) + 1);
+        starts.push({ task, workerId: room.workerId });
+    }
+    return true;
+}
+
+function countPerWorker(demand: StepDemand): Map<string, number> {
+    const counts = new Map<string, number>();
+    if (demand.step.spec.maxTasksPerWorker > 0) {
+        for (const task of demand.step.tasks) {
+            if (task.isActive) {
+                counts.set(task.workerId, (counts.get(task.workerId) ?? 0) + 1);
+            }
+        }
+    }
+    return counts;
+}
+
+function chooseRoom(
+    task: Task,
+    rooms: readonly WorkerRoom[],
+    perWorker: ReadonlyMap<string, number>,
+    rules: StartRules,
+): WorkerRoom | undefined {
+    const { spec } = task.step;
+    let best: WorkerRoom | undefined;
+    let bestScore = -Infinity;
+    for (const room of rooms) {
+        if (!hasRoom(room, spec)) {
+            continue;
+        }
+        if (spec.maxTasksPerWorker > 0 && (perWorker.get(room.workerId) ?? 0) >= spec.maxTasksPerWorker) {
+            continue;
+        }
+        // A task that failed there gets its next chance elsewhere: the worker may be at fault.
+        const score = computePlaceScore(room, spec) - (room.workerId === task.lastFailedOn ? 10 : 0);
+        if (score > bestScore && rules.isAdvised(task, room.workerId)) {
+            best = room;
+            bestScore = score;
+        }
+    }
+    return best;
+}
--- /dev/null
+++ b/packages/plan-starts/src/stepDemand.ts
@@ -0,0 +1,11 @@
+import type { StepRun, Task } from "@sardinestage/track-jobs";
+
+/** The tasks of a step that wait for a worker, and how urgent they are. */
+export interface StepDemand {
+    readonly step: StepRun;
+    readonly waiting: readonly Task[];
+    /** Time left until the job misses its target if it starts now, in milliseconds. */
+    readonly slackMs: number;
+    /** Time left until it is so late that nobody gains any more, in milliseconds. */
+    readonly lateSlackMs: number;
+}
--- /dev/null
+++ b/packages/plan-starts/src/workerRoom.ts
@@ -0,0 +1,21 @@
+/** What a worker has left, as a planning round sees it; the round takes from it. */
+export interface WorkerRoom {
+    readonly workerId: string;
+    readonly service: string;
+    readonly rack: string;
+    readonly labels: readonly string[];
+    /** Thousandths of a core in all. */
+    readonly capacityCpuMillis: number;
+    /** Thousandths of a core that no task has reserved. */
+    freeCpuMillis: number;
+    freeMemoryMb: number;
+    freeAccelerators: number;
+    /** Thousandths of a core that filling tasks asked for. */
+    fillCpuMillis: number;
+    /** How many serving tasks run there. */
+    servingTasks: number;
+    /** How much filling tasks are slowed there to protect serving ones: 0 not at all, 1 fully. */
+    fillStrain: number;
+    /** How many more starts it may get in this round; a worker on probation gets few. */
+    startsLeft: number;
+}
--- /dev/null
+++ b/packages/run-entry-vm/src/createEntryVm.ts
@@ -0,0 +1,54 @@
+import { JobDesk, RecordDesk } from "@sardinestage/accept-jobs";
+import { Coordinator } from "@sardinestage/coordinate-work";
+import { TermLog } from "@sardinestage/keep-term";
+import { Container } from "inversify";
+import { ConfigKeeper } from "./configKeeper.js";
+import { EntryVm } from "./entryVm.js";
+import type { EntryVmParts } from "./entryVmParts.js";
+import { Membership } from "./membership.js";
+import { Peers } from "./peers.js";
+import { TermDuty } from "./termDuty.js";
+
+/** Wires the process of an entry VM. */
+export function createEntryVm(parts: EntryVmParts): EntryVm {
+    const container = new Container({ defaultScope: "Singleton" });
+    container.bind(Peers).toConstantValue(new Peers(parts.peerKey));
+    container.bind(ConfigKeeper).toConstantValue(new ConfigKeeper(parts));
+    container.bind(TermLog).toConstantValue(new TermLog(parts.store, parts.self));
+    container.bind(TermDuty).toDynamicValue(context =>
+        new TermDuty({
+            ...parts,
+            termLog: context.get(TermLog),
+            createCoordinator: (term, hadUnrecordedStarts, onDeposed) =>
+                new Coordinator({
+                    ...parts,
+                    rules: parts.coordinatorRules,
+                    term,
+                    hadUnrecordedStarts,
+                    onDeposed,
+                }),
+        })
+    ).inSingletonScope();
+    container.bind(Membership).toDynamicValue(context =>
+        new Membership({
+            ...parts,
+            termLog: context.get(TermLog),
+            duty: context.get(TermDuty),
+            peers: context.get(Peers),
+            config: context.get(ConfigKeeper),
+        })
+    ).inSingletonScope();
+    container.bind(RecordDesk).toDynamicValue(context =>
+        new RecordDesk({ ...parts, line: context.get(Membership) })
+    ).inSingletonScope();
+    container.bind(JobDesk).toDynamicValue(context =>
+        new JobDesk({ ...parts, records: context.get(RecordDesk), line: context.get(Membership) })
+    ).inSingletonScope();
+    return new EntryVm({
+        ...parts,
+        membership: container.get(Membership),
+        config: container.get(ConfigKeeper),
+        peers: container.get(Peers),
+        desk: container.get(JobDesk),
+    });
+}
--- /dev/null
+++ b/packages/run-entry-vm/src/defaultRules.ts
@@ -0,0 +1,14 @@
+import type { EntryVmRules } from "./entryVmRules.js";
+
+/** Times that fit leases of a few seconds: a dead coordinator is replaced well before anything lapses. */
+export const defaultRules: EntryVmRules = {
+    silenceMs: 1000,
+    storeSilenceMs: 1500,
+    renewalSilenceMs: 2500,
+    followMs: 250,
+    peerTimeoutMs: 300,
+    renewMs: 800,
+    standDelayPerStoreMs: 6,
+    maxStandDelayMs: 350,
+    standJitterMs: 60,
+};
--- /dev/null
+++ b/packages/run-entry-vm/src/followReply.ts
@@ -0,0 +1,17 @@
+import type { Candidate, TermHolder } from "@sardinestage/keep-term";
+
+/** The coordinator's answer to a VM that follows it. */
+export interface FollowReply {
+    /** Whom the asked process takes for the coordinator. */
+    readonly holder: TermHolder | undefined;
+    /** Whether it is the coordinator itself. */
+    readonly isCoordinator: boolean;
+    readonly isLeaving: boolean;
+    /** How long it has gone without an answer of the store, in milliseconds. */
+    readonly storeSilentMs: number;
+    /** The VMs that follow it. */
+    readonly members: readonly Candidate[];
+    readonly configVersion: number;
+    /** The configuration, when the request showed an older version. */
+    readonly config?: unknown;
+}
--- /dev/null
+++ b/packages/run-entry-vm/src/peers.ts
@@ -0,0 +1,52 @@
+import { FrameKind, PeerClient } from "@sardinestage/exchange-frames";
+
+/** The largest frame between VMs, in bytes: a configuration or a batch of records. */
+const MAX_FRAME_BYTES = 4 * 1024 * 1024;
+
+/** What became of a request to a peer. */
+interface PeerAnswer {
+    readonly body: unknown;
+    /** Nothing listens there. */
+    readonly isRefused: boolean;
+    readonly hasAnswered: boolean;
+}
+
+/** Connections to other VMs, by address. */
+export class Peers {
+    private readonly clients = new Map<string, PeerClient>();
+
+    constructor(private readonly peerKey: string) {}
+
+    /** Sends a request to the VM at an address; a silent connection is replaced. */
+    async request(
+        peer: { readonly host: string; readonly port: number },
+        kind: FrameKind,
+        body: unknown,
+        timeoutMs: number,
+    ): Promise<PeerAnswer> {
+        const client = this.getClient(peer.host, peer.port, kind, timeoutMs);
+        const result = await client.request(kind, body);
+        if (result.ok) {
+            return { body: result.val, isRefused: false, hasAnswered: true };
+        }
+        return { body: undefined, isRefused: result.val.kind === "peer-refused-connection", hasAnswered: false };
+    }
+
+    /** Closes all connections. */
+    close(): void {
+        this.clients.forEach(client => client.close());
+        this.clients.clear();
+    }
+
+    /** Questions that may take long have a connection of their own, so that a timeout ends only their kind. */
+    private getClient(host: string, port: number, kind: FrameKind, timeoutMs: number): PeerClient {
+        const key = `${host}:${port}/${kind}/${timeoutMs}`;
+        let client = this.clients.get(key);
+        if (client === undefined) {
+            const { peerKey } = this;
+            client = new PeerClient({ address: host, port, peerKey, maxFrameBytes: MAX_FRAME_BYTES, timeoutMs });
+            this.clients.set(key, client);
+        }
+        return client;
+    }
+}
--- /dev/null
+++ b/packages/run-entry-vm/src/termDuty.ts
@@ -0,0 +1,139 @@
+import type { CoordinatorCall, CoordinatorReply } from "@sardinestage/accept-jobs";
+import { CoordinatorCallKind } from "@sardinestage/accept-jobs";
+import type { Coordinator } from "@sardinestage/coordinate-work";
+import type { Clock, StorePort } from "@sardinestage/describe-ports";
+import { Topic, waitFor } from "@sardinestage/describe-ports";
+import type { TermHolder, TermLog } from "@sardinestage/keep-term";
+import { RenewalOutcome } from "@sardinestage/keep-term";
+import type { EventLogger } from "@sardinestage/log-events";
+import type { EntryVmRules } from "./entryVmRules.js";
+
+/** Pause between two tries to take over, in milliseconds. */
+const TAKEOVER_RETRY_MS = 100;
+/** Tries to take over before the term is given up. */
+const TAKEOVER_TRIES = 40;
+/** How long an append for a VM without the store may take, in milliseconds. */
+const RELAYED_APPEND_MS = 700;
+
+/** What a duty works with. */
+interface TermDutyParts {
+    readonly termLog: TermLog;
+    readonly store: StorePort;
+    readonly clock: Clock;
+    readonly logger: EventLogger;
+    readonly rules: EntryVmRules;
+    /** Makes a coordinator for a term. */
+    readonly createCoordinator: (
+        term: number,
+        hadUnrecordedStarts: boolean,
+        onDeposed: (reason: string) => void,
+    ) => Coordinator;
+}
+
+/** Coordinates for as long as this process holds the term. */
+export class TermDuty {
+    private coordinator: Coordinator | undefined;
+    private renewedAtMs = 0;
+    /** The term that this process holds; undefined while it holds none. */
+    holder: TermHolder | undefined;
+    isLeaving = false;
+
+    constructor(private readonly parts: TermDutyParts) {}
+
+    /** Whether this process holds the term. */
+    get isActive(): boolean {
+        return this.holder !== undefined;
+    }
+
+    /** How long the store hasn't answered, in milliseconds. */
+    get storeSilentMs(): number {
+        return this.holder === undefined ? 0 : Math.max(0, this.parts.clock.getNow() - this.renewedAtMs - this.parts.rules.renewMs);
+    }
+
+    /** Begins a term that was just won; returns once it has taken over or has given up. */
+    async start(holder: TermHolder, hadUnrecordedStarts: boolean): Promise<void> {
+        const { clock, logger } = this.parts;
+        this.holder = holder;
+        this.renewedAtMs = clock.getNow();
+        logger.info("term-won", { term: holder.term, hadUnrecordedStarts });
+        void this.runRenewals(holder.term);
+        for (let tries = 0; tries < TAKEOVER_TRIES && this.holder === holder; tries++) {
+            const coordinator = this.parts.createCoordinator(
+                holder.term,
+                hadUnrecordedStarts,
+                reason => this.stop(holder.term, reason),
+            );
+            this.coordinator = coordinator;
+            if (await coordinator.open()) {
+                return;
+            }
+            coordinator.close();
+            await waitFor(clock, TAKEOVER_RETRY_MS);
+        }
+        this.stop(holder.term, "takeover-failed");
+    }
+
+    /** Asks the others to take over; goes on until one has. */
+    leave(): void {
+        this.isLeaving = true;
+    }
+
+    /** Answers a call to the coordinator. */
+    async answer(call: CoordinatorCall): Promise<CoordinatorReply> {
+        if (call.kind === CoordinatorCallKind.Append) {
+            const records = call.records ?? [];
+            const answer = await this.parts.store.append({ topic: Topic.Jobs, records, timeoutMs: RELAYED_APPEND_MS });
+            return { outcome: answer.outcome };
+        }
+        const { coordinator } = this;
+        if (coordinator === undefined || !coordinator.isReady) {
+            return { isUnsure: true };
+        }
+        switch (call.kind) {
+            case CoordinatorCallKind.GetState: {
+                const state = await coordinator.getState(call.id ?? "");
+                return state === "unknown" ? { isUnsure: true } : { state };
+            }
+            case CoordinatorCallKind.GetPending:
+                return { pending: coordinator.getPending(call.queue ?? "") };
+            case CoordinatorCallKind.Cancel:
+                coordinator.cancelJob(call.id ?? "");
+                return {};
+        }
+    }
+
+    /** Ends the term here. */
+    stop(term: number, reason: string): void {
+        if (this.holder?.term !== term) {
+            return;
+        }
+        this.parts.logger.warn("term-lost", { term, reason });
+        this.coordinator?.close();
+        this.coordinator = undefined;
+        this.holder = undefined;
+    }
+
+    private async runRenewals(term: number): Promise<void> {
+        const { clock, termLog, rules, logger } = this.parts;
+        let hasFailed = false;
+        while (this.holder?.term === term) {
+            await waitFor(clock, hasFailed ? rules.renewMs / 4 : rules.renewMs);
+            if (this.holder?.term !== term) {
+                return;
+            }
+            const sentAtMs = clock.getNow();
+            const outcome = await termLog.renew(term);
+            if (outcome === RenewalOutcome.Deposed) {
+                this.stop(term, "another-won");
+                return;
+            }
+            if (hasFailed !== (outcome === RenewalOutcome.Failed)) {
+                hasFailed = !hasFailed;
+                logger.warn(hasFailed ? "store-lost" : "store-regained", { term });
+            }
+            if (!hasFailed) {
+                this.renewedAtMs = sentAtMs;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/track-jobs/src/applyProgress.ts
@@ -0,0 +1,45 @@
+import type { JobState } from "@sardinestage/describe-work";
+import type { Job } from "./job.js";
+import { Occurrence } from "./occurrence.js";
+import { recordEncoder } from "./recordEncoder.js";
+import type { StepRun } from "./stepRun.js";
+import type { TaskPhase } from "./taskPhase.js";
+
+type TaskRow = [number, TaskPhase, number, number?, string?, string?];
+type StepRow = [number, number, TaskRow[]];
+type ProgressRow = [JobState, number, number[], [number, StepRow[]][]];
+
+/**
+ * Brings a job that was just read to where a record of `encodeProgress` left it; throws on other bytes.
+ *
+ * @param job The job, with nothing open.
+ * @param bytes The record.
+ */
+export function applyProgress(job: Job, bytes: Uint8Array): void {
+    const [state, finishedAtMs, done, open] = recordEncoder.decode(bytes) as ProgressRow;
+    job.state = state;
+    job.finishedAtMs = finishedAtMs;
+    for (const number of done) {
+        job.doneOccurrences.add(number);
+    }
+    for (const [number, steps] of open) {
+        const { repeatCount, firstRunMs, intervalMs } = job.spec;
+        const dueMs = repeatCount > 0 ? firstRunMs + number * intervalMs : job.acceptedAtMs;
+        const occurrence = new Occurrence(job, number, dueMs);
+        job.open.set(number, occurrence);
+        for (const [step, gangFailures, rows] of steps) {
+            occurrence.steps[step].gangFailures = gangFailures;
+            rows.forEach(row => applyTaskRow(occurrence.steps[step], row));
+        }
+    }
+}
+
+function applyTaskRow(step: StepRun, row: TaskRow): void {
+    const [index, phase, run, failures = 0, workerId = "", checkpoint = ""] = row;
+    const task = step.tasks[index];
+    task.phase = phase;
+    task.run = run;
+    task.failures = failures;
+    task.workerId = workerId;
+    task.checkpoint = checkpoint;
+}
--- /dev/null
+++ b/packages/track-jobs/src/applyRunStart.ts
@@ -0,0 +1,22 @@
+import { JobState } from "@sardinestage/describe-work";
+import type { Task } from "./task.js";
+import { TaskPhase } from "./taskPhase.js";
+
+/** Notes that a run of a task is ordered on a worker. */
+export function applyRunStart(task: Task, workerId: string, run: number, nowMs: number): void {
+    const { job } = task.step.occurrence;
+    task.phase = TaskPhase.Ordered;
+    task.workerId = workerId;
+    task.run = run;
+    task.orderedAtMs = nowMs;
+    task.seenAtMs = 0;
+    task.settledAtMs = Infinity;
+    task.isUncertain = false;
+    task.percent = 0;
+    task.progressAtMs = nowMs;
+    task.pace = 100;
+    task.figure = 0;
+    if (job.state === JobState.Queued) {
+        job.state = JobState.Running;
+    }
+}
--- /dev/null
+++ b/packages/track-jobs/src/decodeJobRecord.ts
@@ -0,0 +1,62 @@
+import type { QueueConfig, StepSpec } from "@sardinestage/describe-work";
+import type { JobRecord } from "./jobRecord.js";
+import { recordEncoder } from "./recordEncoder.js";
+
+type StepRow = [
+    number,
+    number,
+    number,
+    number,
+    number,
+    number[],
+    boolean,
+    boolean,
+    boolean,
+    string,
+    string,
+    number,
+    boolean,
+    boolean,
+    string,
+    number,
+    boolean,
+    number,
+];
+
+/** Reads a record that `encodeJobRecord` wrote; throws on bytes that it didn't write. */
+export function decodeJobRecord(bytes: Uint8Array): JobRecord {
+    const [acceptedAtMs, queue, payload, steps, repeatCount, firstRunMs, intervalMs] = recordEncoder.decode(bytes) as [
+        number,
+        QueueConfig,
+        string,
+        StepRow[],
+        number,
+        number,
+        number,
+    ];
+    const spec = { payload, steps: steps.map(convertStep), repeatCount, firstRunMs, intervalMs };
+    return { spec, queue, acceptedAtMs };
+}
+
+function convertStep(row: StepRow): StepSpec {
+    return {
+        taskCount: row[0],
+        cpuMillis: row[1],
+        memoryMb: row[2],
+        accelerators: row[3],
+        estimateMs: row[4],
+        dependsOn: row[5],
+        savesProgress: row[6],
+        gang: row[7],
+        sameRack: row[8],
+        requiredLabel: row[9],
+        preferredRack: row[10],
+        maxTasksPerWorker: row[11],
+        speculative: row[12],
+        longRunning: row[13],
+        image: row[14],
+        tailTargetMs: row[15],
+        fillsLeftover: row[16],
+        mayMiss: row[17],
+    };
+}
--- /dev/null
+++ b/packages/track-jobs/src/encodeProgress.ts
@@ -0,0 +1,33 @@
+import type { Job } from "./job.js";
+import { recordEncoder } from "./recordEncoder.js";
+import type { StepRun } from "./stepRun.js";
+import type { Task } from "./task.js";
+import { TaskPhase } from "./taskPhase.js";
+
+/**
+ * Writes what must survive a change of coordinator: `[state, finishedAt, done occurrences, open occurrences]`.
+ * Tasks that nothing has happened to are left out.
+ */
+export function encodeProgress(job: Job): Uint8Array {
+    const open = job.isFinished
+        ? []
+        : [...job.open.values()].map(occurrence => [occurrence.number, occurrence.steps.flatMap(convertStep)]);
+    return recordEncoder.encode([job.state, job.finishedAtMs, [...job.doneOccurrences], open]);
+}
+
+function convertStep(step: StepRun): unknown[] {
+    const rows = step.tasks.filter(isTouched).map(convertTask);
+    return rows.length === 0 ? [] : [[step.number, step.gangFailures, rows]];
+}
+
+function isTouched(task: Task): boolean {
+    return task.run > 0 || task.phase === TaskPhase.Done;
+}
+
+function convertTask(task: Task): unknown[] {
+    if (task.phase === TaskPhase.Done) {
+        return [task.index, TaskPhase.Done, task.run];
+    }
+    const phase = task.isActive ? TaskPhase.Ordered : TaskPhase.Waiting;
+    return [task.index, phase, task.run, task.failures, task.workerId, task.checkpoint];
+}
--- /dev/null
+++ b/packages/track-jobs/src/index.ts
@@ -0,0 +1,18 @@
+export { CANCEL_SUFFIX } from "./cancelSuffix.js";
+export { applyCancel } from "./applyCancel.js";
+export { applyProgress } from "./applyProgress.js";
+export { applyRunEnd } from "./applyRunEnd.js";
+export { applyRunLost } from "./applyRunLost.js";
+export { applyRunStart } from "./applyRunStart.js";
+export { computeRemainingChain } from "./computeRemainingChain.js";
+export { decodeFinished } from "./decodeFinished.js";
+export { decodeJobRecord } from "./decodeJobRecord.js";
+export { encodeJobRecord } from "./encodeJobRecord.js";
+export { encodeProgress } from "./encodeProgress.js";
+export { Job } from "./job.js";
+export type { JobRecord } from "./jobRecord.js";
+export type { Occurrence } from "./occurrence.js";
+export { openDueOccurrences } from "./openDueOccurrences.js";
+export type { StepRun } from "./stepRun.js";
+export { Task } from "./task.js";
+export { TaskPhase } from "./taskPhase.js";
--- /dev/null
+++ b/packages/track-jobs/src/job.ts
@@ -0,0 +1,37 @@
+import type { JobSpec, QueueConfig } from "@sardinestage/describe-work";
+import { JobState } from "@sardinestage/describe-work";
+import type { Occurrence } from "./occurrence.js";
+
+/** A job that was accepted, and how far it is. */
+export class Job {
+    /** Occurrences that are due and not done, by number. */
+    readonly open = new Map<number, Occurrence>();
+    readonly doneOccurrences = new Set<number>();
+    state = JobState.Queued;
+    /** When it came to its end, in Unix milliseconds; 0 before. */
+    finishedAtMs = 0;
+
+    /**
+     * @param id Chosen by the caller.
+     * @param spec What the caller handed in.
+     * @param queue The queue as it was configured when the job was accepted.
+     * @param acceptedAtMs When it was accepted, in Unix milliseconds.
+     */
+    constructor(
+        readonly id: string,
+        readonly spec: JobSpec,
+        readonly queue: QueueConfig,
+        readonly acceptedAtMs: number,
+    ) {}
+
+    /** Whether nothing of it will run any more. */
+    get isFinished(): boolean {
+        return this.state === JobState.Completed || this.state === JobState.Failed
+            || this.state === JobState.Cancelled;
+    }
+
+    /** How many occurrences it has in all. */
+    get occurrenceCount(): number {
+        return Math.max(1, this.spec.repeatCount);
+    }
+}
--- /dev/null
+++ b/packages/track-jobs/src/task.ts
@@ -0,0 +1,53 @@
+import type { TaskRef } from "@sardinestage/describe-work";
+import type { StepRun } from "./stepRun.js";
+import { TaskPhase } from "./taskPhase.js";
+
+/** One task and its newest run. */
+export class Task {
+    phase = TaskPhase.Waiting;
+    /** Number of the newest run; 0 before the first. */
+    run = 0;
+    /** Runs that ended through a fault. */
+    failures = 0;
+    /** Where the next run resumes; empty for the beginning. */
+    checkpoint = "";
+    /** The worker of the newest run; empty while nothing runs. */
+    workerId = "";
+    /** The worker on which the last run failed; empty if none did. */
+    lastFailedOn = "";
+    /** When the newest run was ordered, in steady milliseconds. */
+    orderedAtMs = 0;
+    /** Progress as last listed. */
+    percent = 0;
+    /** When `percent` last changed or the run was first seen, in steady milliseconds. */
+    progressAtMs = 0;
+    /** When the newest run was first seen at work, in steady milliseconds. */
+    seenAtMs = 0;
+    /** A hold sent after this tells for certain whether the newest run is there, in steady milliseconds. */
+    settledAtMs = 0;
+    /** Whether the order to start got no answer, so that it may be carried out late. */
+    isUncertain = false;
+    /** Tail latency or processor in use, as last listed. */
+    figure = 0;
+    /** The share of its speed that it was last allowed, in percent. */
+    pace = 100;
+
+    constructor(readonly step: StepRun, readonly index: number) {}
+
+    /** The task's name. */
+    get ref(): TaskRef {
+        const { occurrence } = this.step;
+        return {
+            jobId: occurrence.job.id,
+            occurrence: occurrence.number,
+            step: this.step.number,
+            index: this.index,
+        };
+    }
+
+    /** Whether a run of it may be at work. */
+    get isActive(): boolean {
+        return this.phase === TaskPhase.Ordered || this.phase === TaskPhase.Running
+            || this.phase === TaskPhase.Stopping;
+    }
+}
