--- a/packages/coordinate-work/src/buildRooms.ts
+++ b/packages/coordinate-work/src/buildRooms.ts
@@ -1,8 +1,6 @@
 import type { WorkerRoom } from "@sardinestage/plan-starts";
 import type { WorkerLink } from "./workerLink.js";
 
-const FULL_PERCENT = 100;
-
 /** Describes what the workers that take work have left. */
 export function buildRooms(links: Iterable<WorkerLink>, getStartsLeft: (link: WorkerLink) => number): WorkerRoom[] {
     const rooms: WorkerRoom[] = [];
@@ -28,7 +26,6 @@
         freeAccelerators: entry.capacity.accelerators,
         fillCpuMillis: 0,
         servingTasks: 0,
-        fillStrain: 1 - link.pace.percent / FULL_PERCENT,
         startsLeft,
     };
     for (const task of link.tasks) {
--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -83,6 +83,7 @@
             orders: this.orders,
             runs: this.runs,
             advice: this.advice,
+            pace: this.pace,
             durations: this.durations,
         });
         const shared = { store: parts.store, clock: parts.clock, logger: parts.logger };
@@ -420,11 +421,33 @@
     private scheduleCleanUp(): void {
         this.parts.clock.schedule(CLEAN_UP_MS, () => {
             if (!this.isClosed) {
+                this.logSummary();
                 void this.cleanUp().finally(() => this.scheduleCleanUp());
             }
         });
     }
 
+    /** Says how full the fleet is, so that a slow job can be told from a full fleet. */
+    private logSummary(): void {
+        const links = [...this.fleet.links.values()];
+        const tasks = links.flatMap(link => [...link.tasks]);
+        const fillers = tasks.filter(task => task.step.spec.fillsLeftover);
+        const { steps } = this.jobs.listReady(this.parts.clock.getWallTime());
+        this.parts.logger.info("fleet-summary", {
+            workers: links.length,
+            silent: links.filter(link => link.missedHolds > 0).length,
+            onTrial: links.filter(link => link.isOnTrial).length,
+            jobs: this.jobs.live.size,
+            waiting: steps.reduce((sum, { waiting }) => sum + waiting.length, 0),
+            tasks: tasks.length,
+            fillers: fillers.length,
+            fillCpuMillis: fillers.reduce((sum, task) => sum + task.step.spec.cpuMillis, 0),
+            fillCpuUsed: fillers.reduce((sum, task) => sum + task.figure, 0),
+            fillPace: Math.round(fillers.reduce((sum, task) => sum + task.pace, 0) / Math.max(1, fillers.length)),
+            halted: fillers.filter(task => task.pace === 0).length,
+        });
+    }
+
     /** Drops the stored records of jobs that have ended, and all trace of those that ended long ago. */
     private async cleanUp(): Promise<void> {
         const { clock, rules, store } = this.parts;
--- a/packages/coordinate-work/src/paceDesk.ts
+++ b/packages/coordinate-work/src/paceDesk.ts
@@ -1,5 +1,8 @@
 import { OrderOutcome } from "@sardinestage/describe-ports";
-import type { PaceRules, ServerView } from "@sardinestage/plan-pace";
+import type { StepSpec } from "@sardinestage/describe-work";
+import { formatTaskKey } from "@sardinestage/describe-work";
+import { TailEstimator } from "@sardinestage/learn-behaviour";
+import type { FillerView, PaceRules, ServerView } from "@sardinestage/plan-pace";
 import { planPace } from "@sardinestage/plan-pace";
 import type { Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
@@ -9,46 +12,119 @@
 
 /** The figures of a worker cover this time, in milliseconds. */
 const FIGURE_WINDOW_MS = 500;
-/** Share of the bound on harm after which slowing is taken not to help. */
+/** Share of the bound on harm after which everything that fills stands still. */
+const HALT_SHARE = 0.25;
+/** Share of the bound on harm after which standing still is taken not to help. */
 const STOP_SHARE = 0.6;
+const FULL_PERCENT = 100;
 
 /** Slows filling tasks where serving tasks beside them suffer, and stops them where that isn't enough. */
 export class PaceDesk {
+    private readonly estimator = new TailEstimator();
     private readonly rules: PaceRules;
     private readonly underWay = new Set<Task>();
+    private readonly learnedAtMs = new WeakMap<WorkerLink, number>();
 
     constructor(private readonly parts: CoordinatorParts, private readonly orders: OrderDesk) {
         const { harmMs, paceMs } = parts.rules;
-        this.rules = { settleMs: paceMs + FIGURE_WINDOW_MS, stopAfterMs: harmMs * STOP_SHARE };
+        this.rules = {
+            settleMs: paceMs + FIGURE_WINDOW_MS,
+            haltAfterMs: harmMs * HALT_SHARE,
+            stopAfterMs: harmMs * STOP_SHARE,
+        };
     }
 
     /** Reacts to the figures that a worker has just listed. */
     handleFigures(link: WorkerLink): void {
         const running = [...link.tasks].filter(task => task.phase === TaskPhase.Running);
-        const servers = running.filter(isServing).map(describeServer);
-        const plan = planPace(servers, link.pace, this.parts.clock.getNow(), this.rules);
-        if (plan.state.percent !== link.pace.percent) {
-            this.parts.metrics.count("pace_changes_total", plan.state.percent < link.pace.percent ? "down" : "up");
+        const servers = running.filter(isServing);
+        if (servers.length === 0) {
+            return;
         }
+        const fillers = running.filter(task => task.step.spec.fillsLeftover);
+        this.learn(link, servers, fillers);
+        const plan = planPace(
+            servers.map(task => this.describeServer(task)),
+            fillers.map(task => this.describeFiller(task, servers, link)),
+            link.pace,
+            this.parts.clock.getNow(),
+            this.rules,
+        );
         link.pace = plan.state;
-        for (const task of running) {
-            if (!task.step.spec.fillsLeftover) {
-                continue;
-            }
+        for (const task of fillers) {
+            const percent = plan.percents.get(formatTaskKey(task.ref)) ?? FULL_PERCENT;
             if (plan.mustStop && task.pace > 0) {
                 this.orders.sendStop(task, link, "harm");
             }
-            else if (task.pace !== link.pace.percent && !this.underWay.has(task)) {
-                void this.sendPace(task, link, link.pace.percent);
+            else if (task.pace !== percent && !this.underWay.has(task)) {
+                void this.sendPace(task, link, percent);
+            }
+        }
+    }
+
+    /**
+     * Estimates how close serving tasks on a worker would come to their targets if a task joined them.
+     *
+     * @returns The worst tail as a share of its target; 0 where nobody serves.
+     */
+    estimateStrain(link: WorkerLink, spec: StepSpec): number {
+        let worst = 0;
+        for (const task of link.tasks) {
+            const other = task.step.spec;
+            if (other.tailTargetMs > 0 && spec.fillsLeftover) {
+                const addedMs = this.estimateHarm(other, spec, link);
+                worst = Math.max(worst, (this.getTail(task) + addedMs) / other.tailTargetMs);
+            }
+            if (spec.tailTargetMs > 0 && other.fillsLeftover) {
+                const addedMs = this.estimateHarm(spec, other, link);
+                worst = Math.max(worst, (this.estimator.estimateAlone(spec.image) + addedMs) / spec.tailTargetMs);
             }
         }
+        return worst;
+    }
+
+    private getTail(task: Task): number {
+        return task.figure > 0 ? task.figure : this.estimator.estimateAlone(task.step.spec.image);
+    }
+
+    private estimateHarm(server: StepSpec, filler: StepSpec, link: WorkerLink): number {
+        const weight = filler.cpuMillis / Math.max(1, link.entry.capacity.cpuMillis);
+        return this.estimator.estimateHarm(server.image, filler.image) * weight;
+    }
+
+    /** Figures cover half a second, so looks that follow closer say nothing new. */
+    private learn(link: WorkerLink, servers: readonly Task[], fillers: readonly Task[]): void {
+        const nowMs = this.parts.clock.getNow();
+        if (nowMs - (this.learnedAtMs.get(link) ?? -Infinity) < FIGURE_WINDOW_MS / 2) {
+            return;
+        }
+        this.learnedAtMs.set(link, nowMs);
+        const capacity = Math.max(1, link.entry.capacity.cpuMillis);
+        const neighbours = fillers.filter(task => task.figure > 0)
+            .map(task => ({ image: task.step.spec.image, weight: task.figure / capacity }));
+        for (const { step, figure, percent } of servers) {
+            if (figure > 0 && percent >= FULL_PERCENT) {
+                this.estimator.learnTail(step.spec.image, neighbours, figure);
+            }
+        }
+    }
+
+    private describeServer(task: Task): ServerView {
+        const { image, tailTargetMs } = task.step.spec;
+        return { tailMs: task.figure, targetMs: tailTargetMs, aloneMs: this.estimator.estimateAlone(image) };
+    }
+
+    private describeFiller(task: Task, servers: readonly Task[], link: WorkerLink): FillerView {
+        const harmsMs = servers.map(server => this.estimateHarm(server.step.spec, task.step.spec, link));
+        return { key: formatTaskKey(task.ref), harmsMs, percent: task.pace };
     }
 
     private async sendPace(task: Task, link: WorkerLink, percent: number): Promise<void> {
-        const { workers, term } = this.parts;
+        const { workers, term, metrics } = this.parts;
         const { id, address } = link.entry;
         const { run } = task;
         this.underWay.add(task);
+        metrics.count("pace_orders_total", percent < task.pace ? "down" : "up");
         const outcome = await workers.pace({ id, address }, task.ref, run, percent, term);
         this.underWay.delete(task);
         if (outcome === OrderOutcome.Accepted && task.run === run) {
@@ -63,7 +139,3 @@
 function isServing(task: Task): boolean {
     return task.step.spec.tailTargetMs > 0;
 }
-
-function describeServer(task: Task): ServerView {
-    return { tailMs: task.figure, targetMs: task.step.spec.tailTargetMs };
-}
--- a/packages/coordinate-work/src/workRound.ts
+++ b/packages/coordinate-work/src/workRound.ts
@@ -12,6 +12,7 @@
 import type { JobBook } from "./jobBook.js";
 import { STARTS_A_ROUND } from "./limits.js";
 import type { OrderDesk } from "./orderDesk.js";
+import type { PaceDesk } from "./paceDesk.js";
 import type { ProgressWriter } from "./progressWriter.js";
 import type { RunBook } from "./runBook.js";
 
@@ -30,6 +31,7 @@
     readonly orders: OrderDesk;
     readonly runs: RunBook;
     readonly advice: AdviceBook;
+    readonly pace: PaceDesk;
     readonly durations: DurationBook;
 }
 
@@ -52,6 +54,7 @@
         const plan = planStarts(demands, rooms, {
             maxStarts: STARTS_A_ROUND,
             isAdvised: (task, workerId) => this.round.advice.isAdvised(task, workerId),
+            estimateStrain: (workerId, spec) => this.estimateStrain(workerId, spec),
         });
         plan.starts.forEach(({ task, workerId }) => this.orderStart(task, workerId, nowMs));
         let displacements = 0;
@@ -66,6 +69,11 @@
         return nextDueMs;
     }
 
+    private estimateStrain(workerId: string, spec: StepRun["spec"]): number {
+        const link = this.round.fleet.links.get(workerId);
+        return link === undefined ? 0 : this.round.pace.estimateStrain(link, spec);
+    }
+
     private buildDemand(step: StepRun, waiting: Task[]): StepDemand {
         const { occurrence } = step;
         const { queue } = occurrence.job;
@@ -101,7 +109,7 @@
         applyRunStart(task, workerId, run, nowMs);
         link.tasks.add(task);
         const fields = { task: formatTaskKey(task.ref), run, worker: workerId };
-        this.parts.logger.info("run-order", { ...fields, tasksThere: link.tasks.size, pace: link.pace.percent });
+        this.parts.logger.info("run-order", { ...fields, tasksThere: link.tasks.size });
         this.round.writer.note(job.id, job);
         this.round.writer.waitRecorded(() => this.sendStart(task, run, workerId), true);
     }
--- a/packages/coordinate-work/src/workerLink.ts
+++ b/packages/coordinate-work/src/workerLink.ts
@@ -33,7 +33,7 @@
     startsUnderWay = 0;
     readonly waitingStarts: (() => void)[] = [];
     lastOutcome: OrderOutcome | undefined;
-    pace: PaceState = { percent: 100, overSinceMs: undefined, changedAtMs: 0 };
+    pace: PaceState = { overSinceMs: undefined, heldUntilMs: 0 };
     /** Wakes the hold loop when ends have been recorded. */
     wakeHold: (() => void) | undefined;
     /** Failed runs in a row, and the jobs that they belonged to. */
@@ -76,6 +76,6 @@
         this.failedJobs.clear();
         this.isOnTrial = false;
         this.probationUntilMs = 0;
-        this.pace = { percent: 100, overSinceMs: undefined, changedAtMs: 0 };
+        this.pace = { overSinceMs: undefined, heldUntilMs: 0 };
     }
 }
--- a/packages/plan-pace/src/serverView.ts
+++ b/packages/plan-pace/src/serverView.ts
@@ -4,4 +4,6 @@
     readonly tailMs: number;
     /** The bound of the tail, in milliseconds. */
     readonly targetMs: number;
+    /** Its usual tail without neighbours, in milliseconds. */
+    readonly aloneMs: number;
 }
--- a/packages/plan-starts/src/planGang.ts
+++ b/packages/plan-starts/src/planGang.ts
@@ -1,3 +1,4 @@
+import type { StepSpec } from "@sardinestage/describe-work";
 import type { Task } from "@sardinestage/track-jobs";
 import { computePlaceScore } from "./computePlaceScore.js";
 import { hasRoom } from "./hasRoom.js";
@@ -7,6 +8,12 @@
 import { takeRoom } from "./takeRoom.js";
 import type { WorkerRoom } from "./workerRoom.js";
 
+/** What the placing of a gang takes into account. */
+interface GangRules {
+    readonly isAdvised: (task: Task, workerId: string) => boolean;
+    readonly estimateStrain: (workerId: string, spec: StepSpec) => number;
+}
+
 /**
  * Places all tasks of a gang, or none: part of a gang would only hold room. A gang that is faster in one rack is
  * tried rack by rack first.
@@ -17,7 +24,7 @@
 export function planGang(
     demand: StepDemand,
     rooms: readonly WorkerRoom[],
-    isAdvised: (task: Task, workerId: string) => boolean,
+    rules: GangRules,
     starts: PlannedStart[],
 ): boolean {
     const { step } = demand;
@@ -28,7 +35,7 @@
     const racks = step.spec.sameRack ? [...new Set(usable.map(room => room.rack))] : [];
     const candidates = [...racks.map(rack => usable.filter(room => room.rack === rack)), usable];
     for (const candidate of candidates) {
-        const found = tryPlacing(demand, candidate, isAdvised);
+        const found = tryPlacing(demand, candidate, rules);
         if (found !== undefined) {
             for (const start of found) {
                 takeRoom(start.room, step.spec);
@@ -49,17 +56,18 @@
 function tryPlacing(
     demand: StepDemand,
     rooms: readonly WorkerRoom[],
-    isAdvised: (task: Task, workerId: string) => boolean,
+    rules: GangRules,
 ): Placed[] | undefined {
     const { spec } = demand.step;
     const copies = rooms.map(room => ({ room, copy: { ...room }, taken: 0 }));
     const placed: Placed[] = [];
+    const score = (room: WorkerRoom) => computePlaceScore(room, spec, rules.estimateStrain(room.workerId, spec));
     for (const task of demand.waiting) {
         const best = copies
             .filter(entry => hasRoom(entry.copy, spec))
             .filter(entry => spec.maxTasksPerWorker === 0 || entry.taken < spec.maxTasksPerWorker)
-            .filter(entry => isAdvised(task, entry.room.workerId))
-            .sort((left, right) => computePlaceScore(right.copy, spec) - computePlaceScore(left.copy, spec))
+            .filter(entry => rules.isAdvised(task, entry.room.workerId))
+            .sort((left, right) => score(right.copy) - score(left.copy))
             .at(0);
         if (best === undefined) {
             return undefined;
--- a/packages/plan-starts/src/planStarts.ts
+++ b/packages/plan-starts/src/planStarts.ts
@@ -1,3 +1,4 @@
+import type { StepSpec } from "@sardinestage/describe-work";
 import type { Task } from "@sardinestage/track-jobs";
 import { compareDemands } from "./compareDemands.js";
 import { computePlaceScore } from "./computePlaceScore.js";
@@ -10,12 +11,17 @@
 import { takeRoom } from "./takeRoom.js";
 import type { WorkerRoom } from "./workerRoom.js";
 
+/** A worker on which the task has failed is the last choice. */
+const FAILED_THERE_PENALTY = 10;
+
 /** What a round may not do. */
 interface StartRules {
     /** At most so many starts in one round; the next round follows at once. */
     readonly maxStarts: number;
     /** Whether the advice service, where the queue has one, lets the task run there. */
     readonly isAdvised: (task: Task, workerId: string) => boolean;
+    /** How close serving tasks on a worker would come to their targets if a task of the step joined, as a share. */
+    readonly estimateStrain: (workerId: string, spec: StepSpec) => number;
 }
 
 /**
@@ -37,7 +43,7 @@
             break;
         }
         const isMet = demand.step.spec.gang
-            ? planGang(demand, rooms, rules.isAdvised, starts)
+            ? planGang(demand, rooms, rules, starts)
             : planTasks(demand, rooms, rules, starts);
         if (!isMet) {
             unmet.push(demand);
@@ -99,7 +105,9 @@
             continue;
         }
         // A task that failed there gets its next chance elsewhere: the worker may be at fault.
-        const score = computePlaceScore(room, spec) - (room.workerId === task.lastFailedOn ? 10 : 0);
+        const strain = rules.estimateStrain(room.workerId, spec);
+        const failed = room.workerId === task.lastFailedOn ? FAILED_THERE_PENALTY : 0;
+        const score = computePlaceScore(room, spec, strain) - failed;
         if (score > bestScore && rules.isAdvised(task, room.workerId)) {
             best = room;
             bestScore = score;
--- a/packages/plan-starts/src/workerRoom.ts
+++ b/packages/plan-starts/src/workerRoom.ts
@@ -14,8 +14,6 @@
     fillCpuMillis: number;
     /** How many serving tasks run there. */
     servingTasks: number;
-    /** How much filling tasks are slowed there to protect serving ones: 0 not at all, 1 fully. */
-    fillStrain: number;
     /** How many more starts it may get in this round; a worker on probation gets few. */
     startsLeft: number;
 }
