--- a/packages/coordinate-work/src/paceDesk.ts
+++ b/packages/coordinate-work/src/paceDesk.ts
@@ -4,6 +4,7 @@
 import { TailEstimator } from "@sardinestage/learn-behaviour";
 import type { FillerView, PaceRules, ServerView } from "@sardinestage/plan-pace";
 import { planPace } from "@sardinestage/plan-pace";
+import type { PlaceView } from "@sardinestage/plan-starts";
 import type { Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
 import type { CoordinatorParts } from "./coordinatorParts.js";
@@ -12,10 +13,14 @@
 
 /** The figures of a worker cover this time, in milliseconds. */
 const FIGURE_WINDOW_MS = 500;
+/** Share of the bound on harm after which what does harm stands still. */
+const HALT_SHARE = 0.15;
 /** Share of the bound on harm after which everything that fills stands still. */
-const HALT_SHARE = 0.25;
+const HALT_ALL_SHARE = 0.4;
 /** Share of the bound on harm after which standing still is taken not to help. */
 const STOP_SHARE = 0.6;
+/** A filling task that raises any tail by so much needs a place of its own, in milliseconds. */
+const HARMFUL_MS = 8;
 const FULL_PERCENT = 100;
 
 /** Slows filling tasks where serving tasks beside them suffer, and stops them where that isn't enough. */
@@ -30,6 +35,7 @@
         this.rules = {
             settleMs: paceMs + FIGURE_WINDOW_MS,
             haltAfterMs: harmMs * HALT_SHARE,
+            haltAllAfterMs: harmMs * HALT_ALL_SHARE,
             stopAfterMs: harmMs * STOP_SHARE,
         };
     }
@@ -62,29 +68,43 @@
         }
     }
 
-    /**
-     * Estimates how close serving tasks on a worker would come to their targets if a task joined them.
-     *
-     * @returns The worst tail as a share of its target; 0 where nobody serves.
-     */
-    estimateStrain(link: WorkerLink, spec: StepSpec): number {
-        let worst = 0;
+    /** What is known of a task of a step beside those that a worker has. */
+    describePlace(link: WorkerLink, spec: StepSpec): PlaceView {
+        if (!spec.fillsLeftover && spec.tailTargetMs === 0) {
+            return { strain: 0, isHarmful: false, sameImageShare: 0 };
+        }
+        const servers: Task[] = [];
+        const fillers: StepSpec[] = spec.fillsLeftover ? [spec] : [];
         for (const task of link.tasks) {
-            const other = task.step.spec;
-            if (other.tailTargetMs > 0 && spec.fillsLeftover) {
-                const addedMs = this.estimateHarm(other, spec, link);
-                worst = Math.max(worst, (this.getTail(task) + addedMs) / other.tailTargetMs);
+            if (isServing(task)) {
+                servers.push(task);
             }
-            if (spec.tailTargetMs > 0 && other.fillsLeftover) {
-                const addedMs = this.estimateHarm(spec, other, link);
-                worst = Math.max(worst, (this.estimator.estimateAlone(spec.image) + addedMs) / spec.tailTargetMs);
+            else if (task.step.spec.fillsLeftover) {
+                fillers.push(task.step.spec);
             }
         }
-        return worst;
+        const specs = servers.map(task => task.step.spec).concat(spec.tailTargetMs > 0 ? [spec] : []);
+        const strain = Math.max(0, ...specs.map(server => this.estimateStrain(server, fillers, link)));
+        const same = servers.filter(task => task.step.spec.image === spec.image).length;
+        return {
+            strain,
+            isHarmful: spec.fillsLeftover && this.isHarmful(spec, link),
+            sameImageShare: servers.length === 0 ? 0 : same / servers.length,
+        };
+    }
+
+    /** The expected tail of a serving task beside some filling ones at full speed, as a share of its target. */
+    private estimateStrain(server: StepSpec, fillers: readonly StepSpec[], link: WorkerLink): number {
+        let tailMs = this.estimator.estimateAlone(server.image);
+        for (const filler of fillers) {
+            tailMs += this.estimateHarm(server, filler, link);
+        }
+        return tailMs / server.tailTargetMs;
     }
 
-    private getTail(task: Task): number {
-        return task.figure > 0 ? task.figure : this.estimator.estimateAlone(task.step.spec.image);
+    private isHarmful(filler: StepSpec, link: WorkerLink): boolean {
+        const weight = filler.cpuMillis / Math.max(1, link.entry.capacity.cpuMillis);
+        return this.estimator.estimateWorstHarm(filler.image) * weight >= HARMFUL_MS;
     }
 
     private estimateHarm(server: StepSpec, filler: StepSpec, link: WorkerLink): number {
--- a/packages/coordinate-work/src/workRound.ts
+++ b/packages/coordinate-work/src/workRound.ts
@@ -1,5 +1,5 @@
 import { formatTaskKey } from "@sardinestage/describe-work";
-import type { StepDemand } from "@sardinestage/plan-starts";
+import type { PlaceView, StepDemand } from "@sardinestage/plan-starts";
 import { planDisplacement, planStarts } from "@sardinestage/plan-starts";
 import type { StepRun, Task } from "@sardinestage/track-jobs";
 import { applyRunStart, computeRemainingChain, TaskPhase } from "@sardinestage/track-jobs";
@@ -23,6 +23,9 @@
 /** A step whose tasks were promised room gets no more for so long, in milliseconds. */
 const DISPLACEMENT_PAUSE_MS = 1000;
 
+/** A place of which nothing is known. */
+const UNKNOWN_PLACE: PlaceView = { strain: 0, isHarmful: false, sameImageShare: 0 };
+
 /** What a round works on. */
 interface RoundParts {
     readonly jobs: JobBook;
@@ -54,7 +57,7 @@
         const plan = planStarts(demands, rooms, {
             maxStarts: STARTS_A_ROUND,
             isAdvised: (task, workerId) => this.round.advice.isAdvised(task, workerId),
-            estimateStrain: (workerId, spec) => this.estimateStrain(workerId, spec),
+            describePlace: (workerId, spec) => this.describePlace(workerId, spec),
         });
         plan.starts.forEach(({ task, workerId }) => this.orderStart(task, workerId, nowMs));
         let displacements = 0;
@@ -69,9 +72,9 @@
         return nextDueMs;
     }
 
-    private estimateStrain(workerId: string, spec: StepRun["spec"]): number {
+    private describePlace(workerId: string, spec: StepRun["spec"]): PlaceView {
         const link = this.round.fleet.links.get(workerId);
-        return link === undefined ? 0 : this.round.pace.estimateStrain(link, spec);
+        return link === undefined ? UNKNOWN_PLACE : this.round.pace.describePlace(link, spec);
     }
 
     private buildDemand(step: StepRun, waiting: Task[]): StepDemand {
--- /dev/null
+++ b/packages/learn-behaviour/src/linearEstimator.ts
@@ -0,0 +1,74 @@
+/** Variance of a figure that the model doesn't explain, in square milliseconds. */
+const NOISE_VARIANCE = 150;
+/** Variance of a coefficient of which nothing is known, in square milliseconds for a whole worker. */
+const PRIOR_VARIANCE = 250_000;
+/** How fast old figures lose weight at each new one: harm changes within seconds to minutes. */
+const FORGETTING = 0.9995;
+/** A coefficient's variance never grows beyond what is known before the first figure. */
+const MAX_VARIANCE = PRIOR_VARIANCE;
+
+/** Recursive least squares of a sum of named inputs, each times an unknown coefficient. */
+export class LinearEstimator {
+    private readonly indices = new Map<string, number>();
+    private readonly coefficients: number[] = [];
+    private readonly covariance: number[][] = [];
+
+    /** Takes an observed value of the sum. */
+    learn(inputs: ReadonlyMap<string, number>, observed: number): void {
+        for (const name of inputs.keys()) {
+            this.addInput(name);
+        }
+        const size = this.coefficients.length;
+        const values = new Array<number>(size).fill(0);
+        inputs.forEach((value, name) => values[this.indices.get(name) ?? 0] = value);
+        const gains = this.covariance.map(row => row.reduce((sum, entry, column) => sum + entry * values[column], 0));
+        const variance = gains.reduce((sum, gain, index) => sum + gain * values[index], NOISE_VARIANCE);
+        const predicted = this.coefficients.reduce((sum, entry, index) => sum + entry * values[index], 0);
+        const error = observed - predicted;
+        for (let row = 0; row < size; row++) {
+            this.coefficients[row] += gains[row] * error / variance;
+            for (let column = 0; column < size; column++) {
+                this.covariance[row][column] -= gains[row] * gains[column] / variance;
+            }
+        }
+        this.forget(values);
+    }
+
+    /** The coefficient of an input; 0 while nothing is known of it. */
+    getCoefficient(name: string): number {
+        const index = this.indices.get(name);
+        return index === undefined ? 0 : this.coefficients[index];
+    }
+
+    /** How uncertain the coefficient is: its standard deviation. */
+    getDeviation(name: string): number {
+        const index = this.indices.get(name);
+        return Math.sqrt(index === undefined ? PRIOR_VARIANCE : Math.max(0, this.covariance[index][index]));
+    }
+
+    /** Only inputs that were seen lose certainty, so that what isn't tried any more isn't forgotten. */
+    private forget(values: readonly number[]): void {
+        for (let row = 0; row < values.length; row++) {
+            if (values[row] !== 0 && this.covariance[row][row] < MAX_VARIANCE) {
+                for (let column = 0; column < values.length; column++) {
+                    this.covariance[row][column] /= FORGETTING;
+                    if (column !== row) {
+                        this.covariance[column][row] /= FORGETTING;
+                    }
+                }
+            }
+        }
+    }
+
+    private addInput(name: string): void {
+        if (this.indices.has(name)) {
+            return;
+        }
+        this.indices.set(name, this.coefficients.length);
+        this.coefficients.push(0);
+        this.covariance.forEach(row => row.push(0));
+        const size = this.coefficients.length;
+        this.covariance.push(new Array<number>(size).fill(0));
+        this.covariance[size - 1][size - 1] = PRIOR_VARIANCE;
+    }
+}
--- a/packages/plan-pace/src/paceRules.ts
+++ b/packages/plan-pace/src/paceRules.ts
@@ -2,8 +2,10 @@
 export interface PaceRules {
     /** Time until a new pace shows in the figures, in milliseconds. */
     readonly settleMs: number;
-    /** Over the target for so long: all filling tasks stand still. */
+    /** Over the target for so long: filling tasks that do harm stand still. */
     readonly haltAfterMs: number;
+    /** Over the target for so long: all filling tasks stand still. */
+    readonly haltAllAfterMs: number;
     /** Over the target for so long with filling tasks at work: they are stopped for good. */
     readonly stopAfterMs: number;
 }
--- a/packages/plan-pace/src/planPace.ts
+++ b/packages/plan-pace/src/planPace.ts
@@ -14,8 +14,8 @@
 
 /**
  * Decides how fast the filling tasks of one worker may work. What a serving task would take alone right now is its
- * measured tail less what its neighbours are known to add; what is left under its target is shared by those that add
- * to it. Where that doesn't help, everything stands still for a while.
+ * measured tail less what its neighbours are known to add; what is left under its target goes to those that add to it,
+ * in their order. Where that doesn't help, what does harm stands still for a while, then everything.
  *
  * @param servers The serving tasks on the worker.
  * @param fillers The filling tasks on it.
@@ -34,8 +34,10 @@
     const overMs = overSinceMs === undefined ? 0 : nowMs - overSinceMs;
     const mustHalt = overMs >= rules.haltAfterMs;
     const percents = new Map<string, number>();
+    const lefts = servers.map(server => computeLeft(server, fillers, servers.indexOf(server)));
     for (const filler of fillers) {
-        const allowed = mustHalt ? 0 : computeAllowed(servers, fillers, filler);
+        const isHarmful = filler.harmsMs.some((harmMs, index) => harmMs >= HARMLESS_SHARE * servers[index].targetMs);
+        const allowed = mustHalt && (isHarmful || overMs >= rules.haltAllAfterMs) ? 0 : allow(filler, servers, lefts);
         const mayRise = allowed < filler.percent || nowMs >= state.heldUntilMs;
         percents.set(filler.key, mayRise ? allowed : filler.percent);
     }
@@ -47,23 +49,22 @@
     };
 }
 
-function computeAllowed(servers: readonly ServerView[], fillers: readonly FillerView[], filler: FillerView): number {
+/** What filling tasks may add to a serving task's tail, in milliseconds. */
+function computeLeft(server: ServerView, fillers: readonly FillerView[], index: number): number {
+    const addedMs = fillers.reduce((sum, filler) => sum + filler.harmsMs[index] * filler.percent / FULL_PERCENT, 0);
+    const ownMs = Math.max(server.tailMs - addedMs, server.aloneMs);
+    return Math.max(0, AIM_SHARE * server.targetMs - ownMs);
+}
+
+/** Allows a filling task as much as is left, and takes that away: some at full speed are worth more than all at none. */
+function allow(filler: FillerView, servers: readonly ServerView[], lefts: number[]): number {
     let share = 1;
-    servers.forEach((server, index) => {
-        const isHarmless = (harmMs: number) => harmMs < HARMLESS_SHARE * server.targetMs;
-        if (server.tailMs <= 0 || isHarmless(filler.harmsMs[index])) {
-            return;
-        }
-        let addedMs = 0;
-        let atFullMs = 0;
-        for (const other of fillers) {
-            const harmMs = other.harmsMs[index];
-            addedMs += harmMs * other.percent / FULL_PERCENT;
-            atFullMs += isHarmless(harmMs) ? 0 : harmMs;
+    filler.harmsMs.forEach((harmMs, index) => {
+        if (harmMs >= HARMLESS_SHARE * servers[index].targetMs) {
+            share = Math.min(share, lefts[index] / harmMs);
         }
-        const ownMs = Math.max(server.tailMs - addedMs, server.aloneMs);
-        const leftMs = Math.max(0, AIM_SHARE * server.targetMs - ownMs);
-        share = Math.min(share, leftMs / atFullMs);
     });
-    return Math.floor(share * FULL_PERCENT / STEP_PERCENT) * STEP_PERCENT;
+    const percent = Math.floor(share * FULL_PERCENT / STEP_PERCENT) * STEP_PERCENT;
+    filler.harmsMs.forEach((harmMs, index) => lefts[index] = Math.max(0, lefts[index] - harmMs * percent / FULL_PERCENT));
+    return percent;
 }
--- a/packages/plan-starts/src/computePlaceScore.ts
+++ b/packages/plan-starts/src/computePlaceScore.ts
@@ -1,4 +1,5 @@
 import type { StepSpec } from "@sardinestage/describe-work";
+import type { PlaceView } from "./placeView.js";
 import type { WorkerRoom } from "./workerRoom.js";
 
 /** Weight of the data's rack: a task takes half as long again elsewhere. */
@@ -7,20 +8,27 @@
 const MILD_STRAIN = 0.75;
 /** Weight of strain above that. */
 const STRAIN_PENALTY = 4;
+/** Weight of a place without serving tasks for one that harms nobody: harmful ones need such places. */
+const SPARED_PLACE_PENALTY = 0.4;
+/** Weight of the share of serving tasks there that run the same image: what suffers alike is best kept together. */
+const SAME_IMAGE_BONUS = 0.5;
 /** Share of their reserved processor that other tasks are taken to use. */
 const USED_SHARE = 0.6;
 
 /**
- * Scores a worker for one task of a step; the highest score wins. Filling tasks go where most processor is left
- * over; all others go where they leave the fewest filling tasks short. Nothing goes where serving tasks would suffer
- * while there is a milder place.
- *
- * @param strain How close serving tasks would come to their targets, as a share.
+ * Scores a worker for one task of a step; the highest score wins. Filling tasks go where most processor is left over
+ * and nobody suffers. Serving tasks are packed, those of one image together, so that some workers stay free of them
+ * for what would harm them. Everything else goes where it leaves the fewest filling tasks short.
  */
-export function computePlaceScore(room: WorkerRoom, spec: StepSpec, strain: number): number {
+export function computePlaceScore(room: WorkerRoom, spec: StepSpec, view: PlaceView): number {
     const capacity = Math.max(1, room.capacityCpuMillis);
     const reserved = capacity - room.freeCpuMillis;
     const leftover = (capacity - reserved * USED_SHARE - room.fillCpuMillis - spec.cpuMillis) / capacity;
     const away = spec.preferredRack !== "" && !room.labels.includes(spec.preferredRack) ? AWAY_FROM_DATA_PENALTY : 0;
-    return leftover - away - Math.max(0, strain - MILD_STRAIN) * STRAIN_PENALTY;
+    const strain = Math.max(0, view.strain - MILD_STRAIN) * STRAIN_PENALTY;
+    if (spec.tailTargetMs > 0) {
+        return view.sameImageShare * SAME_IMAGE_BONUS + reserved / capacity - away - strain;
+    }
+    const isSpared = spec.fillsLeftover && !view.isHarmful && room.servingTasks === 0;
+    return leftover - away - strain - (isSpared ? SPARED_PLACE_PENALTY : 0);
 }
--- a/packages/plan-starts/src/planGang.ts
+++ b/packages/plan-starts/src/planGang.ts
@@ -3,6 +3,7 @@
 import { computePlaceScore } from "./computePlaceScore.js";
 import { hasRoom } from "./hasRoom.js";
 import { mayRunOn } from "./mayRunOn.js";
+import type { PlaceView } from "./placeView.js";
 import type { PlannedStart } from "./plannedStart.js";
 import type { StepDemand } from "./stepDemand.js";
 import { takeRoom } from "./takeRoom.js";
@@ -11,7 +12,7 @@
 /** What the placing of a gang takes into account. */
 interface GangRules {
     readonly isAdvised: (task: Task, workerId: string) => boolean;
-    readonly estimateStrain: (workerId: string, spec: StepSpec) => number;
+    readonly describePlace: (workerId: string, spec: StepSpec) => PlaceView;
 }
 
 /**
@@ -61,7 +62,7 @@
     const { spec } = demand.step;
     const copies = rooms.map(room => ({ room, copy: { ...room }, taken: 0 }));
     const placed: Placed[] = [];
-    const score = (room: WorkerRoom) => computePlaceScore(room, spec, rules.estimateStrain(room.workerId, spec));
+    const score = (room: WorkerRoom) => computePlaceScore(room, spec, rules.describePlace(room.workerId, spec));
     for (const task of demand.waiting) {
         const best = copies
             .filter(entry => hasRoom(entry.copy, spec))
--- a/packages/plan-starts/src/planStarts.ts
+++ b/packages/plan-starts/src/planStarts.ts
@@ -5,12 +5,17 @@
 import { hasRoom } from "./hasRoom.js";
 import { mayRunOn } from "./mayRunOn.js";
 import { planGang } from "./planGang.js";
+import type { PlaceView } from "./placeView.js";
 import type { PlannedStart } from "./plannedStart.js";
 import type { StartPlan } from "./startPlan.js";
 import type { StepDemand } from "./stepDemand.js";
 import { takeRoom } from "./takeRoom.js";
 import type { WorkerRoom } from "./workerRoom.js";
 
+/** A filling task with slack rather waits than goes where serving tasks would miss their targets. */
+const MOST_STRAIN = 1;
+/** Slack from which a filling task may wait for a milder place, in milliseconds. */
+const WAIT_WITH_SLACK_MS = 400;
 /** A worker on which the task has failed is the last choice. */
 const FAILED_THERE_PENALTY = 10;
 
@@ -20,8 +25,8 @@
     readonly maxStarts: number;
     /** Whether the advice service, where the queue has one, lets the task run there. */
     readonly isAdvised: (task: Task, workerId: string) => boolean;
-    /** How close serving tasks on a worker would come to their targets if a task of the step joined, as a share. */
-    readonly estimateStrain: (workerId: string, spec: StepSpec) => number;
+    /** What is known of a task of a step beside those that a worker has. */
+    readonly describePlace: (workerId: string, spec: StepSpec) => PlaceView;
 }
 
 /**
@@ -61,11 +66,12 @@
     const { step } = demand;
     const usable = rooms.filter(room => mayRunOn(step, room));
     const perWorker = countPerWorker(demand);
+    const mayWait = step.spec.fillsLeftover && demand.slackMs > WAIT_WITH_SLACK_MS;
     for (const task of demand.waiting) {
         if (starts.length >= rules.maxStarts) {
             return true;
         }
-        const room = chooseRoom(task, usable, perWorker, rules);
+        const room = chooseRoom(task, usable, perWorker, mayWait, rules);
         if (room === undefined) {
             return false;
         }
@@ -92,6 +98,7 @@
     task: Task,
     rooms: readonly WorkerRoom[],
     perWorker: ReadonlyMap<string, number>,
+    mayWait: boolean,
     rules: StartRules,
 ): WorkerRoom | undefined {
     const { spec } = task.step;
@@ -105,9 +112,12 @@
             continue;
         }
         // A task that failed there gets its next chance elsewhere: the worker may be at fault.
-        const strain = rules.estimateStrain(room.workerId, spec);
+        const view = rules.describePlace(room.workerId, spec);
+        if (mayWait && view.strain > MOST_STRAIN) {
+            continue;
+        }
         const failed = room.workerId === task.lastFailedOn ? FAILED_THERE_PENALTY : 0;
-        const score = computePlaceScore(room, spec, strain) - failed;
+        const score = computePlaceScore(room, spec, view) - failed;
         if (score > bestScore && rules.isAdvised(task, room.workerId)) {
             best = room;
             bestScore = score;
