--- a/packages/coordinate-work/src/buildRooms.ts
+++ b/packages/coordinate-work/src/buildRooms.ts
@@ -25,20 +25,24 @@
         freeMemoryMb: entry.capacity.memoryMb,
         freeAccelerators: entry.capacity.accelerators,
         fillCpuMillis: 0,
-        servingTasks: 0,
+        servers: [],
+        fillers: [],
         startsLeft,
     };
     for (const task of link.tasks) {
         const { spec } = task.step;
         if (spec.fillsLeftover) {
             room.fillCpuMillis += spec.cpuMillis;
+            room.fillers.push(spec);
         }
         else {
             room.freeCpuMillis -= spec.cpuMillis;
         }
+        if (spec.tailTargetMs > 0) {
+            room.servers.push(spec);
+        }
         room.freeMemoryMb -= spec.memoryMb;
         room.freeAccelerators -= spec.accelerators;
-        room.servingTasks += spec.tailTargetMs > 0 ? 1 : 0;
     }
     return room;
 }
--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -444,6 +444,7 @@
             fillCpuMillis: fillers.reduce((sum, task) => sum + task.step.spec.cpuMillis, 0),
             fillCpuUsed: fillers.reduce((sum, task) => sum + task.figure, 0),
             fillPace: Math.round(fillers.reduce((sum, task) => sum + task.pace, 0) / Math.max(1, fillers.length)),
+            freeOfServing: links.filter(link => ![...link.tasks].some(task => task.step.spec.tailTargetMs > 0)).length,
             halted: fillers.filter(task => task.pace === 0).length,
         });
     }
--- a/packages/coordinate-work/src/paceDesk.ts
+++ b/packages/coordinate-work/src/paceDesk.ts
@@ -4,7 +4,7 @@
 import { TailEstimator } from "@sardinestage/learn-behaviour";
 import type { FillerView, PaceRules, ServerView } from "@sardinestage/plan-pace";
 import { planPace } from "@sardinestage/plan-pace";
-import type { PlaceView } from "@sardinestage/plan-starts";
+import type { PlaceView, WorkerRoom } from "@sardinestage/plan-starts";
 import type { Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
 import type { CoordinatorParts } from "./coordinatorParts.js";
@@ -22,6 +22,8 @@
 /** A filling task that raises any tail by so much needs a place of its own, in milliseconds. */
 const HARMFUL_MS = 8;
 const FULL_PERCENT = 100;
+/** A place that neither suffers nor does harm. */
+const NEUTRAL_PLACE: PlaceView = { strain: 0, isHarmful: false, sameImageShare: 0 };
 
 /** Slows filling tasks where serving tasks beside them suffer, and stops them where that isn't enough. */
 export class PaceDesk {
@@ -69,46 +71,38 @@
     }
 
     /** What is known of a task of a step beside those that a worker has. */
-    describePlace(link: WorkerLink, spec: StepSpec): PlaceView {
+    describePlace(room: WorkerRoom, spec: StepSpec): PlaceView {
         if (!spec.fillsLeftover && spec.tailTargetMs === 0) {
-            return { strain: 0, isHarmful: false, sameImageShare: 0 };
+            return NEUTRAL_PLACE;
         }
-        const servers: Task[] = [];
-        const fillers: StepSpec[] = spec.fillsLeftover ? [spec] : [];
-        for (const task of link.tasks) {
-            if (isServing(task)) {
-                servers.push(task);
-            }
-            else if (task.step.spec.fillsLeftover) {
-                fillers.push(task.step.spec);
-            }
-        }
-        const specs = servers.map(task => task.step.spec).concat(spec.tailTargetMs > 0 ? [spec] : []);
-        const strain = Math.max(0, ...specs.map(server => this.estimateStrain(server, fillers, link)));
-        const same = servers.filter(task => task.step.spec.image === spec.image).length;
+        const { servers, capacityCpuMillis: capacity } = room;
+        const fillers = spec.fillsLeftover ? [...room.fillers, spec] : room.fillers;
+        const exposed = spec.tailTargetMs > 0 ? [...servers, spec] : servers;
+        const strain = Math.max(0, ...exposed.map(server => this.estimateStrain(server, fillers, capacity)));
+        const same = servers.filter(server => server.image === spec.image).length;
         return {
             strain,
-            isHarmful: spec.fillsLeftover && this.isHarmful(spec, link),
+            isHarmful: spec.fillsLeftover && this.isHarmful(spec, capacity),
             sameImageShare: servers.length === 0 ? 0 : same / servers.length,
         };
     }
 
     /** The expected tail of a serving task beside some filling ones at full speed, as a share of its target. */
-    private estimateStrain(server: StepSpec, fillers: readonly StepSpec[], link: WorkerLink): number {
+    private estimateStrain(server: StepSpec, fillers: readonly StepSpec[], capacity: number): number {
         let tailMs = this.estimator.estimateAlone(server.image);
         for (const filler of fillers) {
-            tailMs += this.estimateHarm(server, filler, link);
+            tailMs += this.estimateHarm(server, filler, capacity);
         }
         return tailMs / server.tailTargetMs;
     }
 
-    private isHarmful(filler: StepSpec, link: WorkerLink): boolean {
-        const weight = filler.cpuMillis / Math.max(1, link.entry.capacity.cpuMillis);
+    private isHarmful(filler: StepSpec, capacity: number): boolean {
+        const weight = filler.cpuMillis / Math.max(1, capacity);
         return this.estimator.estimateWorstHarm(filler.image) * weight >= HARMFUL_MS;
     }
 
-    private estimateHarm(server: StepSpec, filler: StepSpec, link: WorkerLink): number {
-        const weight = filler.cpuMillis / Math.max(1, link.entry.capacity.cpuMillis);
+    private estimateHarm(server: StepSpec, filler: StepSpec, capacity: number): number {
+        const weight = filler.cpuMillis / Math.max(1, capacity);
         return this.estimator.estimateHarm(server.image, filler.image) * weight;
     }
 
@@ -135,7 +129,7 @@
     }
 
     private describeFiller(task: Task, servers: readonly Task[], link: WorkerLink): FillerView {
-        const harmsMs = servers.map(server => this.estimateHarm(server.step.spec, task.step.spec, link));
+        const harmsMs = servers.map(server => this.estimateHarm(server.step.spec, task.step.spec, link.entry.capacity.cpuMillis));
         return { key: formatTaskKey(task.ref), harmsMs, percent: task.pace };
     }
 
@@ -149,6 +143,7 @@
         this.underWay.delete(task);
         if (outcome === OrderOutcome.Accepted && task.run === run) {
             task.pace = percent;
+            task.pacedAtMs = this.parts.clock.getNow();
         }
         else if (outcome === OrderOutcome.StaleFence) {
             this.parts.onDeposed("pace:stale-fence");
--- a/packages/coordinate-work/src/workRound.ts
+++ b/packages/coordinate-work/src/workRound.ts
@@ -1,6 +1,6 @@
 import { formatTaskKey } from "@sardinestage/describe-work";
-import type { PlaceView, StepDemand } from "@sardinestage/plan-starts";
-import { planDisplacement, planStarts } from "@sardinestage/plan-starts";
+import type { StepDemand, WorkerRoom } from "@sardinestage/plan-starts";
+import { hasRoom, mayRunOn, planDisplacement, planStarts, takeRoom } from "@sardinestage/plan-starts";
 import type { StepRun, Task } from "@sardinestage/track-jobs";
 import { applyRunStart, computeRemainingChain, TaskPhase } from "@sardinestage/track-jobs";
 import type { AdviceBook } from "./adviceBook.js";
@@ -23,8 +23,15 @@
 /** A step whose tasks were promised room gets no more for so long, in milliseconds. */
 const DISPLACEMENT_PAUSE_MS = 1000;
 
-/** A place of which nothing is known. */
-const UNKNOWN_PLACE: PlaceView = { strain: 0, isHarmful: false, sameImageShare: 0 };
+/** Filling tasks that are moved in one round. */
+const MOVES_A_ROUND = 4;
+/** A filling task slowed to this share for so long is better off elsewhere, in percent and in milliseconds. */
+const HALTED_PERCENT = 20;
+const HALTED_MS = 700;
+/** Progress up to which a task without checkpoints is moved, in percent. */
+const CHEAP_PROGRESS_PERCENT = 10;
+/** A place is mild when serving tasks there stay under this share of their targets. */
+const MILD_STRAIN = 0.9;
 
 /** What a round works on. */
 interface RoundParts {
@@ -57,9 +64,10 @@
         const plan = planStarts(demands, rooms, {
             maxStarts: STARTS_A_ROUND,
             isAdvised: (task, workerId) => this.round.advice.isAdvised(task, workerId),
-            describePlace: (workerId, spec) => this.describePlace(workerId, spec),
+            describePlace: (room, spec) => this.round.pace.describePlace(room, spec),
         });
         plan.starts.forEach(({ task, workerId }) => this.orderStart(task, workerId, nowMs));
+        this.moveHalted(rooms, nowMs);
         let displacements = 0;
         for (const demand of plan.unmet) {
             this.requestAdvice(demand, rooms.map(room => room.workerId));
@@ -72,11 +80,6 @@
         return nextDueMs;
     }
 
-    private describePlace(workerId: string, spec: StepRun["spec"]): PlaceView {
-        const link = this.round.fleet.links.get(workerId);
-        return link === undefined ? UNKNOWN_PLACE : this.round.pace.describePlace(link, spec);
-    }
-
     private buildDemand(step: StepRun, waiting: Task[]): StepDemand {
         const { occurrence } = step;
         const { queue } = occurrence.job;
@@ -141,6 +144,32 @@
         this.round.orders.sendStart(task, link);
     }
 
+    /** Filling tasks that stand still beside serving ones go where they can work, if such a place is free. */
+    private moveHalted(rooms: readonly WorkerRoom[], nowMs: number): void {
+        let moves = 0;
+        for (const link of this.round.fleet.links.values()) {
+            for (const task of link.tasks) {
+                if (moves >= MOVES_A_ROUND || !mayMove(task, nowMs)) {
+                    continue;
+                }
+                const { spec } = task.step;
+                const place = rooms.find(room => this.isMildPlace(room, link.entry.id, task));
+                if (place !== undefined) {
+                    takeRoom(place, spec);
+                    moves++;
+                    this.round.orders.sendStop(task, link, "moved");
+                }
+            }
+        }
+    }
+
+    private isMildPlace(room: WorkerRoom, workerId: string, task: Task): boolean {
+        const { spec } = task.step;
+        const isOther = room.workerId !== workerId && mayRunOn(task.step, room) && hasRoom(room, spec);
+        return isOther && room.fillCpuMillis + spec.cpuMillis <= room.capacityCpuMillis
+            && this.round.pace.describePlace(room, spec).strain <= MILD_STRAIN;
+    }
+
     private requestAdvice(demand: StepDemand, workers: readonly string[]): void {
         const task = demand.waiting.at(0);
         if (task !== undefined && task.step.occurrence.job.queue.advice !== undefined) {
@@ -168,3 +197,10 @@
         found.victims.forEach(victim => this.round.orders.sendStop(victim, link, "displaced"));
     }
 }
+
+function mayMove(task: Task, nowMs: number): boolean {
+    const { spec } = task.step;
+    return spec.fillsLeftover && task.phase === TaskPhase.Running && task.pace <= HALTED_PERCENT
+        && nowMs - Math.max(task.pacedAtMs, task.seenAtMs) >= HALTED_MS
+        && (spec.savesProgress || task.percent <= CHEAP_PROGRESS_PERCENT);
+}
--- a/packages/plan-starts/src/computePlaceScore.ts
+++ b/packages/plan-starts/src/computePlaceScore.ts
@@ -29,6 +29,6 @@
     if (spec.tailTargetMs > 0) {
         return view.sameImageShare * SAME_IMAGE_BONUS + reserved / capacity - away - strain;
     }
-    const isSpared = spec.fillsLeftover && !view.isHarmful && room.servingTasks === 0;
+    const isSpared = spec.fillsLeftover && !view.isHarmful && room.servers.length === 0;
     return leftover - away - strain - (isSpared ? SPARED_PLACE_PENALTY : 0);
 }
--- a/packages/plan-starts/src/planGang.ts
+++ b/packages/plan-starts/src/planGang.ts
@@ -12,7 +12,7 @@
 /** What the placing of a gang takes into account. */
 interface GangRules {
     readonly isAdvised: (task: Task, workerId: string) => boolean;
-    readonly describePlace: (workerId: string, spec: StepSpec) => PlaceView;
+    readonly describePlace: (room: WorkerRoom, spec: StepSpec) => PlaceView;
 }
 
 /**
@@ -60,9 +60,9 @@
     rules: GangRules,
 ): Placed[] | undefined {
     const { spec } = demand.step;
-    const copies = rooms.map(room => ({ room, copy: { ...room }, taken: 0 }));
+    const copies = rooms.map(room => ({ room, copy: { ...room, servers: [...room.servers], fillers: [...room.fillers] }, taken: 0 }));
     const placed: Placed[] = [];
-    const score = (room: WorkerRoom) => computePlaceScore(room, spec, rules.describePlace(room.workerId, spec));
+    const score = (room: WorkerRoom) => computePlaceScore(room, spec, rules.describePlace(room, spec));
     for (const task of demand.waiting) {
         const best = copies
             .filter(entry => hasRoom(entry.copy, spec))
--- a/packages/plan-starts/src/planStarts.ts
+++ b/packages/plan-starts/src/planStarts.ts
@@ -26,7 +26,7 @@
     /** Whether the advice service, where the queue has one, lets the task run there. */
     readonly isAdvised: (task: Task, workerId: string) => boolean;
     /** What is known of a task of a step beside those that a worker has. */
-    readonly describePlace: (workerId: string, spec: StepSpec) => PlaceView;
+    readonly describePlace: (room: WorkerRoom, spec: StepSpec) => PlaceView;
 }
 
 /**
@@ -112,7 +112,7 @@
             continue;
         }
         // A task that failed there gets its next chance elsewhere: the worker may be at fault.
-        const view = rules.describePlace(room.workerId, spec);
+        const view = rules.describePlace(room, spec);
         if (mayWait && view.strain > MOST_STRAIN) {
             continue;
         }
--- a/packages/plan-starts/src/takeRoom.ts
+++ b/packages/plan-starts/src/takeRoom.ts
@@ -5,12 +5,15 @@
 export function takeRoom(room: WorkerRoom, spec: StepSpec): void {
     if (spec.fillsLeftover) {
         room.fillCpuMillis += spec.cpuMillis;
+        room.fillers.push(spec);
     }
     else {
         room.freeCpuMillis -= spec.cpuMillis;
     }
     room.freeMemoryMb -= spec.memoryMb;
     room.freeAccelerators -= spec.accelerators;
-    room.servingTasks += spec.tailTargetMs > 0 ? 1 : 0;
+    if (spec.tailTargetMs > 0) {
+        room.servers.push(spec);
+    }
     room.startsLeft--;
 }
--- a/packages/plan-starts/src/workerRoom.ts
+++ b/packages/plan-starts/src/workerRoom.ts
@@ -1,3 +1,5 @@
+import type { StepSpec } from "@sardinestage/describe-work";
+
 /** What a worker has left, as a planning round sees it; the round takes from it. */
 export interface WorkerRoom {
     readonly workerId: string;
@@ -12,8 +14,10 @@
     freeAccelerators: number;
     /** Thousandths of a core that filling tasks asked for. */
     fillCpuMillis: number;
-    /** How many serving tasks run there. */
-    servingTasks: number;
+    /** The steps of the serving tasks there, one entry a task. */
+    readonly servers: StepSpec[];
+    /** The steps of the filling tasks there, one entry a task. */
+    readonly fillers: StepSpec[];
     /** How many more starts it may get in this round; a worker on probation gets few. */
     startsLeft: number;
 }
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -46,6 +46,7 @@
     private storeSeenAtMs = -Infinity;
     private renewalEnd = -1;
     private renewalAtMs = -Infinity;
+    private termReadAtMs = -Infinity;
     private relay: Candidate | undefined;
     private members: readonly Candidate[] = [];
     private readonly followers = new Map<string, { candidate: Candidate; atMs: number; configVersion: number }>();
@@ -267,8 +268,11 @@
         this.storeMs = clock.getNow() - sentAtMs;
         if (view.end !== this.renewalEnd) {
             this.renewalAtMs = this.renewalEnd < 0 ? -Infinity : clock.getNow();
+            // It was written at any time since the last look.
+            this.storeSeenAtMs = Math.max(this.storeSeenAtMs, this.termReadAtMs);
             this.renewalEnd = view.end;
         }
+        this.termReadAtMs = sentAtMs;
         this.takeHolder(view.holder);
         return view;
     }
@@ -314,6 +318,6 @@
 
     /** Whether the last coordinator was seen to reach the store so lately that it can't have worked without it. */
     private isRecordedFresh(nowMs: number): boolean {
-        return nowMs - Math.max(this.storeSeenAtMs, this.renewalAtMs) < this.parts.rules.renewalSilenceMs;
+        return nowMs - this.storeSeenAtMs < this.parts.rules.renewalSilenceMs;
     }
 }
--- a/packages/track-jobs/src/task.ts
+++ b/packages/track-jobs/src/task.ts
@@ -31,6 +31,8 @@
     figure = 0;
     /** The share of its speed that it was last allowed, in percent. */
     pace = 100;
+    /** When that was last changed, in steady milliseconds. */
+    pacedAtMs = 0;
 
     constructor(readonly step: StepRun, readonly index: number) {}
 
