--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -5,6 +5,7 @@
 import type { Job, Task } from "@sardinestage/track-jobs";
 import { applyCancel, applyRunLost, CANCEL_SUFFIX, TaskPhase } from "@sardinestage/track-jobs";
 import { AdviceBook } from "./adviceBook.js";
+import { buildRooms } from "./buildRooms.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import { DurationBook } from "./durationBook.js";
 import { findStalled } from "./findStalled.js";
@@ -444,6 +445,10 @@
             fillCpuMillis: fillers.reduce((sum, task) => sum + task.step.spec.cpuMillis, 0),
             fillCpuUsed: fillers.reduce((sum, task) => sum + task.figure, 0),
             fillPace: Math.round(fillers.reduce((sum, task) => sum + task.pace, 0) / Math.max(1, fillers.length)),
+            freeCpuMillis: buildRooms(links, () => 1).reduce((sum, room) => sum + room.freeCpuMillis, 0),
+            servingCpuMillis: tasks.filter(task => task.step.spec.longRunning)
+                .reduce((sum, task) => sum + task.step.spec.cpuMillis, 0),
+            waitingLong: steps.filter(({ step }) => step.spec.longRunning).reduce((sum, { waiting }) => sum + waiting.length, 0),
             freeOfServing: links.filter(link => ![...link.tasks].some(task => task.step.spec.tailTargetMs > 0)).length,
             halted: fillers.filter(task => task.pace === 0).length,
         });
--- a/packages/plan-pace/src/planPace.ts
+++ b/packages/plan-pace/src/planPace.ts
@@ -10,7 +10,7 @@
 const HARMLESS_SHARE = 0.06;
 const FULL_PERCENT = 100;
 /** Paces are multiples of this: smaller changes aren't worth an order. */
-const STEP_PERCENT = 20;
+const STEP_PERCENT = 10;
 
 /**
  * Decides how fast the filling tasks of one worker may work. What a serving task would take alone right now is its
