Take headroom (target over tail) for what neighbours share: it falls in a straight line

Cause: a serving task's tail grows without bound near its load limit, so the tail added by a pair depends on everything else there and a linear model of tails underestimates. Ruled out: a wrong clip of tails (a table of tails by used cores, steady for 0.6 s, shows the same bend). The inverse adds up.

--- a/packages/coordinate-work/src/buildRooms.ts
+++ b/packages/coordinate-work/src/buildRooms.ts
@@ -39,7 +39,7 @@
             room.freeCpuMillis -= spec.cpuMillis;
         }
         if (spec.tailTargetMs > 0) {
-            room.servers.push(spec);
+            room.servers.push({ spec, headroom: task.ownHeadroom });
         }
         room.freeMemoryMb -= spec.memoryMb;
         room.freeAccelerators -= spec.accelerators;
--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -61,6 +61,7 @@
         this.advice = new AdviceBook(parts, () => this.scheduleRound(ROUND_DELAY_MS));
         this.orders = new OrderDesk(parts, {
             noteNotStarted: (task, link, outcome) => this.handleNotStarted(task, link, outcome),
+            noteStarted: link => this.pace.handleFigures(link),
             isClosed: () => this.isClosed,
             getTicket: (task, workerId) => this.advice.getTicket(task, workerId),
         });
--- a/packages/coordinate-work/src/orderDesk.ts
+++ b/packages/coordinate-work/src/orderDesk.ts
@@ -18,6 +18,8 @@
 interface OrderHandlers {
     /** The run certainly didn't start. */
     readonly noteNotStarted: (task: Task, link: WorkerLink, outcome: OrderOutcome) => void;
+    /** A run has started. */
+    readonly noteStarted: (link: WorkerLink) => void;
     readonly isClosed: () => boolean;
     /** The advice service's permission for a task on a worker; empty where none is needed. */
     readonly getTicket: (task: Task, workerId: string) => string;
@@ -109,6 +111,7 @@
         switch (outcome) {
             case OrderOutcome.Accepted:
                 task.settledAtMs = Math.min(task.settledAtMs, nowMs);
+                this.handlers.noteStarted(link);
                 return;
             case OrderOutcome.Unknown:
                 task.isUncertain = true;
--- a/packages/coordinate-work/src/paceDesk.ts
+++ b/packages/coordinate-work/src/paceDesk.ts
@@ -1,10 +1,11 @@
 import { OrderOutcome } from "@sardinestage/describe-ports";
 import type { StepSpec } from "@sardinestage/describe-work";
 import { formatTaskKey } from "@sardinestage/describe-work";
-import { TailEstimator } from "@sardinestage/learn-behaviour";
+import type { WeightedNeighbour } from "@sardinestage/learn-behaviour";
+import { HeadroomEstimator } from "@sardinestage/learn-behaviour";
 import type { FillerView, PaceRules, ServerView } from "@sardinestage/plan-pace";
 import { planPace } from "@sardinestage/plan-pace";
-import type { PlaceView, WorkerRoom } from "@sardinestage/plan-starts";
+import type { PlaceView, ServerPlace, WorkerRoom } from "@sardinestage/plan-starts";
 import type { Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
 import type { CoordinatorParts } from "./coordinatorParts.js";
@@ -19,15 +20,23 @@
 const HALT_ALL_SHARE = 0.4;
 /** Share of the bound on harm after which standing still is taken not to help. */
 const STOP_SHARE = 0.6;
-/** A filling task that raises any tail by so much needs a place of its own, in milliseconds. */
-const HARMFUL_MS = 8;
+/** A filling task that takes so much of any headroom needs a place of its own. */
+const HARMFUL = 0.3;
+/** Headroom of a serving task of which nothing is known. */
+const USUAL_HEADROOM = 2.5;
+/** More headroom than this is taken for a wrong estimate of the neighbours. */
+const MOST_OWN_HEADROOM = 4;
+/** Less headroom than this is all the same. */
+const LEAST_HEADROOM = 0.05;
+/** Weight of the newest figure in a serving task's own headroom. */
+const OWN_HEADROOM_RATE = 0.4;
 const FULL_PERCENT = 100;
 /** A place that neither suffers nor does harm. */
 const NEUTRAL_PLACE: PlaceView = { strain: 0, isHarmful: false, sameImageShare: 0 };
 
 /** Slows filling tasks where serving tasks beside them suffer, and stops them where that isn't enough. */
 export class PaceDesk {
-    private readonly estimator = new TailEstimator();
+    private readonly estimator = new HeadroomEstimator();
     private readonly rules: PaceRules;
     private readonly underWay = new Set<Task>();
     private readonly learnedAtMs = new WeakMap<WorkerLink, number>();
@@ -44,7 +53,7 @@
 
     /** Reacts to the figures that a worker has just listed. */
     handleFigures(link: WorkerLink): void {
-        const running = [...link.tasks].filter(task => task.phase === TaskPhase.Running);
+        const running = [...link.tasks].filter(isAtWork);
         const servers = running.filter(isServing);
         if (servers.length === 0) {
             return;
@@ -52,7 +61,7 @@
         const fillers = running.filter(task => task.step.spec.fillsLeftover);
         this.learn(link, servers, fillers);
         const plan = planPace(
-            servers.map(task => this.describeServer(task)),
+            servers.map(describeServer),
             fillers.map(task => this.describeFiller(task, servers, link)),
             link.pace,
             this.parts.clock.getNow(),
@@ -77,9 +86,9 @@
         }
         const { servers, capacityCpuMillis: capacity } = room;
         const fillers = spec.fillsLeftover ? [...room.fillers, spec] : room.fillers;
-        const exposed = spec.tailTargetMs > 0 ? [...servers, spec] : servers;
+        const exposed = spec.tailTargetMs > 0 ? [...servers, { spec, headroom: undefined }] : servers;
         const strain = Math.max(0, ...exposed.map(server => this.estimateStrain(server, fillers, capacity)));
-        const same = servers.filter(server => server.image === spec.image).length;
+        const same = servers.filter(server => server.spec.image === spec.image).length;
         return {
             strain,
             isHarmful: spec.fillsLeftover && this.isHarmful(spec, capacity),
@@ -88,17 +97,18 @@
     }
 
     /** The expected tail of a serving task beside some filling ones at full speed, as a share of its target. */
-    private estimateStrain(server: StepSpec, fillers: readonly StepSpec[], capacity: number): number {
-        let tailMs = this.estimator.estimateAlone(server.image);
+    private estimateStrain(server: ServerPlace, fillers: readonly StepSpec[], capacity: number): number {
+        const { image } = server.spec;
+        let headroom = server.headroom ?? this.estimator.estimateAlone(image) ?? USUAL_HEADROOM;
         for (const filler of fillers) {
-            tailMs += this.estimateHarm(server, filler, capacity);
+            headroom -= this.estimateHarm(server.spec, filler, capacity);
         }
-        return tailMs / server.tailTargetMs;
+        return 1 / Math.max(LEAST_HEADROOM, headroom);
     }
 
     private isHarmful(filler: StepSpec, capacity: number): boolean {
         const weight = filler.cpuMillis / Math.max(1, capacity);
-        return this.estimator.estimateWorstHarm(filler.image) * weight >= HARMFUL_MS;
+        return this.estimator.estimateWorstHarm(filler.image) * weight >= HARMFUL;
     }
 
     private estimateHarm(server: StepSpec, filler: StepSpec, capacity: number): number {
@@ -116,21 +126,29 @@
         const capacity = Math.max(1, link.entry.capacity.cpuMillis);
         const neighbours = fillers.filter(task => task.figure > 0)
             .map(task => ({ image: task.step.spec.image, weight: task.figure / capacity }));
-        for (const { step, figure, percent } of servers) {
-            if (figure > 0 && percent >= FULL_PERCENT) {
-                this.estimator.learnTail(step.spec.image, neighbours, figure);
+        for (const task of servers) {
+            if (task.figure > 0 && task.percent >= FULL_PERCENT) {
+                this.learnServer(task, neighbours);
             }
         }
     }
 
-    private describeServer(task: Task): ServerView {
+    private learnServer(task: Task, neighbours: readonly WeightedNeighbour[]): void {
         const { image, tailTargetMs } = task.step.spec;
-        return { tailMs: task.figure, targetMs: tailTargetMs, aloneMs: this.estimator.estimateAlone(image) };
+        const headroom = tailTargetMs / task.figure;
+        this.estimator.learnHeadroom(image, neighbours, headroom);
+        const taken = neighbours.reduce(
+            (sum, other) => sum + this.estimator.estimateHarm(image, other.image) * other.weight,
+            0,
+        );
+        const own = Math.min(headroom + taken, MOST_OWN_HEADROOM);
+        const known = task.ownHeadroom ?? own;
+        task.ownHeadroom = known + (own - known) * OWN_HEADROOM_RATE;
     }
 
     private describeFiller(task: Task, servers: readonly Task[], link: WorkerLink): FillerView {
-        const harmsMs = servers.map(server => this.estimateHarm(server.step.spec, task.step.spec, link.entry.capacity.cpuMillis));
-        return { key: formatTaskKey(task.ref), harmsMs, percent: task.pace };
+        const harms = servers.map(server => this.estimateHarm(server.step.spec, task.step.spec, link.entry.capacity.cpuMillis));
+        return { key: formatTaskKey(task.ref), harms, percent: task.pace };
     }
 
     private async sendPace(task: Task, link: WorkerLink, percent: number): Promise<void> {
@@ -154,3 +172,12 @@
 function isServing(task: Task): boolean {
     return task.step.spec.tailTargetMs > 0;
 }
+
+function isAtWork(task: Task): boolean {
+    return task.phase === TaskPhase.Running
+        || (task.phase === TaskPhase.Ordered && task.settledAtMs !== Infinity && task.step.spec.fillsLeftover);
+}
+
+function describeServer(task: Task): ServerView {
+    return { headroom: task.figure > 0 ? task.step.spec.tailTargetMs / task.figure : undefined };
+}
--- a/packages/coordinate-work/src/workRound.ts
+++ b/packages/coordinate-work/src/workRound.ts
@@ -31,7 +31,7 @@
 /** Progress up to which a task without checkpoints is moved, in percent. */
 const CHEAP_PROGRESS_PERCENT = 10;
 /** A place is mild when serving tasks there stay under this share of their targets. */
-const MILD_STRAIN = 0.9;
+const MILD_STRAIN = 0.7;
 
 /** What a round works on. */
 interface RoundParts {
@@ -48,6 +48,7 @@
 /** One planning round: gathers what waits and what is free, decides, records, and orders. */
 export class WorkRound {
     private readonly displacedAtMs = new WeakMap<StepRun, number>();
+    private readonly readyAtMs = new WeakMap<StepRun, number>();
 
     constructor(private readonly parts: CoordinatorParts, private readonly round: RoundParts) {}
 
@@ -87,10 +88,14 @@
         const remainingMs = computeRemainingChain(occurrence, estimate);
         const wholeMs = this.computeWholeChain(step, estimate);
         const objectiveMs = queue.stretch * wholeMs + queue.targetLatencyMs;
+        const nowMs = this.parts.clock.getNow();
+        const readyAtMs = this.readyAtMs.get(step) ?? nowMs;
+        this.readyAtMs.set(step, readyAtMs);
         const spentMs = this.parts.clock.getWallTime() - occurrence.dueMs;
         return {
             step,
             waiting,
+            waitedMs: nowMs - readyAtMs,
             slackMs: objectiveMs - spentMs - remainingMs,
             lateSlackMs: objectiveMs * USELESS_AFTER - spentMs - remainingMs,
         };
--- a/packages/learn-behaviour/src/index.ts
+++ b/packages/learn-behaviour/src/index.ts
@@ -1,6 +1,6 @@
+export { HeadroomEstimator } from "./headroomEstimator.js";
 export { InterferenceEstimator } from "./interferenceEstimator.js";
 export { RecentSamples } from "./recentSamples.js";
 export { SizeEstimator } from "./sizeEstimator.js";
-export { TailEstimator } from "./tailEstimator.js";
 export type { WeightedNeighbour } from "./weightedNeighbour.js";
 export { WorkerHealth } from "./workerHealth.js";
--- a/packages/learn-behaviour/src/linearEstimator.ts
+++ b/packages/learn-behaviour/src/linearEstimator.ts
@@ -1,7 +1,7 @@
-/** Variance of a figure that the model doesn't explain, in square milliseconds. */
-const NOISE_VARIANCE = 150;
-/** Variance of a coefficient of which nothing is known, in square milliseconds for a whole worker. */
-const PRIOR_VARIANCE = 250_000;
+/** Variance of an observation that the model doesn't explain. */
+const NOISE_VARIANCE = 0.3;
+/** Variance of a coefficient of which nothing is known. */
+const PRIOR_VARIANCE = 400;
 /** How fast old figures lose weight at each new one: harm changes within seconds to minutes. */
 const FORGETTING = 0.9995;
 /** A coefficient's variance never grows beyond what is known before the first figure. */
--- a/packages/plan-pace/src/planPace.ts
+++ b/packages/plan-pace/src/planPace.ts
@@ -4,18 +4,18 @@
 import type { PaceState } from "./paceState.js";
 import type { ServerView } from "./serverView.js";
 
-/** Share of the target that tails are to stay under: figures are rough, and load swings. */
-const AIM_SHARE = 0.8;
-/** A filling task that raises a tail by less than this share of its target is left alone. */
-const HARMLESS_SHARE = 0.06;
+/** Headroom that serving tasks are to keep: figures are rough, and load swings. */
+const AIM_HEADROOM = 1.4;
+/** A filling task that takes less headroom than this is left alone. */
+const HARMLESS = 0.05;
 const FULL_PERCENT = 100;
 /** Paces are multiples of this: smaller changes aren't worth an order. */
 const STEP_PERCENT = 10;
 
 /**
- * Decides how fast the filling tasks of one worker may work. What a serving task would take alone right now is its
- * measured tail less what its neighbours are known to add; what is left under its target goes to those that add to it,
- * in their order. Where that doesn't help, what does harm stands still for a while, then everything.
+ * Decides how fast the filling tasks of one worker may work. The headroom that a serving task would have alone right
+ * now is what was measured and what its neighbours are known to take; what is left above the aim goes to those that
+ * take some, in their order. Where that doesn't help, what does harm stands still for a while, then everything.
  *
  * @param servers The serving tasks on the worker.
  * @param fillers The filling tasks on it.
@@ -29,15 +29,15 @@
     nowMs: number,
     rules: PaceRules,
 ): PacePlan {
-    const isOver = servers.some(server => server.tailMs > server.targetMs);
+    const isOver = servers.some(server => server.headroom !== undefined && server.headroom < 1);
     const overSinceMs = isOver ? state.overSinceMs ?? nowMs : undefined;
     const overMs = overSinceMs === undefined ? 0 : nowMs - overSinceMs;
     const mustHalt = overMs >= rules.haltAfterMs;
     const percents = new Map<string, number>();
-    const lefts = servers.map(server => computeLeft(server, fillers, servers.indexOf(server)));
+    const lefts = servers.map((server, index) => computeLeft(server, fillers, index));
     for (const filler of fillers) {
-        const isHarmful = filler.harmsMs.some((harmMs, index) => harmMs >= HARMLESS_SHARE * servers[index].targetMs);
-        const allowed = mustHalt && (isHarmful || overMs >= rules.haltAllAfterMs) ? 0 : allow(filler, servers, lefts);
+        const isHarmful = filler.harms.some(harm => harm >= HARMLESS);
+        const allowed = mustHalt && (isHarmful || overMs >= rules.haltAllAfterMs) ? 0 : allow(filler, lefts);
         const mayRise = allowed < filler.percent || nowMs >= state.heldUntilMs;
         percents.set(filler.key, mayRise ? allowed : filler.percent);
     }
@@ -49,22 +49,24 @@
     };
 }
 
-/** What filling tasks may add to a serving task's tail, in milliseconds. */
+/** The headroom of a serving task that filling tasks may take. */
 function computeLeft(server: ServerView, fillers: readonly FillerView[], index: number): number {
-    const addedMs = fillers.reduce((sum, filler) => sum + filler.harmsMs[index] * filler.percent / FULL_PERCENT, 0);
-    const ownMs = Math.max(server.tailMs - addedMs, server.aloneMs);
-    return Math.max(0, AIM_SHARE * server.targetMs - ownMs);
+    if (server.headroom === undefined) {
+        return Infinity;
+    }
+    const taken = fillers.reduce((sum, filler) => sum + filler.harms[index] * filler.percent / FULL_PERCENT, 0);
+    return Math.max(0, server.headroom + taken - AIM_HEADROOM);
 }
 
 /** Allows a filling task as much as is left, and takes that away: some at full speed are worth more than all at none. */
-function allow(filler: FillerView, servers: readonly ServerView[], lefts: number[]): number {
+function allow(filler: FillerView, lefts: number[]): number {
     let share = 1;
-    filler.harmsMs.forEach((harmMs, index) => {
-        if (harmMs >= HARMLESS_SHARE * servers[index].targetMs) {
-            share = Math.min(share, lefts[index] / harmMs);
+    filler.harms.forEach((harm, index) => {
+        if (harm >= HARMLESS) {
+            share = Math.min(share, lefts[index] / harm);
         }
     });
     const percent = Math.floor(share * FULL_PERCENT / STEP_PERCENT) * STEP_PERCENT;
-    filler.harmsMs.forEach((harmMs, index) => lefts[index] = Math.max(0, lefts[index] - harmMs * percent / FULL_PERCENT));
+    filler.harms.forEach((harm, index) => lefts[index] = Math.max(0, lefts[index] - harm * percent / FULL_PERCENT));
     return percent;
 }
--- a/packages/plan-starts/src/computePlaceScore.ts
+++ b/packages/plan-starts/src/computePlaceScore.ts
@@ -5,7 +5,7 @@
 /** Weight of the data's rack: a task takes half as long again elsewhere. */
 const AWAY_FROM_DATA_PENALTY = 0.5;
 /** Serving tasks that come closer to their targets than this share count against a place. */
-const MILD_STRAIN = 0.75;
+const MILD_STRAIN = 0.65;
 /** Weight of strain above that. */
 const STRAIN_PENALTY = 4;
 /** Weight of a place without serving tasks for one that harms nobody: harmful ones need such places. */
--- a/packages/plan-starts/src/planStarts.ts
+++ b/packages/plan-starts/src/planStarts.ts
@@ -12,10 +12,10 @@
 import { takeRoom } from "./takeRoom.js";
 import type { WorkerRoom } from "./workerRoom.js";
 
-/** A filling task with slack rather waits than goes where serving tasks would miss their targets. */
-const MOST_STRAIN = 1;
-/** Slack from which a filling task may wait for a milder place, in milliseconds. */
-const WAIT_WITH_SLACK_MS = 400;
+/** A filling task rather waits than goes where serving tasks would miss their targets. */
+const MOST_STRAIN = 0.8;
+/** How long a filling task waits for a milder place at most, in milliseconds. */
+const LONGEST_WAIT_MS = 2000;
 /** A worker on which the task has failed is the last choice. */
 const FAILED_THERE_PENALTY = 10;
 
@@ -66,7 +66,7 @@
     const { step } = demand;
     const usable = rooms.filter(room => mayRunOn(step, room));
     const perWorker = countPerWorker(demand);
-    const mayWait = step.spec.fillsLeftover && demand.slackMs > WAIT_WITH_SLACK_MS;
+    const mayWait = step.spec.fillsLeftover && demand.waitedMs < LONGEST_WAIT_MS;
     for (const task of demand.waiting) {
         if (starts.length >= rules.maxStarts) {
             return true;
--- a/packages/plan-starts/src/stepDemand.ts
+++ b/packages/plan-starts/src/stepDemand.ts
@@ -4,6 +4,8 @@
 export interface StepDemand {
     readonly step: StepRun;
     readonly waiting: readonly Task[];
+    /** How long the step has been ready, in milliseconds. */
+    readonly waitedMs: number;
     /** Time left until the job misses its target if it starts now, in milliseconds. */
     readonly slackMs: number;
     /** Time left until it is so late that nobody gains any more, in milliseconds. */
--- a/packages/plan-starts/src/takeRoom.ts
+++ b/packages/plan-starts/src/takeRoom.ts
@@ -13,7 +13,7 @@
     room.freeMemoryMb -= spec.memoryMb;
     room.freeAccelerators -= spec.accelerators;
     if (spec.tailTargetMs > 0) {
-        room.servers.push(spec);
+        room.servers.push({ spec, headroom: undefined });
     }
     room.startsLeft--;
 }
--- a/packages/plan-starts/src/workerRoom.ts
+++ b/packages/plan-starts/src/workerRoom.ts
@@ -1,4 +1,5 @@
 import type { StepSpec } from "@sardinestage/describe-work";
+import type { ServerPlace } from "./serverPlace.js";
 
 /** What a worker has left, as a planning round sees it; the round takes from it. */
 export interface WorkerRoom {
@@ -14,8 +15,8 @@
     freeAccelerators: number;
     /** Thousandths of a core that filling tasks asked for. */
     fillCpuMillis: number;
-    /** The steps of the serving tasks there, one entry a task. */
-    readonly servers: StepSpec[];
+    /** The serving tasks there. */
+    readonly servers: ServerPlace[];
     /** The steps of the filling tasks there, one entry a task. */
     readonly fillers: StepSpec[];
     /** How many more starts it may get in this round; a worker on probation gets few. */
