--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -383,9 +383,7 @@
     }
 
     private runRound(): void {
-        const { clock, metrics, rules, term } = this.parts;
-        void rules;
-        void term;
+        const { clock, metrics } = this.parts;
         this.roundAtMs = Infinity;
         const startedAtMs = clock.getNow();
         this.giveUpLapsed(startedAtMs);
@@ -410,13 +408,16 @@
 
     /** The first starts wait until the workers have said what they run, and longer when unrecorded work may be about. */
     private mayStart(nowMs: number): boolean {
+        const { hadUnrecordedStarts, rules } = this.parts;
         const unheard = [...this.fleet.links.values()].filter(link => !link.isHeld && !link.isGone);
+        if (hadUnrecordedStarts) {
+            // Workers that the list has lost may run something too; they are listed again by then.
+            const isListComplete = nowMs - this.openedAtMs >= rules.entryReturnMs;
+            return isListComplete && unheard.every(link => nowMs > link.getLapseTime());
+        }
         if (unheard.length === 0) {
             return true;
         }
-        if (this.parts.hadUnrecordedStarts) {
-            return unheard.every(link => nowMs > link.getLapseTime());
-        }
         return nowMs - this.openedAtMs >= FIRST_ROUND_AFTER_MS;
     }
 
--- a/packages/coordinate-work/src/limits.ts
+++ b/packages/coordinate-work/src/limits.ts
@@ -21,7 +21,7 @@
 /** Bytes of records in one append of progress. */
 export const FLUSH_BYTES = 1_000_000;
 /** Without a written record for so long, starts go on unrecorded, in milliseconds. */
-export const UNRECORDED_AFTER_MS = 3000;
+export const UNRECORDED_AFTER_MS = 5000;
 /** Delay between an event and the planning round that answers it, in milliseconds: gathers what comes together. */
 export const ROUND_DELAY_MS = 4;
 /** Time between rounds when nothing happens, in milliseconds. */
--- a/packages/coordinate-work/src/paceDesk.ts
+++ b/packages/coordinate-work/src/paceDesk.ts
@@ -22,6 +22,8 @@
 const STOP_SHARE = 0.6;
 /** A filling task that takes so much of any headroom needs a place of its own. */
 const HARMFUL = 0.3;
+/** A serving image from which some neighbour would take so much on a whole worker suffers easily. */
+const SENSITIVE = 6;
 /** Headroom of a serving task of which nothing is known. */
 const USUAL_HEADROOM = 2.5;
 /** More headroom than this is taken for a wrong estimate of the neighbours. */
@@ -32,7 +34,7 @@
 const OWN_HEADROOM_RATE = 0.4;
 const FULL_PERCENT = 100;
 /** A place that neither suffers nor does harm. */
-const NEUTRAL_PLACE: PlaceView = { strain: 0, isHarmful: false, sameImageShare: 0 };
+const NEUTRAL_PLACE: PlaceView = { strain: 0, isHarmful: false, alikeShare: 1 };
 
 /** Slows filling tasks where serving tasks beside them suffer, and stops them where that isn't enough. */
 export class PaceDesk {
@@ -88,14 +90,23 @@
         const fillers = spec.fillsLeftover ? [...room.fillers, spec] : room.fillers;
         const exposed = spec.tailTargetMs > 0 ? [...servers, { spec, headroom: undefined }] : servers;
         const strain = Math.max(0, ...exposed.map(server => this.estimateStrain(server, fillers, capacity)));
-        const same = servers.filter(server => server.spec.image === spec.image).length;
+        const alike = servers.filter(server => this.areAlike(server.spec.image, spec.image)).length;
         return {
             strain,
             isHarmful: spec.fillsLeftover && this.isHarmful(spec, capacity),
-            sameImageShare: servers.length === 0 ? 0 : same / servers.length,
+            alikeShare: servers.length === 0 ? 1 : alike / servers.length,
         };
     }
 
+    /** Whether two serving images are the same, or are both known to suffer or both known not to. */
+    private areAlike(image: string, other: string): boolean {
+        if (image === other) {
+            return true;
+        }
+        const [left, right] = [this.estimator.estimateSensitivity(image), this.estimator.estimateSensitivity(other)];
+        return left !== undefined && right !== undefined && (left > SENSITIVE) === (right > SENSITIVE);
+    }
+
     /** The expected tail of a serving task beside some filling ones at full speed, as a share of its target. */
     private estimateStrain(server: ServerPlace, fillers: readonly StepSpec[], capacity: number): number {
         const { image } = server.spec;
--- a/packages/coordinate-work/src/workRound.ts
+++ b/packages/coordinate-work/src/workRound.ts
@@ -1,6 +1,6 @@
 import { formatTaskKey } from "@sardinestage/describe-work";
 import type { StepDemand, WorkerRoom } from "@sardinestage/plan-starts";
-import { hasRoom, mayRunOn, planDisplacement, planStarts, takeRoom } from "@sardinestage/plan-starts";
+import { planDisplacement, planStarts } from "@sardinestage/plan-starts";
 import type { StepRun, Task } from "@sardinestage/track-jobs";
 import { applyRunStart, computeRemainingChain, TaskPhase } from "@sardinestage/track-jobs";
 import type { AdviceBook } from "./adviceBook.js";
@@ -27,11 +27,14 @@
 const MOVES_A_ROUND = 4;
 /** A filling task slowed to this share for so long is better off elsewhere, in percent and in milliseconds. */
 const HALTED_PERCENT = 20;
-const HALTED_MS = 700;
+const HALTED_MS = 800;
 /** Progress up to which a task without checkpoints is moved, in percent. */
 const CHEAP_PROGRESS_PERCENT = 10;
-/** A place is mild when serving tasks there stay under this share of their targets. */
-const MILD_STRAIN = 0.7;
+
+/** A fleet of which so much is reserved is busy: filling tasks wait as long as they have to. */
+const BUSY_SHARE = 0.55;
+/** How long a filling task waits for a milder place in a fleet that isn't, in milliseconds. */
+const LONGEST_WAIT_MS = 2000;
 
 /** What a round works on. */
 interface RoundParts {
@@ -57,18 +60,21 @@
         const { clock } = this.parts;
         const nowMs = clock.getNow();
         const { steps, nextDueMs } = this.round.jobs.listReady(clock.getWallTime());
+        this.moveHalted(nowMs);
         if (steps.length === 0) {
             return nextDueMs;
         }
         const rooms = buildRooms(this.round.fleet.links.values(), link => computeStartsLeft(link, nowMs));
+        const isBusy = computeReservedShare(rooms) >= BUSY_SHARE;
         const demands = steps.map(({ step, waiting }) => this.buildDemand(step, waiting));
         const plan = planStarts(demands, rooms, {
             maxStarts: STARTS_A_ROUND,
+            longestWaitMs: isBusy ? Infinity : LONGEST_WAIT_MS,
             isAdvised: (task, workerId) => this.round.advice.isAdvised(task, workerId),
             describePlace: (room, spec) => this.round.pace.describePlace(room, spec),
         });
         plan.starts.forEach(({ task, workerId }) => this.orderStart(task, workerId, nowMs));
-        this.moveHalted(rooms, nowMs);
+        
         let displacements = 0;
         for (const demand of plan.unmet) {
             this.requestAdvice(demand, rooms.map(room => room.workerId));
@@ -149,18 +155,12 @@
         this.round.orders.sendStart(task, link);
     }
 
-    /** Filling tasks that stand still beside serving ones go where they can work, if such a place is free. */
-    private moveHalted(rooms: readonly WorkerRoom[], nowMs: number): void {
+    /** Filling tasks that stand still beside serving ones give their room back, and wait for a milder place. */
+    private moveHalted(nowMs: number): void {
         let moves = 0;
         for (const link of this.round.fleet.links.values()) {
             for (const task of link.tasks) {
-                if (moves >= MOVES_A_ROUND || !mayMove(task, nowMs)) {
-                    continue;
-                }
-                const { spec } = task.step;
-                const place = rooms.find(room => this.isMildPlace(room, link.entry.id, task));
-                if (place !== undefined) {
-                    takeRoom(place, spec);
+                if (moves < MOVES_A_ROUND && mayMove(task, nowMs)) {
                     moves++;
                     this.round.orders.sendStop(task, link, "moved");
                 }
@@ -168,13 +168,6 @@
         }
     }
 
-    private isMildPlace(room: WorkerRoom, workerId: string, task: Task): boolean {
-        const { spec } = task.step;
-        const isOther = room.workerId !== workerId && mayRunOn(task.step, room) && hasRoom(room, spec);
-        return isOther && room.fillCpuMillis + spec.cpuMillis <= room.capacityCpuMillis
-            && this.round.pace.describePlace(room, spec).strain <= MILD_STRAIN;
-    }
-
     private requestAdvice(demand: StepDemand, workers: readonly string[]): void {
         const task = demand.waiting.at(0);
         if (task !== undefined && task.step.occurrence.job.queue.advice !== undefined) {
@@ -209,3 +202,9 @@
         && nowMs - Math.max(task.pacedAtMs, task.seenAtMs) >= HALTED_MS
         && (spec.savesProgress || task.percent <= CHEAP_PROGRESS_PERCENT);
 }
+
+function computeReservedShare(rooms: readonly WorkerRoom[]): number {
+    const capacity = rooms.reduce((sum, room) => sum + room.capacityCpuMillis, 0);
+    const free = rooms.reduce((sum, room) => sum + room.freeCpuMillis, 0);
+    return capacity === 0 ? 0 : 1 - free / capacity;
+}
--- a/packages/keep-term/src/termLog.ts
+++ b/packages/keep-term/src/termLog.ts
@@ -1,4 +1,4 @@
-import type { StorePort } from "@sardinestage/describe-ports";
+import type { Clock, StorePort } from "@sardinestage/describe-ports";
 import { AppendOutcome, Topic } from "@sardinestage/describe-ports";
 import { Encoder } from "cbor-x";
 import type { Candidate } from "./candidate.js";
@@ -8,11 +8,11 @@
 
 const TERM_KEY = "coordinator";
 /** How long an append to the term's topic may take, in milliseconds. */
-const APPEND_TIMEOUT_MS = 1000;
+const APPEND_TIMEOUT_MS = 600;
 
 const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
-/** `[vm, incarnation, host, port, term]`; term 0 in the record that wins it. */
-type TermRow = [string, string, string, number, number];
+/** `[vm, incarnation, host, port, term, written at (Unix milliseconds)]`; term 0 in the record that wins it. */
+type TermRow = [string, string, string, number, number, number];
 
 /**
  * The topic that decides who coordinates. Every append names the offset at which it expects the topic to end, so that
@@ -21,7 +21,11 @@
 export class TermLog {
     private end = 0;
 
-    constructor(private readonly store: StorePort, private readonly candidate: Candidate) {}
+    constructor(
+        private readonly store: StorePort,
+        private readonly candidate: Candidate,
+        private readonly clock: Clock,
+    ) {}
 
     /** Reads who coordinates; undefined when the store doesn't answer. */
     async readTerm(): Promise<TermView | undefined> {
@@ -31,11 +35,11 @@
         }
         const record = page.records.find(entry => entry.key === TERM_KEY);
         if (record?.value === undefined) {
-            return { holder: undefined, end: page.end };
+            return { holder: undefined, end: page.end, writtenAtMs: 0 };
         }
-        const [vm, incarnation, host, port, term] = encoder.decode(record.value) as TermRow;
+        const [vm, incarnation, host, port, term, writtenAtMs] = encoder.decode(record.value) as TermRow;
         const holder: TermHolder = { term: term === 0 ? record.offset + 1 : term, vm, incarnation, host, port };
-        return { holder, end: Math.max(page.end, record.offset + 1) };
+        return { holder, end: Math.max(page.end, record.offset + 1), writtenAtMs };
     }
 
     /**
@@ -83,7 +87,7 @@
 
     private append(at: number, term: number) {
         const { vm, incarnation, host, port } = this.candidate;
-        const row: TermRow = [vm, incarnation, host, port, term];
+        const row: TermRow = [vm, incarnation, host, port, term, this.clock.getWallTime()];
         const records = [{ key: TERM_KEY, value: encoder.encode(row) }];
         return this.store.append({ topic: Topic.Term, records, at, timeoutMs: APPEND_TIMEOUT_MS });
     }
--- a/packages/keep-term/src/termView.ts
+++ b/packages/keep-term/src/termView.ts
@@ -6,4 +6,6 @@
     readonly holder: TermHolder | undefined;
     /** Where the topic ends: the condition of the next append. */
     readonly end: number;
+    /** When its newest record was written by its writer's time of day, in Unix milliseconds; 0 for no record. */
+    readonly writtenAtMs: number;
 }
--- a/packages/learn-behaviour/src/headroomEstimator.ts
+++ b/packages/learn-behaviour/src/headroomEstimator.ts
@@ -42,6 +42,11 @@
         return Math.max(0, this.models.get(image)?.getCoefficient(other) ?? 0);
     }
 
+    /** The most that any neighbour is known to take from a serving image; undefined while none is known. */
+    estimateSensitivity(image: string): number | undefined {
+        return this.models.get(image)?.findLargest(ALONE);
+    }
+
     /** The most that an image is known to take from any serving image. */
     estimateWorstHarm(other: string): number {
         return Math.max(0, ...[...this.models.values()].map(model => model.getCoefficient(other)));
--- a/packages/learn-behaviour/src/linearEstimator.ts
+++ b/packages/learn-behaviour/src/linearEstimator.ts
@@ -40,6 +40,12 @@
         return index === undefined ? 0 : this.coefficients[index];
     }
 
+    /** The largest coefficient of all inputs but one; undefined while there is none. */
+    findLargest(except: string): number | undefined {
+        const names = [...this.indices.keys()].filter(name => name !== except);
+        return names.length === 0 ? undefined : Math.max(...names.map(name => this.getCoefficient(name)));
+    }
+
     /** How uncertain the coefficient is: its standard deviation. */
     getDeviation(name: string): number {
         const index = this.indices.get(name);
--- a/packages/plan-starts/src/index.ts
+++ b/packages/plan-starts/src/index.ts
@@ -1,6 +1,4 @@
 export { compareDemands } from "./compareDemands.js";
-export { hasRoom } from "./hasRoom.js";
-export { mayRunOn } from "./mayRunOn.js";
 export { planDisplacement } from "./planDisplacement.js";
 export type { PlaceView } from "./placeView.js";
 export type { PlannedStart } from "./plannedStart.js";
@@ -8,5 +6,4 @@
 export type { ServerPlace } from "./serverPlace.js";
 export type { StartPlan } from "./startPlan.js";
 export type { StepDemand } from "./stepDemand.js";
-export { takeRoom } from "./takeRoom.js";
 export type { WorkerRoom } from "./workerRoom.js";
--- a/packages/plan-starts/src/placeView.ts
+++ b/packages/plan-starts/src/placeView.ts
@@ -4,6 +4,6 @@
     readonly strain: number;
     /** Whether tasks of its image are known to harm serving tasks. */
     readonly isHarmful: boolean;
-    /** Share of the serving tasks there that run the same image; 0 where nobody serves. */
-    readonly sameImageShare: number;
+    /** Share of the serving tasks there that suffer alike, as far as is known; 1 where nobody serves. */
+    readonly alikeShare: number;
 }
--- a/packages/plan-starts/src/planStarts.ts
+++ b/packages/plan-starts/src/planStarts.ts
@@ -14,8 +14,6 @@
 
 /** A filling task rather waits than goes where serving tasks would miss their targets. */
 const MOST_STRAIN = 0.8;
-/** How long a filling task waits for a milder place at most, in milliseconds. */
-const LONGEST_WAIT_MS = 2000;
 /** A worker on which the task has failed is the last choice. */
 const FAILED_THERE_PENALTY = 10;
 
@@ -23,6 +21,8 @@
 interface StartRules {
     /** At most so many starts in one round; the next round follows at once. */
     readonly maxStarts: number;
+    /** How long a filling task waits for a place where serving tasks don't suffer, in milliseconds. */
+    readonly longestWaitMs: number;
     /** Whether the advice service, where the queue has one, lets the task run there. */
     readonly isAdvised: (task: Task, workerId: string) => boolean;
     /** What is known of a task of a step beside those that a worker has. */
@@ -66,7 +66,7 @@
     const { step } = demand;
     const usable = rooms.filter(room => mayRunOn(step, room));
     const perWorker = countPerWorker(demand);
-    const mayWait = step.spec.fillsLeftover && demand.waitedMs < LONGEST_WAIT_MS;
+    const mayWait = step.spec.fillsLeftover && demand.waitedMs < rules.longestWaitMs;
     for (const task of demand.waiting) {
         if (starts.length >= rules.maxStarts) {
             return true;
--- a/packages/run-entry-vm/src/createEntryVm.ts
+++ b/packages/run-entry-vm/src/createEntryVm.ts
@@ -14,7 +14,7 @@
     const container = new Container({ defaultScope: "Singleton" });
     container.bind(Peers).toConstantValue(new Peers(parts.peerKey));
     container.bind(ConfigKeeper).toConstantValue(new ConfigKeeper(parts));
-    container.bind(TermLog).toConstantValue(new TermLog(parts.store, parts.self));
+    container.bind(TermLog).toConstantValue(new TermLog(parts.store, parts.self, parts.clock));
     container.bind(TermDuty).toDynamicValue(context =>
         new TermDuty({
             ...parts,
--- a/packages/run-entry-vm/src/entryVmRules.ts
+++ b/packages/run-entry-vm/src/entryVmRules.ts
@@ -2,6 +2,15 @@
 
 /** Times of an entry VM's process. */
 export interface EntryVmRules extends CandidacyRules {
+    /**
+     * A successor that sees the coordinator's last sign in the store no older than this knows that no work was started
+     * unrecorded, in milliseconds: shorter than the time after which a coordinator does so.
+     */
+    readonly recordedWithinMs: number;
+    /** The times of day of two VMs may differ by this, in milliseconds. */
+    readonly wallToleranceMs: number;
+    /** A VM that has the store back waits so long before it takes the term from a coordinator without, in milliseconds. */
+    readonly storeSteadyMs: number;
     /** Time between two questions to the coordinator, in milliseconds. */
     readonly followMs: number;
     /** How long a peer may take to answer, in milliseconds. */
--- a/packages/run-entry-vm/src/followReply.ts
+++ b/packages/run-entry-vm/src/followReply.ts
@@ -4,6 +4,8 @@
 export interface FollowReply {
     /** Whom the asked process takes for the coordinator. */
     readonly holder: TermHolder | undefined;
+    /** Of the process that answers. */
+    readonly incarnation: string;
     /** Whether it is the coordinator itself. */
     readonly isCoordinator: boolean;
     readonly isLeaving: boolean;
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -47,6 +47,8 @@
     private renewalEnd = -1;
     private renewalAtMs = -Infinity;
     private termReadAtMs = -Infinity;
+    /** Since when the store has answered each time, in steady milliseconds. */
+    private storeSinceMs = Infinity;
     private relay: Candidate | undefined;
     private members: readonly Candidate[] = [];
     private readonly followers = new Map<string, { candidate: Candidate; atMs: number; configVersion: number }>();
@@ -134,6 +136,7 @@
         const members = [...this.followers.values()].filter(member => nowMs - member.atMs < MEMBER_FORGET_MS);
         return {
             holder: duty.holder ?? this.holder,
+            incarnation: this.parts.self.incarnation,
             isCoordinator: duty.isActive,
             isLeaving: duty.isLeaving,
             storeSilentMs: duty.storeSilentMs,
@@ -192,6 +195,8 @@
             this.parts.config.takeConfig(reply.config as WorkConfig, "coordinator");
         }
         this.takeHolder(reply.holder);
+        // Another process at its address: the one that held the term has ended.
+        this.isRefused = reply.incarnation !== asked.incarnation && this.holder?.term === asked.term;
         if (!reply.isCoordinator || this.holder?.term !== asked.term) {
             return false;
         }
@@ -230,7 +235,7 @@
             silentMs: nowMs - this.heardAtMs,
             isRefused: this.isRefused,
             isLeaving: this.isLeaving,
-            storeSilentMs: this.storeSilentMs,
+            storeSilentMs: nowMs - this.storeSinceMs >= rules.storeSteadyMs ? this.storeSilentMs : 0,
             hasStore: view !== undefined,
             peers: this.members.filter(member => this.isOtherPeer(member)).length,
             peersAnswered: reports.length,
@@ -263,8 +268,10 @@
         const sentAtMs = clock.getNow();
         const view = await termLog.readTerm();
         if (view === undefined) {
+            this.storeSinceMs = Infinity;
             return undefined;
         }
+        this.storeSinceMs = Math.min(this.storeSinceMs, clock.getNow());
         this.storeMs = clock.getNow() - sentAtMs;
         if (view.end !== this.renewalEnd) {
             this.renewalAtMs = this.renewalEnd < 0 ? -Infinity : clock.getNow();
@@ -303,7 +310,7 @@
             return;
         }
         const nowMs = clock.getNow();
-        const hadUnrecordedStarts = before.holder !== undefined && !this.isRecordedFresh(nowMs);
+        const hadUnrecordedStarts = before.holder !== undefined && !this.isRecordedFresh(before, nowMs);
         logger.info("term-candidacy", { after: before.holder?.term, silentMs: Math.round(nowMs - this.heardAtMs) });
         const won = isOurs ? view.holder : await termLog.tryWin(view.end);
         if (won === undefined) {
@@ -317,7 +324,10 @@
     }
 
     /** Whether the last coordinator was seen to reach the store so lately that it can't have worked without it. */
-    private isRecordedFresh(nowMs: number): boolean {
-        return nowMs - this.storeSeenAtMs < this.parts.rules.renewalSilenceMs;
+    private isRecordedFresh(view: TermView, nowMs: number): boolean {
+        const { clock, rules } = this.parts;
+        const writtenMs = Math.abs(clock.getWallTime() - view.writtenAtMs);
+        return nowMs - this.storeSeenAtMs < rules.recordedWithinMs
+            || writtenMs < rules.recordedWithinMs - rules.wallToleranceMs;
     }
 }
