--- a/packages/plan-pace/src/planPace.ts
+++ b/packages/plan-pace/src/planPace.ts
@@ -5,9 +5,9 @@
 import type { ServerView } from "./serverView.js";
 
 /** Headroom that serving tasks are to keep: figures are rough, and load swings. */
-const AIM_HEADROOM = 1.4;
+const AIM_HEADROOM = 1.2;
 /** A filling task that takes less headroom than this is left alone. */
-const HARMLESS = 0.05;
+const HARMLESS = 0.12;
 const FULL_PERCENT = 100;
 /** Paces are multiples of this: smaller changes aren't worth an order. */
 const STEP_PERCENT = 10;
@@ -15,7 +15,7 @@
 /**
  * Decides how fast the filling tasks of one worker may work. The headroom that a serving task would have alone right
  * now is what was measured and what its neighbours are known to take; what is left above the aim goes to those that
- * take some, in their order. Where that doesn't help, what does harm stands still for a while, then everything.
+ * take least of it first. Where that doesn't help, what does harm stands still for a while, then everything.
  *
  * @param servers The serving tasks on the worker.
  * @param fillers The filling tasks on it.
@@ -35,7 +35,7 @@
     const mustHalt = overMs >= rules.haltAfterMs;
     const percents = new Map<string, number>();
     const lefts = servers.map((server, index) => computeLeft(server, fillers, index));
-    for (const filler of fillers) {
+    for (const filler of [...fillers].sort(compareHarm)) {
         const isHarmful = filler.harms.some(harm => harm >= HARMLESS);
         const allowed = mustHalt && (isHarmful || overMs >= rules.haltAllAfterMs) ? 0 : allow(filler, lefts);
         const mayRise = allowed < filler.percent || nowMs >= state.heldUntilMs;
@@ -49,6 +49,11 @@
     };
 }
 
+/** Orders filling tasks by the most that they take from any serving task. */
+function compareHarm(left: FillerView, right: FillerView): number {
+    return Math.max(0, ...left.harms) - Math.max(0, ...right.harms);
+}
+
 /** The headroom of a serving task that filling tasks may take. */
 function computeLeft(server: ServerView, fillers: readonly FillerView[], index: number): number {
     if (server.headroom === undefined) {
