--- a/packages/coordinate-work/src/paceDesk.ts
+++ b/packages/coordinate-work/src/paceDesk.ts
@@ -109,8 +109,9 @@
 
     /** The expected tail of a serving task beside some filling ones at full speed, as a share of its target. */
     private estimateStrain(server: ServerPlace, fillers: readonly StepSpec[], capacity: number): number {
-        const { image } = server.spec;
-        let headroom = server.headroom ?? this.estimator.estimateAlone(image) ?? USUAL_HEADROOM;
+        const usual = this.estimator.estimateAlone(server.spec.image) ?? USUAL_HEADROOM;
+        // Load that is low now rises while the task runs.
+        let headroom = Math.min(server.headroom ?? usual, usual);
         for (const filler of fillers) {
             headroom -= this.estimateHarm(server.spec, filler, capacity);
         }
