--- a/packages/accept-jobs/src/jobDesk.ts
+++ b/packages/accept-jobs/src/jobDesk.ts
@@ -30,7 +30,7 @@
         const sentAtMs = this.parts.clock.getNow();
         const value = encodeJobRecord({ spec, queue, acceptedAtMs: this.parts.clock.getWallTime() });
         const outcome = await this.parts.records.append({ key: id, value });
-        this.logOutcome("job-submit", id, queue.name, outcome, sentAtMs);
+        this.recordOutcome("job-submit", id, queue.name, outcome, sentAtMs);
         return outcome;
     }
 
@@ -39,7 +39,7 @@
         const sentAtMs = this.parts.clock.getNow();
         const value = new Uint8Array([1]);
         const outcome = await this.parts.records.append({ key: id + CANCEL_SUFFIX, value });
-        this.logOutcome("job-cancel", id, queue.name, outcome, sentAtMs);
+        this.recordOutcome("job-cancel", id, queue.name, outcome, sentAtMs);
         if (outcome === SubmitOutcome.Accepted) {
             void this.parts.line.call({ kind: CoordinatorCallKind.Cancel, id }, HINT_TIMEOUT_MS);
         }
@@ -63,7 +63,7 @@
         return reply?.pending;
     }
 
-    private logOutcome(event: string, id: string, queue: string, outcome: SubmitOutcome, sentAtMs: number): void {
+    private recordOutcome(event: string, id: string, queue: string, outcome: SubmitOutcome, sentAtMs: number): void {
         const tookMs = Math.round(this.parts.clock.getNow() - sentAtMs);
         const fields = { job: id, queue, outcome: SubmitOutcome[outcome], tookMs };
         if (outcome === SubmitOutcome.Accepted) {
--- a/packages/accept-jobs/src/recordDesk.ts
+++ b/packages/accept-jobs/src/recordDesk.ts
@@ -1,8 +1,8 @@
+import type { Metrics } from "@sardinestage/count-metrics";
 import type { Clock, KeyedRecord, StorePort } from "@sardinestage/describe-ports";
 import { AppendOutcome, Topic } from "@sardinestage/describe-ports";
-import type { Metrics } from "@sardinestage/count-metrics";
-import type { CoordinatorLine } from "./coordinatorLine.js";
 import { CoordinatorCallKind } from "./coordinatorCallKind.js";
+import type { CoordinatorLine } from "./coordinatorLine.js";
 import { SubmitOutcome } from "./submitOutcome.js";
 
 /** How long an append may take, in milliseconds, before another way is tried. */
--- a/packages/coordinate-work/src/adviceBook.ts
+++ b/packages/coordinate-work/src/adviceBook.ts
@@ -46,7 +46,7 @@
         this.offsets.set(key, offset + WORKERS_A_CALL);
         const start = offset % workers.length;
         const chosen = [...workers.slice(start), ...workers.slice(0, start)].slice(0, WORKERS_A_CALL);
-        void this.ask(task, key, chosen);
+        void this.fetchTickets(task, key, chosen);
     }
 
     /** Forgets a job's tickets. */
@@ -60,7 +60,7 @@
         }
     }
 
-    private async ask(task: Task, key: string, workers: readonly string[]): Promise<void> {
+    private async fetchTickets(task: Task, key: string, workers: readonly string[]): Promise<void> {
         const { advice, clock, metrics, logger } = this.parts;
         const sentAtMs = clock.getNow();
         const { jobId, occurrence, step } = task.ref;
--- a/packages/coordinate-work/src/computeStartsLeft.ts
+++ b/packages/coordinate-work/src/computeStartsLeft.ts
@@ -1,5 +1,5 @@
 import { WorkerState } from "@sardinestage/describe-work";
-import { WORKER_SILENCE_MS } from "./limits.js";
+import { limits } from "./limits.js";
 import type { WorkerLink } from "./workerLink.js";
 
 /** Starts that a sound worker may get in one round. */
@@ -8,7 +8,7 @@
 /** How many starts a worker may get now: none, one to prove itself, or as many as fit. */
 export function computeStartsLeft(link: WorkerLink, nowMs: number): number {
     const isUsable = link.isHeld && !link.isGone && link.entry.state === WorkerState.Ready && link.missedHolds === 0;
-    if (!isUsable || nowMs < link.blockedUntilMs || nowMs - link.clockAtMs > WORKER_SILENCE_MS) {
+    if (!isUsable || nowMs < link.blockedUntilMs || nowMs - link.clockAtMs > limits.workerSilenceMs) {
         return 0;
     }
     if (nowMs < link.probationUntilMs) {
--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -1,24 +1,27 @@
-import type { HoldAnswer, KeyedRecord, OrderOutcome } from "@sardinestage/describe-ports";
-import { AppendOutcome, Topic } from "@sardinestage/describe-ports";
+import type { HoldAnswer, OrderOutcome } from "@sardinestage/describe-ports";
+import { Topic } from "@sardinestage/describe-ports";
 import { JobState, WorkerState } from "@sardinestage/describe-work";
 import { TopicFollower } from "@sardinestage/follow-topic";
+import { HeadroomEstimator } from "@sardinestage/learn-behaviour";
 import type { Job, Task } from "@sardinestage/track-jobs";
-import { applyCancel, applyRunLost, CANCEL_SUFFIX, TaskPhase } from "@sardinestage/track-jobs";
+import { applyCancel, applyRunLost } from "@sardinestage/track-jobs";
 import { AdviceBook } from "./adviceBook.js";
-import { buildRooms } from "./buildRooms.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
+import { describeFleet } from "./describeFleet.js";
 import { DurationBook } from "./durationBook.js";
-import { findStalled } from "./findStalled.js";
 import { Fleet } from "./fleet.js";
 import { HoldLoop } from "./holdLoop.js";
+import { Janitor } from "./janitor.js";
 import { JobBook } from "./jobBook.js";
-import { IDLE_ROUND_MS, ROUND_DELAY_MS } from "./limits.js";
+import { JobIntake } from "./jobIntake.js";
+import { limits } from "./limits.js";
 import { OrderDesk } from "./orderDesk.js";
 import { PaceDesk } from "./paceDesk.js";
-import { noteFailedRun } from "./probation.js";
+import { PlaceJudge } from "./placeJudge.js";
 import { ProgressWriter } from "./progressWriter.js";
 import { RunBook } from "./runBook.js";
 import type { WorkerLink } from "./workerLink.js";
+import { WorkerWatch } from "./workerWatch.js";
 import { WorkRound } from "./workRound.js";
 
 /** How long a read of accepted jobs waits for the next one, in milliseconds. */
@@ -30,7 +33,7 @@
 /** After so long the first round begins although some workers haven't answered, in milliseconds. */
 const FIRST_ROUND_AFTER_MS = 300;
 /** Time between two clean-ups of what has ended, in milliseconds. */
-const CLEAN_UP_MS = 2000;
+const UPKEEP_MS = 2000;
 
 /** Holds all workers for one term and gets the accepted jobs done. */
 export class Coordinator {
@@ -41,14 +44,15 @@
     private readonly runs: RunBook;
     private readonly pace: PaceDesk;
     private readonly advice: AdviceBook;
+    private readonly watch: WorkerWatch;
     private readonly fleet: Fleet;
     private readonly round: WorkRound;
     private readonly jobsFollower: TopicFollower;
     private readonly workersFollower: TopicFollower;
     /** Jobs whose end is recorded, so that callers may be told of it. */
     private readonly recordedEnds = new Set<string>();
-    /** Records of accepted jobs that are no longer needed. */
-    private readonly needless = new Set<string>();
+    private readonly janitor: Janitor;
+    private readonly intake: JobIntake;
     private isClosed = false;
     private isOpen = false;
     private readonly openedAtMs: number;
@@ -58,16 +62,25 @@
     constructor(private readonly parts: CoordinatorParts) {
         this.openedAtMs = parts.clock.getNow();
         this.writer = new ProgressWriter(parts);
-        this.advice = new AdviceBook(parts, () => this.scheduleRound(ROUND_DELAY_MS));
+        this.janitor = new Janitor(parts, this.jobs, this.writer);
+        this.advice = new AdviceBook(parts, () => this.scheduleRound(limits.roundDelayMs));
         this.orders = new OrderDesk(parts, {
             noteNotStarted: (task, link, outcome) => this.handleNotStarted(task, link, outcome),
             noteStarted: link => this.pace.handleFigures(link),
             isClosed: () => this.isClosed,
             getTicket: (task, workerId) => this.advice.getTicket(task, workerId),
         });
+        this.watch = new WorkerWatch(parts, this.orders, this.durations);
         this.fleet = new Fleet(parts, {
             noteWorker: link => this.startHolding(link),
-            noteDraining: link => this.drainWorker(link),
+            noteDraining: link => this.watch.drainWorker(link),
+        });
+        this.intake = new JobIntake(parts, {
+            jobs: this.jobs,
+            fleet: this.fleet,
+            janitor: this.janitor,
+            cancelJob: id => this.cancelJob(id),
+            noteTaken: () => this.scheduleRound(limits.roundDelayMs),
         });
         this.runs = new RunBook(parts, {
             jobs: this.jobs,
@@ -77,7 +90,8 @@
             findLink: workerId => this.fleet.links.get(workerId),
             noteChanged: job => this.handleChange(job),
         });
-        this.pace = new PaceDesk(parts, this.orders);
+        const estimator = new HeadroomEstimator();
+        this.pace = new PaceDesk(parts, this.orders, estimator);
         this.round = new WorkRound(parts, {
             jobs: this.jobs,
             fleet: this.fleet,
@@ -85,7 +99,7 @@
             orders: this.orders,
             runs: this.runs,
             advice: this.advice,
-            pace: this.pace,
+            places: new PlaceJudge(estimator),
             durations: this.durations,
         });
         const shared = { store: parts.store, clock: parts.clock, logger: parts.logger };
@@ -95,7 +109,7 @@
             name: "jobs",
             waitMs: JOBS_WAIT_MS,
             pauseMs: JOBS_PAUSE_MS,
-            takeRecord: record => this.takeJobRecord(record),
+            takeRecord: record => this.intake.takeRecord(record),
         });
         this.workersFollower = new TopicFollower({
             ...shared,
@@ -116,7 +130,6 @@
     async open(): Promise<boolean> {
         const { clock, logger, term } = this.parts;
         const pending = new Map<string, Uint8Array>();
-        const jobRecords: KeyedRecord[] = [];
         const progress = new TopicFollower({
             store: this.parts.store,
             clock,
@@ -127,7 +140,6 @@
             pauseMs: 0,
             takeRecord: record => this.jobs.takeProgress(record, pending),
         });
-        this.takeoverRecords = jobRecords;
         const isWriter = await this.writer.open();
         const loads = isWriter
             ? await Promise.all([progress.load(), this.jobsFollower.load(), this.workersFollower.load()])
@@ -135,8 +147,7 @@
         if (loads.includes(false) || this.isClosed) {
             return false;
         }
-        this.takeoverRecords = undefined;
-        jobRecords.forEach(record => this.takeJobRecord(record, pending));
+        this.intake.applyEarly(pending);
         this.isOpen = true;
         logger.info("takeover", {
             term,
@@ -147,8 +158,8 @@
         void this.jobsFollower.run();
         void this.workersFollower.run();
         this.fleet.links.forEach(link => this.startHolding(link));
-        this.scheduleRound(ROUND_DELAY_MS);
-        this.scheduleCleanUp();
+        this.scheduleRound(limits.roundDelayMs);
+        this.scheduleUpkeep();
         return true;
     }
 
@@ -195,8 +206,6 @@
         this.handleChange(job);
     }
 
-    private takeoverRecords: KeyedRecord[] | undefined;
-
     private findState(id: string): JobState | undefined {
         const job = this.jobs.live.get(id);
         if (job === undefined) {
@@ -206,59 +215,6 @@
         return isHidden ? JobState.Running : job.state;
     }
 
-    private takeJobRecord(record: KeyedRecord, pending?: ReadonlyMap<string, Uint8Array>): void {
-        if (this.takeoverRecords !== undefined) {
-            this.takeoverRecords.push(record);
-            return;
-        }
-        const cancelled = JobBook.parseCancelKey(record.key);
-        if (cancelled !== undefined) {
-            if (record.value !== undefined) {
-                this.cancelJob(cancelled);
-            }
-            return;
-        }
-        const job = this.takeJob(record, pending?.get(record.key));
-        if (job === undefined) {
-            return;
-        }
-        this.linkActiveTasks(job);
-        if (this.jobs.isCancelledEarly(job.id)) {
-            this.cancelJob(job.id);
-        }
-        this.scheduleRound(ROUND_DELAY_MS);
-    }
-
-    private takeJob(record: KeyedRecord, progress: Uint8Array | undefined): Job | undefined {
-        try {
-            const job = this.jobs.takeJob(record, progress);
-            if (job === undefined) {
-                if (record.value !== undefined && this.jobs.finished.has(record.key)) {
-                    this.needless.add(record.key);
-                }
-                return undefined;
-            }
-            const fields = { job: job.id, queue: job.queue.name, steps: job.spec.steps.length, state: job.state };
-            this.parts.logger.info("job-taken", fields);
-            return job;
-        }
-        catch (failure) {
-            this.parts.metrics.count("records_unreadable_total", "job");
-            this.parts.logger.error("job-unreadable", { job: record.key, problem: String(failure) });
-            return undefined;
-        }
-    }
-
-    private linkActiveTasks(job: Job): void {
-        for (const occurrence of job.open.values()) {
-            for (const step of occurrence.steps) {
-                step.tasks.filter(task => task.isActive).forEach(task => {
-                    this.fleet.getOrAddLink(task.workerId).tasks.add(task);
-                });
-            }
-        }
-    }
-
     private startHolding(link: WorkerLink): void {
         if (!this.isOpen || link.entry.address === "") {
             return;
@@ -272,58 +228,13 @@
 
     private handleAnswer(link: WorkerLink, answer: HoldAnswer, sentAtMs: number): void {
         this.runs.takeAnswer(link, answer, sentAtMs);
-        this.stopUnwanted(link);
+        this.watch.stopUnwanted(link);
         this.pace.handleFigures(link);
-        this.judgeProgress(link);
+        this.watch.watchProgress(link);
         if (link.entry.state === WorkerState.Draining) {
-            this.drainWorker(link);
-        }
-        this.scheduleRound(ROUND_DELAY_MS);
-    }
-
-    /** Runs of jobs that have come to their end are stopped as soon as they are settled. */
-    private stopUnwanted(link: WorkerLink): void {
-        for (const task of link.tasks) {
-            if (task.step.occurrence.job.isFinished) {
-                this.orders.sendStop(task, link, "job-ended");
-            }
-        }
-    }
-
-    private judgeProgress(link: WorkerLink): void {
-        const { clock, logger, metrics } = this.parts;
-        const nowMs = clock.getNow();
-        const stalled = findStalled(link.tasks, nowMs, task => this.estimateTask(task));
-        const counted = stalled.filter(task => !task.step.spec.fillsLeftover);
-        if (counted.length === 0) {
-            return;
-        }
-        metrics.count("probations_total", "stalled");
-        noteFailedRun(link, `${counted[0].step.occurrence.job.id}`, nowMs);
-        logger.warn("worker-stalls", { worker: link.entry.id, stalled: stalled.length, tasks: link.tasks.size });
-        stalled.forEach(task => {
-            task.lastFailedOn = link.entry.id;
-            this.orders.sendStop(task, link, "stalled");
-        });
-    }
-
-    private estimateTask(task: Task): number {
-        return this.durations.estimateDuration(task.step.occurrence.job.queue.name, task.step.spec);
-    }
-
-    /** Moves away what a leaving worker can't finish: serving tasks at once, others when they'd be cut off. */
-    private drainWorker(link: WorkerLink): void {
-        for (const task of link.tasks) {
-            const { spec } = task.step;
-            if (task.phase !== TaskPhase.Running || spec.gang) {
-                continue;
-            }
-            const leftMs = this.estimateTask(task) * (1 - task.percent / 100);
-            const isCutOff = leftMs > link.entry.remainingMs;
-            if (spec.longRunning || (spec.savesProgress && isCutOff)) {
-                this.orders.sendStop(task, link, "worker-leaves");
-            }
+            this.watch.drainWorker(link);
         }
+        this.scheduleRound(limits.roundDelayMs);
     }
 
     private handleNotStarted(task: Task, link: WorkerLink, outcome: OrderOutcome): void {
@@ -342,7 +253,7 @@
             this.stopTasks(job);
             this.writer.waitRecorded(() => this.closeJob(job), false);
         }
-        this.scheduleRound(ROUND_DELAY_MS);
+        this.scheduleRound(limits.roundDelayMs);
     }
 
     private stopTasks(job: Job): void {
@@ -366,7 +277,7 @@
         if (isQuiet && this.jobs.live.has(job.id)) {
             this.jobs.finishJob(job);
             this.advice.dropJob(job.id);
-            this.needless.add(job.id);
+            this.janitor.noteNeedless(job.id);
             this.recordedEnds.delete(job.id);
         }
     }
@@ -386,28 +297,28 @@
         const { clock, metrics } = this.parts;
         this.roundAtMs = Infinity;
         const startedAtMs = clock.getNow();
-        this.giveUpLapsed(startedAtMs);
+        this.expireLeases(startedAtMs);
         let nextDueMs: number | undefined;
-        if (this.mayStart(startedAtMs)) {
+        if (this.isStartAllowed(startedAtMs)) {
             nextDueMs = this.round.run();
         }
         metrics.recordDuration("planning_round", clock.getNow() - startedAtMs);
-        const dueInMs = nextDueMs === undefined ? IDLE_ROUND_MS : nextDueMs - clock.getWallTime();
-        this.scheduleRound(Math.min(IDLE_ROUND_MS, Math.max(1, dueInMs)));
+        const dueInMs = nextDueMs === undefined ? limits.idleRoundMs : nextDueMs - clock.getWallTime();
+        this.scheduleRound(Math.min(limits.idleRoundMs, Math.max(1, dueInMs)));
     }
 
-    private giveUpLapsed(nowMs: number): void {
+    private expireLeases(nowMs: number): void {
         for (const link of this.fleet.links.values()) {
             const isAnswering = link.isHeld && link.missedHolds === 0;
             if (link.tasks.size > 0 && !isAnswering && nowMs > link.getLapseTime()) {
-                this.runs.loseAll(link, "lease-lapsed");
+                this.runs.dropRuns(link, "lease-lapsed");
             }
         }
         this.fleet.dropGone(nowMs);
     }
 
     /** The first starts wait until the workers have said what they run, and longer when unrecorded work may be about. */
-    private mayStart(nowMs: number): boolean {
+    private isStartAllowed(nowMs: number): boolean {
         const { hadUnrecordedStarts, rules } = this.parts;
         const unheard = [...this.fleet.links.values()].filter(link => !link.isHeld && !link.isGone);
         if (hadUnrecordedStarts) {
@@ -421,56 +332,17 @@
         return nowMs - this.openedAtMs >= FIRST_ROUND_AFTER_MS;
     }
 
-    private scheduleCleanUp(): void {
-        this.parts.clock.schedule(CLEAN_UP_MS, () => {
-            if (!this.isClosed) {
-                this.logSummary();
-                void this.cleanUp().finally(() => this.scheduleCleanUp());
+    private scheduleUpkeep(): void {
+        const { clock, logger } = this.parts;
+        clock.schedule(UPKEEP_MS, () => {
+            if (this.isClosed) {
+                return;
             }
+            const links = [...this.fleet.links.values()];
+            logger.info("fleet-summary", describeFleet(this.jobs, links, clock.getWallTime()));
+            void this.janitor.dropNeedless().finally(() => this.scheduleUpkeep());
         });
     }
-
-    /** Says how full the fleet is, so that a slow job can be told from a full fleet. */
-    private logSummary(): void {
-        const links = [...this.fleet.links.values()];
-        const tasks = links.flatMap(link => [...link.tasks]);
-        const fillers = tasks.filter(task => task.step.spec.fillsLeftover);
-        const { steps } = this.jobs.listReady(this.parts.clock.getWallTime());
-        this.parts.logger.info("fleet-summary", {
-            workers: links.length,
-            silent: links.filter(link => link.missedHolds > 0).length,
-            onTrial: links.filter(link => link.isOnTrial).length,
-            jobs: this.jobs.live.size,
-            waiting: steps.reduce((sum, { waiting }) => sum + waiting.length, 0),
-            tasks: tasks.length,
-            fillers: fillers.length,
-            fillCpuMillis: fillers.reduce((sum, task) => sum + task.step.spec.cpuMillis, 0),
-            fillCpuUsed: fillers.reduce((sum, task) => sum + task.figure, 0),
-            fillPace: Math.round(fillers.reduce((sum, task) => sum + task.pace, 0) / Math.max(1, fillers.length)),
-            freeCpuMillis: buildRooms(links, () => 1).reduce((sum, room) => sum + room.freeCpuMillis, 0),
-            servingCpuMillis: tasks.filter(task => task.step.spec.longRunning)
-                .reduce((sum, task) => sum + task.step.spec.cpuMillis, 0),
-            waitingLong: steps.filter(({ step }) => step.spec.longRunning).reduce((sum, { waiting }) => sum + waiting.length, 0),
-            freeOfServing: links.filter(link => ![...link.tasks].some(task => task.step.spec.tailTargetMs > 0)).length,
-            halted: fillers.filter(task => task.pace === 0).length,
-        });
-    }
-
-    /** Drops the stored records of jobs that have ended, and all trace of those that ended long ago. */
-    private async cleanUp(): Promise<void> {
-        const { clock, rules, store } = this.parts;
-        const dropped = this.jobs.dropFinished(clock.getWallTime(), rules.keepFinishedMs);
-        dropped.forEach(id => this.writer.note(id, undefined));
-        const ids = [...this.needless];
-        if (ids.length === 0) {
-            return;
-        }
-        const records = ids.flatMap(id => [{ key: id, value: undefined }, { key: id + CANCEL_SUFFIX, value: undefined }]);
-        const answer = await store.append({ topic: Topic.Jobs, records, timeoutMs: CLEAN_UP_MS });
-        if (answer.outcome === AppendOutcome.Appended) {
-            ids.forEach(id => this.needless.delete(id));
-        }
-    }
 }
 
 function* listTasks(job: Job): Iterable<Task> {
--- a/packages/coordinate-work/src/fleet.ts
+++ b/packages/coordinate-work/src/fleet.ts
@@ -2,7 +2,7 @@
 import type { WorkerEntry } from "@sardinestage/describe-work";
 import { WorkerState } from "@sardinestage/describe-work";
 import type { CoordinatorParts } from "./coordinatorParts.js";
-import { SLOWEST_CLOCK } from "./limits.js";
+import { limits } from "./limits.js";
 import { WorkerLink } from "./workerLink.js";
 
 /** An earlier coordinator notices within this that it no longer counts, in milliseconds. */
@@ -113,6 +113,6 @@
 
     /** Everything that an earlier coordinator let run has lapsed by then, wherever nobody could be asked. */
     private computeFallbackLapse(): number {
-        return this.openedAtMs + PREDECESSOR_NOTICE_MS + this.parts.rules.maxLeaseMs / SLOWEST_CLOCK;
+        return this.openedAtMs + PREDECESSOR_NOTICE_MS + this.parts.rules.maxLeaseMs / limits.slowestClock;
     }
 }
--- a/packages/coordinate-work/src/holdLoop.ts
+++ b/packages/coordinate-work/src/holdLoop.ts
@@ -1,7 +1,7 @@
 import type { HoldAnswer } from "@sardinestage/describe-ports";
 import { OrderOutcome, waitFor } from "@sardinestage/describe-ports";
 import type { CoordinatorParts } from "./coordinatorParts.js";
-import { END_RECORD_WAIT_MS, HOLD_RETRY_MS, HOLD_WAIT_MS, HOLDS_BEFORE_LAPSE } from "./limits.js";
+import { limits } from "./limits.js";
 import type { WorkerLink } from "./workerLink.js";
 
 /** What a hold loop tells the coordinator. */
@@ -40,7 +40,7 @@
             }
             else {
                 this.noteMiss(answer.outcome);
-                await waitFor(this.parts.clock, HOLD_RETRY_MS);
+                await waitFor(this.parts.clock, limits.holdRetryMs);
             }
         }
     }
@@ -49,11 +49,11 @@
         const { link, parts } = this;
         const { id, address } = link.entry;
         let leaseUntilMs: number | undefined;
-        if (link.clockAtMs > 0 && link.missedHolds < HOLDS_BEFORE_LAPSE) {
+        if (link.clockAtMs > 0 && link.missedHolds < limits.holdsBeforeLapse) {
             leaseUntilMs = Math.floor(link.getClock(nowMs) + parts.rules.leaseMs);
             link.leaseUntilMs = Math.max(link.leaseUntilMs, leaseUntilMs);
         }
-        const waitMs = link.isHeld && link.clockAtMs > 0 && link.missedHolds === 0 ? HOLD_WAIT_MS : 0;
+        const waitMs = link.isHeld && link.clockAtMs > 0 && link.missedHolds === 0 ? limits.holdWaitMs : 0;
         const order = { fence: parts.term, lastSeen: link.recordedEnd, leaseUntilMs, waitMs };
         return parts.workers.hold({ id, address }, order);
     }
@@ -64,7 +64,7 @@
         if (link.missedHolds === 1) {
             parts.metrics.count("hold_failures_total", OrderOutcome[outcome]);
         }
-        if (link.missedHolds === HOLDS_BEFORE_LAPSE) {
+        if (link.missedHolds === limits.holdsBeforeLapse) {
             const fields = { worker: link.entry.id, outcome: OrderOutcome[outcome], tasks: link.tasks.size };
             parts.logger.warn("worker-silent", { ...fields, lapsesAtMs: Math.round(link.getLapseTime()) });
         }
@@ -82,7 +82,7 @@
                 cancel();
                 resolve();
             };
-            const cancel = this.parts.clock.schedule(END_RECORD_WAIT_MS, wake);
+            const cancel = this.parts.clock.schedule(limits.endRecordWaitMs, wake);
             link.wakeHold = wake;
         });
     }
--- /dev/null
+++ b/packages/coordinate-work/src/janitor.ts
@@ -0,0 +1,42 @@
+import { AppendOutcome, Topic } from "@sardinestage/describe-ports";
+import { CANCEL_SUFFIX } from "@sardinestage/track-jobs";
+import type { CoordinatorParts } from "./coordinatorParts.js";
+import type { JobBook } from "./jobBook.js";
+import type { ProgressWriter } from "./progressWriter.js";
+
+/** How long an append that drops records may take, in milliseconds. */
+const DROP_TIMEOUT_MS = 2000;
+
+/** Drops the stored records of jobs that have ended, and all trace of those that ended long ago. */
+export class Janitor {
+    private readonly needless = new Set<string>();
+
+    constructor(
+        private readonly parts: CoordinatorParts,
+        private readonly jobs: JobBook,
+        private readonly writer: ProgressWriter,
+    ) {}
+
+    /** Notes that an accepted job's record is no longer needed: its end is recorded. */
+    noteNeedless(id: string): void {
+        this.needless.add(id);
+    }
+
+    /** Drops what is no longer needed; what the store doesn't take now is dropped the next time. */
+    async dropNeedless(): Promise<void> {
+        const { clock, rules, store } = this.parts;
+        const dropped = this.jobs.dropFinished(clock.getWallTime(), rules.keepFinishedMs);
+        dropped.forEach(id => this.writer.note(id, undefined));
+        const ids = [...this.needless];
+        if (ids.length === 0) {
+            return;
+        }
+        const records = ids.flatMap(
+            id => [{ key: id, value: undefined }, { key: id + CANCEL_SUFFIX, value: undefined }],
+        );
+        const answer = await store.append({ topic: Topic.Jobs, records, timeoutMs: DROP_TIMEOUT_MS });
+        if (answer.outcome === AppendOutcome.Appended) {
+            ids.forEach(id => this.needless.delete(id));
+        }
+    }
+}
--- a/packages/coordinate-work/src/orderDesk.ts
+++ b/packages/coordinate-work/src/orderDesk.ts
@@ -4,7 +4,7 @@
 import type { Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
 import type { CoordinatorParts } from "./coordinatorParts.js";
-import { STARTS_AT_ONCE } from "./limits.js";
+import { limits } from "./limits.js";
 import type { WorkerLink } from "./workerLink.js";
 
 /** No starts for so long at a worker that refused one for want of room, in milliseconds. */
@@ -39,7 +39,7 @@
                 link.waitingStarts.shift()?.();
             });
         };
-        if (link.startsUnderWay < STARTS_AT_ONCE) {
+        if (link.startsUnderWay < limits.startsAtOnce) {
             send();
         }
         else {
@@ -102,11 +102,11 @@
         metrics.recordDuration("start_call", clock.getNow() - sentAtMs);
         metrics.count("starts_total", OrderOutcome[outcome]);
         if (task.run === run && task.isActive) {
-            this.settleStart(task, link, outcome);
+            this.applyStartOutcome(task, link, outcome);
         }
     }
 
-    private settleStart(task: Task, link: WorkerLink, outcome: OrderOutcome): void {
+    private applyStartOutcome(task: Task, link: WorkerLink, outcome: OrderOutcome): void {
         const nowMs = this.parts.clock.getNow();
         switch (outcome) {
             case OrderOutcome.Accepted:
--- a/packages/coordinate-work/src/paceDesk.ts
+++ b/packages/coordinate-work/src/paceDesk.ts
@@ -1,11 +1,9 @@
 import { OrderOutcome } from "@sardinestage/describe-ports";
 import type { StepSpec } from "@sardinestage/describe-work";
 import { formatTaskKey } from "@sardinestage/describe-work";
-import type { WeightedNeighbour } from "@sardinestage/learn-behaviour";
-import { HeadroomEstimator } from "@sardinestage/learn-behaviour";
+import type { HeadroomEstimator, WeightedNeighbour } from "@sardinestage/learn-behaviour";
 import type { FillerView, PaceRules, ServerView } from "@sardinestage/plan-pace";
 import { planPace } from "@sardinestage/plan-pace";
-import type { PlaceView, ServerPlace, WorkerRoom } from "@sardinestage/plan-starts";
 import type { Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
 import type { CoordinatorParts } from "./coordinatorParts.js";
@@ -20,30 +18,23 @@
 const HALT_ALL_SHARE = 0.4;
 /** Share of the bound on harm after which standing still is taken not to help. */
 const STOP_SHARE = 0.6;
-/** A filling task that takes so much of any headroom needs a place of its own. */
-const HARMFUL = 0.3;
-/** A serving image from which some neighbour would take so much on a whole worker suffers easily. */
-const SENSITIVE = 6;
-/** Headroom of a serving task of which nothing is known. */
-const USUAL_HEADROOM = 2.5;
-/** More headroom than this is taken for a wrong estimate of the neighbours. */
-const MOST_OWN_HEADROOM = 4;
-/** Less headroom than this is all the same. */
-const LEAST_HEADROOM = 0.05;
 /** Weight of the newest figure in a serving task's own headroom. */
 const OWN_HEADROOM_RATE = 0.4;
+/** More headroom than this is taken for a wrong estimate of the neighbours. */
+const MOST_OWN_HEADROOM = 4;
 const FULL_PERCENT = 100;
-/** A place that neither suffers nor does harm. */
-const NEUTRAL_PLACE: PlaceView = { strain: 0, isHarmful: false, alikeShare: 1 };
 
 /** Slows filling tasks where serving tasks beside them suffer, and stops them where that isn't enough. */
 export class PaceDesk {
-    private readonly estimator = new HeadroomEstimator();
     private readonly rules: PaceRules;
     private readonly underWay = new Set<Task>();
     private readonly learnedAtMs = new WeakMap<WorkerLink, number>();
 
-    constructor(private readonly parts: CoordinatorParts, private readonly orders: OrderDesk) {
+    constructor(
+        private readonly parts: CoordinatorParts,
+        private readonly orders: OrderDesk,
+        private readonly estimator: HeadroomEstimator,
+    ) {
         const { harmMs, paceMs } = parts.rules;
         this.rules = {
             settleMs: paceMs + FIGURE_WINDOW_MS,
@@ -81,48 +72,6 @@
         }
     }
 
-    /** What is known of a task of a step beside those that a worker has. */
-    describePlace(room: WorkerRoom, spec: StepSpec): PlaceView {
-        if (!spec.fillsLeftover && spec.tailTargetMs === 0) {
-            return NEUTRAL_PLACE;
-        }
-        const { servers, capacityCpuMillis: capacity } = room;
-        const fillers = spec.fillsLeftover ? [...room.fillers, spec] : room.fillers;
-        const exposed = spec.tailTargetMs > 0 ? [...servers, { spec, headroom: undefined }] : servers;
-        const strain = Math.max(0, ...exposed.map(server => this.estimateStrain(server, fillers, capacity)));
-        const alike = servers.filter(server => this.areAlike(server.spec.image, spec.image)).length;
-        return {
-            strain,
-            isHarmful: spec.fillsLeftover && this.isHarmful(spec, capacity),
-            alikeShare: servers.length === 0 ? 1 : alike / servers.length,
-        };
-    }
-
-    /** Whether two serving images are the same, or are both known to suffer or both known not to. */
-    private areAlike(image: string, other: string): boolean {
-        if (image === other) {
-            return true;
-        }
-        const [left, right] = [this.estimator.estimateSensitivity(image), this.estimator.estimateSensitivity(other)];
-        return left !== undefined && right !== undefined && (left > SENSITIVE) === (right > SENSITIVE);
-    }
-
-    /** The expected tail of a serving task beside some filling ones at full speed, as a share of its target. */
-    private estimateStrain(server: ServerPlace, fillers: readonly StepSpec[], capacity: number): number {
-        const usual = this.estimator.estimateAlone(server.spec.image) ?? USUAL_HEADROOM;
-        // Load that is low now rises while the task runs.
-        let headroom = Math.min(server.headroom ?? usual, usual);
-        for (const filler of fillers) {
-            headroom -= this.estimateHarm(server.spec, filler, capacity);
-        }
-        return 1 / Math.max(LEAST_HEADROOM, headroom);
-    }
-
-    private isHarmful(filler: StepSpec, capacity: number): boolean {
-        const weight = filler.cpuMillis / Math.max(1, capacity);
-        return this.estimator.estimateWorstHarm(filler.image) * weight >= HARMFUL;
-    }
-
     private estimateHarm(server: StepSpec, filler: StepSpec, capacity: number): number {
         const weight = filler.cpuMillis / Math.max(1, capacity);
         return this.estimator.estimateHarm(server.image, filler.image) * weight;
@@ -159,7 +108,9 @@
     }
 
     private describeFiller(task: Task, servers: readonly Task[], link: WorkerLink): FillerView {
-        const harms = servers.map(server => this.estimateHarm(server.step.spec, task.step.spec, link.entry.capacity.cpuMillis));
+        const harms = servers.map(server =>
+            this.estimateHarm(server.step.spec, task.step.spec, link.entry.capacity.cpuMillis)
+        );
         return { key: formatTaskKey(task.ref), harms, percent: task.pace };
     }
 
--- /dev/null
+++ b/packages/coordinate-work/src/placeJudge.ts
@@ -0,0 +1,99 @@
+import type { StepSpec } from "@sardinestage/describe-work";
+import type { HeadroomEstimator } from "@sardinestage/learn-behaviour";
+import type { PlaceView, WorkerRoom } from "@sardinestage/plan-starts";
+
+/** A filling task that takes so much of any headroom needs a place of its own. */
+const HARMFUL = 0.3;
+/** Headroom of a serving task of which nothing is known. */
+const USUAL_HEADROOM = 2.5;
+/** A serving image from which some neighbour would take so much on a whole worker suffers easily. */
+const SENSITIVE = 6;
+/** Less headroom than this is all the same. */
+const LEAST_HEADROOM = 0.05;
+/** A place that neither suffers nor does harm. */
+const NEUTRAL_PLACE: PlaceView = { strain: 0, isHarmful: false, alikeShare: 1 };
+
+/** What the serving tasks of a room have left beside the filling ones there. */
+interface RoomHeadroom {
+    readonly servers: number;
+    readonly fillers: number;
+    /** In the order of the room's serving tasks. */
+    readonly lefts: readonly number[];
+}
+
+/** Tells what a task would do to the serving tasks on a worker, from what was learned of pairs of images. */
+export class PlaceJudge {
+    private readonly headrooms = new WeakMap<WorkerRoom, RoomHeadroom>();
+
+    constructor(private readonly estimator: HeadroomEstimator) {}
+
+    /** What is known of a task of a step beside those that a worker has. */
+    describePlace(room: WorkerRoom, spec: StepSpec): PlaceView {
+        if (spec.tailTargetMs > 0) {
+            return this.describeServing(room, spec);
+        }
+        return spec.fillsLeftover ? this.describeFilling(room, spec) : NEUTRAL_PLACE;
+    }
+
+    private describeFilling(room: WorkerRoom, spec: StepSpec): PlaceView {
+        const lefts = this.getLefts(room);
+        let worst = Infinity;
+        room.servers.forEach((server, index) => {
+            const taken = this.estimateTaken(server.spec.image, spec, room.capacityCpuMillis);
+            worst = Math.min(worst, lefts[index] - taken);
+        });
+        const weight = spec.cpuMillis / Math.max(1, room.capacityCpuMillis);
+        const isHarmful = this.estimator.estimateWorstHarm(spec.image) * weight >= HARMFUL;
+        return { strain: convertToStrain(worst), isHarmful, alikeShare: 1 };
+    }
+
+    private describeServing(room: WorkerRoom, spec: StepSpec): PlaceView {
+        let headroom = this.estimateUsual(spec.image);
+        for (const filler of room.fillers) {
+            headroom -= this.estimateTaken(spec.image, filler, room.capacityCpuMillis);
+        }
+        const alike = room.servers.filter(server => this.isAlike(server.spec.image, spec.image)).length;
+        const alikeShare = room.servers.length === 0 ? 1 : alike / room.servers.length;
+        return { strain: convertToStrain(headroom), isHarmful: false, alikeShare };
+    }
+
+    /** A round takes from rooms as it goes, so what is left is worked out anew only where something was added. */
+    private getLefts(room: WorkerRoom): readonly number[] {
+        const known = this.headrooms.get(room);
+        if (known !== undefined && known.servers === room.servers.length && known.fillers === room.fillers.length) {
+            return known.lefts;
+        }
+        const lefts = room.servers.map(server => {
+            const usual = this.estimateUsual(server.spec.image);
+            // Load that is low now rises while the task runs.
+            const own = Math.min(server.headroom ?? usual, usual);
+            return room.fillers.reduce(
+                (left, filler) => left - this.estimateTaken(server.spec.image, filler, room.capacityCpuMillis),
+                own,
+            );
+        });
+        this.headrooms.set(room, { servers: room.servers.length, fillers: room.fillers.length, lefts });
+        return lefts;
+    }
+
+    private estimateUsual(image: string): number {
+        return this.estimator.estimateAlone(image) ?? USUAL_HEADROOM;
+    }
+
+    private estimateTaken(image: string, filler: StepSpec, capacityCpuMillis: number): number {
+        return this.estimator.estimateHarm(image, filler.image) * filler.cpuMillis / Math.max(1, capacityCpuMillis);
+    }
+
+    /** Whether two serving images are the same, or are both known to suffer or both known not to. */
+    private isAlike(image: string, other: string): boolean {
+        if (image === other) {
+            return true;
+        }
+        const [left, right] = [this.estimator.estimateSensitivity(image), this.estimator.estimateSensitivity(other)];
+        return left !== undefined && right !== undefined && (left > SENSITIVE) === (right > SENSITIVE);
+    }
+}
+
+function convertToStrain(headroom: number): number {
+    return 1 / Math.max(LEAST_HEADROOM, headroom);
+}
--- a/packages/coordinate-work/src/progressWriter.ts
+++ b/packages/coordinate-work/src/progressWriter.ts
@@ -3,7 +3,7 @@
 import { encodeProgress } from "@sardinestage/track-jobs";
 import type { Job } from "@sardinestage/track-jobs";
 import type { CoordinatorParts } from "./coordinatorParts.js";
-import { FLUSH_BYTES, FLUSH_GAP_MS, FLUSH_RETRY_MS, FLUSH_TIMEOUT_MS, UNRECORDED_AFTER_MS } from "./limits.js";
+import { limits } from "./limits.js";
 
 const WRITER_NAME = "coordinator";
 
@@ -59,7 +59,7 @@
 
     /** Whether the store hasn't taken a record for so long that work goes on without. */
     get isStoreAway(): boolean {
-        return this.isFlushing && this.parts.clock.getNow() - this.writtenAtMs >= UNRECORDED_AFTER_MS;
+        return this.isFlushing && this.parts.clock.getNow() - this.writtenAtMs >= limits.unrecordedAfterMs;
     }
 
     /** Stops writing; what waits is dropped. */
@@ -93,7 +93,7 @@
             this.writtenAtMs = clock.getNow();
             this.parts.metrics.recordDuration("progress_append", this.writtenAtMs - lastAtMs);
             waiters.forEach(waiter => waiter.run());
-            await waitFor(clock, Math.max(0, FLUSH_GAP_MS - (clock.getNow() - lastAtMs)));
+            await waitFor(clock, Math.max(0, limits.flushGapMs - (clock.getNow() - lastAtMs)));
         }
         this.isFlushing = false;
         const waiters = this.waiters;
@@ -109,7 +109,7 @@
             bytes += key.length + (value?.length ?? 0);
             records.push({ key, value });
             this.dirty.delete(key);
-            if (bytes >= FLUSH_BYTES) {
+            if (bytes >= limits.flushBytes) {
                 break;
             }
         }
@@ -135,11 +135,14 @@
                 return false;
             }
             if (tries === 0) {
-                logger.warn("progress-write-failed", { outcome: AppendOutcome[answer.outcome], records: records.length });
+                logger.warn("progress-write-failed", {
+                    outcome: AppendOutcome[answer.outcome],
+                    records: records.length,
+                });
             }
             tries++;
             metrics.count("progress_write_failures_total", AppendOutcome[answer.outcome]);
-            await waitFor(clock, FLUSH_RETRY_MS);
+            await waitFor(clock, limits.flushRetryMs);
             this.releaseUnrecorded(waiters);
         }
         return false;
@@ -163,7 +166,7 @@
             topic: Topic.Progress,
             records,
             writer,
-            timeoutMs: FLUSH_TIMEOUT_MS,
+            timeoutMs: limits.flushTimeoutMs,
         });
         if (answer.outcome === AppendOutcome.Appended && records.length > 0) {
             this.sequence++;
--- a/packages/coordinate-work/src/runBook.ts
+++ b/packages/coordinate-work/src/runBook.ts
@@ -5,7 +5,7 @@
 import { compareRuns } from "./compareRuns.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import type { DurationBook } from "./durationBook.js";
-import { endProbation } from "./endProbation.js";
+import { finishProbation } from "./finishProbation.js";
 import type { JobBook } from "./jobBook.js";
 import type { OrderDesk } from "./orderDesk.js";
 import { noteFailedRun } from "./probation.js";
@@ -36,22 +36,22 @@
         this.takeEnds(link, answer.ended);
         const difference = compareRuns(link.tasks, answer, sentAtMs, row => this.book.jobs.findTask(row.task));
         difference.matched.forEach(({ task, row }) => this.updateTask(task, row, nowMs));
-        difference.adopted.forEach(({ task, row }) => this.adoptRun(task, row, link, nowMs));
+        difference.adopted.forEach(({ task, row }) => this.acceptRun(task, row, link, nowMs));
         difference.strays.forEach(row => this.stopStray(row, link));
-        difference.lost.forEach(task => this.loseRun(task, link, "not-listed"));
+        difference.lost.forEach(task => this.dropRun(task, link, "not-listed"));
         difference.uncertain.forEach(task => this.book.orders.sendVoid(task, link));
         link.isHeld = true;
     }
 
     /** Gives up the runs of a worker whose lease has certainly run out. */
-    loseAll(link: WorkerLink, reason: string): void {
+    dropRuns(link: WorkerLink, reason: string): void {
         for (const task of [...link.tasks]) {
-            this.loseRun(task, link, reason);
+            this.dropRun(task, link, reason);
         }
     }
 
     /** Notes that a task's newest run isn't at work and left no end. */
-    loseRun(task: Task, link: WorkerLink, reason: string): void {
+    dropRun(task: Task, link: WorkerLink, reason: string): void {
         link.tasks.delete(task);
         this.parts.metrics.count("runs_lost_total", reason);
         const fields = { task: formatTaskKey(task.ref), run: task.run, worker: link.entry.id, reason };
@@ -72,7 +72,7 @@
             });
             for (const task of [...link.tasks]) {
                 if (task.settledAtMs !== Infinity) {
-                    this.loseRun(task, link, "worker-reborn");
+                    this.dropRun(task, link, "worker-reborn");
                 }
             }
         }
@@ -105,7 +105,7 @@
         const { job } = task.step.occurrence;
         const fields = { task: formatTaskKey(row.task), run: row.run, worker: link.entry.id };
         this.parts.logger.info("run-end", { ...fields, end: RunEnd[row.end], number: row.number });
-        this.judgeWorker(link, task, row);
+        this.learnSoundness(link, task, row);
         const activeBefore = this.listActive(task, row.end);
         const isHere = link.tasks.has(task) && row.run === task.run;
         const isElsewhere = task.isActive && !isHere;
@@ -143,11 +143,11 @@
         }
     }
 
-    private judgeWorker(link: WorkerLink, task: Task, row: EndedRow): void {
+    private learnSoundness(link: WorkerLink, task: Task, row: EndedRow): void {
         const nowMs = this.parts.clock.getNow();
         const { job } = task.step.occurrence;
         if (row.end === RunEnd.Done) {
-            endProbation(link);
+            finishProbation(link);
             if (task.seenAtMs > 0 && task.checkpoint === "" && task.pace === 100 && row.run === task.run) {
                 this.book.durations.learnDuration(job.queue.name, task.step.spec, nowMs - task.orderedAtMs);
             }
@@ -179,7 +179,7 @@
         task.figure = row.figure;
     }
 
-    private adoptRun(task: Task, row: RunningRow, link: WorkerLink, nowMs: number): void {
+    private acceptRun(task: Task, row: RunningRow, link: WorkerLink, nowMs: number): void {
         const { job } = task.step.occurrence;
         const fields = { task: formatTaskKey(row.task), run: row.run, worker: link.entry.id };
         this.parts.logger.info("run-adopted", fields);
--- a/packages/coordinate-work/src/workRound.ts
+++ b/packages/coordinate-work/src/workRound.ts
@@ -10,9 +10,9 @@
 import type { DurationBook } from "./durationBook.js";
 import type { Fleet } from "./fleet.js";
 import type { JobBook } from "./jobBook.js";
-import { STARTS_A_ROUND } from "./limits.js";
+import { limits } from "./limits.js";
 import type { OrderDesk } from "./orderDesk.js";
-import type { PaceDesk } from "./paceDesk.js";
+import type { PlaceJudge } from "./placeJudge.js";
 import type { ProgressWriter } from "./progressWriter.js";
 import type { RunBook } from "./runBook.js";
 
@@ -44,7 +44,7 @@
     readonly orders: OrderDesk;
     readonly runs: RunBook;
     readonly advice: AdviceBook;
-    readonly pace: PaceDesk;
+    readonly places: PlaceJudge;
     readonly durations: DurationBook;
 }
 
@@ -60,7 +60,7 @@
         const { clock } = this.parts;
         const nowMs = clock.getNow();
         const { steps, nextDueMs } = this.round.jobs.listReady(clock.getWallTime());
-        this.moveHalted(nowMs);
+        this.releaseHalted(nowMs);
         if (steps.length === 0) {
             return nextDueMs;
         }
@@ -68,20 +68,20 @@
         const isBusy = computeReservedShare(rooms) >= BUSY_SHARE;
         const demands = steps.map(({ step, waiting }) => this.buildDemand(step, waiting));
         const plan = planStarts(demands, rooms, {
-            maxStarts: STARTS_A_ROUND,
+            maxStarts: limits.startsARound,
             longestWaitMs: isBusy ? Infinity : LONGEST_WAIT_MS,
             isAdvised: (task, workerId) => this.round.advice.isAdvised(task, workerId),
-            describePlace: (room, spec) => this.round.pace.describePlace(room, spec),
+            describePlace: (room, spec) => this.round.places.describePlace(room, spec),
         });
-        plan.starts.forEach(({ task, workerId }) => this.orderStart(task, workerId, nowMs));
-        
+        plan.starts.forEach(({ task, workerId }) => this.startTask(task, workerId, nowMs));
+
         let displacements = 0;
         for (const demand of plan.unmet) {
             this.requestAdvice(demand, rooms.map(room => room.workerId));
-            if (displacements < DISPLACEMENTS_A_ROUND && this.mayDisplace(demand, nowMs)) {
+            if (displacements < DISPLACEMENTS_A_ROUND && this.isDisplacing(demand, nowMs)) {
                 const found = planDisplacement(demand, rooms, id => this.round.fleet.links.get(id)?.tasks ?? []);
                 displacements += found === undefined ? 0 : 1;
-                this.displace(demand, found, nowMs);
+                this.stopVictims(demand, found, nowMs);
             }
         }
         return nextDueMs;
@@ -116,7 +116,7 @@
         return Math.max(0, ...chains);
     }
 
-    private orderStart(task: Task, workerId: string, nowMs: number): void {
+    private startTask(task: Task, workerId: string, nowMs: number): void {
         const link = this.round.fleet.links.get(workerId);
         if (link === undefined) {
             return;
@@ -149,18 +149,18 @@
         const isUnwanted = task.step.occurrence.job.isFinished || task.phase !== TaskPhase.Ordered;
         if (isUnwanted) {
             // Stopped before it was sent: nothing can be there.
-            this.round.runs.loseRun(task, link, "never-sent");
+            this.round.runs.dropRun(task, link, "never-sent");
             return;
         }
         this.round.orders.sendStart(task, link);
     }
 
     /** Filling tasks that stand still beside serving ones give their room back, and wait for a milder place. */
-    private moveHalted(nowMs: number): void {
+    private releaseHalted(nowMs: number): void {
         let moves = 0;
         for (const link of this.round.fleet.links.values()) {
             for (const task of link.tasks) {
-                if (moves < MOVES_A_ROUND && mayMove(task, nowMs)) {
+                if (moves < MOVES_A_ROUND && isMovable(task, nowMs)) {
                     moves++;
                     this.round.orders.sendStop(task, link, "moved");
                 }
@@ -176,13 +176,13 @@
     }
 
     /** A step is given room again only after what it was promised had time to come free. */
-    private mayDisplace(demand: StepDemand, nowMs: number): boolean {
+    private isDisplacing(demand: StepDemand, nowMs: number): boolean {
         const displacedAtMs = this.displacedAtMs.get(demand.step);
         const isUseful = demand.lateSlackMs >= 0 || demand.step.spec.longRunning;
         return isUseful && (displacedAtMs === undefined || nowMs - displacedAtMs >= DISPLACEMENT_PAUSE_MS);
     }
 
-    private displace(
+    private stopVictims(
         demand: StepDemand,
         found: { readonly workerId: string; readonly victims: readonly Task[] } | undefined,
         nowMs: number,
@@ -196,7 +196,7 @@
     }
 }
 
-function mayMove(task: Task, nowMs: number): boolean {
+function isMovable(task: Task, nowMs: number): boolean {
     const { spec } = task.step;
     return spec.fillsLeftover && task.phase === TaskPhase.Running && task.pace <= HALTED_PERCENT
         && nowMs - Math.max(task.pacedAtMs, task.seenAtMs) >= HALTED_MS
--- a/packages/coordinate-work/src/workerLink.ts
+++ b/packages/coordinate-work/src/workerLink.ts
@@ -2,7 +2,7 @@
 import type { WorkerEntry } from "@sardinestage/describe-work";
 import type { PaceState } from "@sardinestage/plan-pace";
 import type { Task } from "@sardinestage/track-jobs";
-import { SLOWEST_CLOCK } from "./limits.js";
+import { limits } from "./limits.js";
 
 /** What a coordinator knows of one worker. */
 export class WorkerLink {
@@ -62,7 +62,7 @@
         if (this.clockAtMs === 0) {
             return this.lapsedAtMs;
         }
-        return this.clockAtMs + Math.max(0, this.leaseUntilMs - this.clockMs) / SLOWEST_CLOCK;
+        return this.clockAtMs + Math.max(0, this.leaseUntilMs - this.clockMs) / limits.slowestClock;
     }
 
     /** Forgets what belonged to an earlier life. */
--- /dev/null
+++ b/packages/coordinate-work/src/workerWatch.ts
@@ -0,0 +1,63 @@
+import type { Task } from "@sardinestage/track-jobs";
+import { TaskPhase } from "@sardinestage/track-jobs";
+import type { CoordinatorParts } from "./coordinatorParts.js";
+import type { DurationBook } from "./durationBook.js";
+import { findStalled } from "./findStalled.js";
+import type { OrderDesk } from "./orderDesk.js";
+import { noteFailedRun } from "./probation.js";
+import type { WorkerLink } from "./workerLink.js";
+
+/** Stops what a worker should no longer run: work of ended jobs, stalled work, and what a leaving worker can't finish. */
+export class WorkerWatch {
+    constructor(
+        private readonly parts: CoordinatorParts,
+        private readonly orders: OrderDesk,
+        private readonly durations: DurationBook,
+    ) {}
+
+    /** Runs of jobs that have come to their end are stopped as soon as they are settled. */
+    stopUnwanted(link: WorkerLink): void {
+        for (const task of link.tasks) {
+            if (task.step.occurrence.job.isFinished) {
+                this.orders.sendStop(task, link, "job-ended");
+            }
+        }
+    }
+
+    /** Moves stalled tasks away, and gives the worker less to do. */
+    watchProgress(link: WorkerLink): void {
+        const { clock, logger, metrics } = this.parts;
+        const nowMs = clock.getNow();
+        const stalled = findStalled(link.tasks, nowMs, task => this.estimateTask(task));
+        const counted = stalled.filter(task => !task.step.spec.fillsLeftover);
+        if (counted.length === 0) {
+            return;
+        }
+        metrics.count("probations_total", "stalled");
+        noteFailedRun(link, `${counted[0].step.occurrence.job.id}`, nowMs);
+        logger.warn("worker-stalls", { worker: link.entry.id, stalled: stalled.length, tasks: link.tasks.size });
+        stalled.forEach(task => {
+            task.lastFailedOn = link.entry.id;
+            this.orders.sendStop(task, link, "stalled");
+        });
+    }
+
+    private estimateTask(task: Task): number {
+        return this.durations.estimateDuration(task.step.occurrence.job.queue.name, task.step.spec);
+    }
+
+    /** Moves away what a leaving worker can't finish: serving tasks at once, others when they'd be cut off. */
+    drainWorker(link: WorkerLink): void {
+        for (const task of link.tasks) {
+            const { spec } = task.step;
+            if (task.phase !== TaskPhase.Running || spec.gang) {
+                continue;
+            }
+            const leftMs = this.estimateTask(task) * (1 - task.percent / 100);
+            const isCutOff = leftMs > link.entry.remainingMs;
+            if (spec.longRunning || (spec.savesProgress && isCutOff)) {
+                this.orders.sendStop(task, link, "worker-leaves");
+            }
+        }
+    }
+}
--- a/packages/keep-term/src/index.ts
+++ b/packages/keep-term/src/index.ts
@@ -1,6 +1,6 @@
-export type { Candidate } from "./candidate.js";
 export type { CandidacyRules } from "./candidacyRules.js";
 export { CandidacyStep } from "./candidacyStep.js";
+export type { Candidate } from "./candidate.js";
 export { chooseCandidacyStep } from "./chooseCandidacyStep.js";
 export type { CoordinatorView } from "./coordinatorView.js";
 export { RenewalOutcome } from "./renewalOutcome.js";
--- a/packages/keep-term/src/termLog.ts
+++ b/packages/keep-term/src/termLog.ts
@@ -59,7 +59,7 @@
     }
 
     /** Takes over a term that an append won whose answer was lost. */
-    resumeTerm(view: TermView): void {
+    acceptTerm(view: TermView): void {
         this.end = view.end;
     }
 
--- a/packages/learn-behaviour/src/linearEstimator.ts
+++ b/packages/learn-behaviour/src/linearEstimator.ts
@@ -31,7 +31,7 @@
                 this.covariance[row][column] -= gains[row] * gains[column] / variance;
             }
         }
-        this.forget(values);
+        this.dropCertainty(values);
     }
 
     /** The coefficient of an input; 0 while nothing is known of it. */
@@ -53,7 +53,7 @@
     }
 
     /** Only inputs that were seen lose certainty, so that what isn't tried any more isn't forgotten. */
-    private forget(values: readonly number[]): void {
+    private dropCertainty(values: readonly number[]): void {
         for (let row = 0; row < values.length; row++) {
             if (values[row] !== 0 && this.covariance[row][row] < MAX_VARIANCE) {
                 for (let column = 0; column < values.length; column++) {
--- a/packages/plan-pace/src/planPace.ts
+++ b/packages/plan-pace/src/planPace.ts
@@ -37,7 +37,7 @@
     const lefts = servers.map((server, index) => computeLeft(server, fillers, index));
     for (const filler of [...fillers].sort(compareHarm)) {
         const isHarmful = filler.harms.some(harm => harm >= HARMLESS);
-        const allowed = mustHalt && (isHarmful || overMs >= rules.haltAllAfterMs) ? 0 : allow(filler, lefts);
+        const allowed = mustHalt && (isHarmful || overMs >= rules.haltAllAfterMs) ? 0 : allocateShare(filler, lefts);
         const mayRise = allowed < filler.percent || nowMs >= state.heldUntilMs;
         percents.set(filler.key, mayRise ? allowed : filler.percent);
     }
@@ -64,7 +64,7 @@
 }
 
 /** Allows a filling task as much as is left, and takes that away: some at full speed are worth more than all at none. */
-function allow(filler: FillerView, lefts: number[]): number {
+function allocateShare(filler: FillerView, lefts: number[]): number {
     let share = 1;
     filler.harms.forEach((harm, index) => {
         if (harm >= HARMLESS) {
--- a/packages/plan-starts/src/planDisplacement.ts
+++ b/packages/plan-starts/src/planDisplacement.ts
@@ -1,7 +1,7 @@
 import type { StepSpec } from "@sardinestage/describe-work";
 import type { Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
-import { mayRunOn } from "./mayRunOn.js";
+import { isAllowedOn } from "./isAllowedOn.js";
 import type { StepDemand } from "./stepDemand.js";
 import type { WorkerRoom } from "./workerRoom.js";
 
@@ -33,7 +33,7 @@
     let best: Displacement | undefined;
     let bestCost = Infinity;
     for (const room of rooms) {
-        if (!mayRunOn(demand.step, room) || room.startsLeft <= 0) {
+        if (!isAllowedOn(demand.step, room) || room.startsLeft <= 0) {
             continue;
         }
         const victims = chooseVictims(room, spec, priority, listTasks(room.workerId));
--- a/packages/plan-starts/src/planGang.ts
+++ b/packages/plan-starts/src/planGang.ts
@@ -2,7 +2,7 @@
 import type { Task } from "@sardinestage/track-jobs";
 import { computePlaceScore } from "./computePlaceScore.js";
 import { hasRoom } from "./hasRoom.js";
-import { mayRunOn } from "./mayRunOn.js";
+import { isAllowedOn } from "./isAllowedOn.js";
 import type { PlaceView } from "./placeView.js";
 import type { PlannedStart } from "./plannedStart.js";
 import type { StepDemand } from "./stepDemand.js";
@@ -32,7 +32,7 @@
     if (demand.waiting.length < step.tasks.length) {
         return true;
     }
-    const usable = rooms.filter(room => mayRunOn(step, room));
+    const usable = rooms.filter(room => isAllowedOn(step, room));
     const racks = step.spec.sameRack ? [...new Set(usable.map(room => room.rack))] : [];
     const candidates = [...racks.map(rack => usable.filter(room => room.rack === rack)), usable];
     for (const candidate of candidates) {
@@ -60,7 +60,11 @@
     rules: GangRules,
 ): Placed[] | undefined {
     const { spec } = demand.step;
-    const copies = rooms.map(room => ({ room, copy: { ...room, servers: [...room.servers], fillers: [...room.fillers] }, taken: 0 }));
+    const copies = rooms.map(room => ({
+        room,
+        copy: { ...room, servers: [...room.servers], fillers: [...room.fillers] },
+        taken: 0,
+    }));
     const placed: Placed[] = [];
     const score = (room: WorkerRoom) => computePlaceScore(room, spec, rules.describePlace(room, spec));
     for (const task of demand.waiting) {
--- a/packages/plan-starts/src/planStarts.ts
+++ b/packages/plan-starts/src/planStarts.ts
@@ -3,10 +3,11 @@
 import { compareDemands } from "./compareDemands.js";
 import { computePlaceScore } from "./computePlaceScore.js";
 import { hasRoom } from "./hasRoom.js";
-import { mayRunOn } from "./mayRunOn.js";
-import { planGang } from "./planGang.js";
+import { isAllowedOn } from "./isAllowedOn.js";
 import type { PlaceView } from "./placeView.js";
+import { planGang } from "./planGang.js";
 import type { PlannedStart } from "./plannedStart.js";
+import { RefusedShapes } from "./refusedShapes.js";
 import type { StartPlan } from "./startPlan.js";
 import type { StepDemand } from "./stepDemand.js";
 import { takeRoom } from "./takeRoom.js";
@@ -43,20 +44,31 @@
 ): StartPlan {
     const starts: PlannedStart[] = [];
     const unmet: StepDemand[] = [];
+    const refused = new RefusedShapes();
     for (const demand of [...demands].sort(compareDemands)) {
         if (starts.length >= rules.maxStarts) {
             break;
         }
-        const isMet = demand.step.spec.gang
-            ? planGang(demand, rooms, rules, starts)
-            : planTasks(demand, rooms, rules, starts);
+        const isMet = !refused.has(demand) && planDemand(demand, rooms, rules, starts);
         if (!isMet) {
+            refused.add(demand);
             unmet.push(demand);
         }
     }
     return { starts, unmet };
 }
 
+function planDemand(
+    demand: StepDemand,
+    rooms: readonly WorkerRoom[],
+    rules: StartRules,
+    starts: PlannedStart[],
+): boolean {
+    return demand.step.spec.gang
+        ? planGang(demand, rooms, rules, starts)
+        : planTasks(demand, rooms, rules, starts);
+}
+
 function planTasks(
     demand: StepDemand,
     rooms: readonly WorkerRoom[],
@@ -64,7 +76,7 @@
     starts: PlannedStart[],
 ): boolean {
     const { step } = demand;
-    const usable = rooms.filter(room => mayRunOn(step, room));
+    const usable = rooms.filter(room => isAllowedOn(step, room));
     const perWorker = countPerWorker(demand);
     const mayWait = step.spec.fillsLeftover && demand.waitedMs < rules.longestWaitMs;
     for (const task of demand.waiting) {
--- a/packages/run-entry-vm/src/createEntryVm.ts
+++ b/packages/run-entry-vm/src/createEntryVm.ts
@@ -38,9 +38,8 @@
             config: context.get(ConfigKeeper),
         })
     ).inSingletonScope();
-    container.bind(RecordDesk).toDynamicValue(context =>
-        new RecordDesk({ ...parts, line: context.get(Membership) })
-    ).inSingletonScope();
+    container.bind(RecordDesk).toDynamicValue(context => new RecordDesk({ ...parts, line: context.get(Membership) }))
+        .inSingletonScope();
     container.bind(JobDesk).toDynamicValue(context =>
         new JobDesk({ ...parts, records: context.get(RecordDesk), line: context.get(Membership) })
     ).inSingletonScope();
--- a/packages/run-entry-vm/src/entryVm.ts
+++ b/packages/run-entry-vm/src/entryVm.ts
@@ -81,7 +81,7 @@
     }
 
     /** Hands the term over, if this process holds it; returns when another has it or the time is up. */
-    async handOver(timeoutMs: number): Promise<void> {
+    async releaseTerm(timeoutMs: number): Promise<void> {
         const { membership, clock, logger } = this.pieces;
         const untilMs = clock.getNow() + timeoutMs;
         membership.drain();
--- a/packages/run-entry-vm/src/entryVmParts.ts
+++ b/packages/run-entry-vm/src/entryVmParts.ts
@@ -1,5 +1,5 @@
-import type { Metrics } from "@sardinestage/count-metrics";
 import type { CoordinatorRules } from "@sardinestage/coordinate-work";
+import type { Metrics } from "@sardinestage/count-metrics";
 import type { AdvicePort, Clock, RecordCodec, StorePort, VmPort, WorkerPort } from "@sardinestage/describe-ports";
 import type { WorkConfig } from "@sardinestage/describe-work";
 import type { Candidate } from "@sardinestage/keep-term";
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -71,7 +71,7 @@
                 await waitFor(clock, Math.max(10, rules.followMs - (clock.getNow() - startedAtMs)));
             }
             else if (!this.isClosed) {
-                await this.settleDoubt();
+                await this.resolveDoubt();
             }
         }
     }
@@ -79,7 +79,7 @@
     /** No longer stands; a coordinator goes on until another has taken over. */
     drain(): void {
         this.isDraining = true;
-        this.parts.duty.leave();
+        this.parts.duty.announceLeaving();
     }
 
     /** Ends following. */
@@ -224,9 +224,9 @@
     }
 
     /** Finds out what is wrong with the coordinator, and what to do about it. */
-    private async settleDoubt(): Promise<void> {
+    private async resolveDoubt(): Promise<void> {
         const { clock, rules, logger } = this.parts;
-        const [view, reports] = await Promise.all([this.readTerm(), this.askPeers()]);
+        const [view, reports] = await Promise.all([this.readTerm(), this.requestReports()]);
         const heard = reports.find(({ report }) => report.heardMs < HEARD_LATELY_MS && this.isCurrent(report.holder));
         reports.forEach(({ report }) => this.takeHolder(report.holder));
         const nowMs = clock.getNow();
@@ -243,7 +243,7 @@
             renewalAgeMs: nowMs - this.renewalAtMs,
         }, rules);
         if (step === CandidacyStep.Stand && view !== undefined && !this.isDraining) {
-            await this.standAfterDelay(view);
+            await this.tryStanding(view);
             return;
         }
         if (step === CandidacyStep.Relay && heard !== undefined) {
@@ -284,7 +284,7 @@
         return view;
     }
 
-    private async askPeers(): Promise<{ peer: Candidate; report: PeerReport }[]> {
+    private async requestReports(): Promise<{ peer: Candidate; report: PeerReport }[]> {
         const { peers, rules } = this.parts;
         const others = this.members.filter(member => this.isOtherPeer(member));
         const answers = await Promise.all(others.map(async peer => {
@@ -295,7 +295,7 @@
     }
 
     /** Waits its turn (those near the store go first) and tries to win the term that follows what was read. */
-    private async standAfterDelay(before: TermView): Promise<void> {
+    private async tryStanding(before: TermView): Promise<void> {
         const { clock, rules, termLog, duty, logger, self } = this.parts;
         if (before.holder?.incarnation !== self.incarnation) {
             const slower = Math.max(0, this.storeMs - NEAR_STORE_MS) * rules.standDelayPerStoreMs;
@@ -317,7 +317,7 @@
             return;
         }
         if (isOurs) {
-            termLog.resumeTerm(view);
+            termLog.acceptTerm(view);
         }
         this.takeHolder(won);
         await duty.start(won, hadUnrecordedStarts);
--- a/packages/run-entry-vm/src/termDuty.ts
+++ b/packages/run-entry-vm/src/termDuty.ts
@@ -47,7 +47,9 @@
 
     /** How long the store hasn't answered, in milliseconds. */
     get storeSilentMs(): number {
-        return this.holder === undefined ? 0 : Math.max(0, this.parts.clock.getNow() - this.renewedAtMs - this.parts.rules.renewMs);
+        return this.holder === undefined
+            ? 0
+            : Math.max(0, this.parts.clock.getNow() - this.renewedAtMs - this.parts.rules.renewMs);
     }
 
     /** Begins a term that was just won; returns once it has taken over or has given up. */
@@ -74,7 +76,7 @@
     }
 
     /** Asks the others to take over; goes on until one has. */
-    leave(): void {
+    announceLeaving(): void {
         this.isLeaving = true;
     }
 
--- a/packages/track-jobs/src/index.ts
+++ b/packages/track-jobs/src/index.ts
@@ -1,9 +1,9 @@
-export { CANCEL_SUFFIX } from "./cancelSuffix.js";
 export { applyCancel } from "./applyCancel.js";
 export { applyProgress } from "./applyProgress.js";
 export { applyRunEnd } from "./applyRunEnd.js";
 export { applyRunLost } from "./applyRunLost.js";
 export { applyRunStart } from "./applyRunStart.js";
+export { CANCEL_SUFFIX } from "./cancelSuffix.js";
 export { computeRemainingChain } from "./computeRemainingChain.js";
 export { decodeFinished } from "./decodeFinished.js";
 export { decodeJobRecord } from "./decodeJobRecord.js";
