--- /dev/null
+++ b/packages/coordinate-work/src/coordinator.test.ts
@@ -0,0 +1,147 @@
+import { describe, expect, it } from "@jest/globals";
+import type { JobSpec } from "@sardinestage/describe-work";
+import { JobState } from "@sardinestage/describe-work";
+import { CoordinatorBed } from "./testing/coordinatorBed.js";
+import { createQueue } from "./testing/createQueue.js";
+import { createStep } from "./testing/createStep.js";
+
+const ALWAYS = () => 0.5;
+
+function createSpec(steps = [createStep()]): JobSpec {
+    return { payload: "payload", steps, repeatCount: 0, firstRunMs: 0, intervalMs: 0 };
+}
+
+async function createBed(workers: number, durationMs: number): Promise<CoordinatorBed> {
+    const bed = new CoordinatorBed(ALWAYS, () => durationMs);
+    const adding = Array.from({ length: workers }, (_unused, index) => bed.addWorker(`w${index}`));
+    await bed.clock.runFor(20);
+    await Promise.all(adding);
+    return bed;
+}
+
+describe("Coordinator", () => {
+    describe("when nothing is wrong", () => {
+        it("runs the steps of a job in order and completes it", async () => {
+            const bed = await createBed(2, 500);
+            bed.startTerm(false);
+            const steps = [createStep({ taskCount: 3 }), createStep({ taskCount: 2, dependsOn: [0] })];
+            void bed.submit("job", createSpec(steps), createQueue());
+            await bed.clock.runFor(1800);
+            expect(bed.witness.faults).toEqual([]);
+            expect(bed.witness.done.size).toBe(5);
+            expect(await bed.coordinator?.getState("job")).toBe(JobState.Completed);
+        });
+
+        it("starts the next step within 60 ms of the end of the one before", async () => {
+            const bed = await createBed(1, 500);
+            bed.startTerm(false);
+            await bed.clock.runFor(500);
+            const steps = [createStep(), createStep({ dependsOn: [0] })];
+            void bed.submit("job", createSpec(steps), createQueue());
+            await bed.clock.runFor(1160);
+            expect(bed.witness.done.size).toBe(2);
+        });
+
+        it("fails a job whose task has failed as often as its queue allows", async () => {
+            const bed = new CoordinatorBed(ALWAYS, () => -200);
+            void bed.addWorker("w");
+            await bed.clock.runFor(20);
+            bed.startTerm(false);
+            void bed.submit("job", createSpec(), createQueue({ maxAttempts: 2 }));
+            await bed.clock.runFor(5000);
+            expect(await bed.coordinator?.getState("job")).toBe(JobState.Failed);
+        });
+
+        it("stops what runs of a cancelled job", async () => {
+            const bed = await createBed(1, 60_000);
+            bed.startTerm(false);
+            void bed.submit("job", createSpec([createStep({ taskCount: 4 })]), createQueue());
+            await bed.clock.runFor(1000);
+            expect(bed.witness.countAtWork()).toBe(4);
+            void bed.cancel("job");
+            await bed.clock.runFor(1000);
+            expect(bed.witness.countAtWork()).toBe(0);
+        });
+    });
+
+    describe("when the coordinator is killed", () => {
+        it("goes on with what runs, and starts nothing twice", async () => {
+            const bed = await createBed(2, 2000);
+            bed.startTerm(false);
+            void bed.submit("job", createSpec([createStep({ taskCount: 6 })]), createQueue());
+            await bed.clock.runFor(700);
+            bed.coordinator?.close();
+            await bed.clock.runFor(1500);
+            bed.startTerm(false);
+            await bed.clock.runFor(1500);
+            expect(bed.witness.faults).toEqual([]);
+            expect(bed.witness.done.size).toBe(6);
+            expect(await bed.coordinator?.getState("job")).toBe(JobState.Completed);
+        });
+
+        it("leaves nothing to the old one once the new one has begun", async () => {
+            const bed = await createBed(2, 500);
+            bed.startTerm(false);
+            await bed.clock.runFor(500);
+            bed.startTerm(false);
+            await bed.clock.runFor(2500);
+            expect(bed.deposed.length).toBeGreaterThan(0);
+        });
+    });
+
+    describe("when the store was away for so long that work went on unrecorded", () => {
+        it("waits for workers that the list has lost before it starts anything", async () => {
+            const bed = await createBed(2, 1200);
+            bed.startTerm(false);
+            await bed.clock.runFor(500);
+            void bed.submit("job", createSpec([createStep({ taskCount: 8 })]), createQueue());
+            await bed.clock.runFor(20);
+            bed.store.faults.isDown = true;
+            await bed.clock.runFor(5600);
+            const before = bed.witness.done.size + bed.witness.countAtWork();
+            expect(before).toBe(8);
+            bed.coordinator?.close();
+            bed.store.faults.isDown = false;
+            void bed.unlistWorker("w1");
+            bed.clock.schedule(1800, () => void bed.listWorker("w1"));
+            await bed.clock.runFor(100);
+            bed.startTerm(true);
+            await bed.clock.runFor(8000);
+            expect(bed.witness.faults).toEqual([]);
+            expect(await bed.coordinator?.getState("job")).toBe(JobState.Completed);
+        });
+    });
+
+    describe("when a worker is cut off", () => {
+        it("starts its tasks elsewhere only after its lease has run out", async () => {
+            const bed = await createBed(1, 20_000);
+            bed.startTerm(false);
+            void bed.submit("job", createSpec(), createQueue());
+            await bed.clock.runFor(500);
+            const cut = bed.fleet.workers.get("w0");
+            if (cut !== undefined) {
+                cut.isCut = true;
+            }
+            void bed.addWorker("w1");
+            await bed.clock.runFor(12_000);
+            expect(bed.witness.faults).toEqual([]);
+            expect(bed.witness.countAtWork()).toBe(1);
+        });
+    });
+
+    describe("when orders get no answer and are carried out late", () => {
+        it("makes them void before it starts the task again", async () => {
+            const bed = await createBed(3, 400);
+            bed.startTerm(false);
+            await bed.clock.runFor(500);
+            bed.fleet.faults.lateShare = 0.6;
+            bed.fleet.faults.lateMs = 3000;
+            void bed.submit("job", createSpec([createStep({ taskCount: 10 })]), createQueue());
+            await bed.clock.runFor(3000);
+            bed.fleet.faults.lateShare = 0;
+            await bed.clock.runFor(12_000);
+            expect(bed.witness.faults).toEqual([]);
+            expect(await bed.coordinator?.getState("job")).toBe(JobState.Completed);
+        });
+    });
+});
--- /dev/null
+++ b/packages/coordinate-work/src/testing/coordinatorBed.ts
@@ -0,0 +1,156 @@
+import { Metrics } from "@sardinestage/count-metrics";
+import type { KeyedRecord, RecordCodec } from "@sardinestage/describe-ports";
+import { Topic } from "@sardinestage/describe-ports";
+import type { JobSpec, QueueConfig, TaskRef, WorkerEntry } from "@sardinestage/describe-work";
+import { formatTaskKey } from "@sardinestage/describe-work";
+import { EmulatedFleet, EmulatedWorker, MemoryStore, RunWitness, VirtualClock } from "@sardinestage/emulate-platform";
+import { CANCEL_SUFFIX, encodeJobRecord } from "@sardinestage/track-jobs";
+import { Coordinator } from "../coordinator.js";
+
+const APPEND_TIMEOUT_MS = 1000;
+const rules = {
+    leaseMs: 4500,
+    maxLeaseMs: 6000,
+    stopTimeoutMs: 900,
+    keepFinishedMs: 120_000,
+    harmMs: 4000,
+    paceMs: 100,
+    entryReturnMs: 2000,
+    vmLeaseMs: 3000,
+    noticeMs: 5500,
+};
+
+/** Real coordinators over an emulated store and emulated workers, on a clock of their own. */
+export class CoordinatorBed {
+    readonly clock = new VirtualClock();
+    readonly store: MemoryStore;
+    readonly fleet: EmulatedFleet;
+    readonly witness: RunWitness;
+    readonly events: string[] = [];
+    readonly specs = new Map<string, JobSpec>();
+    readonly cancelled = new Set<string>();
+    readonly deposed: string[] = [];
+    coordinator: Coordinator | undefined;
+    private term = 0;
+
+    /**
+     * @param random Numbers from 0 to 1, from the test's seed.
+     * @param getDuration How long a run takes, in milliseconds; negative for one that fails after that time.
+     */
+    constructor(random: () => number, private readonly getDuration: (task: TaskRef, run: number) => number) {
+        this.store = new MemoryStore(this.clock, random);
+        this.fleet = new EmulatedFleet(this.clock, random);
+        this.witness = new RunWitness(() => this.clock.getNow(), task => this.listEarlier(task));
+    }
+
+    /** Adds a worker, and lists it. */
+    async addWorker(id: string): Promise<void> {
+        this.fleet.workers.set(id, new EmulatedWorker(id, this.clock, this.witness, this.getDuration));
+        await this.listWorker(id);
+    }
+
+    /** Ends a worker; its entry goes after the platform has noticed. */
+    crashWorker(id: string): void {
+        this.fleet.workers.get(id)?.crash();
+        this.fleet.workers.delete(id);
+        this.clock.schedule(rules.entryReturnMs, () => {
+            if (!this.fleet.workers.has(id)) {
+                void this.put(Topic.Workers, { key: id, value: undefined });
+            }
+        });
+    }
+
+    /** Puts a worker's entry into the list. */
+    async listWorker(id: string): Promise<void> {
+        const entry = this.fleet.workers.get(id)?.describeEntry();
+        await this.put(Topic.Workers, { key: id, value: Buffer.from(JSON.stringify(entry)) });
+    }
+
+    /** Takes a worker's entry out of the list, though it runs on. */
+    async unlistWorker(id: string): Promise<void> {
+        await this.put(Topic.Workers, { key: id, value: undefined });
+    }
+
+    /** Accepts a job as an entry VM would. */
+    async submit(id: string, spec: JobSpec, queue: QueueConfig): Promise<void> {
+        this.specs.set(id, spec);
+        const value = encodeJobRecord({ spec, queue, acceptedAtMs: this.clock.getWallTime() });
+        await this.put(Topic.Jobs, { key: id, value });
+    }
+
+    /** Cancels a job as an entry VM would. */
+    async cancel(id: string): Promise<void> {
+        this.cancelled.add(id);
+        await this.put(Topic.Jobs, { key: id + CANCEL_SUFFIX, value: Buffer.from([1]) });
+    }
+
+    /** Begins the next term; the coordinator before it isn't told. */
+    startTerm(hadUnrecordedStarts: boolean): void {
+        this.term++;
+        const { term } = this;
+        const coordinator = new Coordinator({
+            store: this.store,
+            workers: this.fleet,
+            advice: { requestTickets: () => Promise.resolve({ tickets: undefined, validMs: 0 }) },
+            vms: { list: () => Promise.resolve(undefined), startUpkeep: () => Promise.reject(new Error("unused")) },
+            codec: bedCodec,
+            clock: this.clock,
+            logger: {
+                info: (event, fields) => this.recordEvent(term, event, fields),
+                warn: (event, fields) => this.recordEvent(term, event, fields),
+                error: (event, fields) => this.recordEvent(term, event, fields),
+            },
+            metrics: new Metrics(),
+            rules,
+            term,
+            hadUnrecordedStarts,
+            onDeposed: reason => {
+                this.deposed.push(reason);
+                coordinator.close();
+            },
+        });
+        this.coordinator = coordinator;
+        void this.openWhenPossible(coordinator);
+    }
+
+    private async openWhenPossible(coordinator: Coordinator): Promise<void> {
+        const isOpen = await coordinator.open();
+        if (!isOpen && this.coordinator === coordinator) {
+            coordinator.close();
+            this.clock.schedule(100, () => {
+                if (this.coordinator === coordinator) {
+                    this.startTerm(true);
+                }
+            });
+        }
+    }
+
+    private recordEvent(term: number, event: string, fields: object | undefined): void {
+        this.events.push(`${Math.round(this.clock.getNow())} term ${term} ${event} ${JSON.stringify(fields)}`);
+    }
+
+    private listEarlier(task: TaskRef): string[] {
+        const steps = this.specs.get(task.jobId)?.steps ?? [];
+        return (steps.at(task.step)?.dependsOn ?? []).flatMap(step =>
+            Array.from(
+                { length: steps[step].taskCount },
+                (_unused, index) => formatTaskKey({ ...task, step, index }),
+            )
+        );
+    }
+
+    /** Repeats until it is certainly there, as callers do. */
+    private async put(topic: Topic, record: KeyedRecord): Promise<void> {
+        const answer = await this.store.append({ topic, records: [record], timeoutMs: APPEND_TIMEOUT_MS });
+        if (answer.offset === 0 && answer.end === 0) {
+            await this.put(topic, record);
+        }
+    }
+}
+
+const bedCodec: RecordCodec = {
+    decodeWorker: record =>
+        record.value === undefined ? undefined : JSON.parse(Buffer.from(record.value).toString()) as WorkerEntry,
+    decodeOperator: () => undefined,
+    encodeWaveStatus: wave => ({ key: String(wave.number), value: undefined }),
+};
--- /dev/null
+++ b/packages/emulate-platform/src/index.ts
@@ -0,0 +1,5 @@
+export { EmulatedFleet } from "./emulatedFleet.js";
+export { EmulatedWorker } from "./emulatedWorker.js";
+export { MemoryStore } from "./memoryStore.js";
+export { RunWitness } from "./runWitness.js";
+export { VirtualClock } from "./virtualClock.js";
--- /dev/null
+++ b/packages/emulate-platform/src/virtualClock.ts
@@ -0,0 +1,66 @@
+import type { Clock } from "@sardinestage/describe-ports";
+
+/** Unix time at which every virtual clock begins, in milliseconds. */
+const WALL_START_MS = 1_800_000_000_000;
+
+/** A timer that hasn't fired. */
+interface Timer {
+    readonly atMs: number;
+    readonly order: number;
+    readonly run: () => void;
+}
+
+/** A clock that moves only when told to: hours of protocol take seconds, and the same seed takes the same course. */
+export class VirtualClock implements Clock {
+    private nowMs = 0;
+    private order = 0;
+    private readonly timers = new Map<number, Timer>();
+
+    /** Steady time. */
+    getNow(): number {
+        return this.nowMs;
+    }
+
+    /** Time of day. */
+    getWallTime(): number {
+        return WALL_START_MS + this.nowMs;
+    }
+
+    /** Calls back once after a delay. */
+    schedule(delayMs: number, run: () => void): () => void {
+        const order = this.order++;
+        this.timers.set(order, { atMs: this.nowMs + Math.max(0, delayMs), order, run });
+        return () => this.timers.delete(order);
+    }
+
+    /** Lets time pass, and everything that was scheduled in it happen. */
+    async runFor(lengthMs: number): Promise<void> {
+        const untilMs = this.nowMs + lengthMs;
+        await flushPromises();
+        let next = this.findNext(untilMs);
+        while (next !== undefined) {
+            this.timers.delete(next.order);
+            this.nowMs = next.atMs;
+            next.run();
+            await flushPromises();
+            next = this.findNext(untilMs);
+        }
+        this.nowMs = untilMs;
+    }
+
+    private findNext(untilMs: number): Timer | undefined {
+        let first: Timer | undefined;
+        for (const timer of this.timers.values()) {
+            const isEarlier = first === undefined || timer.atMs < first.atMs;
+            if (timer.atMs <= untilMs && isEarlier) {
+                first = timer;
+            }
+        }
+        return first;
+    }
+}
+
+/** Promises settle before the next timer, as they would in the real loop. */
+function flushPromises(): Promise<void> {
+    return new Promise(resolve => setImmediate(resolve));
+}
