--- /dev/null
+++ b/packages/keep-term/src/chooseCandidacyStep.test.ts
@@ -0,0 +1,61 @@
+import { describe, expect, it } from "@jest/globals";
+import { CandidacyStep } from "./candidacyStep.js";
+import { chooseCandidacyStep } from "./chooseCandidacyStep.js";
+import type { CoordinatorView } from "./coordinatorView.js";
+
+const RULES = { silenceMs: 1000, storeSilenceMs: 1500, renewalSilenceMs: 2500 };
+const WELL: CoordinatorView = {
+    isKnown: true,
+    silentMs: 100,
+    isRefused: false,
+    isLeaving: false,
+    storeSilentMs: 0,
+    hasStore: true,
+    peers: 3,
+    peersAnswered: 3,
+    isHeardByPeer: true,
+    renewalAgeMs: 500,
+};
+
+describe("chooseCandidacyStep", () => {
+    describe("when the coordinator is well", () => {
+        it("follows it", () => {
+            expect(chooseCandidacyStep(WELL, RULES)).toBe(CandidacyStep.Follow);
+        });
+    });
+
+    describe("when the coordinator is silent", () => {
+        it("stands if no peer hears it either", () => {
+            const view = { ...WELL, silentMs: 1200, isHeardByPeer: false };
+            expect(chooseCandidacyStep(view, RULES)).toBe(CandidacyStep.Stand);
+        });
+
+        it("speaks through a peer that hears it", () => {
+            expect(chooseCandidacyStep({ ...WELL, silentMs: 1200 }, RULES)).toBe(CandidacyStep.Relay);
+        });
+
+        it("leaves a coordinator alone that renews, when it reaches nobody itself", () => {
+            const cutOff = { ...WELL, silentMs: 1200, isHeardByPeer: false, peersAnswered: 0 };
+            expect(chooseCandidacyStep(cutOff, RULES)).toBe(CandidacyStep.Follow);
+            expect(chooseCandidacyStep({ ...cutOff, renewalAgeMs: 3000 }, RULES)).toBe(CandidacyStep.Stand);
+        });
+    });
+
+    describe("when the coordinator's process has ended", () => {
+        it("stands at once", () => {
+            const view = { ...WELL, isRefused: true, isHeardByPeer: false, peersAnswered: 0 };
+            expect(chooseCandidacyStep(view, RULES)).toBe(CandidacyStep.Stand);
+        });
+    });
+
+    describe("when the coordinator has no store", () => {
+        it("takes over if the store answers here", () => {
+            expect(chooseCandidacyStep({ ...WELL, storeSilentMs: 2000 }, RULES)).toBe(CandidacyStep.Stand);
+        });
+
+        it("doesn't if the store answers nobody", () => {
+            const view = { ...WELL, storeSilentMs: 2000, hasStore: false, isHeardByPeer: false };
+            expect(chooseCandidacyStep(view, RULES)).toBe(CandidacyStep.Follow);
+        });
+    });
+});
--- /dev/null
+++ b/packages/keep-term/src/termLog.test.ts
@@ -0,0 +1,72 @@
+import { describe, expect, it } from "@jest/globals";
+import { MemoryStore, VirtualClock } from "@sardinestage/emulate-platform";
+import { RenewalOutcome } from "./renewalOutcome.js";
+import { TermLog } from "./termLog.js";
+
+function createLogs(random: () => number = () => 0.5) {
+    const clock = new VirtualClock();
+    const store = new MemoryStore(clock, random);
+    const createLog = (vm: string) => new TermLog(store, { vm, incarnation: vm, host: "host", port: 1 }, clock);
+    return { clock, store, first: createLog("first"), second: createLog("second") };
+}
+
+describe("TermLog", () => {
+    describe("when two candidates stand at once", () => {
+        it("lets one win", async () => {
+            const { clock, first, second } = createLogs();
+            const tries = Promise.all([first.tryWin(0), second.tryWin(0)]);
+            await clock.runFor(100);
+            const won = (await tries).filter(holder => holder !== undefined);
+            expect(won.map(holder => holder.term)).toEqual([1]);
+        });
+    });
+
+    describe("when the answer to the winning append is lost", () => {
+        it("names the winner at the next look", async () => {
+            const { clock, store, first } = createLogs(() => 0);
+            store.faults.lostShare = 1;
+            const tried = first.tryWin(0);
+            await clock.runFor(1000);
+            expect(await tried).toBeUndefined();
+            store.faults.lostShare = 0;
+            const read = first.readTerm();
+            await clock.runFor(100);
+            expect((await read)?.holder).toMatchObject({ vm: "first", term: 1 });
+        });
+    });
+
+    describe("when a holder renews", () => {
+        it("finds out that somebody else has won", async () => {
+            const { clock, first, second } = createLogs();
+            const won = first.tryWin(0);
+            await clock.runFor(50);
+            const term = (await won)?.term ?? 0;
+            const renewed = first.renew(term);
+            await clock.runFor(50);
+            expect(await renewed).toBe(RenewalOutcome.Renewed);
+            const view = second.readTerm();
+            await clock.runFor(50);
+            const taken = second.tryWin((await view)?.end ?? 0);
+            await clock.runFor(50);
+            expect((await taken)?.term).toBeGreaterThan(term);
+            const late = first.renew(term);
+            await clock.runFor(50);
+            expect(await late).toBe(RenewalOutcome.Deposed);
+        });
+
+        it("isn't misled by an earlier renewal whose answer was lost", async () => {
+            const { clock, store, first } = createLogs(() => 0);
+            const won = first.tryWin(0);
+            await clock.runFor(50);
+            const term = (await won)?.term ?? 0;
+            store.faults.lostShare = 1;
+            const lost = first.renew(term);
+            await clock.runFor(1000);
+            expect(await lost).toBe(RenewalOutcome.Failed);
+            store.faults.lostShare = 0;
+            const next = first.renew(term);
+            await clock.runFor(50);
+            expect(await next).toBe(RenewalOutcome.Renewed);
+        });
+    });
+});
--- /dev/null
+++ b/packages/plan-starts/src/planStarts.test.ts
@@ -0,0 +1,184 @@
+import { describe, expect, it } from "@jest/globals";
+import type { JobSpec, QueueConfig, StepSpec } from "@sardinestage/describe-work";
+import { Job, openDueOccurrences } from "@sardinestage/track-jobs";
+import { planDisplacement } from "./planDisplacement.js";
+import { planStarts } from "./planStarts.js";
+import type { StepDemand } from "./stepDemand.js";
+import type { WorkerRoom } from "./workerRoom.js";
+
+const NOW_MS = 1_800_000_000_000;
+
+function createStep(changes: Partial<StepSpec> = {}): StepSpec {
+    return {
+        taskCount: 1,
+        cpuMillis: 1000,
+        memoryMb: 1000,
+        accelerators: 0,
+        estimateMs: 1000,
+        dependsOn: [],
+        savesProgress: false,
+        gang: false,
+        sameRack: false,
+        requiredLabel: "",
+        preferredRack: "",
+        maxTasksPerWorker: 0,
+        speculative: false,
+        longRunning: false,
+        image: "image",
+        tailTargetMs: 0,
+        fillsLeftover: false,
+        mayMiss: 0,
+        ...changes,
+    };
+}
+
+let jobs = 0;
+
+function createDemand(
+    step: Partial<StepSpec>,
+    changes: Partial<StepDemand> = {},
+    queue: Partial<QueueConfig> = {},
+): StepDemand {
+    const spec: JobSpec = { payload: "", steps: [createStep(step)], repeatCount: 0, firstRunMs: 0, intervalMs: 0 };
+    const config: QueueConfig = {
+        name: "queue",
+        host: "",
+        pathPrefix: "",
+        service: "service",
+        priority: 0,
+        maxAttempts: 3,
+        stretch: 2,
+        targetLatencyMs: 500,
+        ...queue,
+    };
+    const job = new Job(`job${jobs++}`, spec, config, NOW_MS);
+    openDueOccurrences(job, NOW_MS);
+    const run = job.open.get(0)?.steps[0];
+    if (run === undefined) {
+        throw new Error("The occurrence isn't open.");
+    }
+    return { step: run, waiting: run.tasks, waitedMs: 0, slackMs: 1000, lateSlackMs: 5000, ...changes };
+}
+
+function createRoom(workerId: string, changes: Partial<WorkerRoom> = {}): WorkerRoom {
+    return {
+        workerId,
+        service: "service",
+        rack: "rack",
+        labels: ["kind", "rack"],
+        capacityCpuMillis: 16_000,
+        freeCpuMillis: 16_000,
+        freeMemoryMb: 64_000,
+        freeAccelerators: 0,
+        fillCpuMillis: 0,
+        servers: [],
+        fillers: [],
+        startsLeft: 1000,
+        ...changes,
+    };
+}
+
+const rules = {
+    maxStarts: 1000,
+    longestWaitMs: 2000,
+    isAdvised: () => true,
+    describePlace: () => ({ strain: 0, isHarmful: false, alikeShare: 1 }),
+};
+
+describe("planStarts", () => {
+    describe("under a burst of patient work", () => {
+        it("starts urgent work first, and within a priority what can still be in time", () => {
+            const patient = createDemand({}, { slackMs: 10 }, { priority: 2 });
+            const late = createDemand({}, { slackMs: -100 });
+            const urgent = createDemand({}, { slackMs: 900 });
+            const rooms = [createRoom("w", { freeCpuMillis: 1000 })];
+            const plan = planStarts([patient, late, urgent], rooms, rules);
+            expect(plan.starts.map(start => start.task.step)).toEqual([urgent.step]);
+            expect(plan.unmet).toEqual([late, patient]);
+        });
+
+        it("lets work that ends go before work that stays", () => {
+            const staying = createDemand({ longRunning: true }, { slackMs: 10 });
+            const ending = createDemand({}, { slackMs: 900 });
+            const plan = planStarts([staying, ending], [createRoom("w", { freeCpuMillis: 1000 })], rules);
+            expect(plan.starts.map(start => start.task.step)).toEqual([ending.step]);
+        });
+    });
+
+    describe("when a worker has no room", () => {
+        it("never gives it more than it has", () => {
+            const demand = createDemand({ taskCount: 100, cpuMillis: 3000 });
+            const plan = planStarts([demand], [createRoom("a"), createRoom("b")], rules);
+            expect(plan.starts.length).toBe(10);
+            expect(plan.unmet).toEqual([demand]);
+        });
+
+        it("still starts the small that fit beside the large that don't", () => {
+            const large = createDemand({ cpuMillis: 20_000 }, { slackMs: 1 });
+            const small = createDemand({ cpuMillis: 500 }, { slackMs: 900 });
+            const plan = planStarts([large, small], [createRoom("a")], rules);
+            expect(plan.starts.map(start => start.task.step)).toEqual([small.step]);
+        });
+    });
+
+    describe("when a step sets conditions", () => {
+        it("keeps to the label, the service and the limit on one worker", () => {
+            const demand = createDemand({ taskCount: 5, requiredLabel: "special", maxTasksPerWorker: 2 });
+            const rooms = [
+                createRoom("plain"),
+                createRoom("other", { service: "other", labels: ["special"] }),
+                createRoom("special", { labels: ["special"] }),
+            ];
+            const plan = planStarts([demand], rooms, rules);
+            expect(plan.starts.map(start => start.workerId)).toEqual(["special", "special"]);
+        });
+
+        it("starts all of a gang or none", () => {
+            const gang = createDemand({ taskCount: 5, gang: true, cpuMillis: 4000 });
+            expect(planStarts([gang], [createRoom("a")], rules).starts).toEqual([]);
+            expect(planStarts([gang], [createRoom("a"), createRoom("b")], rules).starts.length).toBe(5);
+        });
+
+        it("keeps a gang in one rack where it can", () => {
+            const gang = createDemand({ taskCount: 4, gang: true, cpuMillis: 8000, sameRack: true });
+            const rooms = [
+                createRoom("a", { rack: "r1" }),
+                createRoom("b", { rack: "r2" }),
+                createRoom("c", { rack: "r2" }),
+            ];
+            const used = planStarts([gang], rooms, rules).starts.map(start => start.workerId);
+            expect(new Set(used)).toEqual(new Set(["b", "c"]));
+        });
+    });
+
+    describe("when filling work would make serving tasks miss their targets everywhere", () => {
+        const strained = { ...rules, describePlace: () => ({ strain: 1.5, isHarmful: true, alikeShare: 1 }) };
+
+        it("lets it wait, though not for ever", () => {
+            const fresh = createDemand({ fillsLeftover: true });
+            const old = createDemand({ fillsLeftover: true }, { waitedMs: 3000 });
+            expect(planStarts([fresh], [createRoom("a")], strained).starts).toEqual([]);
+            expect(planStarts([old], [createRoom("a")], strained).starts.length).toBe(1);
+        });
+    });
+
+    describe("when a task has failed on a worker", () => {
+        it("tries it elsewhere first", () => {
+            const demand = createDemand({});
+            demand.waiting[0].lastFailedOn = "a";
+            const rooms = [createRoom("a"), createRoom("b", { freeCpuMillis: 1000 })];
+            expect(planStarts([demand], rooms, rules).starts[0].workerId).toBe("b");
+        });
+    });
+});
+
+describe("planDisplacement", () => {
+    describe("when urgent work finds no room", () => {
+        it("takes nobody of the same or a higher priority", () => {
+            const demand = createDemand({ cpuMillis: 4000 }, {}, { priority: 1 });
+            const resident = createDemand({ cpuMillis: 16_000 }, {}, { priority: 1 });
+            const rooms = [createRoom("a", { freeCpuMillis: 0 })];
+            expect(planDisplacement(demand, rooms, () => resident.waiting)).toBeUndefined();
+        });
+    });
+});
