--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -45,7 +45,7 @@
     { ignores: ["**/dist/**", "**/gen/**", "**/node_modules/**"] },
     ...tseslint.configs.recommended,
     {
-        files: ["packages/*/src/**/*.ts"],
+        files: ["packages/*/src/**/*.ts", "platform/src/**/*.ts"],
         plugins: {
             jsdoc,
             house: { rules: { "function-verbs": nameFunctionsByVerb, "one-export": exportOneThing } },
@@ -73,7 +73,7 @@
         },
     },
     {
-        files: ["packages/*/src/**/*.ts"],
+        files: ["packages/*/src/**/*.ts", "platform/src/**/*.ts"],
         ignores: ["**/*.test.ts"],
         languageOptions: { parserOptions: { projectService: true } },
         rules: {
--- a/packages/accept-jobs/src/recordDesk.ts
+++ b/packages/accept-jobs/src/recordDesk.ts
@@ -6,9 +6,9 @@
 import { SubmitOutcome } from "./submitOutcome.js";
 
 /** How long an append may take, in milliseconds, before another way is tried. */
-const APPEND_TIMEOUT_MS = 700;
-/** A store that failed is first asked through the coordinator for so long, in milliseconds. */
-const DOUBT_STORE_MS = 1000;
+const APPEND_TIMEOUT_MS = 500;
+/** A store that failed is tried again after this, in milliseconds; meanwhile only the coordinator is asked. */
+const TRY_AGAIN_MS = 300;
 /** How long the coordinator may take for an append, in milliseconds. */
 const RELAYED_TIMEOUT_MS = 1000;
 
@@ -33,7 +33,8 @@
 export class RecordDesk {
     private waiting: Entry[] = [];
     private isBusy = false;
-    private failedAtMs = -Infinity;
+    private isDoubted = false;
+    private triedAtMs = -Infinity;
 
     constructor(private readonly parts: RecordDeskParts) {}
 
@@ -58,33 +59,31 @@
         this.isBusy = false;
     }
 
+    /** Tries the store and then the coordinator; while the store is in doubt, only now and then the store. */
     private async appendAnyWay(records: readonly KeyedRecord[]): Promise<SubmitOutcome> {
-        const isDoubted = this.parts.clock.getNow() - this.failedAtMs < DOUBT_STORE_MS;
-        const ways = isDoubted
-            ? [this.appendRelayed.bind(this), this.appendDirectly.bind(this)]
-            : [this.appendDirectly.bind(this), this.appendRelayed.bind(this)];
-        let isUnknown = false;
-        for (const appendOneWay of ways) {
-            const outcome = await appendOneWay(records);
-            if (outcome === SubmitOutcome.Accepted) {
-                return outcome;
-            }
-            isUnknown ||= outcome === SubmitOutcome.Unknown;
+        const nowMs = this.parts.clock.getNow();
+        const isDoubted = this.isDoubted && nowMs - this.triedAtMs < TRY_AGAIN_MS;
+        const first = isDoubted ? SubmitOutcome.Refused : await this.appendDirectly(records);
+        if (first === SubmitOutcome.Accepted) {
+            return first;
+        }
+        const second = await this.appendRelayed(records);
+        if (second === SubmitOutcome.Accepted) {
+            return second;
         }
+        const isUnknown = first === SubmitOutcome.Unknown || second === SubmitOutcome.Unknown;
         return isUnknown ? SubmitOutcome.Unknown : SubmitOutcome.Refused;
     }
 
     private async appendDirectly(records: readonly KeyedRecord[]): Promise<SubmitOutcome> {
         const { store, clock, metrics } = this.parts;
         const sentAtMs = clock.getNow();
+        this.triedAtMs = sentAtMs;
         const answer = await store.append({ topic: Topic.Jobs, records, timeoutMs: APPEND_TIMEOUT_MS });
         metrics.recordDuration("accept_append", clock.getNow() - sentAtMs);
         const outcome = convertOutcome(answer.outcome);
-        if (outcome === SubmitOutcome.Accepted) {
-            this.failedAtMs = -Infinity;
-        }
-        else {
-            this.failedAtMs = clock.getNow();
+        this.isDoubted = outcome !== SubmitOutcome.Accepted;
+        if (this.isDoubted) {
             metrics.count("accept_failures_total", `store-${AppendOutcome[answer.outcome]}`);
         }
         return outcome;
--- a/packages/coordinate-work/src/coordinator.fuzz.test.ts
+++ b/packages/coordinate-work/src/coordinator.fuzz.test.ts
@@ -53,7 +53,7 @@
             this.takeStep();
             await this.bed.clock.runFor(STEP_MS);
         }
-        this.heal();
+        this.restoreAll();
         await this.bed.clock.runFor(CALM_MS);
     }
 
@@ -69,15 +69,15 @@
             void bed.submit(id, createSpec(random), createQueue({ maxAttempts: 50 }));
         }
         else if (choice === 5) {
-            this.changeCoordinator();
+            this.startSuccessor();
         }
         else if (choice === 6) {
             const ids = [...bed.fleet.workers.keys()];
-            bed.crashWorker(ids[Math.floor(random() * ids.length)]);
+            bed.stopWorker(ids[Math.floor(random() * ids.length)]);
             void bed.addWorker(`w${this.workers++}`);
         }
         else if (choice === 7) {
-            this.cutWorker();
+            this.injectCut();
         }
         else if (choice === 8 && !bed.store.faults.isDown) {
             bed.store.faults.isDown = true;
@@ -97,7 +97,7 @@
     }
 
     /** The old coordinator dies, or lives on without knowing. */
-    private changeCoordinator(): void {
+    private startSuccessor(): void {
         const { bed, random } = this;
         if (random() < 0.6) {
             bed.coordinator?.close();
@@ -109,7 +109,7 @@
         });
     }
 
-    private cutWorker(): void {
+    private injectCut(): void {
         const { bed, random } = this;
         const workers = [...bed.fleet.workers.values()];
         const worker = workers[Math.floor(random() * workers.length)];
@@ -117,7 +117,7 @@
         bed.clock.schedule(random() * 9000, () => worker.isCut = false);
     }
 
-    private heal(): void {
+    private restoreAll(): void {
         const { bed } = this;
         bed.store.faults.isDown = false;
         bed.store.faults.lostShare = 0;
--- a/packages/coordinate-work/src/coordinator.test.ts
+++ b/packages/coordinate-work/src/coordinator.test.ts
@@ -105,7 +105,7 @@
             expect(bed.witness.countAtWork()).toBe(8);
             bed.coordinator?.close();
             bed.store.faults.isDown = false;
-            void bed.unlistWorker("w1");
+            void bed.removeWorker("w1");
             bed.clock.schedule(1800, () => void bed.listWorker("w1"));
             await bed.clock.runFor(100);
             bed.startTerm(true);
--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -1,4 +1,4 @@
-import type { HoldAnswer, OrderOutcome } from "@sardinestage/describe-ports";
+import type { HoldAnswer, KeyedRecord, OrderOutcome } from "@sardinestage/describe-ports";
 import { Topic } from "@sardinestage/describe-ports";
 import { JobState, WorkerState } from "@sardinestage/describe-work";
 import { TopicFollower } from "@sardinestage/follow-topic";
@@ -102,22 +102,11 @@
             places: new PlaceJudge(estimator),
             durations: this.durations,
         });
-        const shared = { store: parts.store, clock: parts.clock, logger: parts.logger };
-        this.jobsFollower = new TopicFollower({
-            ...shared,
-            topic: Topic.Jobs,
-            name: "jobs",
-            waitMs: JOBS_WAIT_MS,
-            pauseMs: JOBS_PAUSE_MS,
-            takeRecord: record => this.intake.takeRecord(record),
+        this.jobsFollower = this.createFollower(Topic.Jobs, "jobs", JOBS_WAIT_MS, JOBS_PAUSE_MS, record => {
+            this.intake.takeRecord(record);
         });
-        this.workersFollower = new TopicFollower({
-            ...shared,
-            topic: Topic.Workers,
-            name: "workers",
-            waitMs: 0,
-            pauseMs: WORKERS_PAUSE_MS,
-            takeRecord: record => this.fleet.takeRecord(record),
+        this.workersFollower = this.createFollower(Topic.Workers, "workers", 0, WORKERS_PAUSE_MS, record => {
+            this.fleet.takeRecord(record);
         });
     }
 
@@ -130,15 +119,8 @@
     async open(): Promise<boolean> {
         const { clock, logger, term } = this.parts;
         const pending = new Map<string, Uint8Array>();
-        const progress = new TopicFollower({
-            store: this.parts.store,
-            clock,
-            logger,
-            topic: Topic.Progress,
-            name: "progress",
-            waitMs: 0,
-            pauseMs: 0,
-            takeRecord: record => this.jobs.takeProgress(record, pending),
+        const progress = this.createFollower(Topic.Progress, "progress", 0, 0, record => {
+            this.jobs.takeProgress(record, pending);
         });
         const isWriter = await this.writer.open();
         const loads = isWriter
@@ -206,6 +188,17 @@
         this.handleChange(job);
     }
 
+    private createFollower(
+        topic: Topic,
+        name: string,
+        waitMs: number,
+        pauseMs: number,
+        takeRecord: (record: KeyedRecord) => void,
+    ): TopicFollower {
+        const { store, clock, logger } = this.parts;
+        return new TopicFollower({ store, clock, logger, topic, name, waitMs, pauseMs, takeRecord });
+    }
+
     private findState(id: string): JobState | undefined {
         const job = this.jobs.live.get(id);
         if (job === undefined) {
--- a/packages/coordinate-work/src/testing/coordinatorBed.ts
+++ b/packages/coordinate-work/src/testing/coordinatorBed.ts
@@ -50,12 +50,12 @@
     }
 
     /** Ends a worker; its entry goes after the platform has noticed. */
-    crashWorker(id: string): void {
-        this.fleet.workers.get(id)?.crash();
+    stopWorker(id: string): void {
+        this.fleet.workers.get(id)?.stopAll();
         this.fleet.workers.delete(id);
         this.clock.schedule(rules.entryReturnMs, () => {
             if (!this.fleet.workers.has(id)) {
-                void this.put(Topic.Workers, { key: id, value: undefined });
+                void this.appendSurely(Topic.Workers, { key: id, value: undefined });
             }
         });
     }
@@ -63,25 +63,25 @@
     /** Puts a worker's entry into the list. */
     async listWorker(id: string): Promise<void> {
         const entry = this.fleet.workers.get(id)?.describeEntry();
-        await this.put(Topic.Workers, { key: id, value: Buffer.from(JSON.stringify(entry)) });
+        await this.appendSurely(Topic.Workers, { key: id, value: Buffer.from(JSON.stringify(entry)) });
     }
 
     /** Takes a worker's entry out of the list, though it runs on. */
-    async unlistWorker(id: string): Promise<void> {
-        await this.put(Topic.Workers, { key: id, value: undefined });
+    async removeWorker(id: string): Promise<void> {
+        await this.appendSurely(Topic.Workers, { key: id, value: undefined });
     }
 
     /** Accepts a job as an entry VM would. */
     async submit(id: string, spec: JobSpec, queue: QueueConfig): Promise<void> {
         this.specs.set(id, spec);
         const value = encodeJobRecord({ spec, queue, acceptedAtMs: this.clock.getWallTime() });
-        await this.put(Topic.Jobs, { key: id, value });
+        await this.appendSurely(Topic.Jobs, { key: id, value });
     }
 
     /** Cancels a job as an entry VM would. */
     async cancel(id: string): Promise<void> {
         this.cancelled.add(id);
-        await this.put(Topic.Jobs, { key: id + CANCEL_SUFFIX, value: Buffer.from([1]) });
+        await this.appendSurely(Topic.Jobs, { key: id + CANCEL_SUFFIX, value: Buffer.from([1]) });
     }
 
     /** Begins the next term; the coordinator before it isn't told. */
@@ -140,10 +140,10 @@
     }
 
     /** Repeats until it is certainly there, as callers do. */
-    private async put(topic: Topic, record: KeyedRecord): Promise<void> {
+    private async appendSurely(topic: Topic, record: KeyedRecord): Promise<void> {
         const answer = await this.store.append({ topic, records: [record], timeoutMs: APPEND_TIMEOUT_MS });
         if (answer.offset === 0 && answer.end === 0) {
-            await this.put(topic, record);
+            await this.appendSurely(topic, record);
         }
     }
 }
--- a/packages/emulate-platform/src/emulatedWorker.ts
+++ b/packages/emulate-platform/src/emulatedWorker.ts
@@ -69,7 +69,7 @@
     }
 
     /** Ends it and everything on it, without a word. */
-    crash(): void {
+    stopAll(): void {
         this.isDead = true;
         this.cancelLapse?.();
         for (const run of this.runs.values()) {
@@ -98,7 +98,7 @@
         }
         const duration = this.getDuration(order.task, order.run);
         const end = duration < 0 ? RunEnd.Failed : RunEnd.Done;
-        const cancelEnd = this.clock.schedule(Math.abs(duration), () => this.endRun(key, end));
+        const cancelEnd = this.clock.schedule(Math.abs(duration), () => this.finishRun(key, end));
         this.runs.set(key, {
             task: order.task,
             run: order.run,
@@ -122,7 +122,7 @@
         if (running !== undefined && running.run === run && !running.isStopping) {
             running.isStopping = true;
             running.cancelEnd();
-            this.clock.schedule(STOP_MS, () => this.endRun(key, RunEnd.Stopped));
+            this.clock.schedule(STOP_MS, () => this.finishRun(key, RunEnd.Stopped));
         }
         this.highestRuns.set(key, Math.max(run, this.highestRuns.get(key) ?? 0));
         return OrderOutcome.Accepted;
@@ -180,11 +180,11 @@
         this.leaseUntilMs = Math.max(this.leaseUntilMs, Math.min(untilMs, limit));
         this.cancelLapse?.();
         this.cancelLapse = this.clock.schedule(this.leaseUntilMs - this.getClock(), () => {
-            [...this.runs.keys()].forEach(key => this.endRun(key, RunEnd.Lapsed));
+            [...this.runs.keys()].forEach(key => this.finishRun(key, RunEnd.Lapsed));
         });
     }
 
-    private endRun(key: string, end: RunEnd): void {
+    private finishRun(key: string, end: RunEnd): void {
         const run = this.runs.get(key);
         if (run === undefined || this.isDead) {
             return;
--- a/packages/emulate-platform/src/memoryStore.ts
+++ b/packages/emulate-platform/src/memoryStore.ts
@@ -41,11 +41,11 @@
     async append(call: AppendCall): Promise<AppendAnswer> {
         await waitFor(this.clock, this.faults.answerMs / 2);
         if (this.faults.isDown) {
-            return this.stayUnanswered(call.timeoutMs);
+            return this.waitUnanswered(call.timeoutMs);
         }
         const answer = this.applyAppend(call);
         if (this.random() < this.faults.lostShare) {
-            return this.stayUnanswered(call.timeoutMs);
+            return this.waitUnanswered(call.timeoutMs);
         }
         await waitFor(this.clock, this.faults.answerMs / 2);
         return answer;
@@ -108,7 +108,7 @@
         return answer;
     }
 
-    private async stayUnanswered(timeoutMs: number): Promise<AppendAnswer> {
+    private async waitUnanswered(timeoutMs: number): Promise<AppendAnswer> {
         await waitFor(this.clock, timeoutMs);
         return { outcome: AppendOutcome.Unknown, offset: 0, end: 0 };
     }
--- a/packages/run-entry-vm/src/termDuty.ts
+++ b/packages/run-entry-vm/src/termDuty.ts
@@ -2,7 +2,7 @@
 import { CoordinatorCallKind } from "@sardinestage/accept-jobs";
 import type { Coordinator } from "@sardinestage/coordinate-work";
 import type { Clock, StorePort } from "@sardinestage/describe-ports";
-import { Topic, waitFor } from "@sardinestage/describe-ports";
+import { AppendOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
 import type { TermHolder, TermLog } from "@sardinestage/keep-term";
 import { RenewalOutcome } from "@sardinestage/keep-term";
 import type { EventLogger } from "@sardinestage/log-events";
@@ -12,8 +12,10 @@
 const TAKEOVER_RETRY_MS = 100;
 /** Tries to take over before the term is given up. */
 const TAKEOVER_TRIES = 40;
+/** A store that hasn't answered for so long is taken to be away, in milliseconds. */
+const STORE_AWAY_MS = 500;
 /** How long an append for a VM without the store may take, in milliseconds. */
-const RELAYED_APPEND_MS = 700;
+const RELAYED_APPEND_MS = 500;
 
 /** What a duty works with. */
 interface TermDutyParts {
@@ -83,6 +85,10 @@
     /** Answers a call to the coordinator. */
     async answer(call: CoordinatorCall): Promise<CoordinatorReply> {
         if (call.kind === CoordinatorCallKind.Append) {
+            if (this.storeSilentMs >= STORE_AWAY_MS) {
+                // The caller is told at once to come back, rather than after a wait that is likely in vain.
+                return { outcome: AppendOutcome.Refused };
+            }
             const records = call.records ?? [];
             const answer = await this.parts.store.append({ topic: Topic.Jobs, records, timeoutMs: RELAYED_APPEND_MS });
             return { outcome: answer.outcome };
