Count each failed run once, however often its end is reported

An end that is recorded and not yet acknowledged is listed again to the next coordinator, which counted it again. Change: the numbers of failed runs are kept in place of their count, also for gangs, whose members each report the same run.

--- a/packages/coordinate-work/src/coordinator.test.ts
+++ b/packages/coordinate-work/src/coordinator.test.ts
@@ -89,6 +89,32 @@
         });
     });
 
+    describe("when the coordinator is killed between a recorded end and its acknowledgement", () => {
+        it("counts the failed run once", async () => {
+            const bed = new CoordinatorBed(ALWAYS, (_task, run) => run === 1 ? -300 : 60_000);
+            void bed.addWorker("w");
+            await bed.clock.runFor(20);
+            bed.startTerm(false);
+            await bed.clock.runFor(500);
+            void bed.submit("job", createSpec(), createQueue({ maxAttempts: 2 }));
+            const isRecorded = () => bed.events.some(event => event.includes("run-end"));
+            while (!isRecorded()) {
+                await bed.clock.runFor(1);
+            }
+            const worker = bed.fleet.workers.get("w");
+            if (worker !== undefined) {
+                worker.isCut = true;
+                await bed.clock.runFor(20);
+                worker.isCut = false;
+            }
+            bed.coordinator?.close();
+            bed.startTerm(false);
+            await bed.clock.runFor(3000);
+            expect(bed.events.filter(event => event.includes("run-end")).length).toBe(2);
+            expect(await bed.coordinator?.getState("job")).toBe(JobState.Running);
+        });
+    });
+
     describe("when the store was away for so long that work went on unrecorded", () => {
         it("waits for workers that the list has lost before it starts anything", async () => {
             const bed = new CoordinatorBed(ALWAYS, task => task.step === 0 ? 500 : 1500);
--- a/packages/track-jobs/src/applyProgress.ts
+++ b/packages/track-jobs/src/applyProgress.ts
@@ -5,8 +5,8 @@
 import type { StepRun } from "./stepRun.js";
 import type { TaskPhase } from "./taskPhase.js";
 
-type TaskRow = [number, TaskPhase, number, number?, string?, string?];
-type StepRow = [number, number, TaskRow[]];
+type TaskRow = [number, TaskPhase, number, number[]?, string?, string?];
+type StepRow = [number, number[], TaskRow[]];
 type ProgressRow = [JobState, number, number[], [number, StepRow[]][]];
 
 /**
@@ -27,19 +27,19 @@
         const dueMs = repeatCount > 0 ? firstRunMs + number * intervalMs : job.acceptedAtMs;
         const occurrence = new Occurrence(job, number, dueMs);
         job.open.set(number, occurrence);
-        for (const [step, gangFailures, rows] of steps) {
-            occurrence.steps[step].gangFailures = gangFailures;
+        for (const [step, gangFailedRuns, rows] of steps) {
+            gangFailedRuns.forEach(run => occurrence.steps[step].gangFailedRuns.add(run));
             rows.forEach(row => applyTaskRow(occurrence.steps[step], row));
         }
     }
 }
 
 function applyTaskRow(step: StepRun, row: TaskRow): void {
-    const [index, phase, run, failures = 0, workerId = "", checkpoint = ""] = row;
+    const [index, phase, run, failedRuns = [], workerId = "", checkpoint = ""] = row;
     const task = step.tasks[index];
     task.phase = phase;
     task.run = run;
-    task.failures = failures;
+    failedRuns.forEach(failed => task.failedRuns.add(failed));
     task.workerId = workerId;
     task.checkpoint = checkpoint;
 }
--- a/packages/track-jobs/src/applyRunEnd.ts
+++ b/packages/track-jobs/src/applyRunEnd.ts
@@ -1,5 +1,4 @@
 import { JobState, RunEnd } from "@sardinestage/describe-work";
-import type { Job } from "./job.js";
 import type { Task } from "./task.js";
 import { TaskPhase } from "./taskPhase.js";
 
@@ -21,7 +20,6 @@
     if (task.phase === TaskPhase.Done) {
         return;
     }
-    const { job } = task.step.occurrence;
     const isNewest = reported.run >= task.run;
     if (reported.end === RunEnd.Done && !task.step.spec.longRunning) {
         finishTask(task);
@@ -29,7 +27,7 @@
         return;
     }
     if (reported.end === RunEnd.Failed) {
-        countFailure(task, job, wallNowMs);
+        countFailure(task, reported.run, wallNowMs);
         task.lastFailedOn = task.workerId;
     }
     if (isNewest) {
@@ -61,14 +59,15 @@
     }
 }
 
-function countFailure(task: Task, job: Job, wallNowMs: number): void {
-    const { spec } = task.step;
+/** Counts each run once: what a worker hasn't been told to forget it reports again to the next coordinator. */
+function countFailure(task: Task, run: number, wallNowMs: number): void {
+    const { spec, occurrence: { job } } = task.step;
     if (spec.longRunning) {
         return;
     }
-    task.failures++;
-    task.step.gangFailures++;
-    const failures = spec.gang ? task.step.gangFailures : task.failures;
+    task.failedRuns.add(run);
+    task.step.gangFailedRuns.add(run);
+    const failures = spec.gang ? task.step.gangFailedRuns.size : task.failedRuns.size;
     if (failures >= job.queue.maxAttempts && !job.isFinished) {
         job.state = JobState.Failed;
         job.finishedAtMs = wallNowMs;
--- a/packages/track-jobs/src/encodeProgress.ts
+++ b/packages/track-jobs/src/encodeProgress.ts
@@ -17,7 +17,7 @@
 
 function convertStep(step: StepRun): unknown[] {
     const rows = step.tasks.filter(isTouched).map(convertTask);
-    return rows.length === 0 ? [] : [[step.number, step.gangFailures, rows]];
+    return rows.length === 0 ? [] : [[step.number, [...step.gangFailedRuns], rows]];
 }
 
 function isTouched(task: Task): boolean {
@@ -29,5 +29,5 @@
         return [task.index, TaskPhase.Done, task.run];
     }
     const phase = task.isActive ? TaskPhase.Ordered : TaskPhase.Waiting;
-    return [task.index, phase, task.run, task.failures, task.workerId, task.checkpoint];
+    return [task.index, phase, task.run, [...task.failedRuns], task.workerId, task.checkpoint];
 }
--- a/packages/track-jobs/src/job.test.ts
+++ b/packages/track-jobs/src/job.test.ts
@@ -88,7 +88,7 @@
         expect(getTask(after, 0, 1)).toMatchObject({
             phase: TaskPhase.Ordered,
             run: 2,
-            failures: 1,
+            failedRuns: new Set([1]),
             workerId: "w3",
             checkpoint: "saved",
         });
@@ -116,6 +116,27 @@
         expect(job.state).toBe(JobState.Failed);
     });
 
+    it("counts a failed run once, however often it is reported", () => {
+        const job = createJob([createStep({ taskCount: 1 })]);
+        applyRunStart(getTask(job, 0, 0), "w", 1, 0);
+        applyRunEnd(getTask(job, 0, 0), { run: 1, end: RunEnd.Failed, checkpoint: "" }, NOW_MS);
+        const after = new Job("job", job.spec, queue, NOW_MS);
+        applyProgress(after, encodeProgress(job));
+        applyRunEnd(getTask(after, 0, 0), { run: 1, end: RunEnd.Failed, checkpoint: "" }, NOW_MS);
+        expect(after.state).toBe(JobState.Running);
+        applyRunEnd(getTask(after, 0, 0), { run: 2, end: RunEnd.Failed, checkpoint: "" }, NOW_MS);
+        expect(after.state).toBe(JobState.Failed);
+    });
+
+    it("counts a gang's failed run once, whichever members report it", () => {
+        const job = createJob([createStep({ taskCount: 3, gang: true })]);
+        [0, 1, 2].forEach(index => {
+            applyRunStart(getTask(job, 0, index), "w", 1, 0);
+            applyRunEnd(getTask(job, 0, index), { run: 1, end: RunEnd.Failed, checkpoint: "" }, NOW_MS);
+        });
+        expect(job.state).toBe(JobState.Running);
+    });
+
     it("never finishes a long-running task", () => {
         const job = createJob([createStep({ taskCount: 1, longRunning: true })]);
         applyRunStart(getTask(job, 0, 0), "w", 1, 0);
--- a/packages/track-jobs/src/stepRun.ts
+++ b/packages/track-jobs/src/stepRun.ts
@@ -6,8 +6,8 @@
 /** A step in one occurrence of its job. */
 export class StepRun {
     readonly tasks: readonly Task[];
-    /** Failed runs of a gang, which fails as a whole. */
-    gangFailures = 0;
+    /** Numbers of the failed runs of a gang, which fails as a whole. */
+    readonly gangFailedRuns = new Set<number>();
 
     constructor(readonly occurrence: Occurrence, readonly number: number, readonly spec: StepSpec) {
         this.tasks = Array.from({ length: spec.taskCount }, (_unused, index) => new Task(this, index));
--- a/packages/track-jobs/src/task.ts
+++ b/packages/track-jobs/src/task.ts
@@ -7,8 +7,8 @@
     phase = TaskPhase.Waiting;
     /** Number of the newest run; 0 before the first. */
     run = 0;
-    /** Runs that ended through a fault. */
-    failures = 0;
+    /** Numbers of the runs that ended through a fault; an end may be reported again after a takeover. */
+    readonly failedRuns = new Set<number>();
     /** Where the next run resumes; empty for the beginning. */
     checkpoint = "";
     /** The worker of the newest run; empty while nothing runs. */
