Let one piece work out due times, chains and a job's tasks; drop what nothing reads

Cause: read on the whole change. The due time of an occurrence stood in openDueOccurrences and in applyProgress, the longest chain in computeRemainingChain and in WorkRound, the walk over a job's tasks in Coordinator and in JobIntake. Settings, rules and fields that nothing reads (stop timeout, lease and notice of VMs, a worker's last outcome, a deviation, whether there is a coordinator) are out. A log line had the name of a call of the wire: run-stop is stop-order now. Ruled out: WorkerHealth in place of the probation, PeerPool in place of Peers: their rules differ, so that behaviour would.

--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -250,7 +250,7 @@
     }
 
     private stopTasks(job: Job): void {
-        for (const task of listTasks(job)) {
+        for (const task of job.listTasks()) {
             const link = this.fleet.links.get(task.workerId);
             if (link === undefined || !task.isActive) {
                 continue;
@@ -266,7 +266,7 @@
             this.parts.metrics.count("jobs_ended_total", job.state);
             this.parts.logger.info("job-ended", { job: job.id, state: job.state, queue: job.queue.name, tookMs });
         }
-        const isQuiet = [...listTasks(job)].every(task => !task.isActive);
+        const isQuiet = [...job.listTasks()].every(task => !task.isActive);
         if (isQuiet && this.jobs.live.has(job.id)) {
             this.jobs.finishJob(job);
             this.advice.dropJob(job.id);
@@ -337,11 +337,3 @@
         });
     }
 }
-
-function* listTasks(job: Job): Iterable<Task> {
-    for (const occurrence of job.open.values()) {
-        for (const step of occurrence.steps) {
-            yield* step.tasks;
-        }
-    }
-}
--- a/packages/coordinate-work/src/coordinatorRules.ts
+++ b/packages/coordinate-work/src/coordinatorRules.ts
@@ -4,8 +4,6 @@
     readonly leaseMs: number;
     /** The longest lease that a worker grants, in milliseconds; an earlier coordinator may have given it. */
     readonly maxLeaseMs: number;
-    /** How long a stopped run may take to end, in milliseconds. */
-    readonly stopTimeoutMs: number;
     /** How long the state of a finished job is kept, in milliseconds. */
     readonly keepFinishedMs: number;
     /** Serving tasks over their target for so long are a broken promise, in milliseconds. */
@@ -14,8 +12,4 @@
     readonly paceMs: number;
     /** An entry that vanished while the store was away is back within this, in milliseconds. */
     readonly entryReturnMs: number;
-    /** Two coordinators may not order for one VM within this, in milliseconds. */
-    readonly vmLeaseMs: number;
-    /** A long-running task that isn't at work for so long counts as away, in milliseconds. */
-    readonly noticeMs: number;
 }
--- a/packages/coordinate-work/src/holdLoop.ts
+++ b/packages/coordinate-work/src/holdLoop.ts
@@ -28,7 +28,6 @@
             if (this.handlers.isOver(this.link)) {
                 return;
             }
-            this.link.lastOutcome = answer.outcome;
             if (answer.outcome === OrderOutcome.Accepted) {
                 this.link.missedHolds = 0;
                 this.handlers.takeAnswer(this.link, answer, sentAtMs);
--- a/packages/coordinate-work/src/jobIntake.ts
+++ b/packages/coordinate-work/src/jobIntake.ts
@@ -84,11 +84,9 @@
 
     /** What is recorded as running may be running: it is looked for at its worker, listed or not. */
     private bindActiveTasks(job: Job): void {
-        for (const occurrence of job.open.values()) {
-            for (const step of occurrence.steps) {
-                step.tasks.filter(task => task.isActive).forEach(task => {
-                    this.intake.fleet.getOrAddLink(task.workerId).tasks.add(task);
-                });
+        for (const task of job.listTasks()) {
+            if (task.isActive) {
+                this.intake.fleet.getOrAddLink(task.workerId).tasks.add(task);
             }
         }
     }
--- a/packages/coordinate-work/src/orderDesk.ts
+++ b/packages/coordinate-work/src/orderDesk.ts
@@ -55,7 +55,7 @@
         const { run, ref } = task;
         task.phase = TaskPhase.Stopping;
         this.parts.metrics.count("stops_total", reason);
-        this.parts.logger.info("run-stop", { task: formatTaskKey(ref), run, worker: link.entry.id, reason });
+        this.parts.logger.info("stop-order", { task: formatTaskKey(ref), run, worker: link.entry.id, reason });
         const isWanted = () => task.phase === TaskPhase.Stopping && task.run === run && link.tasks.has(task);
         void this.runStop(ref, run, link, isWanted).then(wasAnswered => {
             if (wasAnswered && isWanted()) {
@@ -67,7 +67,7 @@
     /** Has a run stopped that no task needs. */
     sendStrayStop(ref: TaskRef, run: number, link: WorkerLink): void {
         this.parts.metrics.count("stops_total", "stray");
-        this.parts.logger.warn("run-stop", { task: formatTaskKey(ref), run, worker: link.entry.id, reason: "stray" });
+        this.parts.logger.warn("stop-order", { task: formatTaskKey(ref), run, worker: link.entry.id, reason: "stray" });
         const { id, address } = link.entry;
         void this.parts.workers.stop({ id, address }, ref, run, this.parts.term);
     }
--- a/packages/coordinate-work/src/testing/coordinatorBed.ts
+++ b/packages/coordinate-work/src/testing/coordinatorBed.ts
@@ -11,13 +11,10 @@
 const rules = {
     leaseMs: 4500,
     maxLeaseMs: 6000,
-    stopTimeoutMs: 900,
     keepFinishedMs: 120_000,
     harmMs: 4000,
     paceMs: 100,
     entryReturnMs: 2000,
-    vmLeaseMs: 3000,
-    noticeMs: 5500,
 };
 
 /** Real coordinators over an emulated store and emulated workers, on a clock of their own. */
--- a/packages/coordinate-work/src/workRound.ts
+++ b/packages/coordinate-work/src/workRound.ts
@@ -2,7 +2,7 @@
 import type { StepDemand, WorkerRoom } from "@sardinestage/plan-starts";
 import { planDisplacement, planStarts } from "@sardinestage/plan-starts";
 import type { StepRun, Task } from "@sardinestage/track-jobs";
-import { applyRunStart, computeRemainingChain, TaskPhase } from "@sardinestage/track-jobs";
+import { applyRunStart, computeChain, computeRemainingChain, TaskPhase } from "@sardinestage/track-jobs";
 import type { AdviceBook } from "./adviceBook.js";
 import { buildRooms } from "./buildRooms.js";
 import { computeStartsLeft } from "./computeStartsLeft.js";
@@ -92,7 +92,7 @@
         const { queue } = occurrence.job;
         const estimate = (spec: StepRun["spec"]) => this.round.durations.estimateDuration(queue.name, spec);
         const remainingMs = computeRemainingChain(occurrence, estimate);
-        const wholeMs = this.computeWholeChain(step, estimate);
+        const wholeMs = computeChain(occurrence, each => estimate(each.spec));
         const objectiveMs = queue.stretch * wholeMs + queue.targetLatencyMs;
         const nowMs = this.parts.clock.getNow();
         const readyAtMs = this.readyAtMs.get(step) ?? nowMs;
@@ -107,15 +107,6 @@
         };
     }
 
-    private computeWholeChain(step: StepRun, estimate: (spec: StepRun["spec"]) => number): number {
-        const chains: number[] = [];
-        for (const { spec } of step.occurrence.steps) {
-            const before = Math.max(0, ...spec.dependsOn.map(earlier => chains[earlier]));
-            chains.push(before + estimate(spec));
-        }
-        return Math.max(0, ...chains);
-    }
-
     private startTask(task: Task, workerId: string, nowMs: number): void {
         const link = this.round.fleet.links.get(workerId);
         if (link === undefined) {
--- a/packages/coordinate-work/src/workerLink.ts
+++ b/packages/coordinate-work/src/workerLink.ts
@@ -1,4 +1,3 @@
-import type { OrderOutcome } from "@sardinestage/describe-ports";
 import type { WorkerEntry } from "@sardinestage/describe-work";
 import type { PaceState } from "@sardinestage/plan-pace";
 import type { Task } from "@sardinestage/track-jobs";
@@ -32,7 +31,6 @@
     /** Start calls under way. */
     startsUnderWay = 0;
     readonly waitingStarts: (() => void)[] = [];
-    lastOutcome: OrderOutcome | undefined;
     pace: PaceState = { overSinceMs: undefined, heldUntilMs: 0 };
     /** Wakes the hold loop when ends have been recorded. */
     wakeHold: (() => void) | undefined;
--- a/packages/learn-behaviour/src/linearEstimator.ts
+++ b/packages/learn-behaviour/src/linearEstimator.ts
@@ -46,12 +46,6 @@
         return names.length === 0 ? undefined : Math.max(...names.map(name => this.getCoefficient(name)));
     }
 
-    /** How uncertain the coefficient is: its standard deviation. */
-    getDeviation(name: string): number {
-        const index = this.indices.get(name);
-        return Math.sqrt(index === undefined ? PRIOR_VARIANCE : Math.max(0, this.covariance[index][index]));
-    }
-
     /** Only inputs that were seen lose certainty, so that what isn't tried any more isn't forgotten. */
     private dropCertainty(values: readonly number[]): void {
         for (let row = 0; row < values.length; row++) {
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -51,7 +51,7 @@
     private storeSinceMs = Infinity;
     private relay: Candidate | undefined;
     private members: readonly Candidate[] = [];
-    private readonly followers = new Map<string, { candidate: Candidate; atMs: number; configVersion: number }>();
+    private readonly followers = new Map<string, { candidate: Candidate; atMs: number }>();
     private theirConfigVersion = -1;
     private storeMs = NEAR_STORE_MS;
     private isClosed = false;
@@ -92,11 +92,6 @@
         return this.parts.duty.isActive;
     }
 
-    /** Whether questions about jobs can be answered from here. */
-    get hasCoordinator(): boolean {
-        return this.parts.duty.isActive || (this.holder !== undefined && !this.isRefused);
-    }
-
     /** Calls the coordinator, here or elsewhere; through a peer where it can't be reached directly. */
     async call(call: CoordinatorCall, timeoutMs: number): Promise<CoordinatorReply | undefined> {
         if (this.parts.duty.isActive) {
@@ -129,7 +124,7 @@
         const { duty, config, clock } = this.parts;
         const nowMs = clock.getNow();
         const { candidate, configVersion } = request;
-        this.followers.set(candidate.vm, { candidate, atMs: nowMs, configVersion });
+        this.followers.set(candidate.vm, { candidate, atMs: nowMs });
         if (request.config !== undefined) {
             config.takeConfig(request.config as WorkConfig, "follower");
         }
--- a/packages/track-jobs/src/applyProgress.ts
+++ b/packages/track-jobs/src/applyProgress.ts
@@ -23,9 +23,7 @@
         job.doneOccurrences.add(number);
     }
     for (const [number, steps] of open) {
-        const { repeatCount, firstRunMs, intervalMs } = job.spec;
-        const dueMs = repeatCount > 0 ? firstRunMs + number * intervalMs : job.acceptedAtMs;
-        const occurrence = new Occurrence(job, number, dueMs);
+        const occurrence = new Occurrence(job, number, job.getDueTime(number));
         job.open.set(number, occurrence);
         for (const [step, gangFailedRuns, rows] of steps) {
             gangFailedRuns.forEach(run => occurrence.steps[step].gangFailedRuns.add(run));
--- a/packages/track-jobs/src/computeRemainingChain.ts
+++ b/packages/track-jobs/src/computeRemainingChain.ts
@@ -1,4 +1,5 @@
 import type { StepSpec } from "@sardinestage/describe-work";
+import { computeChain } from "./computeChain.js";
 import type { Occurrence } from "./occurrence.js";
 import { TaskPhase } from "./taskPhase.js";
 
@@ -10,17 +11,14 @@
  * @returns Milliseconds, as if there were room for everything.
  */
 export function computeRemainingChain(occurrence: Occurrence, estimateTask: (step: StepSpec) => number): number {
-    const chains: number[] = [];
-    for (const step of occurrence.steps) {
-        const before = Math.max(0, ...step.spec.dependsOn.map(earlier => chains[earlier]));
-        let longestTask = 0;
+    return computeChain(occurrence, step => {
         const estimate = estimateTask(step.spec);
+        let longestTask = 0;
         for (const task of step.tasks) {
             if (task.phase !== TaskPhase.Done) {
                 longestTask = Math.max(longestTask, estimate * (1 - task.percent / 100));
             }
         }
-        chains.push(before + longestTask);
-    }
-    return Math.max(0, ...chains);
+        return longestTask;
+    });
 }
--- a/packages/track-jobs/src/index.ts
+++ b/packages/track-jobs/src/index.ts
@@ -4,6 +4,7 @@
 export { applyRunLost } from "./applyRunLost.js";
 export { applyRunStart } from "./applyRunStart.js";
 export { CANCEL_SUFFIX } from "./cancelSuffix.js";
+export { computeChain } from "./computeChain.js";
 export { computeRemainingChain } from "./computeRemainingChain.js";
 export { decodeFinished } from "./decodeFinished.js";
 export { decodeJobRecord } from "./decodeJobRecord.js";
--- a/packages/track-jobs/src/job.ts
+++ b/packages/track-jobs/src/job.ts
@@ -1,6 +1,7 @@
 import type { JobSpec, QueueConfig } from "@sardinestage/describe-work";
 import { JobState } from "@sardinestage/describe-work";
 import type { Occurrence } from "./occurrence.js";
+import type { Task } from "./task.js";
 
 /** A job that was accepted, and how far it is. */
 export class Job {
@@ -30,6 +31,21 @@
             || this.state === JobState.Cancelled;
     }
 
+    /** When an occurrence may begin, in Unix milliseconds. */
+    getDueTime(occurrence: number): number {
+        const { repeatCount, firstRunMs, intervalMs } = this.spec;
+        return repeatCount > 0 ? firstRunMs + occurrence * intervalMs : this.acceptedAtMs;
+    }
+
+    /** The tasks of all its open occurrences. */
+    *listTasks(): Iterable<Task> {
+        for (const occurrence of this.open.values()) {
+            for (const step of occurrence.steps) {
+                yield* step.tasks;
+            }
+        }
+    }
+
     /** How many occurrences it has in all. */
     get occurrenceCount(): number {
         return Math.max(1, this.spec.repeatCount);
--- a/packages/track-jobs/src/openDueOccurrences.ts
+++ b/packages/track-jobs/src/openDueOccurrences.ts
@@ -16,7 +16,7 @@
         if (job.doneOccurrences.has(number) || job.open.has(number)) {
             continue;
         }
-        const dueMs = computeDueTime(job, number);
+        const dueMs = job.getDueTime(number);
         if (dueMs > wallNowMs) {
             return dueMs;
         }
@@ -24,8 +24,3 @@
     }
     return undefined;
 }
-
-function computeDueTime(job: Job, number: number): number {
-    const { repeatCount, firstRunMs, intervalMs } = job.spec;
-    return repeatCount > 0 ? firstRunMs + number * intervalMs : job.acceptedAtMs;
-}
