Don't call a submission refused when a relaying peer got no answer

Cause: a peer that passes a submission on to the coordinator and gets no answer replies "unsure" without an outcome; the record desk read that as refused, so the caller was told 503, "not run", of a record that may be in the store. Ruled out: the coordinator's own replies always carry an outcome. Change: a reply without an outcome is Unknown (504), counted as relay-unanswered. Before and after: the new test "doesn't say that nothing was stored when a relaying peer got no answer" failed, and passes.

--- a/packages/accept-jobs/src/recordDesk.ts
+++ b/packages/accept-jobs/src/recordDesk.ts
@@ -100,7 +100,12 @@
             this.parts.metrics.count("accept_failures_total", "coordinator-unreached");
             return SubmitOutcome.Refused;
         }
-        return convertOutcome(reply.outcome ?? AppendOutcome.Refused);
+        if (reply.outcome === undefined) {
+            // A peer passed the call on and got no answer: the record may be in the store.
+            this.parts.metrics.count("accept_failures_total", "relay-unanswered");
+            return SubmitOutcome.Unknown;
+        }
+        return convertOutcome(reply.outcome);
     }
 }
 
