Learn harm from replicas that share their load, and expect their headroom ahead

Cause: filling work waited (158 of 211 waiting tasks were of one image) or stood at pace 0 while serving tasks had headroom. Ruled out: leftover processor (filling tasks get what they ask up to 1.2 of a worker), memory (2 of 45 workers). Change: a figure is compared with those of replicas on other workers within 0.7 s, or with the replica's own last; the step's load is followed by level and change, and expected ahead, but not below what its image ever shows; an unknown pair is a usual one instead of harmless; only a halt holds paces down, not every slow-down. takeRoom is the one place that accounts for a task. What binds now is that each worker's worst-off serving task limits its filling work.

--- a/packages/coordinate-work/src/buildRooms.ts
+++ b/packages/coordinate-work/src/buildRooms.ts
@@ -1,19 +1,35 @@
 import type { WorkerRoom } from "@sardinestage/plan-starts";
+import { takeRoom } from "@sardinestage/plan-starts";
+import type { Task } from "@sardinestage/track-jobs";
 import type { WorkerLink } from "./workerLink.js";
 
-/** Describes what the workers that take work have left. */
-export function buildRooms(links: Iterable<WorkerLink>, getStartsLeft: (link: WorkerLink) => number): WorkerRoom[] {
+/**
+ * Describes what the workers that take work have left.
+ *
+ * @param links The workers.
+ * @param getStartsLeft How many starts a worker may get now.
+ * @param getHeadroom What a serving task is expected to have without filling tasks; undefined while unknown.
+ */
+export function buildRooms(
+    links: Iterable<WorkerLink>,
+    getStartsLeft: (link: WorkerLink) => number,
+    getHeadroom: (task: Task) => number | undefined,
+): WorkerRoom[] {
     const rooms: WorkerRoom[] = [];
     for (const link of links) {
         const startsLeft = getStartsLeft(link);
         if (startsLeft > 0) {
-            rooms.push(buildRoom(link, startsLeft));
+            rooms.push(buildRoom(link, startsLeft, getHeadroom));
         }
     }
     return rooms;
 }
 
-function buildRoom(link: WorkerLink, startsLeft: number): WorkerRoom {
+function buildRoom(
+    link: WorkerLink,
+    startsLeft: number,
+    getHeadroom: (task: Task) => number | undefined,
+): WorkerRoom {
     const { entry } = link;
     const room: WorkerRoom = {
         workerId: entry.id,
@@ -30,19 +46,8 @@
         startsLeft,
     };
     for (const task of link.tasks) {
-        const { spec } = task.step;
-        if (spec.fillsLeftover) {
-            room.fillCpuMillis += spec.cpuMillis;
-            room.fillers.push(spec);
-        }
-        else {
-            room.freeCpuMillis -= spec.cpuMillis;
-        }
-        if (spec.tailTargetMs > 0) {
-            room.servers.push({ spec, headroom: task.ownHeadroom });
-        }
-        room.freeMemoryMb -= spec.memoryMb;
-        room.freeAccelerators -= spec.accelerators;
+        takeRoom(room, task.step, getHeadroom(task));
     }
+    room.startsLeft = startsLeft;
     return room;
 }
--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -20,6 +20,7 @@
 import { PlaceJudge } from "./placeJudge.js";
 import { ProgressWriter } from "./progressWriter.js";
 import { RunBook } from "./runBook.js";
+import { ServingBook } from "./servingBook.js";
 import type { WorkerLink } from "./workerLink.js";
 import { WorkerWatch } from "./workerWatch.js";
 import { WorkRound } from "./workRound.js";
@@ -91,7 +92,8 @@
             noteChanged: job => this.handleChange(job),
         });
         const estimator = new HeadroomEstimator();
-        this.pace = new PaceDesk(parts, this.orders, estimator);
+        const serving = new ServingBook(estimator);
+        this.pace = new PaceDesk(parts, this.orders, estimator, serving);
         this.round = new WorkRound(parts, {
             jobs: this.jobs,
             fleet: this.fleet,
@@ -100,6 +102,7 @@
             runs: this.runs,
             advice: this.advice,
             places: new PlaceJudge(estimator),
+            serving,
             durations: this.durations,
         });
         this.jobsFollower = this.createFollower(Topic.Jobs, "jobs", JOBS_WAIT_MS, JOBS_PAUSE_MS, record => {
--- a/packages/coordinate-work/src/describeFleet.ts
+++ b/packages/coordinate-work/src/describeFleet.ts
@@ -32,7 +32,7 @@
         fillCpuUsed: fillers.reduce((sum, task) => sum + task.figure, 0),
         halted: fillers.filter(task => task.pace === 0).length,
         servingCpuMillis: computeCpu(serving),
-        freeCpuMillis: buildRooms(links, () => 1).reduce((sum, room) => sum + room.freeCpuMillis, 0),
+        freeCpuMillis: buildRooms(links, () => 1, () => undefined).reduce((sum, room) => sum + room.freeCpuMillis, 0),
     };
 }
 
--- a/packages/coordinate-work/src/paceDesk.ts
+++ b/packages/coordinate-work/src/paceDesk.ts
@@ -1,13 +1,14 @@
 import { OrderOutcome } from "@sardinestage/describe-ports";
 import type { StepSpec } from "@sardinestage/describe-work";
 import { formatTaskKey } from "@sardinestage/describe-work";
-import type { HeadroomEstimator, WeightedNeighbour } from "@sardinestage/learn-behaviour";
+import type { HeadroomEstimator } from "@sardinestage/learn-behaviour";
 import type { FillerView, PaceRules, ServerView } from "@sardinestage/plan-pace";
 import { planPace } from "@sardinestage/plan-pace";
 import type { Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import type { OrderDesk } from "./orderDesk.js";
+import type { ServingBook } from "./servingBook.js";
 import type { WorkerLink } from "./workerLink.js";
 
 /** The figures of a worker cover this time, in milliseconds. */
@@ -18,22 +19,18 @@
 const HALT_ALL_SHARE = 0.4;
 /** Share of the bound on harm after which standing still is taken not to help. */
 const STOP_SHARE = 0.6;
-/** Weight of the newest figure in a serving task's own headroom. */
-const OWN_HEADROOM_RATE = 0.4;
-/** More headroom than this is taken for a wrong estimate of the neighbours. */
-const MOST_OWN_HEADROOM = 4;
 const FULL_PERCENT = 100;
 
 /** Slows filling tasks where serving tasks beside them suffer, and stops them where that isn't enough. */
 export class PaceDesk {
     private readonly rules: PaceRules;
     private readonly underWay = new Set<Task>();
-    private readonly learnedAtMs = new WeakMap<WorkerLink, number>();
 
     constructor(
         private readonly parts: CoordinatorParts,
         private readonly orders: OrderDesk,
         private readonly estimator: HeadroomEstimator,
+        private readonly serving: ServingBook,
     ) {
         const { harmMs, paceMs } = parts.rules;
         this.rules = {
@@ -52,12 +49,13 @@
             return;
         }
         const fillers = running.filter(task => task.step.spec.fillsLeftover);
-        this.learn(link, servers, fillers);
+        const nowMs = this.parts.clock.getNow();
+        this.serving.takeFigures(link, servers, fillers, nowMs);
         const plan = planPace(
-            servers.map(describeServer),
+            servers.map(task => this.describeServer(task, nowMs)),
             fillers.map(task => this.describeFiller(task, servers, link)),
             link.pace,
-            this.parts.clock.getNow(),
+            nowMs,
             this.rules,
         );
         link.pace = plan.state;
@@ -77,34 +75,11 @@
         return this.estimator.estimateHarm(server.image, filler.image) * weight;
     }
 
-    /** Figures cover half a second, so looks that follow closer say nothing new. */
-    private learn(link: WorkerLink, servers: readonly Task[], fillers: readonly Task[]): void {
-        const nowMs = this.parts.clock.getNow();
-        if (nowMs - (this.learnedAtMs.get(link) ?? -Infinity) < FIGURE_WINDOW_MS / 2) {
-            return;
-        }
-        this.learnedAtMs.set(link, nowMs);
-        const capacity = Math.max(1, link.entry.capacity.cpuMillis);
-        const neighbours = fillers.filter(task => task.figure > 0)
-            .map(task => ({ image: task.step.spec.image, weight: task.figure / capacity }));
-        for (const task of servers) {
-            if (task.figure > 0 && task.percent >= FULL_PERCENT) {
-                this.learnServer(task, neighbours);
-            }
-        }
-    }
-
-    private learnServer(task: Task, neighbours: readonly WeightedNeighbour[]): void {
-        const { image, tailTargetMs } = task.step.spec;
-        const headroom = tailTargetMs / task.figure;
-        this.estimator.learnHeadroom(image, neighbours, headroom);
-        const taken = neighbours.reduce(
-            (sum, other) => sum + this.estimator.estimateHarm(image, other.image) * other.weight,
-            0,
-        );
-        const own = Math.min(headroom + taken, MOST_OWN_HEADROOM);
-        const known = task.ownHeadroom ?? own;
-        task.ownHeadroom = known + (own - known) * OWN_HEADROOM_RATE;
+    private describeServer(task: Task, nowMs: number): ServerView {
+        return {
+            headroom: task.figure > 0 ? task.step.spec.tailTargetMs / task.figure : undefined,
+            aloneHeadroom: this.serving.estimateHeadroom(task, nowMs + this.rules.settleMs),
+        };
     }
 
     private describeFiller(task: Task, servers: readonly Task[], link: WorkerLink): FillerView {
@@ -140,7 +115,3 @@
     return task.phase === TaskPhase.Running
         || (task.phase === TaskPhase.Ordered && task.settledAtMs !== Infinity && task.step.spec.fillsLeftover);
 }
-
-function describeServer(task: Task): ServerView {
-    return { headroom: task.figure > 0 ? task.step.spec.tailTargetMs / task.figure : undefined };
-}
--- a/packages/coordinate-work/src/placeJudge.ts
+++ b/packages/coordinate-work/src/placeJudge.ts
@@ -1,17 +1,20 @@
 import type { StepSpec } from "@sardinestage/describe-work";
 import type { HeadroomEstimator } from "@sardinestage/learn-behaviour";
 import type { PlaceView, WorkerRoom } from "@sardinestage/plan-starts";
+import type { StepRun } from "@sardinestage/track-jobs";
 
 /** A filling task that takes so much of any headroom needs a place of its own. */
 const HARMFUL = 0.3;
 /** Headroom of a serving task of which nothing is known. */
 const USUAL_HEADROOM = 2.5;
 /** A serving image from which some neighbour would take so much on a whole worker suffers easily. */
-const SENSITIVE = 6;
+const SENSITIVE = 3;
 /** Less headroom than this is all the same. */
 const LEAST_HEADROOM = 0.05;
+/** Headroom that the worst-off task of a worker loses to one more load, by the number of different loads there. */
+const LOAD_COSTS = [0.5, 0.6, 0.25, 0.1, 0.05];
 /** A place that neither suffers nor does harm. */
-const NEUTRAL_PLACE: PlaceView = { strain: 0, isHarmful: false, alikeShare: 1 };
+const NEUTRAL_PLACE: PlaceView = { strain: 0, isHarmful: false, alikeShare: 1, loadCost: 0 };
 
 /** What the serving tasks of a room have left beside the filling ones there. */
 interface RoomHeadroom {
@@ -28,9 +31,10 @@
     constructor(private readonly estimator: HeadroomEstimator) {}
 
     /** What is known of a task of a step beside those that a worker has. */
-    describePlace(room: WorkerRoom, spec: StepSpec): PlaceView {
+    describePlace(room: WorkerRoom, step: StepRun): PlaceView {
+        const { spec } = step;
         if (spec.tailTargetMs > 0) {
-            return this.describeServing(room, spec);
+            return this.describeServing(room, step);
         }
         return spec.fillsLeftover ? this.describeFilling(room, spec) : NEUTRAL_PLACE;
     }
@@ -39,22 +43,28 @@
         const lefts = this.getLefts(room);
         let worst = Infinity;
         room.servers.forEach((server, index) => {
-            const taken = this.estimateTaken(server.spec.image, spec, room.capacityCpuMillis);
+            const taken = this.estimateTaken(server.step.spec.image, spec, room.capacityCpuMillis);
             worst = Math.min(worst, lefts[index] - taken);
         });
         const weight = spec.cpuMillis / Math.max(1, room.capacityCpuMillis);
         const isHarmful = this.estimator.estimateWorstHarm(spec.image) * weight >= HARMFUL;
-        return { strain: convertToStrain(worst), isHarmful, alikeShare: 1 };
+        return { strain: convertToStrain(worst), isHarmful, alikeShare: 1, loadCost: 0 };
     }
 
-    private describeServing(room: WorkerRoom, spec: StepSpec): PlaceView {
+    private describeServing(room: WorkerRoom, step: StepRun): PlaceView {
+        const { spec } = step;
         let headroom = this.estimateUsual(spec.image);
         for (const filler of room.fillers) {
             headroom -= this.estimateTaken(spec.image, filler, room.capacityCpuMillis);
         }
-        const alike = room.servers.filter(server => this.isAlike(server.spec.image, spec.image)).length;
+        const alike = room.servers.filter(server => this.isAlike(server.step.spec.image, spec.image)).length;
         const alikeShare = room.servers.length === 0 ? 1 : alike / room.servers.length;
-        return { strain: convertToStrain(headroom), isHarmful: false, alikeShare };
+        return {
+            strain: convertToStrain(headroom),
+            isHarmful: false,
+            alikeShare,
+            loadCost: computeLoadCost(room, step),
+        };
     }
 
     /** A round takes from rooms as it goes, so what is left is worked out anew only where something was added. */
@@ -64,11 +74,9 @@
             return known.lefts;
         }
         const lefts = room.servers.map(server => {
-            const usual = this.estimateUsual(server.spec.image);
-            // Load that is low now rises while the task runs.
-            const own = Math.min(server.headroom ?? usual, usual);
+            const own = server.headroom ?? this.estimateUsual(server.step.spec.image);
             return room.fillers.reduce(
-                (left, filler) => left - this.estimateTaken(server.spec.image, filler, room.capacityCpuMillis),
+                (left, filler) => left - this.estimateTaken(server.step.spec.image, filler, room.capacityCpuMillis),
                 own,
             );
         });
@@ -77,7 +85,7 @@
     }
 
     private estimateUsual(image: string): number {
-        return this.estimator.estimateAlone(image) ?? USUAL_HEADROOM;
+        return this.estimator.estimateUsual(image) ?? USUAL_HEADROOM;
     }
 
     private estimateTaken(image: string, filler: StepSpec, capacityCpuMillis: number): number {
@@ -94,6 +102,12 @@
     }
 }
 
+/** Replicas of one step share their load; others swing by themselves, and the worst-off of a worker counts. */
+function computeLoadCost(room: WorkerRoom, step: StepRun): number {
+    const loads = new Set(room.servers.map(server => server.step));
+    return loads.has(step) ? 0 : LOAD_COSTS[Math.min(loads.size, LOAD_COSTS.length - 1)];
+}
+
 function convertToStrain(headroom: number): number {
     return 1 / Math.max(LEAST_HEADROOM, headroom);
 }
--- a/packages/coordinate-work/src/workRound.ts
+++ b/packages/coordinate-work/src/workRound.ts
@@ -15,6 +15,7 @@
 import type { PlaceJudge } from "./placeJudge.js";
 import type { ProgressWriter } from "./progressWriter.js";
 import type { RunBook } from "./runBook.js";
+import type { ServingBook } from "./servingBook.js";
 
 /** A job that takes longer than this many times its allowed duration is of no more use. */
 const USELESS_AFTER = 3;
@@ -36,6 +37,9 @@
 /** How long a filling task waits for a milder place in a fleet that isn't, in milliseconds. */
 const LONGEST_WAIT_MS = 2000;
 
+/** A place is judged by the load to be expected so much later, in milliseconds: the start and first work of a task. */
+const PLACING_AHEAD_MS = 1500;
+
 /** What a round works on. */
 interface RoundParts {
     readonly jobs: JobBook;
@@ -45,6 +49,7 @@
     readonly runs: RunBook;
     readonly advice: AdviceBook;
     readonly places: PlaceJudge;
+    readonly serving: ServingBook;
     readonly durations: DurationBook;
 }
 
@@ -64,14 +69,18 @@
         if (steps.length === 0) {
             return nextDueMs;
         }
-        const rooms = buildRooms(this.round.fleet.links.values(), link => computeStartsLeft(link, nowMs));
+        const rooms = buildRooms(
+            this.round.fleet.links.values(),
+            link => computeStartsLeft(link, nowMs),
+            task => this.round.serving.estimateHeadroom(task, nowMs + PLACING_AHEAD_MS),
+        );
         const isBusy = computeReservedShare(rooms) >= BUSY_SHARE;
         const demands = steps.map(({ step, waiting }) => this.buildDemand(step, waiting));
         const plan = planStarts(demands, rooms, {
             maxStarts: limits.startsARound,
             longestWaitMs: isBusy ? Infinity : LONGEST_WAIT_MS,
             isAdvised: (task, workerId) => this.round.advice.isAdvised(task, workerId),
-            describePlace: (room, spec) => this.round.places.describePlace(room, spec),
+            describePlace: (room, step) => this.round.places.describePlace(room, step),
         });
         plan.starts.forEach(({ task, workerId }) => this.startTask(task, workerId, nowMs));
 
--- a/packages/learn-behaviour/src/headroomEstimator.ts
+++ b/packages/learn-behaviour/src/headroomEstimator.ts
@@ -1,54 +1,79 @@
 import { LinearEstimator } from "./linearEstimator.js";
-import type { WeightedNeighbour } from "./weightedNeighbour.js";
+import type { ServingFigure } from "./servingFigure.js";
 
-/** Input of the headroom without neighbours. */
-const ALONE = "";
-/** More headroom than this says nothing more. */
-const MOST_HEADROOM = 6;
+/** Headroom that an unknown neighbour is taken to cost if it used a whole worker's processor, and how unsure that is. */
+const UNKNOWN_HARM = { mean: 1.3, variance: 9 };
+/** Weight of the newest figure in an image's usual headroom. */
+const USUAL_RATE = 0.02;
+/** Weight of a level below, and above, the lowest headroom that an image has. */
+const LOWER_RATE = 0.2;
+const HIGHER_RATE = 0.002;
 
 /**
  * Learns how much tasks of one image take from the latency headroom of serving tasks of another. Headroom is the
  * target over the tail latency: a queue's latency grows without bound as its load nears what it can serve, while the
  * inverse falls in a straight line, so that the shares of several neighbours add up. Answers interference that differs
- * by pair and shows only in lagging, noisy figures of all neighbours together.
+ * by pair and shows only in lagging, noisy figures of all neighbours together, under a load that swings more than most
+ * neighbours harm: only figures under the same load are compared.
  */
 export class HeadroomEstimator {
     private readonly models = new Map<string, LinearEstimator>();
+    private readonly usual = new Map<string, number>();
+    private readonly lowest = new Map<string, number>();
 
     /**
-     * Takes a measured headroom.
+     * Compares two figures of serving tasks under the same load.
      *
-     * @param image Of the serving task.
-     * @param neighbours What worked beside it when it was measured.
-     * @param headroom Its target over its tail latency.
+     * @param image Of the serving tasks.
+     * @param noiseVariance Variance of the difference that neighbours don't explain.
      */
-    learnHeadroom(image: string, neighbours: readonly WeightedNeighbour[], headroom: number): void {
-        const model = this.models.get(image) ?? new LinearEstimator();
-        this.models.set(image, model);
-        const inputs = new Map<string, number>([[ALONE, 1]]);
-        for (const { image: other, weight } of neighbours) {
+    learnDifference(image: string, figure: ServingFigure, reference: ServingFigure, noiseVariance: number): void {
+        const inputs = new Map<string, number>();
+        for (const { image: other, weight } of figure.neighbours) {
             inputs.set(other, (inputs.get(other) ?? 0) - weight);
         }
-        model.learn(inputs, Math.min(headroom, MOST_HEADROOM));
+        for (const { image: other, weight } of reference.neighbours) {
+            inputs.set(other, (inputs.get(other) ?? 0) + weight);
+        }
+        if (inputs.size === 0) {
+            return;
+        }
+        const model = this.models.get(image) ?? new LinearEstimator(UNKNOWN_HARM);
+        this.models.set(image, model);
+        model.learn(inputs, figure.headroom - reference.headroom, noiseVariance);
+    }
+
+    /** Takes the smoothed headroom that serving tasks of an image have without neighbours. */
+    learnUsual(image: string, headroom: number): void {
+        const known = this.usual.get(image) ?? headroom;
+        this.usual.set(image, known + (headroom - known) * USUAL_RATE);
+        const lowest = this.lowest.get(image) ?? headroom;
+        this.lowest.set(image, lowest + (headroom - lowest) * (headroom < lowest ? LOWER_RATE : HIGHER_RATE));
     }
 
     /** The usual headroom of an image without neighbours; undefined while nothing is known. */
-    estimateAlone(image: string): number | undefined {
-        return this.models.get(image)?.getCoefficient(ALONE);
+    estimateUsual(image: string): number | undefined {
+        return this.usual.get(image);
+    }
+
+    /** What the headroom of an image without neighbours hardly ever goes below; 0 while nothing is known. */
+    estimateLowest(image: string): number {
+        return this.lowest.get(image) ?? 0;
     }
 
     /** How much headroom a neighbour takes that uses a whole worker's processor; never negative. */
     estimateHarm(image: string, other: string): number {
-        return Math.max(0, this.models.get(image)?.getCoefficient(other) ?? 0);
+        return Math.max(0, this.models.get(image)?.getCoefficient(other) ?? UNKNOWN_HARM.mean);
     }
 
     /** The most that any neighbour is known to take from a serving image; undefined while none is known. */
     estimateSensitivity(image: string): number | undefined {
-        return this.models.get(image)?.findLargest(ALONE);
+        return this.models.get(image)?.findLargest();
     }
 
-    /** The most that an image is known to take from any serving image. */
+    /** The most that an image is known to take from any serving image; the usual harm while nothing is known. */
     estimateWorstHarm(other: string): number {
-        return Math.max(0, ...[...this.models.values()].map(model => model.getCoefficient(other)));
+        const harms = [...this.models.values()].map(model => model.getCoefficient(other));
+        return harms.length === 0 ? UNKNOWN_HARM.mean : Math.max(0, ...harms);
     }
 }
--- a/packages/learn-behaviour/src/linearEstimator.ts
+++ b/packages/learn-behaviour/src/linearEstimator.ts
@@ -1,11 +1,11 @@
-/** Variance of an observation that the model doesn't explain. */
-const NOISE_VARIANCE = 0.3;
-/** Variance of a coefficient of which nothing is known. */
-const PRIOR_VARIANCE = 400;
 /** How fast old figures lose weight at each new one: harm changes within seconds to minutes. */
 const FORGETTING = 0.9995;
-/** A coefficient's variance never grows beyond what is known before the first figure. */
-const MAX_VARIANCE = PRIOR_VARIANCE;
+
+/** What is known of a coefficient before the first figure. */
+interface Prior {
+    readonly mean: number;
+    readonly variance: number;
+}
 
 /** Recursive least squares of a sum of named inputs, each times an unknown coefficient. */
 export class LinearEstimator {
@@ -13,8 +13,15 @@
     private readonly coefficients: number[] = [];
     private readonly covariance: number[][] = [];
 
-    /** Takes an observed value of the sum. */
-    learn(inputs: ReadonlyMap<string, number>, observed: number): void {
+    constructor(private readonly prior: Prior) {}
+
+    /**
+     * Takes an observed value of the sum.
+     *
+     * @param inputs By name; those that are missing are 0.
+     * @param noiseVariance Variance of the observation that the inputs don't explain.
+     */
+    learn(inputs: ReadonlyMap<string, number>, observed: number, noiseVariance: number): void {
         for (const name of inputs.keys()) {
             this.addInput(name);
         }
@@ -22,7 +29,7 @@
         const values = new Array<number>(size).fill(0);
         inputs.forEach((value, name) => values[this.indices.get(name) ?? 0] = value);
         const gains = this.covariance.map(row => row.reduce((sum, entry, column) => sum + entry * values[column], 0));
-        const variance = gains.reduce((sum, gain, index) => sum + gain * values[index], NOISE_VARIANCE);
+        const variance = gains.reduce((sum, gain, index) => sum + gain * values[index], noiseVariance);
         const predicted = this.coefficients.reduce((sum, entry, index) => sum + entry * values[index], 0);
         const error = observed - predicted;
         for (let row = 0; row < size; row++) {
@@ -34,22 +41,21 @@
         this.dropCertainty(values);
     }
 
-    /** The coefficient of an input; 0 while nothing is known of it. */
+    /** The coefficient of an input; the prior's mean while nothing is known of it. */
     getCoefficient(name: string): number {
         const index = this.indices.get(name);
-        return index === undefined ? 0 : this.coefficients[index];
+        return index === undefined ? this.prior.mean : this.coefficients[index];
     }
 
-    /** The largest coefficient of all inputs but one; undefined while there is none. */
-    findLargest(except: string): number | undefined {
-        const names = [...this.indices.keys()].filter(name => name !== except);
-        return names.length === 0 ? undefined : Math.max(...names.map(name => this.getCoefficient(name)));
+    /** The largest coefficient of all inputs; undefined while there is none. */
+    findLargest(): number | undefined {
+        return this.coefficients.length === 0 ? undefined : Math.max(...this.coefficients);
     }
 
     /** Only inputs that were seen lose certainty, so that what isn't tried any more isn't forgotten. */
     private dropCertainty(values: readonly number[]): void {
         for (let row = 0; row < values.length; row++) {
-            if (values[row] !== 0 && this.covariance[row][row] < MAX_VARIANCE) {
+            if (values[row] !== 0 && this.covariance[row][row] < this.prior.variance) {
                 for (let column = 0; column < values.length; column++) {
                     this.covariance[row][column] /= FORGETTING;
                     if (column !== row) {
@@ -65,10 +71,10 @@
             return;
         }
         this.indices.set(name, this.coefficients.length);
-        this.coefficients.push(0);
+        this.coefficients.push(this.prior.mean);
         this.covariance.forEach(row => row.push(0));
         const size = this.coefficients.length;
         this.covariance.push(new Array<number>(size).fill(0));
-        this.covariance[size - 1][size - 1] = PRIOR_VARIANCE;
+        this.covariance[size - 1][size - 1] = this.prior.variance;
     }
 }
--- a/packages/plan-pace/src/paceState.ts
+++ b/packages/plan-pace/src/paceState.ts
@@ -2,6 +2,6 @@
 export interface PaceState {
     /** Since when a serving task has been over its target, in steady milliseconds; undefined while none is. */
     readonly overSinceMs: number | undefined;
-    /** No filling task speeds up before this, in steady milliseconds. */
+    /** After a halt no filling task speeds up before this, in steady milliseconds. */
     readonly heldUntilMs: number;
 }
--- a/packages/plan-pace/src/planPace.ts
+++ b/packages/plan-pace/src/planPace.ts
@@ -13,9 +13,8 @@
 const STEP_PERCENT = 10;
 
 /**
- * Decides how fast the filling tasks of one worker may work. The headroom that a serving task would have alone right
- * now is what was measured and what its neighbours are known to take; what is left above the aim goes to those that
- * take least of it first. Where that doesn't help, what does harm stands still for a while, then everything.
+ * Decides how fast the filling tasks of one worker may work. What serving tasks are expected to have above the aim
+ * without them goes to those that take least of it first. Where that doesn't help, what does harm stands still for a while, then everything.
  *
  * @param servers The serving tasks on the worker.
  * @param fillers The filling tasks on it.
@@ -34,16 +33,15 @@
     const overMs = overSinceMs === undefined ? 0 : nowMs - overSinceMs;
     const mustHalt = overMs >= rules.haltAfterMs;
     const percents = new Map<string, number>();
-    const lefts = servers.map((server, index) => computeLeft(server, fillers, index));
+    const lefts = servers.map(computeLeft);
     for (const filler of [...fillers].sort(compareHarm)) {
         const isHarmful = filler.harms.some(harm => harm >= HARMLESS);
         const allowed = mustHalt && (isHarmful || overMs >= rules.haltAllAfterMs) ? 0 : allocateShare(filler, lefts);
         const mayRise = allowed < filler.percent || nowMs >= state.heldUntilMs;
         percents.set(filler.key, mayRise ? allowed : filler.percent);
     }
-    const isSlower = fillers.some(filler => (percents.get(filler.key) ?? 0) < filler.percent);
     return {
-        state: { overSinceMs, heldUntilMs: isSlower ? nowMs + rules.settleMs : state.heldUntilMs },
+        state: { overSinceMs, heldUntilMs: mustHalt ? nowMs + rules.settleMs : state.heldUntilMs },
         percents,
         mustStop: overMs >= rules.stopAfterMs,
     };
@@ -55,12 +53,8 @@
 }
 
 /** The headroom of a serving task that filling tasks may take. */
-function computeLeft(server: ServerView, fillers: readonly FillerView[], index: number): number {
-    if (server.headroom === undefined) {
-        return Infinity;
-    }
-    const taken = fillers.reduce((sum, filler) => sum + filler.harms[index] * filler.percent / FULL_PERCENT, 0);
-    return Math.max(0, server.headroom + taken - AIM_HEADROOM);
+function computeLeft(server: ServerView): number {
+    return server.aloneHeadroom === undefined ? Infinity : Math.max(0, server.aloneHeadroom - AIM_HEADROOM);
 }
 
 /** Allows a filling task as much as is left, and takes that away: some at full speed are worth more than all at none. */
--- a/packages/plan-starts/src/index.ts
+++ b/packages/plan-starts/src/index.ts
@@ -6,4 +6,5 @@
 export type { ServerPlace } from "./serverPlace.js";
 export type { StartPlan } from "./startPlan.js";
 export type { StepDemand } from "./stepDemand.js";
+export { takeRoom } from "./takeRoom.js";
 export type { WorkerRoom } from "./workerRoom.js";
--- a/packages/plan-starts/src/planGang.ts
+++ b/packages/plan-starts/src/planGang.ts
@@ -1,5 +1,4 @@
-import type { StepSpec } from "@sardinestage/describe-work";
-import type { Task } from "@sardinestage/track-jobs";
+import type { StepRun, Task } from "@sardinestage/track-jobs";
 import { computePlaceScore } from "./computePlaceScore.js";
 import { hasRoom } from "./hasRoom.js";
 import { isAllowedOn } from "./isAllowedOn.js";
@@ -12,7 +11,7 @@
 /** What the placing of a gang takes into account. */
 interface GangRules {
     readonly isAdvised: (task: Task, workerId: string) => boolean;
-    readonly describePlace: (room: WorkerRoom, spec: StepSpec) => PlaceView;
+    readonly describePlace: (room: WorkerRoom, step: StepRun) => PlaceView;
 }
 
 /**
@@ -39,7 +38,7 @@
         const found = tryPlacing(demand, candidate, rules);
         if (found !== undefined) {
             for (const start of found) {
-                takeRoom(start.room, step.spec);
+                takeRoom(start.room, step);
                 starts.push({ task: start.task, workerId: start.room.workerId });
             }
             return true;
@@ -66,7 +65,7 @@
         taken: 0,
     }));
     const placed: Placed[] = [];
-    const score = (room: WorkerRoom) => computePlaceScore(room, spec, rules.describePlace(room, spec));
+    const score = (room: WorkerRoom) => computePlaceScore(room, spec, rules.describePlace(room, demand.step));
     for (const task of demand.waiting) {
         const best = copies
             .filter(entry => hasRoom(entry.copy, spec))
@@ -77,7 +76,7 @@
         if (best === undefined) {
             return undefined;
         }
-        takeRoom(best.copy, spec);
+        takeRoom(best.copy, demand.step);
         best.taken++;
         placed.push({ task, room: best.room });
     }
--- a/packages/plan-starts/src/planStarts.test.ts
+++ b/packages/plan-starts/src/planStarts.test.ts
@@ -82,7 +82,7 @@
     maxStarts: 1000,
     longestWaitMs: 2000,
     isAdvised: () => true,
-    describePlace: () => ({ strain: 0, isHarmful: false, alikeShare: 1 }),
+    describePlace: () => ({ strain: 0, isHarmful: false, alikeShare: 1, loadCost: 0 }),
 };
 
 describe("planStarts", () => {
@@ -152,7 +152,10 @@
     });
 
     describe("when filling work would make serving tasks miss their targets everywhere", () => {
-        const strained = { ...rules, describePlace: () => ({ strain: 1.5, isHarmful: true, alikeShare: 1 }) };
+        const strained = {
+            ...rules,
+            describePlace: () => ({ strain: 1.5, isHarmful: true, alikeShare: 1, loadCost: 0 }),
+        };
 
         it("lets it wait, though not for ever", () => {
             const fresh = createDemand({ fillsLeftover: true });
--- a/packages/plan-starts/src/planStarts.ts
+++ b/packages/plan-starts/src/planStarts.ts
@@ -1,5 +1,4 @@
-import type { StepSpec } from "@sardinestage/describe-work";
-import type { Task } from "@sardinestage/track-jobs";
+import type { StepRun, Task } from "@sardinestage/track-jobs";
 import { compareDemands } from "./compareDemands.js";
 import { computePlaceScore } from "./computePlaceScore.js";
 import { hasRoom } from "./hasRoom.js";
@@ -27,7 +26,7 @@
     /** Whether the advice service, where the queue has one, lets the task run there. */
     readonly isAdvised: (task: Task, workerId: string) => boolean;
     /** What is known of a task of a step beside those that a worker has. */
-    readonly describePlace: (room: WorkerRoom, spec: StepSpec) => PlaceView;
+    readonly describePlace: (room: WorkerRoom, step: StepRun) => PlaceView;
 }
 
 /**
@@ -87,7 +86,7 @@
         if (room === undefined) {
             return false;
         }
-        takeRoom(room, step.spec);
+        takeRoom(room, step);
         perWorker.set(room.workerId, (perWorker.get(room.workerId) ?? 0) + 1);
         starts.push({ task, workerId: room.workerId });
     }
@@ -124,7 +123,7 @@
             continue;
         }
         // A task that failed there gets its next chance elsewhere: the worker may be at fault.
-        const view = rules.describePlace(room, spec);
+        const view = rules.describePlace(room, task.step);
         if (mayWait && view.strain > MOST_STRAIN) {
             continue;
         }
--- a/packages/plan-starts/src/takeRoom.ts
+++ b/packages/plan-starts/src/takeRoom.ts
@@ -1,8 +1,13 @@
-import type { StepSpec } from "@sardinestage/describe-work";
+import type { StepRun } from "@sardinestage/track-jobs";
 import type { WorkerRoom } from "./workerRoom.js";
 
-/** Takes one task's share from a worker's room. */
-export function takeRoom(room: WorkerRoom, spec: StepSpec): void {
+/**
+ * Takes one task's share from a worker's room.
+ *
+ * @param headroom Of a serving task: what it is expected to have without filling tasks; undefined while unknown.
+ */
+export function takeRoom(room: WorkerRoom, step: StepRun, headroom?: number): void {
+    const { spec } = step;
     if (spec.fillsLeftover) {
         room.fillCpuMillis += spec.cpuMillis;
         room.fillers.push(spec);
@@ -13,7 +18,7 @@
     room.freeMemoryMb -= spec.memoryMb;
     room.freeAccelerators -= spec.accelerators;
     if (spec.tailTargetMs > 0) {
-        room.servers.push({ spec, headroom: undefined });
+        room.servers.push({ step, headroom });
     }
     room.startsLeft--;
 }
--- a/packages/track-jobs/src/applyRunStart.ts
+++ b/packages/track-jobs/src/applyRunStart.ts
@@ -16,7 +16,6 @@
     task.progressAtMs = nowMs;
     task.pace = 100;
     task.figure = 0;
-    task.ownHeadroom = undefined;
     if (job.state === JobState.Queued) {
         job.state = JobState.Running;
     }
--- a/packages/track-jobs/src/task.ts
+++ b/packages/track-jobs/src/task.ts
@@ -29,8 +29,6 @@
     isUncertain = false;
     /** Tail latency or processor in use, as last listed. */
     figure = 0;
-    /** Of a serving task: its target over its tail latency as it would be without filling tasks; undefined unmeasured. */
-    ownHeadroom: number | undefined;
     /** The share of its speed that it was last allowed, in percent. */
     pace = 100;
     /** When that was last changed, in steady milliseconds. */
