Finish what has begun, and begin what is likely to be in time

Change: within a priority, jobs that have begun go before those that haven't, and a job that hasn't needs as much slack as it has work left to count as likely in time; below that it goes after those. Test: "begins what is likely to be in time before what hardly can be".

--- a/packages/coordinate-work/src/placeJudge.ts
+++ b/packages/coordinate-work/src/placeJudge.ts
@@ -11,10 +11,8 @@
 const SENSITIVE = 3;
 /** Less headroom than this is all the same. */
 const LEAST_HEADROOM = 0.05;
-/** Headroom that the worst-off task of a worker loses to one more load, by the number of different loads there. */
-const LOAD_COSTS = [0.5, 0.6, 0.25, 0.1, 0.05];
 /** A place that neither suffers nor does harm. */
-const NEUTRAL_PLACE: PlaceView = { strain: 0, isHarmful: false, alikeShare: 1, loadCost: 0 };
+const NEUTRAL_PLACE: PlaceView = { strain: 0, isHarmful: false, alikeShare: 1 };
 
 /** What the serving tasks of a room have left beside the filling ones there. */
 interface RoomHeadroom {
@@ -34,7 +32,7 @@
     describePlace(room: WorkerRoom, step: StepRun): PlaceView {
         const { spec } = step;
         if (spec.tailTargetMs > 0) {
-            return this.describeServing(room, step);
+            return this.describeServing(room, spec);
         }
         return spec.fillsLeftover ? this.describeFilling(room, spec) : NEUTRAL_PLACE;
     }
@@ -48,23 +46,17 @@
         });
         const weight = spec.cpuMillis / Math.max(1, room.capacityCpuMillis);
         const isHarmful = this.estimator.estimateWorstHarm(spec.image) * weight >= HARMFUL;
-        return { strain: convertToStrain(worst), isHarmful, alikeShare: 1, loadCost: 0 };
+        return { strain: convertToStrain(worst), isHarmful, alikeShare: 1 };
     }
 
-    private describeServing(room: WorkerRoom, step: StepRun): PlaceView {
-        const { spec } = step;
+    private describeServing(room: WorkerRoom, spec: StepSpec): PlaceView {
         let headroom = this.estimateUsual(spec.image);
         for (const filler of room.fillers) {
             headroom -= this.estimateTaken(spec.image, filler, room.capacityCpuMillis);
         }
         const alike = room.servers.filter(server => this.isAlike(server.step.spec.image, spec.image)).length;
         const alikeShare = room.servers.length === 0 ? 1 : alike / room.servers.length;
-        return {
-            strain: convertToStrain(headroom),
-            isHarmful: false,
-            alikeShare,
-            loadCost: computeLoadCost(room, step),
-        };
+        return { strain: convertToStrain(headroom), isHarmful: false, alikeShare };
     }
 
     /** A round takes from rooms as it goes, so what is left is worked out anew only where something was added. */
@@ -102,12 +94,6 @@
     }
 }
 
-/** Replicas of one step share their load; others swing by themselves, and the worst-off of a worker counts. */
-function computeLoadCost(room: WorkerRoom, step: StepRun): number {
-    const loads = new Set(room.servers.map(server => server.step));
-    return loads.has(step) ? 0 : LOAD_COSTS[Math.min(loads.size, LOAD_COSTS.length - 1)];
-}
-
 function convertToStrain(headroom: number): number {
     return 1 / Math.max(LEAST_HEADROOM, headroom);
 }
--- a/packages/coordinate-work/src/workRound.ts
+++ b/packages/coordinate-work/src/workRound.ts
@@ -110,6 +110,8 @@
         return {
             step,
             waiting,
+            isStarted: occurrence.isStarted,
+            remainingMs,
             waitedMs: nowMs - readyAtMs,
             slackMs: objectiveMs - spentMs - remainingMs,
             lateSlackMs: objectiveMs * USELESS_AFTER - spentMs - remainingMs,
--- a/packages/plan-starts/src/compareDemands.ts
+++ b/packages/plan-starts/src/compareDemands.ts
@@ -1,16 +1,32 @@
 import type { StepDemand } from "./stepDemand.js";
 
+/** Slack that a job needs before its first start, as a share of its remaining work: under load everything takes longer. */
+const FIRST_START_MARGIN = 1;
+
+/** How much good it does to serve a demand now; the lower goes first. */
+enum Prospect {
+    /** It is likely to be in time. */
+    InTime,
+    /** It would be in time if nothing held it up. */
+    Doubtful,
+    /** It is late, but still of use. */
+    Late,
+    /** Nobody gains any more. */
+    Useless,
+}
+
 /**
- * Orders demands: by priority, then those that can still be in time, then those that are late but of use,
- * and within these the tightest first. Work that ends goes before work that stays: it gives its room back. Answers
- * bursts: work that is past saving must not hold up the rest.
+ * Orders demands: by priority, then by their prospect; within these, what has begun goes before what hasn't, and the
+ * tightest first. Work that ends goes before work that stays: it gives its room back. Answers bursts: where not all can
+ * be in time, those that have begun and those that still can be are finished, instead of all being a little late.
  *
  * @returns Negative when `left` goes first.
  */
 export function compareDemands(left: StepDemand, right: StepDemand): number {
     return getPriority(left) - getPriority(right)
         || Number(left.step.spec.longRunning) - Number(right.step.spec.longRunning)
-        || getLateness(left) - getLateness(right)
+        || getProspect(left) - getProspect(right)
+        || Number(right.isStarted) - Number(left.isStarted)
         || left.slackMs - right.slackMs;
 }
 
@@ -18,9 +34,10 @@
     return demand.step.occurrence.job.queue.priority;
 }
 
-function getLateness(demand: StepDemand): number {
+function getProspect(demand: StepDemand): Prospect {
     if (demand.slackMs >= 0) {
-        return 0;
+        const isLikely = demand.isStarted || demand.slackMs >= demand.remainingMs * FIRST_START_MARGIN;
+        return isLikely ? Prospect.InTime : Prospect.Doubtful;
     }
-    return demand.lateSlackMs >= 0 ? 1 : 2;
+    return demand.lateSlackMs >= 0 ? Prospect.Late : Prospect.Useless;
 }
--- a/packages/plan-starts/src/computePlaceScore.ts
+++ b/packages/plan-starts/src/computePlaceScore.ts
@@ -14,15 +14,13 @@
 const ALIKE_BONUS = 1.5;
 /** Weight of how full a worker is, for serving tasks. */
 const PACK_BONUS = 0.5;
-/** Weight of headroom lost to one more load that swings by itself. */
-const LOAD_PENALTY = 0;
 /** Share of their reserved processor that other tasks are taken to use. */
 const USED_SHARE = 0.6;
 
 /**
  * Scores a worker for one task of a step; the highest score wins. Filling tasks go where most processor is left over
- * and nobody suffers. Serving tasks are packed, those that suffer alike or share their load together: some workers stay free of
- * them for what would harm them, and others have all their headroom at the same time. Everything else goes where it leaves the fewest filling tasks short.
+ * and nobody suffers. Serving tasks are packed, those that suffer alike together, so that some workers stay free of them
+ * for what would harm them. Everything else goes where it leaves the fewest filling tasks short.
  */
 export function computePlaceScore(room: WorkerRoom, spec: StepSpec, view: PlaceView): number {
     const capacity = Math.max(1, room.capacityCpuMillis);
@@ -31,8 +29,7 @@
     const away = spec.preferredRack !== "" && !room.labels.includes(spec.preferredRack) ? AWAY_FROM_DATA_PENALTY : 0;
     const strain = Math.max(0, view.strain - MILD_STRAIN) * STRAIN_PENALTY;
     if (spec.tailTargetMs > 0) {
-        return view.alikeShare * ALIKE_BONUS + (reserved / capacity) * PACK_BONUS - view.loadCost * LOAD_PENALTY
-            - away - strain;
+        return view.alikeShare * ALIKE_BONUS + (reserved / capacity) * PACK_BONUS - away - strain;
     }
     const isSpared = spec.fillsLeftover && !view.isHarmful && room.servers.length === 0;
     return leftover - away - strain - (isSpared ? SPARED_PLACE_PENALTY : 0);
--- a/packages/plan-starts/src/placeView.ts
+++ b/packages/plan-starts/src/placeView.ts
@@ -6,6 +6,4 @@
     readonly isHarmful: boolean;
     /** Share of the serving tasks there that suffer alike, as far as is known; 1 where nobody serves. */
     readonly alikeShare: number;
-    /** Of a serving task: how much less headroom the worst-off there is likely to have for one more load beside it. */
-    readonly loadCost: number;
 }
--- a/packages/plan-starts/src/planStarts.test.ts
+++ b/packages/plan-starts/src/planStarts.test.ts
@@ -57,7 +57,16 @@
     if (run === undefined) {
         throw new Error("The occurrence isn't open.");
     }
-    return { step: run, waiting: run.tasks, waitedMs: 0, slackMs: 1000, lateSlackMs: 5000, ...changes };
+    return {
+        step: run,
+        waiting: run.tasks,
+        isStarted: false,
+        remainingMs: 1000,
+        waitedMs: 0,
+        slackMs: 1000,
+        lateSlackMs: 5000,
+        ...changes,
+    };
 }
 
 function createRoom(workerId: string, changes: Partial<WorkerRoom> = {}): WorkerRoom {
@@ -82,7 +91,7 @@
     maxStarts: 1000,
     longestWaitMs: 2000,
     isAdvised: () => true,
-    describePlace: () => ({ strain: 0, isHarmful: false, alikeShare: 1, loadCost: 0 }),
+    describePlace: () => ({ strain: 0, isHarmful: false, alikeShare: 1 }),
 };
 
 describe("planStarts", () => {
@@ -97,6 +106,22 @@
             expect(plan.unmet).toEqual([late, patient]);
         });
 
+        it("finishes what has begun before it begins what is tighter", () => {
+            const begun = createDemand({}, { slackMs: 3000, isStarted: true });
+            const fresh = createDemand({}, { slackMs: 900 });
+            const plan = planStarts([fresh, begun], [createRoom("w", { freeCpuMillis: 1000 })], rules);
+            expect(plan.starts.map(start => start.task.step)).toEqual([begun.step]);
+        });
+
+        it("begins what is likely to be in time before what hardly can be", () => {
+            const doubtful = createDemand({}, { slackMs: 100, remainingMs: 2000 });
+            const likely = createDemand({}, { slackMs: 2500, remainingMs: 2000 });
+            const late = createDemand({}, { slackMs: -100, remainingMs: 2000 });
+            const plan = planStarts([late, doubtful, likely], [createRoom("w", { freeCpuMillis: 1000 })], rules);
+            expect(plan.starts.map(start => start.task.step)).toEqual([likely.step]);
+            expect(plan.unmet).toEqual([doubtful, late]);
+        });
+
         it("lets work that ends go before work that stays", () => {
             const staying = createDemand({ longRunning: true }, { slackMs: 10 });
             const ending = createDemand({}, { slackMs: 900 });
@@ -154,7 +179,7 @@
     describe("when filling work would make serving tasks miss their targets everywhere", () => {
         const strained = {
             ...rules,
-            describePlace: () => ({ strain: 1.5, isHarmful: true, alikeShare: 1, loadCost: 0 }),
+            describePlace: () => ({ strain: 1.5, isHarmful: true, alikeShare: 1 }),
         };
 
         it("lets it wait, though not for ever", () => {
--- a/packages/plan-starts/src/stepDemand.ts
+++ b/packages/plan-starts/src/stepDemand.ts
@@ -4,6 +4,10 @@
 export interface StepDemand {
     readonly step: StepRun;
     readonly waiting: readonly Task[];
+    /** Whether any task of its occurrence has run. */
+    readonly isStarted: boolean;
+    /** The longest chain of work that is left, in milliseconds. */
+    readonly remainingMs: number;
     /** How long the step has been ready, in milliseconds. */
     readonly waitedMs: number;
     /** Time left until the job misses its target if it starts now, in milliseconds. */
--- a/packages/track-jobs/src/occurrence.ts
+++ b/packages/track-jobs/src/occurrence.ts
@@ -14,6 +14,11 @@
         this.steps = job.spec.steps.map((spec, index) => new StepRun(this, index, spec));
     }
 
+    /** Whether any of its tasks has run. */
+    get isStarted(): boolean {
+        return this.steps.some(step => step.tasks.some(task => task.run > 0));
+    }
+
     /** Whether all its steps are done. */
     get isDone(): boolean {
         return this.steps.every(step => step.isDone);
