Look every 400 ms where filling tasks work beside serving ones

Cause: a hold waits up to 1 s for an end, while a serving step's headroom can change by 0.5 a second; half of the looks that showed a task over its target came where less than 1.2 had been expected already.

--- a/packages/coordinate-work/src/holdLoop.ts
+++ b/packages/coordinate-work/src/holdLoop.ts
@@ -68,7 +68,8 @@
             leaseUntilMs = Math.floor(link.getClock(nowMs) + parts.rules.leaseMs);
             link.leaseUntilMs = Math.max(link.leaseUntilMs, leaseUntilMs);
         }
-        const waitMs = link.isHeld && link.clockAtMs > 0 && link.missedHolds === 0 ? limits.holdWaitMs : 0;
+        const longestMs = link.isShared ? limits.sharedHoldWaitMs : limits.holdWaitMs;
+        const waitMs = link.isHeld && link.clockAtMs > 0 && link.missedHolds === 0 ? longestMs : 0;
         const order = { fence: parts.term, lastSeen: link.recordedEnd, leaseUntilMs, waitMs };
         return parts.workers.hold({ id, address }, order);
     }
--- a/packages/coordinate-work/src/limits.ts
+++ b/packages/coordinate-work/src/limits.ts
@@ -2,6 +2,8 @@
 export const limits = {
     /** How long a worker waits for an end before it answers a hold, in milliseconds: an idle worker's polling interval. */
     holdWaitMs: 1000,
+    /** The same of a worker on which filling tasks work beside serving ones, whose load swings. */
+    sharedHoldWaitMs: 400,
     /** Pause after a hold without an answer, in milliseconds. */
     holdRetryMs: 150,
     /** A worker that hasn't answered for so long gets no new work, in milliseconds: a hold's wait and a round trip. */
--- a/packages/coordinate-work/src/paceDesk.ts
+++ b/packages/coordinate-work/src/paceDesk.ts
@@ -49,6 +49,7 @@
             return;
         }
         const fillers = running.filter(task => task.step.spec.fillsLeftover);
+        link.isShared = fillers.length > 0;
         const nowMs = this.parts.clock.getNow();
         this.serving.takeFigures(link, servers, fillers, nowMs);
         const plan = planPace(
--- a/packages/coordinate-work/src/workerLink.ts
+++ b/packages/coordinate-work/src/workerLink.ts
@@ -31,6 +31,8 @@
     /** Start calls under way. */
     startsUnderWay = 0;
     readonly waitingStarts: (() => void)[] = [];
+    /** Whether filling tasks work beside serving ones there. */
+    isShared = false;
     pace: PaceState = { overSinceMs: undefined, heldUntilMs: 0 };
     /** Wakes the hold loop when ends have been recorded. */
     wakeHold: (() => void) | undefined;
