Count the uncertainty of a learned harm, and forget without spoiling the covariance

Reading the estimator showed a fault besides: forgetting divided the entries between two seen inputs twice, so the covariance ceased to be one. Ruled out: places without a limit on waiting (the fleet was busy), a stale sum of what fills a worker. Change: forgetting scales rows and columns alike; a harm is taken half a standard deviation above its estimate, so what is unsure is tried by few at a time; the prior's variance is 4 in place of 9.

--- a/packages/learn-behaviour/src/headroomEstimator.ts
+++ b/packages/learn-behaviour/src/headroomEstimator.ts
@@ -3,7 +3,9 @@
 import type { ServingFigure } from "./servingFigure.js";
 
 /** Headroom that an unknown neighbour is taken to cost if it used a whole worker's processor, and how unsure that is. */
-const UNKNOWN_HARM = { mean: 1.3, variance: 9 };
+const UNKNOWN_HARM = { mean: 1.3, variance: 4 };
+/** How many standard deviations a harm is taken to be above its estimate: what is unsure is tried by few at a time. */
+const CAUTION = 0.5;
 /** Weight of the newest figure in an image's usual headroom. */
 const USUAL_RATE = 0.02;
 /** Weight of a level below, and above, the lowest headroom that an image has. */
@@ -60,9 +62,12 @@
         return this.lowest.get(image) ?? 0;
     }
 
-    /** How much headroom a neighbour takes that uses a whole worker's processor; never negative. */
+    /** How much headroom a neighbour takes at most that uses a whole worker's processor; never negative. */
     estimateHarm(image: string, other: string): number {
-        return Math.max(0, this.models.get(image)?.getCoefficient(other) ?? UNKNOWN_HARM.mean);
+        const model = this.models.get(image);
+        return model === undefined
+            ? UNKNOWN_HARM.mean + CAUTION * Math.sqrt(UNKNOWN_HARM.variance)
+            : Math.max(0, model.getCoefficient(other) + CAUTION * model.getDeviation(other));
     }
 
     /** The most that any neighbour is known to take from a serving image; undefined while none is known. */
--- /dev/null
+++ b/packages/learn-behaviour/src/linearEstimator.test.ts
@@ -0,0 +1,48 @@
+import { describe, expect, it } from "@jest/globals";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { LinearEstimator } from "./linearEstimator.js";
+
+const SEED = 20261204;
+const TWO_TO_THE_32 = 2 ** 32;
+const NOISE_VARIANCE = 0.2;
+const PRIOR = { mean: 1.3, variance: 4 };
+const truth = new Map([["a", 6], ["b", 1.2], ["c", 1.2], ["d", 1.2], ["rare", 1.2]]);
+
+function createRandom(): () => number {
+    const generator = xoroshiro128plus(SEED);
+    return () => (generator.next() >>> 0) / TWO_TO_THE_32;
+}
+
+/** Some neighbours of about a tenth of a worker each, and what they take with noise. */
+function learnOnce(estimator: LinearEstimator, random: () => number, rareShare: number): void {
+    const inputs = new Map<string, number>();
+    for (const name of truth.keys()) {
+        if (random() < (name === "rare" ? rareShare : 0.5)) {
+            inputs.set(name, -0.05 - random() * 0.2);
+        }
+    }
+    const sum = [...inputs].reduce((total, [name, weight]) => total + weight * (truth.get(name) ?? 0), 0);
+    const noise = (random() + random() + random() - 1.5) * 0.9;
+    estimator.learn(inputs, sum + noise, NOISE_VARIANCE);
+}
+
+describe("LinearEstimator", () => {
+    describe("when it has learned for a long time while one input was seldom there", () => {
+        it("stays near the truth for all of them, and knows how unsure it is", () => {
+            const random = createRandom();
+            const estimator = new LinearEstimator(PRIOR);
+            for (let look = 0; look < 20_000; look++) {
+                learnOnce(estimator, random, 0.01);
+                if (look > 2000) {
+                    for (const [name, value] of truth) {
+                        const error = Math.abs(estimator.getCoefficient(name) - value);
+                        expect(error).toBeLessThan(Math.max(1, 4 * estimator.getDeviation(name)));
+                    }
+                }
+            }
+            expect(estimator.getDeviation("a")).toBeLessThan(0.5);
+            expect(estimator.getDeviation("rare")).toBeGreaterThan(estimator.getDeviation("a"));
+            expect(estimator.getDeviation("unseen")).toBe(2);
+        });
+    });
+});
--- a/packages/learn-behaviour/src/linearEstimator.ts
+++ b/packages/learn-behaviour/src/linearEstimator.ts
@@ -49,6 +49,12 @@
         return index === undefined ? this.prior.mean : this.coefficients[index];
     }
 
+    /** The standard deviation of an input's coefficient. */
+    getDeviation(name: string): number {
+        const index = this.indices.get(name);
+        return Math.sqrt(index === undefined ? this.prior.variance : Math.max(0, this.covariance[index][index]));
+    }
+
     /** The largest coefficient of all inputs; undefined while there is none. */
     findLargest(): number | undefined {
         return this.coefficients.length === 0 ? undefined : Math.max(...this.coefficients);
@@ -75,14 +81,13 @@
 
     /** Only inputs that were seen lose certainty, so that what isn't tried any more isn't forgotten. */
     private dropCertainty(values: readonly number[]): void {
+        // Scaled from both sides alike: a covariance stays one.
+        const scales = values.map((value, index) =>
+            value !== 0 && this.covariance[index][index] < this.prior.variance ? 1 / Math.sqrt(FORGETTING) : 1
+        );
         for (let row = 0; row < values.length; row++) {
-            if (values[row] !== 0 && this.covariance[row][row] < this.prior.variance) {
-                for (let column = 0; column < values.length; column++) {
-                    this.covariance[row][column] /= FORGETTING;
-                    if (column !== row) {
-                        this.covariance[column][row] /= FORGETTING;
-                    }
-                }
+            for (let column = 0; column < values.length; column++) {
+                this.covariance[row][column] *= scales[row] * scales[column];
             }
         }
     }
