--- a/packages/accept-jobs/src/recordDesk.test.ts
+++ b/packages/accept-jobs/src/recordDesk.test.ts
@@ -1,24 +1,27 @@
 import { describe, expect, it } from "@jest/globals";
 import { Metrics } from "@sardinestage/count-metrics";
 import type { StorePort } from "@sardinestage/describe-ports";
-import { AppendOutcome, systemClock } from "@sardinestage/describe-ports";
+import { AppendOutcome, systemClock, Topic } from "@sardinestage/describe-ports";
+import { MemoryStore, VirtualClock } from "@sardinestage/emulate-platform";
 import type { CoordinatorReply } from "./coordinatorReply.js";
 import { RecordDesk } from "./recordDesk.js";
 import { SubmitOutcome } from "./submitOutcome.js";
 
+const silentLogger = { info: () => {}, warn: () => {}, error: () => {} };
 const record = { key: "job", value: new Uint8Array([1]) };
 
 /** A desk whose store and coordinator give the same answer to every call. */
 function createDesk(stored: AppendOutcome, relayed: CoordinatorReply | undefined): RecordDesk {
     const store: StorePort = {
         append: () => Promise.resolve({ outcome: stored, offset: 0, end: 0 }),
-        read: () => Promise.reject(new Error("The desk reads nothing.")),
-        readNewest: () => Promise.reject(new Error("The desk reads nothing.")),
+        read: () => Promise.reject(new Error("The desk reads no tail.")),
+        readNewest: () => Promise.resolve({ succeeded: true, records: [], hasMore: false, end: 0 }),
     };
     return new RecordDesk({
         store,
         line: { call: () => Promise.resolve(relayed) },
         clock: systemClock,
+        logger: silentLogger,
         metrics: new Metrics(),
     });
 }
@@ -57,6 +60,39 @@
         });
     });
 
+    describe("when the store falls silent and callers go on submitting", () => {
+        it("keeps only the first waiting, and refuses the others at once and truly until it answers again", async () => {
+            const clock = new VirtualClock();
+            const store = new MemoryStore(clock, () => 0.5);
+            const line = { call: () => Promise.resolve({ outcome: AppendOutcome.Refused }) };
+            const desk = new RecordDesk({ store, line, clock, logger: silentLogger, metrics: new Metrics() });
+            const outcomes: { outcome: SubmitOutcome; tookMs: number }[] = [];
+            const submit = (index: number) => {
+                const sentAtMs = clock.getNow();
+                void desk.append({ key: `job${index}`, value: new Uint8Array([1]) })
+                    .then(outcome => outcomes.push({ outcome, tookMs: clock.getNow() - sentAtMs }));
+            };
+            store.faults.isDown = true;
+            submit(0);
+            await clock.runFor(600);
+            for (let index = 1; index <= 20; index++) {
+                submit(index);
+                await clock.runFor(150);
+            }
+            expect(outcomes[0].outcome).toBe(SubmitOutcome.Unknown);
+            expect(outcomes.slice(1).map(({ outcome }) => outcome)).toEqual(Array(20).fill(SubmitOutcome.Refused));
+            expect(Math.max(...outcomes.slice(1).map(({ tookMs }) => tookMs))).toBeLessThan(50);
+            store.faults.isDown = false;
+            await clock.runFor(1500);
+            submit(21);
+            await clock.runFor(100);
+            expect(outcomes.at(-1)?.outcome).toBe(SubmitOutcome.Accepted);
+            const page = store.readNewest(Topic.Jobs, undefined);
+            await clock.runFor(50);
+            expect((await page).records.map(({ key }) => key)).toEqual(["job21"]);
+        });
+    });
+
     describe("when the store doesn't answer this VM", () => {
         it("doesn't refuse although the coordinator's store refused", async () => {
             const desk = createDesk(AppendOutcome.Unknown, { outcome: AppendOutcome.Refused });
--- a/packages/accept-jobs/src/recordDesk.ts
+++ b/packages/accept-jobs/src/recordDesk.ts
@@ -1,14 +1,15 @@
 import type { Metrics } from "@sardinestage/count-metrics";
 import type { Clock, KeyedRecord, StorePort } from "@sardinestage/describe-ports";
-import { AppendOutcome, Topic } from "@sardinestage/describe-ports";
+import { AppendOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
+import type { EventLogger } from "@sardinestage/log-events";
 import { CoordinatorCallKind } from "./coordinatorCallKind.js";
 import type { CoordinatorLine } from "./coordinatorLine.js";
 import { SubmitOutcome } from "./submitOutcome.js";
 
 /** How long an append may take, in milliseconds, before another way is tried. */
 const APPEND_TIMEOUT_MS = 500;
-/** A store that failed is tried again after this, in milliseconds; meanwhile only the coordinator is asked. */
-const TRY_AGAIN_MS = 300;
+/** Pause between two looks whether a store that failed answers again, in milliseconds. */
+const LOOK_PAUSE_MS = 250;
 /** How long the coordinator may take for an append, in milliseconds. */
 const RELAYED_TIMEOUT_MS = 1000;
 
@@ -17,6 +18,7 @@
     readonly store: StorePort;
     readonly line: CoordinatorLine;
     readonly clock: Clock;
+    readonly logger: EventLogger;
     readonly metrics: Metrics;
 }
 
@@ -28,13 +30,13 @@
 
 /**
  * Puts callers' records into the store, many in one append. Where the store doesn't answer this VM, the coordinator
- * appends for it; a record that is appended twice is the same record.
+ * appends for it; a record that is appended twice is the same record. No caller's record is used to find out whether the
+ * store answers again: callers would wait for it, and couldn't be told what became of their job. Answers outages.
  */
 export class RecordDesk {
     private waiting: Entry[] = [];
     private isBusy = false;
     private isDoubted = false;
-    private triedAtMs = -Infinity;
 
     constructor(private readonly parts: RecordDeskParts) {}
 
@@ -59,11 +61,9 @@
         this.isBusy = false;
     }
 
-    /** Tries the store and then the coordinator; while the store is in doubt, only now and then the store. */
+    /** Tries the store and then the coordinator; while the store is in doubt, only the coordinator. */
     private async appendAnyWay(records: readonly KeyedRecord[]): Promise<SubmitOutcome> {
-        const nowMs = this.parts.clock.getNow();
-        const isDoubted = this.isDoubted && nowMs - this.triedAtMs < TRY_AGAIN_MS;
-        const first = isDoubted ? SubmitOutcome.Refused : await this.appendDirectly(records);
+        const first = this.isDoubted ? SubmitOutcome.Refused : await this.appendDirectly(records);
         if (first === SubmitOutcome.Accepted) {
             return first;
         }
@@ -78,17 +78,29 @@
     private async appendDirectly(records: readonly KeyedRecord[]): Promise<SubmitOutcome> {
         const { store, clock, metrics } = this.parts;
         const sentAtMs = clock.getNow();
-        this.triedAtMs = sentAtMs;
         const answer = await store.append({ topic: Topic.Jobs, records, timeoutMs: APPEND_TIMEOUT_MS });
         metrics.recordDuration("accept_append", clock.getNow() - sentAtMs);
         const outcome = convertOutcome(answer.outcome);
-        this.isDoubted = outcome !== SubmitOutcome.Accepted;
-        if (this.isDoubted) {
+        if (outcome !== SubmitOutcome.Accepted) {
             metrics.count("accept_failures_total", `store-${AppendOutcome[answer.outcome]}`);
+            this.isDoubted = true;
+            void this.watchStore();
         }
         return outcome;
     }
 
+    /** Looks until the store answers again. */
+    private async watchStore(): Promise<void> {
+        const { store, clock, logger } = this.parts;
+        const sinceMs = clock.getNow();
+        logger.warn("store-doubted", { topic: "jobs" });
+        while (!(await store.readNewest(Topic.Term, undefined)).succeeded) {
+            await waitFor(clock, LOOK_PAUSE_MS);
+        }
+        this.isDoubted = false;
+        logger.info("store-trusted", { topic: "jobs", afterMs: Math.round(clock.getNow() - sinceMs) });
+    }
+
     private async appendRelayed(records: readonly KeyedRecord[]): Promise<SubmitOutcome> {
         const call = { kind: CoordinatorCallKind.Append, records };
         const reply = await this.parts.line.call(call, RELAYED_TIMEOUT_MS);
