Repeat an unanswered append of progress sooner where the store is usually quick

Repeating is harmless: it has the same sequence. Ruled out: a short fixed timeout (a store that answers in 240 ms, platform_slow, would never be heard). Change: the wait is five times the usual answer time, from 120 ms to 1 s, doubled after each silence; work goes on unrecorded exactly after 5 s instead of at the next try's end. Test: answerTimeout.test.ts (lost answers, a store that turns slow, silence).

--- a/packages/coordinate-work/src/limits.ts
+++ b/packages/coordinate-work/src/limits.ts
@@ -18,9 +18,10 @@
     startsAtOnce: 6,
     /** Shortest time between two appends of progress, in milliseconds: bounds the calls to the store. */
     flushGapMs: 20,
-    /** How long an append of progress may take, in milliseconds. */
+    /** How long an append of progress may take at least and at most before it is repeated, in milliseconds. */
+    flushLeastTimeoutMs: 120,
     flushTimeoutMs: 1000,
-    /** Pause before an append of progress is repeated, in milliseconds. */
+    /** Pause before an append of progress that was refused is repeated, in milliseconds. */
     flushRetryMs: 100,
     /** Bytes of records in one append of progress. */
     flushBytes: 1_000_000,
--- a/packages/coordinate-work/src/progressWriter.ts
+++ b/packages/coordinate-work/src/progressWriter.ts
@@ -1,5 +1,6 @@
 import type { AppendAnswer, KeyedRecord } from "@sardinestage/describe-ports";
 import { AppendOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
+import { AnswerTimeout } from "@sardinestage/learn-behaviour";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import { limits } from "./limits.js";
 
@@ -20,6 +21,10 @@
     /** What is to be written, by key; undefined drops the record. */
     private readonly dirty = new Map<string, (() => Uint8Array) | undefined>();
     private waiters: Waiter[] = [];
+    private readonly timeout = new AnswerTimeout({
+        leastMs: limits.flushLeastTimeoutMs,
+        mostMs: limits.flushTimeoutMs,
+    });
     private sequence = 0;
     private isFlushing = false;
     private isClosed = false;
@@ -145,7 +150,9 @@
             }
             tries++;
             metrics.count("progress_write_failures_total", AppendOutcome[answer.outcome]);
-            await waitFor(clock, limits.flushRetryMs);
+            if (answer.outcome !== AppendOutcome.Unknown) {
+                await waitFor(clock, limits.flushRetryMs);
+            }
             this.releaseUnrecorded(waiters);
         }
         return false;
@@ -163,14 +170,25 @@
         }
     }
 
+    /** Waits no longer than until work goes on unrecorded, so that it does so on time. */
+    private chooseTimeout(nowMs: number): number {
+        const untilAwayMs = this.writtenAtMs + limits.unrecordedAfterMs - nowMs;
+        const { currentMs } = this.timeout;
+        return untilAwayMs > 0 ? Math.min(currentMs, Math.max(limits.flushLeastTimeoutMs, untilAwayMs)) : currentMs;
+    }
+
     private async append(records: readonly KeyedRecord[]): Promise<AppendAnswer> {
         const writer = { name: WRITER_NAME, epoch: this.parts.term, sequence: this.sequence };
-        const answer = await this.parts.store.append({
-            topic: Topic.Progress,
-            records,
-            writer,
-            timeoutMs: limits.flushTimeoutMs,
-        });
+        const { store, clock } = this.parts;
+        const sentAtMs = clock.getNow();
+        const timeoutMs = this.chooseTimeout(sentAtMs);
+        const answer = await store.append({ topic: Topic.Progress, records, writer, timeoutMs });
+        if (answer.outcome === AppendOutcome.Unknown) {
+            this.timeout.noteSilence();
+        }
+        else {
+            this.timeout.noteAnswer(clock.getNow() - sentAtMs);
+        }
         if (answer.outcome === AppendOutcome.Appended && records.length > 0) {
             this.sequence++;
         }
--- a/packages/learn-behaviour/src/index.ts
+++ b/packages/learn-behaviour/src/index.ts
@@ -1,3 +1,4 @@
+export { AnswerTimeout } from "./answerTimeout.js";
 export { HeadroomEstimator } from "./headroomEstimator.js";
 export type { HeadroomState } from "./headroomState.js";
 export { HeadroomTrend } from "./headroomTrend.js";
