Let no batch of submissions wait for another's lost answer; repeat unanswered ones sooner

Ruled out: the coordinator's relay alone (it loses answers at the same rate). Change: a batch without an answer holds the next one up for 40 ms at most; it is sent again after five usual answer times (200 to 500 ms), once, before the coordinator is asked; the store is doubted from the first silence on, and trusted again as soon as a look at it is answered. Tests: "sends the record again soon", "lets those that come after wait for no lost answer but their own", "doesn't refuse although the second try was refused".

--- a/packages/accept-jobs/src/recordDesk.ts
+++ b/packages/accept-jobs/src/recordDesk.ts
@@ -1,13 +1,20 @@
 import type { Metrics } from "@sardinestage/count-metrics";
 import type { Clock, KeyedRecord, StorePort } from "@sardinestage/describe-ports";
 import { AppendOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
+import { AnswerTimeout } from "@sardinestage/learn-behaviour";
 import type { EventLogger } from "@sardinestage/log-events";
 import { CoordinatorCallKind } from "./coordinatorCallKind.js";
 import type { CoordinatorLine } from "./coordinatorLine.js";
 import { SubmitOutcome } from "./submitOutcome.js";
 
-/** How long an append may take, in milliseconds, before another way is tried. */
-const APPEND_TIMEOUT_MS = 500;
+/** How long an append may take at least and at most, in milliseconds, before it is repeated or goes another way. */
+const APPEND_TIMEOUTS = { leastMs: 200, mostMs: 500 };
+/** Appends of one batch to the store before another way is tried. */
+const DIRECT_TRIES = 2;
+/** A batch without an answer holds the next one up for so long, in milliseconds: several usual answer times. */
+const NEXT_BATCH_MS = 40;
+/** Batches that wait for an answer at once. */
+const MOST_BATCHES = 10;
 /** Pause between two looks whether a store that failed answers again, in milliseconds. */
 const LOOK_PAUSE_MS = 250;
 /** How long the coordinator may take for an append, in milliseconds. */
@@ -35,8 +42,11 @@
  */
 export class RecordDesk {
     private waiting: Entry[] = [];
-    private isBusy = false;
+    /** Whether a batch was sent so lately that the next ones gather. */
+    private isGathering = false;
+    private batchesUnderWay = 0;
     private isDoubted = false;
+    private readonly timeout = new AnswerTimeout(APPEND_TIMEOUTS);
 
     constructor(private readonly parts: RecordDeskParts) {}
 
@@ -44,21 +54,30 @@
     append(record: KeyedRecord): Promise<SubmitOutcome> {
         return new Promise(resolve => {
             this.waiting.push({ record, settle: resolve });
-            if (!this.isBusy) {
-                void this.runAppends();
-            }
+            this.startBatch();
         });
     }
 
-    private async runAppends(): Promise<void> {
-        this.isBusy = true;
-        while (this.waiting.length > 0) {
-            const entries = this.waiting;
-            this.waiting = [];
-            const outcome = await this.appendAnyWay(entries.map(entry => entry.record));
-            entries.forEach(entry => entry.settle(outcome));
+    /** Sends what waits in one append; the next follows the answer, or soon when there is none. */
+    private startBatch(): void {
+        if (this.waiting.length === 0 || this.isGathering || this.batchesUnderWay >= MOST_BATCHES) {
+            return;
         }
-        this.isBusy = false;
+        const entries = this.waiting;
+        this.waiting = [];
+        this.isGathering = true;
+        this.batchesUnderWay++;
+        const endGathering = () => {
+            this.isGathering = false;
+            this.startBatch();
+        };
+        const cancel = this.parts.clock.schedule(NEXT_BATCH_MS, endGathering);
+        void this.appendAnyWay(entries.map(entry => entry.record)).then(outcome => {
+            cancel();
+            this.batchesUnderWay--;
+            entries.forEach(entry => entry.settle(outcome));
+            endGathering();
+        });
     }
 
     /** Tries the store and then the coordinator; while the store is in doubt, only the coordinator. */
@@ -75,15 +94,37 @@
         return isUnknown ? SubmitOutcome.Unknown : SubmitOutcome.Refused;
     }
 
+    /** An answer that was lost says nothing about the record, so the same records are sent once more. */
     private async appendDirectly(records: readonly KeyedRecord[]): Promise<SubmitOutcome> {
+        let isUnknown = false;
+        for (let tries = 0; tries < DIRECT_TRIES; tries++) {
+            const outcome = await this.tryAppending(records);
+            if (outcome === SubmitOutcome.Accepted) {
+                return outcome;
+            }
+            isUnknown ||= outcome === SubmitOutcome.Unknown;
+            if (outcome === SubmitOutcome.Refused) {
+                break;
+            }
+        }
+        return isUnknown ? SubmitOutcome.Unknown : SubmitOutcome.Refused;
+    }
+
+    private async tryAppending(records: readonly KeyedRecord[]): Promise<SubmitOutcome> {
         const { store, clock, metrics } = this.parts;
         const sentAtMs = clock.getNow();
-        const answer = await store.append({ topic: Topic.Jobs, records, timeoutMs: APPEND_TIMEOUT_MS });
-        metrics.recordDuration("accept_append", clock.getNow() - sentAtMs);
+        const answer = await store.append({ topic: Topic.Jobs, records, timeoutMs: this.timeout.currentMs });
+        const tookMs = clock.getNow() - sentAtMs;
+        metrics.recordDuration("accept_append", tookMs);
         const outcome = convertOutcome(answer.outcome);
+        if (outcome === SubmitOutcome.Unknown) {
+            this.timeout.noteSilence();
+        }
+        else {
+            this.timeout.noteAnswer(tookMs);
+        }
         if (outcome !== SubmitOutcome.Accepted) {
             metrics.count("accept_failures_total", `store-${AppendOutcome[answer.outcome]}`);
-            this.isDoubted = true;
             void this.watchStore();
         }
         return outcome;
@@ -92,6 +133,10 @@
     /** Looks until the store answers again. */
     private async watchStore(): Promise<void> {
         const { store, clock, logger } = this.parts;
+        if (this.isDoubted) {
+            return;
+        }
+        this.isDoubted = true;
         const sinceMs = clock.getNow();
         logger.warn("store-doubted", { topic: "jobs" });
         while (!(await store.readNewest(Topic.Term, undefined)).succeeded) {
