Speak to a coordinator directly as long as it answers, store or not

While the whole store was away (18.0 to 22.3 s) the coordinator said so each time it was followed; a VM without the store took any peer's word that it lives as a reason to speak through that peer, two peers spoke through each other, and a relay passes nothing on twice: 21 questions were refused with 503 though the coordinator answered all VMs, and "coordinator-relayed" was written every 150 ms. Ruled out: a cut (each VM's follow requests were answered). Change: a relay is used only when the coordinator hasn't answered here for a second, or its process has ended. Test: "goes on speaking to it directly if the store answers nobody" fails without it.

--- a/packages/keep-term/src/chooseCandidacyStep.test.ts
+++ b/packages/keep-term/src/chooseCandidacyStep.test.ts
@@ -53,6 +53,12 @@
             expect(chooseCandidacyStep({ ...WELL, storeSilentMs: 2000 }, RULES)).toBe(CandidacyStep.Stand);
         });
 
+        it("goes on speaking to it directly if the store answers nobody", () => {
+            const view = { ...WELL, storeSilentMs: 2000, hasStore: false };
+            expect(chooseCandidacyStep(view, RULES)).toBe(CandidacyStep.Follow);
+            expect(chooseCandidacyStep({ ...view, silentMs: 1200 }, RULES)).toBe(CandidacyStep.Relay);
+        });
+
         it("doesn't if the store answers nobody", () => {
             const view = { ...WELL, storeSilentMs: 2000, hasStore: false, isHeardByPeer: false };
             expect(chooseCandidacyStep(view, RULES)).toBe(CandidacyStep.Follow);
--- a/packages/keep-term/src/chooseCandidacyStep.ts
+++ b/packages/keep-term/src/chooseCandidacyStep.ts
@@ -7,8 +7,9 @@
  * safety: the store lets one win, and workers refuse the orders of the other.
  */
 export function chooseCandidacyStep(view: CoordinatorView, rules: CandidacyRules): CandidacyStep {
+    const isHeardHere = !view.isRefused && view.silentMs < rules.silenceMs;
     if (!view.hasStore) {
-        return view.isHeardByPeer ? CandidacyStep.Relay : CandidacyStep.Follow;
+        return view.isHeardByPeer && !isHeardHere ? CandidacyStep.Relay : CandidacyStep.Follow;
     }
     if (!view.isKnown) {
         return CandidacyStep.Stand;
@@ -16,7 +17,7 @@
     if (view.isLeaving || view.storeSilentMs >= rules.storeSilenceMs) {
         return CandidacyStep.Stand;
     }
-    if (!view.isRefused && view.silentMs < rules.silenceMs) {
+    if (isHeardHere) {
         return CandidacyStep.Follow;
     }
     if (view.isHeardByPeer) {
