--- a/packages/coordinate-work/src/coordinator.fuzz.test.ts
+++ b/packages/coordinate-work/src/coordinator.fuzz.test.ts
@@ -1,10 +1,10 @@
 import { describe, expect, it } from "@jest/globals";
 import type { JobSpec } from "@sardinestage/describe-work";
 import { JobState } from "@sardinestage/describe-work";
+import { createStep } from "@sardinestage/emulate-platform";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { CoordinatorBed } from "./testing/coordinatorBed.js";
 import { createQueue } from "./testing/createQueue.js";
-import { createStep } from "./testing/createStep.js";
 
 const SEEDS = Array.from({ length: 32 }, (_unused, index) => 20261204 + index);
 const WORKERS = 4;
--- a/packages/coordinate-work/src/coordinator.test.ts
+++ b/packages/coordinate-work/src/coordinator.test.ts
@@ -2,10 +2,10 @@
 import { Topic } from "@sardinestage/describe-ports";
 import type { JobSpec } from "@sardinestage/describe-work";
 import { JobState } from "@sardinestage/describe-work";
+import { createStep } from "@sardinestage/emulate-platform";
 import { Learned } from "./learned.js";
 import { CoordinatorBed } from "./testing/coordinatorBed.js";
 import { createQueue } from "./testing/createQueue.js";
-import { createStep } from "./testing/createStep.js";
 
 const ALWAYS = () => 0.5;
 
--- a/packages/coordinate-work/src/paceDesk.ts
+++ b/packages/coordinate-work/src/paceDesk.ts
@@ -1,5 +1,4 @@
 import { OrderOutcome } from "@sardinestage/describe-ports";
-import type { StepSpec } from "@sardinestage/describe-work";
 import { formatTaskKey } from "@sardinestage/describe-work";
 import type { HeadroomEstimator } from "@sardinestage/learn-behaviour";
 import type { FillerView, PaceRules, ServerView } from "@sardinestage/plan-pace";
@@ -7,6 +6,7 @@
 import type { Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
 import type { CoordinatorParts } from "./coordinatorParts.js";
+import { estimateTaken } from "./estimateTaken.js";
 import type { OrderDesk } from "./orderDesk.js";
 import type { ServingBook } from "./servingBook.js";
 import type { WorkerLink } from "./workerLink.js";
@@ -71,11 +71,6 @@
         }
     }
 
-    private estimateHarm(server: StepSpec, filler: StepSpec, capacity: number): number {
-        const weight = filler.cpuMillis / Math.max(1, capacity);
-        return this.estimator.estimateHarm(server.image, filler.image) * weight;
-    }
-
     private describeServer(task: Task, nowMs: number): ServerView {
         return {
             headroom: task.figure > 0 ? task.step.spec.tailTargetMs / task.figure : undefined,
@@ -85,7 +80,7 @@
 
     private describeFiller(task: Task, servers: readonly Task[], link: WorkerLink): FillerView {
         const harms = servers.map(server =>
-            this.estimateHarm(server.step.spec, task.step.spec, link.entry.capacity.cpuMillis)
+            estimateTaken(this.estimator, server.step.spec.image, task.step.spec, link.entry.capacity.cpuMillis)
         );
         return { key: formatTaskKey(task.ref), harms, percent: task.pace };
     }
--- a/packages/coordinate-work/src/placeJudge.ts
+++ b/packages/coordinate-work/src/placeJudge.ts
@@ -2,6 +2,7 @@
 import type { HeadroomEstimator } from "@sardinestage/learn-behaviour";
 import type { PlaceView, WorkerRoom } from "@sardinestage/plan-starts";
 import type { StepRun } from "@sardinestage/track-jobs";
+import { estimateTaken } from "./estimateTaken.js";
 
 /** A filling task that takes so much of any headroom needs a place of its own. */
 const HARMFUL = 0.3;
@@ -41,7 +42,7 @@
         const lefts = this.getLefts(room);
         let worst = Infinity;
         room.servers.forEach((server, index) => {
-            const taken = this.estimateTaken(server.step.spec.image, spec, room.capacityCpuMillis);
+            const taken = estimateTaken(this.estimator, server.step.spec.image, spec, room.capacityCpuMillis);
             worst = Math.min(worst, lefts[index] - taken);
         });
         const weight = spec.cpuMillis / Math.max(1, room.capacityCpuMillis);
@@ -52,7 +53,7 @@
     private describeServing(room: WorkerRoom, spec: StepSpec): PlaceView {
         let headroom = this.estimateUsual(spec.image);
         for (const filler of room.fillers) {
-            headroom -= this.estimateTaken(spec.image, filler, room.capacityCpuMillis);
+            headroom -= estimateTaken(this.estimator, spec.image, filler, room.capacityCpuMillis);
         }
         const alike = room.servers.filter(server => this.isAlike(server.step.spec.image, spec.image)).length;
         const alikeShare = room.servers.length === 0 ? 1 : alike / room.servers.length;
@@ -68,7 +69,8 @@
         const lefts = room.servers.map(server => {
             const own = server.headroom ?? this.estimateUsual(server.step.spec.image);
             return room.fillers.reduce(
-                (left, filler) => left - this.estimateTaken(server.step.spec.image, filler, room.capacityCpuMillis),
+                (left, filler) =>
+                    left - estimateTaken(this.estimator, server.step.spec.image, filler, room.capacityCpuMillis),
                 own,
             );
         });
@@ -80,10 +82,6 @@
         return this.estimator.estimateUsual(image) ?? USUAL_HEADROOM;
     }
 
-    private estimateTaken(image: string, filler: StepSpec, capacityCpuMillis: number): number {
-        return this.estimator.estimateHarm(image, filler.image) * filler.cpuMillis / Math.max(1, capacityCpuMillis);
-    }
-
     /** Whether two serving images are the same, or are both known to suffer or both known not to. */
     private isAlike(image: string, other: string): boolean {
         if (image === other) {
--- a/packages/emulate-platform/src/index.ts
+++ b/packages/emulate-platform/src/index.ts
@@ -1,3 +1,4 @@
+export { createStep } from "./createStep.js";
 export { EmulatedFleet } from "./emulatedFleet.js";
 export { EmulatedWorker } from "./emulatedWorker.js";
 export { MemoryStore } from "./memoryStore.js";
--- a/packages/learn-behaviour/src/headroomEstimator.ts
+++ b/packages/learn-behaviour/src/headroomEstimator.ts
@@ -6,6 +6,8 @@
 const UNKNOWN_HARM = { mean: 1.3, variance: 4 };
 /** How many standard deviations a harm is taken to be above its estimate: what is unsure is tried by few at a time. */
 const CAUTION = 0.5;
+/** Of an image of which nothing was learned. */
+const unknownHarms = new LinearEstimator(UNKNOWN_HARM);
 /** Weight of the newest figure in an image's usual headroom. */
 const USUAL_RATE = 0.02;
 /** Weight of a level below, and above, the lowest headroom that an image has. */
@@ -64,10 +66,8 @@
 
     /** How much headroom a neighbour takes at most that uses a whole worker's processor; never negative. */
     estimateHarm(image: string, other: string): number {
-        const model = this.models.get(image);
-        return model === undefined
-            ? UNKNOWN_HARM.mean + CAUTION * Math.sqrt(UNKNOWN_HARM.variance)
-            : Math.max(0, model.getCoefficient(other) + CAUTION * model.getDeviation(other));
+        const model = this.models.get(image) ?? unknownHarms;
+        return Math.max(0, model.getCoefficient(other) + CAUTION * model.getDeviation(other));
     }
 
     /** The most that any neighbour is known to take from a serving image; undefined while none is known. */
--- a/packages/plan-starts/src/planStarts.test.ts
+++ b/packages/plan-starts/src/planStarts.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from "@jest/globals";
 import type { JobSpec, QueueConfig, StepSpec } from "@sardinestage/describe-work";
+import { createStep } from "@sardinestage/emulate-platform";
 import { Job, openDueOccurrences } from "@sardinestage/track-jobs";
 import { planDisplacement } from "./planDisplacement.js";
 import { planStarts } from "./planStarts.js";
@@ -8,30 +9,6 @@
 
 const NOW_MS = 1_800_000_000_000;
 
-function createStep(changes: Partial<StepSpec> = {}): StepSpec {
-    return {
-        taskCount: 1,
-        cpuMillis: 1000,
-        memoryMb: 1000,
-        accelerators: 0,
-        estimateMs: 1000,
-        dependsOn: [],
-        savesProgress: false,
-        gang: false,
-        sameRack: false,
-        requiredLabel: "",
-        preferredRack: "",
-        maxTasksPerWorker: 0,
-        speculative: false,
-        longRunning: false,
-        image: "image",
-        tailTargetMs: 0,
-        fillsLeftover: false,
-        mayMiss: 0,
-        ...changes,
-    };
-}
-
 let jobs = 0;
 
 function createDemand(
