Tell how busy a coordinator is, why a VM stands, and where a takeover's time goes

Change: a line process-load every 2 s (loop delay, processor time, bytes by counterpart) from coordinators and from whoever was late by more than 100 ms; term-candidacy says what was seen; takeover says which step took how long; the first lines of each event in a second are never dropped (createBoundedLogger.test.ts, "doesn't lose the rare event that tells the cause", failed before).

--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -138,18 +138,23 @@
             }
         });
         const isWriter = await this.writer.open();
+        const writableAtMs = clock.getNow();
         const loads = isWriter
             ? await Promise.all([progress.load(), this.jobsFollower.load(), this.workersFollower.load()])
             : [false];
         if (loads.includes(false) || this.isClosed) {
             return false;
         }
+        const readAtMs = clock.getNow();
         this.intake.applyEarly(pending);
         this.isOpen = true;
         logger.info("takeover", {
             term,
             jobs: this.jobs.live.size,
             workers: this.fleet.links.size,
+            fencedMs: Math.round(writableAtMs - this.openedAtMs),
+            readMs: Math.round(readAtMs - writableAtMs),
+            appliedMs: Math.round(clock.getNow() - readAtMs),
             tookMs: Math.round(clock.getNow() - this.openedAtMs),
         });
         void this.jobsFollower.run();
--- a/packages/count-metrics/src/metrics.ts
+++ b/packages/count-metrics/src/metrics.ts
@@ -55,6 +55,12 @@
         return histogram === undefined ? 0 : histogram.getValueAtPercentile(percentile) / MICROSECONDS_PER_MILLISECOND;
     }
 
+    /** Reads a counter: its total by reason; empty while nothing was counted. */
+    async readTotals(name: string): Promise<Readonly<Record<string, number>>> {
+        const values = (await this.counters.get(name)?.get())?.values ?? [];
+        return Object.fromEntries(values.map(({ labels, value }) => [String(labels.reason), value]));
+    }
+
     /** Writes everything in the Prometheus text format. */
     async writeText(): Promise<string> {
         const lines = [await this.registry.metrics()];
--- a/packages/exchange-frames/src/peerServer.ts
+++ b/packages/exchange-frames/src/peerServer.ts
@@ -99,7 +99,9 @@
             answer = { kind: FrameKind.Failure, sequence: frame.sequence, body: describeFailure(failure) };
         }
         if (!socket.destroyed && socket.writableLength < this.options.maxFrameBytes) {
-            socket.write(encodeFrame(answer));
+            const bytes = encodeFrame(answer);
+            this.options.metrics.count("bytes_total", "peers-sent", bytes.length);
+            socket.write(bytes);
         }
     }
 }
--- a/packages/log-events/src/createBoundedLogger.ts
+++ b/packages/log-events/src/createBoundedLogger.ts
@@ -9,11 +9,14 @@
 
 /** Lines of the levels below `error` in one second; more are counted and dropped. */
 const LINES_A_SECOND = 400;
+/** Lines of one event in one second that are written however many others there were: what is rare tells the most. */
+const RARE_LINES_A_SECOND = 4;
 const SECOND_MS = 1000;
 
 /**
  * Makes a logger that writes JSON lines to standard output and never lets a flood of events slow the process down:
- * beyond a number of lines a second it only counts, and says how many it left out.
+ * beyond a number of lines a second it only counts, and says how many it left out. Events that are rare are written all
+ * the same.
  *
  * @param identity Named on each line.
  * @param level The least severe level that is written.
@@ -28,6 +31,7 @@
     let second = 0;
     let written = 0;
     let dropped = 0;
+    const countsByEvent = new Map<string, number>();
     log.methodFactory = methodName => (event: string, fields?: object) => {
         const nowMs = Date.now();
         const current = Math.floor(nowMs / SECOND_MS);
@@ -38,8 +42,11 @@
             second = current;
             written = 0;
             dropped = 0;
+            countsByEvent.clear();
         }
-        if (written >= LINES_A_SECOND && methodName !== "error") {
+        const count = (countsByEvent.get(event) ?? 0) + 1;
+        countsByEvent.set(event, count);
+        if (written >= LINES_A_SECOND && count > RARE_LINES_A_SECOND && methodName !== "error") {
             dropped++;
             return;
         }
--- a/packages/run-entry-vm/src/createEntryVm.ts
+++ b/packages/run-entry-vm/src/createEntryVm.ts
@@ -1,10 +1,12 @@
 import { JobDesk, RecordDesk } from "@sardinestage/accept-jobs";
 import { Coordinator } from "@sardinestage/coordinate-work";
 import { TermLog } from "@sardinestage/keep-term";
+import { LoopWatch } from "@sardinestage/watch-loop";
 import { Container } from "inversify";
 import { ConfigKeeper } from "./configKeeper.js";
 import { EntryVm } from "./entryVm.js";
 import type { EntryVmParts } from "./entryVmParts.js";
+import { LoadReporter } from "./loadReporter.js";
 import { Membership } from "./membership.js";
 import { Peers } from "./peers.js";
 import { TermDuty } from "./termDuty.js";
@@ -13,6 +15,7 @@
 export function createEntryVm(parts: EntryVmParts): EntryVm {
     const container = new Container({ defaultScope: "Singleton" });
     container.bind(Peers).toConstantValue(new Peers(parts.peerKey));
+    container.bind(LoopWatch).toConstantValue(new LoopWatch(parts.clock));
     container.bind(ConfigKeeper).toConstantValue(new ConfigKeeper(parts));
     container.bind(TermLog).toConstantValue(new TermLog(parts.store, parts.self, parts.clock));
     container.bind(TermDuty).toDynamicValue(context =>
@@ -38,6 +41,13 @@
             config: context.get(ConfigKeeper),
         })
     ).inSingletonScope();
+    container.bind(LoadReporter).toDynamicValue(context =>
+        new LoadReporter({
+            ...parts,
+            watch: context.get(LoopWatch),
+            isCoordinator: () => context.get(Membership).isCoordinator,
+        })
+    ).inSingletonScope();
     container.bind(RecordDesk).toDynamicValue(context => new RecordDesk({ ...parts, line: context.get(Membership) }))
         .inSingletonScope();
     container.bind(JobDesk).toDynamicValue(context =>
@@ -49,5 +59,7 @@
         config: container.get(ConfigKeeper),
         peers: container.get(Peers),
         desk: container.get(JobDesk),
+        watch: container.get(LoopWatch),
+        load: container.get(LoadReporter),
     });
 }
--- a/packages/run-entry-vm/src/entryVm.ts
+++ b/packages/run-entry-vm/src/entryVm.ts
@@ -7,8 +7,10 @@
 import { FrameKind, PeerServer } from "@sardinestage/exchange-frames";
 import type { Candidate } from "@sardinestage/keep-term";
 import type { EventLogger } from "@sardinestage/log-events";
+import type { LoopWatch } from "@sardinestage/watch-loop";
 import type { ConfigKeeper } from "./configKeeper.js";
 import type { FollowRequest } from "./followRequest.js";
+import type { LoadReporter } from "./loadReporter.js";
 import type { Membership } from "./membership.js";
 import type { Peers } from "./peers.js";
 
@@ -29,6 +31,8 @@
     readonly config: ConfigKeeper;
     readonly peers: Peers;
     readonly desk: JobDesk;
+    readonly watch: LoopWatch;
+    readonly load: LoadReporter;
     readonly clock: Clock;
     readonly logger: EventLogger;
     readonly metrics: Metrics;
@@ -74,8 +78,10 @@
 
     /** Listens for peers and begins to follow. */
     async start(): Promise<void> {
-        const { self, membership, config } = this.pieces;
+        const { self, membership, config, watch, load } = this.pieces;
         await this.server.listen(self.host, self.port);
+        watch.start();
+        load.start();
         void config.run();
         void membership.run();
     }
@@ -93,6 +99,8 @@
 
     /** Ends everything. */
     close(): void {
+        this.pieces.load.close();
+        this.pieces.watch.stop();
         this.pieces.membership.close();
         this.pieces.config.close();
         this.pieces.peers.close();
--- a/packages/run-entry-vm/src/entryVmParts.ts
+++ b/packages/run-entry-vm/src/entryVmParts.ts
@@ -10,6 +10,8 @@
     readonly peerKey: string;
     readonly coordinatorRules: CoordinatorRules;
     readonly rules: EntryVmRules;
+    /** Processor time that this process has used, in milliseconds. */
+    readonly getProcessorMs: () => number;
     /** Called with each newer configuration. */
     readonly onConfig: (config: WorkConfig) => void;
 }
--- /dev/null
+++ b/packages/run-entry-vm/src/loadReporter.ts
@@ -0,0 +1,65 @@
+import type { Metrics } from "@sardinestage/count-metrics";
+import type { Clock } from "@sardinestage/describe-ports";
+import type { EventLogger } from "@sardinestage/log-events";
+import type { LoopWatch } from "@sardinestage/watch-loop";
+
+/** Time between two reports, in milliseconds. */
+const REPORT_MS = 2000;
+/** A process that doesn't coordinate reports only loop delays above this, in milliseconds. */
+const WORTH_TELLING_MS = 100;
+
+/** What a load reporter works with. */
+interface LoadReporterParts {
+    readonly watch: LoopWatch;
+    readonly clock: Clock;
+    readonly logger: EventLogger;
+    readonly metrics: Metrics;
+    readonly getProcessorMs: () => number;
+    readonly isCoordinator: () => boolean;
+}
+
+/** Logs how busy the process is: a coordinator always, others when their loop was late. */
+export class LoadReporter {
+    private processorMs = 0;
+    private bytes: Readonly<Record<string, number>> = {};
+    private cancel: (() => void) | undefined;
+    private isClosed = false;
+
+    constructor(private readonly parts: LoadReporterParts) {}
+
+    /** Begins to report. */
+    start(): void {
+        this.cancel = this.parts.clock.schedule(REPORT_MS, () => {
+            void this.report().finally(() => {
+                if (!this.isClosed) {
+                    this.start();
+                }
+            });
+        });
+    }
+
+    /** Ends reporting. */
+    close(): void {
+        this.isClosed = true;
+        this.cancel?.();
+    }
+
+    private async report(): Promise<void> {
+        const { watch, metrics, logger, getProcessorMs, isCoordinator } = this.parts;
+        const loopDelayMs = Math.round(watch.takeLongestDelay());
+        metrics.setGauge("loop_delay_milliseconds", loopDelayMs);
+        const processorMs = getProcessorMs();
+        const bytes = await metrics.readTotals("bytes_total");
+        if (isCoordinator() || loopDelayMs > WORTH_TELLING_MS) {
+            const grown = Object.entries(bytes).map(([name, total]) => [name, total - (this.bytes[name] ?? 0)]);
+            logger.info("process-load", {
+                isCoordinator: isCoordinator(),
+                loopDelayMs,
+                processorMs: Math.round(processorMs - this.processorMs),
+                ...Object.fromEntries(grown) as Record<string, number>,
+            });
+        }
+        this.processorMs = processorMs;
+        this.bytes = bytes;
+    }
+}
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -3,7 +3,7 @@
 import { waitFor } from "@sardinestage/describe-ports";
 import type { WorkConfig } from "@sardinestage/describe-work";
 import { FrameKind } from "@sardinestage/exchange-frames";
-import type { Candidate, TermHolder, TermLog, TermView } from "@sardinestage/keep-term";
+import type { Candidate, CoordinatorView, TermHolder, TermLog, TermView } from "@sardinestage/keep-term";
 import { CandidacyStep, chooseCandidacyStep } from "@sardinestage/keep-term";
 import type { EventLogger } from "@sardinestage/log-events";
 import type { ConfigKeeper } from "./configKeeper.js";
@@ -225,7 +225,7 @@
         const heard = reports.find(({ report }) => report.heardMs < HEARD_LATELY_MS && this.isCurrent(report.holder));
         reports.forEach(({ report }) => this.takeHolder(report.holder));
         const nowMs = clock.getNow();
-        const step = chooseCandidacyStep({
+        const seen: CoordinatorView = {
             isKnown: this.holder !== undefined && this.holder.incarnation !== this.parts.self.incarnation,
             silentMs: nowMs - this.heardAtMs,
             isRefused: this.isRefused,
@@ -236,9 +236,10 @@
             peersAnswered: reports.length,
             isHeardByPeer: heard !== undefined,
             renewalAgeMs: nowMs - this.renewalAtMs,
-        }, rules);
+        };
+        const step = chooseCandidacyStep(seen, rules);
         if (step === CandidacyStep.Stand && view !== undefined && !this.isDraining) {
-            await this.tryStanding(view);
+            await this.tryStanding(view, seen);
             return;
         }
         if (step === CandidacyStep.Relay && heard !== undefined) {
@@ -290,7 +291,7 @@
     }
 
     /** Waits its turn (those near the store go first) and tries to win the term that follows what was read. */
-    private async tryStanding(before: TermView): Promise<void> {
+    private async tryStanding(before: TermView, seen: CoordinatorView): Promise<void> {
         const { clock, rules, termLog, duty, logger, self } = this.parts;
         if (before.holder?.incarnation !== self.incarnation) {
             const slower = Math.max(0, this.storeMs - NEAR_STORE_MS) * rules.standDelayPerStoreMs;
@@ -306,7 +307,16 @@
         }
         const nowMs = clock.getNow();
         const hadUnrecordedStarts = before.holder !== undefined && !this.isRecordedFresh(before, nowMs);
-        logger.info("term-candidacy", { after: before.holder?.term, silentMs: Math.round(nowMs - this.heardAtMs) });
+        logger.info("term-candidacy", {
+            after: before.holder?.term,
+            silentMs: Math.round(seen.silentMs),
+            storeSilentMs: Math.round(seen.storeSilentMs),
+            renewalAgeMs: Math.round(seen.renewalAgeMs),
+            isRefused: seen.isRefused,
+            isLeaving: seen.isLeaving,
+            peers: seen.peers,
+            peersAnswered: seen.peersAnswered,
+        });
         const won = isOurs ? view.holder : await termLog.tryWin(view.end);
         if (won === undefined) {
             return;
--- /dev/null
+++ b/packages/watch-loop/src/index.ts
@@ -0,0 +1,1 @@
+export { LoopWatch } from "./loopWatch.js";
