Don't depose a coordinator that is only busy

Cause: a coordinator that was late to read its own answers was taken for one without the store (storeSilentMs 705 in the log while its last renewal was 122 ms old), or for a dead one (silent for 1.3 to 2.1 s, renewals 0 to 74 ms old). Doubt itself added load: each of 39 VMs asked all others every 100 ms, and each reply to a follower named all members (475 KB/s with 39 VMs, 500 ms of processor in 2 s at rest).

Ruled out: the store (its answers were 4 ms; renewals stood there), the link of a large VM (1.2 of 17 MB/s).

Change: a VM doesn't stand while the store shows renewals younger than 1 s (TermObserver), unless nobody has heard the coordinator for 4 s. Silence is counted in attentive time, without what passed while the VM's own loop stood still. In doubt 5 peers are asked. Members are named only when they changed (Followers).

--- a/packages/keep-term/src/candidacyRules.ts
+++ b/packages/keep-term/src/candidacyRules.ts
@@ -4,6 +4,10 @@
     readonly silenceMs: number;
     /** A coordinator that goes without the store for so long has to give way, in milliseconds. */
     readonly storeSilenceMs: number;
+    /** A coordinator whose last renewal is no older than this lives, however slow it answers, in milliseconds. */
+    readonly freshRenewalMs: number;
+    /** A coordinator that answers nobody for so long is of no use although it renews, in milliseconds. */
+    readonly unreachableMs: number;
     /** A process that reaches nobody stands only when no renewal has come for so long, in milliseconds. */
     readonly renewalSilenceMs: number;
 }
--- a/packages/keep-term/src/chooseCandidacyStep.ts
+++ b/packages/keep-term/src/chooseCandidacyStep.ts
@@ -14,7 +14,8 @@
     if (!view.isKnown) {
         return CandidacyStep.Stand;
     }
-    if (view.isLeaving || view.storeSilentMs >= rules.storeSilenceMs) {
+    const isRenewing = !view.isRefused && view.renewalAgeMs < rules.freshRenewalMs;
+    if (view.isLeaving || (view.storeSilentMs >= rules.storeSilenceMs && !isRenewing)) {
         return CandidacyStep.Stand;
     }
     if (isHeardHere) {
@@ -23,6 +24,10 @@
     if (view.isHeardByPeer) {
         return CandidacyStep.Relay;
     }
+    if (isRenewing && view.silentMs < rules.unreachableMs) {
+        // Busy rather than dead: another takeover would only add to the work.
+        return CandidacyStep.Follow;
+    }
     const isIsolated = view.peers > 0 && view.peersAnswered === 0 && !view.isRefused;
     if (isIsolated && view.renewalAgeMs < rules.renewalSilenceMs) {
         return CandidacyStep.Follow;
--- a/packages/run-entry-vm/src/createEntryVm.ts
+++ b/packages/run-entry-vm/src/createEntryVm.ts
@@ -39,6 +39,7 @@
             duty: context.get(TermDuty),
             peers: context.get(Peers),
             config: context.get(ConfigKeeper),
+            watch: context.get(LoopWatch),
         })
     ).inSingletonScope();
     container.bind(LoadReporter).toDynamicValue(context =>
--- a/packages/run-entry-vm/src/defaultRules.ts
+++ b/packages/run-entry-vm/src/defaultRules.ts
@@ -5,6 +5,8 @@
     silenceMs: 1000,
     storeSilenceMs: 700,
     renewalSilenceMs: 2500,
+    freshRenewalMs: 1000,
+    unreachableMs: 4000,
     recordedWithinMs: 4500,
     wallToleranceMs: 2000,
     storeSteadyMs: 700,
--- a/packages/run-entry-vm/src/followReply.ts
+++ b/packages/run-entry-vm/src/followReply.ts
@@ -11,8 +11,10 @@
     readonly isLeaving: boolean;
     /** How long it has gone without an answer of the store, in milliseconds. */
     readonly storeSilentMs: number;
-    /** The VMs that follow it. */
-    readonly members: readonly Candidate[];
+    /** Changes whenever the VMs that follow it do. */
+    readonly membersVersion: string;
+    /** The VMs that follow it, when the request showed another version. */
+    readonly members?: readonly Candidate[];
     readonly configVersion: number;
     /** The configuration, when the request showed an older version. */
     readonly config?: unknown;
--- /dev/null
+++ b/packages/run-entry-vm/src/followers.test.ts
@@ -0,0 +1,38 @@
+import { describe, expect, it } from "@jest/globals";
+import type { Candidate } from "@sardinestage/keep-term";
+import { Followers } from "./followers.js";
+
+function createCandidate(vm: string, incarnation = vm): Candidate {
+    return { vm, incarnation, host: "host", port: 1 };
+}
+
+describe("Followers", () => {
+    describe("while the same VMs follow", () => {
+        it("keeps its version, so that the list isn't sent with each reply", () => {
+            const followers = new Followers();
+            followers.note(createCandidate("a"), 0);
+            followers.note(createCandidate("b"), 0);
+            const { version } = followers;
+            followers.note(createCandidate("a"), 250);
+            followers.note(createCandidate("b"), 250);
+            followers.list(250);
+            expect(followers.version).toBe(version);
+        });
+    });
+
+    describe("when the VMs change", () => {
+        it("changes its version for one that comes, restarts or goes", () => {
+            const followers = new Followers();
+            const versions = new Set<number>();
+            followers.note(createCandidate("a"), 0);
+            versions.add(followers.version);
+            followers.note(createCandidate("b"), 0);
+            versions.add(followers.version);
+            followers.note(createCandidate("a", "restarted"), 5000);
+            versions.add(followers.version);
+            expect(followers.list(9000).map(({ vm }) => vm)).toEqual(["a"]);
+            versions.add(followers.version);
+            expect(versions.size).toBe(4);
+        });
+    });
+});
--- /dev/null
+++ b/packages/run-entry-vm/src/followers.ts
@@ -0,0 +1,47 @@
+import type { Candidate } from "@sardinestage/keep-term";
+
+/** A VM that hasn't followed for so long is no longer named to others, in milliseconds. */
+const FORGET_AFTER_MS = 8000;
+
+/** A VM that has followed within this is following, in milliseconds. */
+const FOLLOWING_MS = 1000;
+
+/** A VM that follows. */
+interface Follower {
+    readonly candidate: Candidate;
+    readonly sinceMs: number;
+    readonly atMs: number;
+}
+
+/** The VMs that follow a coordinator. */
+export class Followers {
+    private readonly followers = new Map<string, Follower>();
+    /** Changes whenever the list does, so that it need not be sent again. */
+    version = 0;
+
+    /** Notes that a VM follows. */
+    note(candidate: Candidate, nowMs: number): void {
+        const known = this.followers.get(candidate.vm);
+        const isKnown = known?.candidate.incarnation === candidate.incarnation;
+        this.version += isKnown ? 0 : 1;
+        this.followers.set(candidate.vm, { candidate, atMs: nowMs, sinceMs: isKnown ? known.sinceMs : nowMs });
+    }
+
+    /** Lists the VMs that have followed lately, and forgets the others. */
+    list(nowMs: number): readonly Candidate[] {
+        for (const [vm, { atMs }] of this.followers) {
+            if (nowMs - atMs >= FORGET_AFTER_MS) {
+                this.followers.delete(vm);
+                this.version++;
+            }
+        }
+        return [...this.followers.values()].map(({ candidate }) => candidate);
+    }
+
+    /** Lists the VMs that have followed without a break for so long. */
+    listSteady(nowMs: number, forMs: number): readonly Candidate[] {
+        return [...this.followers.values()]
+            .filter(({ sinceMs, atMs }) => nowMs - sinceMs >= forMs && nowMs - atMs < FOLLOWING_MS)
+            .map(({ candidate }) => candidate);
+    }
+}
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -6,20 +6,24 @@
 import type { Candidate, CoordinatorView, TermHolder, TermLog, TermView } from "@sardinestage/keep-term";
 import { CandidacyStep, chooseCandidacyStep } from "@sardinestage/keep-term";
 import type { EventLogger } from "@sardinestage/log-events";
+import type { LoopWatch } from "@sardinestage/watch-loop";
+import { chooseSome } from "./chooseSome.js";
 import type { ConfigKeeper } from "./configKeeper.js";
 import type { EntryVmRules } from "./entryVmRules.js";
+import { Followers } from "./followers.js";
 import type { FollowReply } from "./followReply.js";
 import type { FollowRequest } from "./followRequest.js";
 import type { PeerReport } from "./peerReport.js";
 import type { Peers } from "./peers.js";
 import type { TermDuty } from "./termDuty.js";
+import { TermObserver } from "./termObserver.js";
 
-/** A member that hasn't followed for so long is no longer named to others, in milliseconds. */
-const MEMBER_FORGET_MS = 8000;
 /** A peer's word on the coordinator counts while it is this fresh, in milliseconds. */
 const HEARD_LATELY_MS = 700;
 /** Answer time of a store that stands next door, in milliseconds. */
 const NEAR_STORE_MS = 6;
+/** Peers that are asked about a coordinator in doubt: all of a large installation would be a storm. */
+const PEERS_ASKED = 5;
 /** Pause between two looks at a coordinator that is in doubt, in milliseconds. */
 const DOUBT_PAUSE_MS = 100;
 
@@ -33,32 +37,29 @@
     readonly clock: Clock;
     readonly logger: EventLogger;
     readonly rules: EntryVmRules;
+    readonly watch: LoopWatch;
 }
 
 /** Knows who coordinates, follows it, and stands for the next term when it has to. */
 export class Membership implements CoordinatorLine {
     private holder: TermHolder | undefined;
+    /** When the coordinator last answered, in attentive time: what was missed here isn't its silence. */
     private heardAtMs: number;
     private isRefused = false;
     private isLeaving = false;
     private storeSilentMs = 0;
-    /** When the coordinator last had an answer of the store for certain, in steady milliseconds. */
-    private storeSeenAtMs = -Infinity;
-    private renewalEnd = -1;
-    private renewalAtMs = -Infinity;
-    private termReadAtMs = -Infinity;
-    /** Since when the store has answered each time, in steady milliseconds. */
-    private storeSinceMs = Infinity;
     private relay: Candidate | undefined;
     private members: readonly Candidate[] = [];
-    private readonly followers = new Map<string, { candidate: Candidate; atMs: number }>();
+    private membersVersion = "";
+    private readonly followers = new Followers();
+    private readonly term: TermObserver;
     private theirConfigVersion = -1;
-    private storeMs = NEAR_STORE_MS;
     private isClosed = false;
     private isDraining = false;
 
     constructor(private readonly parts: MembershipParts) {
-        this.heardAtMs = parts.clock.getNow();
+        this.heardAtMs = parts.watch.getAttentiveTime();
+        this.term = new TermObserver(parts.termLog, parts.clock, parts.rules);
     }
 
     /** Follows the coordinator until closed. */
@@ -124,18 +125,20 @@
         const { duty, config, clock } = this.parts;
         const nowMs = clock.getNow();
         const { candidate, configVersion } = request;
-        this.followers.set(candidate.vm, { candidate, atMs: nowMs });
+        this.followers.note(candidate, nowMs);
         if (request.config !== undefined) {
             config.takeConfig(request.config as WorkConfig, "follower");
         }
-        const members = [...this.followers.values()].filter(member => nowMs - member.atMs < MEMBER_FORGET_MS);
+        const members = this.followers.list(nowMs);
+        const membersVersion = `${this.parts.self.incarnation}/${this.followers.version}`;
         return {
             holder: duty.holder ?? this.holder,
             incarnation: this.parts.self.incarnation,
             isCoordinator: duty.isActive,
             isLeaving: duty.isLeaving,
             storeSilentMs: duty.storeSilentMs,
-            members: [this.parts.self, ...members.map(member => member.candidate)],
+            membersVersion,
+            members: request.membersVersion === membersVersion ? undefined : [this.parts.self, ...members],
             configVersion: config.version,
             config: configVersion < config.version ? config.config : undefined,
         };
@@ -143,21 +146,21 @@
 
     /** Tells a peer what this process knows of the coordinator. */
     answerPeer(): PeerReport {
-        const { duty, clock } = this.parts;
+        const { duty, watch } = this.parts;
         if (duty.isActive) {
             return { holder: duty.holder, heardMs: 0 };
         }
-        return { holder: this.holder, heardMs: clock.getNow() - this.heardAtMs };
+        return { holder: this.holder, heardMs: watch.getAttentiveTime() - this.heardAtMs };
     }
 
     /** Asks the coordinator whether all is well. */
     private async checkCoordinator(): Promise<boolean> {
-        const { duty, self, rules, clock } = this.parts;
+        const { duty, self, rules, clock, watch } = this.parts;
         if (duty.isActive) {
-            this.heardAtMs = clock.getNow();
-            this.storeSeenAtMs = this.heardAtMs - duty.storeSilentMs;
+            this.heardAtMs = watch.getAttentiveTime();
+            this.term.noteStoreSeen(clock.getNow() - duty.storeSilentMs);
             this.holder = duty.holder;
-            this.members = [...this.followers.values()].map(member => member.candidate);
+            this.members = this.followers.list(clock.getNow());
             return true;
         }
         if (this.holder === undefined || this.holder.incarnation === self.incarnation) {
@@ -179,6 +182,7 @@
         const isOurs = this.theirConfigVersion < config.version && this.theirConfigVersion >= 0;
         return {
             candidate: self,
+            membersVersion: this.membersVersion,
             configVersion: config.version,
             config: isOurs ? config.config : undefined,
         };
@@ -195,12 +199,13 @@
         if (!reply.isCoordinator || this.holder?.term !== asked.term) {
             return false;
         }
-        this.heardAtMs = this.parts.clock.getNow();
+        this.heardAtMs = this.parts.watch.getAttentiveTime();
         this.relay = undefined;
         this.isLeaving = reply.isLeaving;
         this.storeSilentMs = reply.storeSilentMs;
-        this.storeSeenAtMs = Math.max(this.storeSeenAtMs, sentAtMs - reply.storeSilentMs);
-        this.members = reply.members;
+        this.term.noteStoreSeen(sentAtMs - reply.storeSilentMs);
+        this.members = reply.members ?? this.members;
+        this.membersVersion = reply.membersVersion;
         return !reply.isLeaving && reply.storeSilentMs < this.parts.rules.storeSilenceMs;
     }
 
@@ -215,27 +220,26 @@
         this.isLeaving = false;
         this.storeSilentMs = 0;
         this.relay = undefined;
-        this.heardAtMs = this.parts.clock.getNow();
+        this.heardAtMs = this.parts.watch.getAttentiveTime();
     }
 
     /** Finds out what is wrong with the coordinator, and what to do about it. */
     private async resolveDoubt(): Promise<void> {
-        const { clock, rules, logger } = this.parts;
+        const { clock, rules, logger, watch } = this.parts;
         const [view, reports] = await Promise.all([this.readTerm(), this.requestReports()]);
         const heard = reports.find(({ report }) => report.heardMs < HEARD_LATELY_MS && this.isCurrent(report.holder));
         reports.forEach(({ report }) => this.takeHolder(report.holder));
-        const nowMs = clock.getNow();
         const seen: CoordinatorView = {
             isKnown: this.holder !== undefined && this.holder.incarnation !== this.parts.self.incarnation,
-            silentMs: nowMs - this.heardAtMs,
+            silentMs: watch.getAttentiveTime() - this.heardAtMs,
             isRefused: this.isRefused,
             isLeaving: this.isLeaving,
-            storeSilentMs: nowMs - this.storeSinceMs >= rules.storeSteadyMs ? this.storeSilentMs : 0,
+            storeSilentMs: this.term.storeSteadyMs >= rules.storeSteadyMs ? this.storeSilentMs : 0,
             hasStore: view !== undefined,
-            peers: this.members.filter(member => this.isOtherPeer(member)).length,
+            peers: Math.min(PEERS_ASKED, this.members.filter(member => this.isOtherPeer(member)).length),
             peersAnswered: reports.length,
             isHeardByPeer: heard !== undefined,
-            renewalAgeMs: nowMs - this.renewalAtMs,
+            renewalAgeMs: this.term.renewalAgeMs,
         };
         const step = chooseCandidacyStep(seen, rules);
         if (step === CandidacyStep.Stand && view !== undefined && !this.isDraining) {
@@ -260,29 +264,14 @@
     }
 
     private async readTerm(): Promise<TermView | undefined> {
-        const { clock, termLog } = this.parts;
-        const sentAtMs = clock.getNow();
-        const view = await termLog.readTerm();
-        if (view === undefined) {
-            this.storeSinceMs = Infinity;
-            return undefined;
-        }
-        this.storeSinceMs = Math.min(this.storeSinceMs, clock.getNow());
-        this.storeMs = clock.getNow() - sentAtMs;
-        if (view.end !== this.renewalEnd) {
-            this.renewalAtMs = this.renewalEnd < 0 ? -Infinity : clock.getNow();
-            // It was written at any time since the last look.
-            this.storeSeenAtMs = Math.max(this.storeSeenAtMs, this.termReadAtMs);
-            this.renewalEnd = view.end;
-        }
-        this.termReadAtMs = sentAtMs;
-        this.takeHolder(view.holder);
+        const view = await this.term.read();
+        this.takeHolder(view?.holder);
         return view;
     }
 
     private async requestReports(): Promise<{ peer: Candidate; report: PeerReport }[]> {
         const { peers, rules } = this.parts;
-        const others = this.members.filter(member => this.isOtherPeer(member));
+        const others = chooseSome(this.members.filter(member => this.isOtherPeer(member)), PEERS_ASKED);
         const answers = await Promise.all(others.map(async peer => {
             const answer = await peers.request(peer, FrameKind.AskPeer, {}, rules.peerTimeoutMs);
             return answer.hasAnswered ? [{ peer, report: answer.body as PeerReport }] : [];
@@ -294,7 +283,7 @@
     private async tryStanding(before: TermView, seen: CoordinatorView): Promise<void> {
         const { clock, rules, termLog, duty, logger, self } = this.parts;
         if (before.holder?.incarnation !== self.incarnation) {
-            const slower = Math.max(0, this.storeMs - NEAR_STORE_MS) * rules.standDelayPerStoreMs;
+            const slower = Math.max(0, this.term.storeMs - NEAR_STORE_MS) * rules.standDelayPerStoreMs;
             await waitFor(clock, Math.min(rules.maxStandDelayMs, slower) + Math.random() * rules.standJitterMs);
         }
         const view = await this.readTerm();
@@ -305,8 +294,7 @@
         if (!isOurs && view.holder?.term !== before.holder?.term) {
             return;
         }
-        const nowMs = clock.getNow();
-        const hadUnrecordedStarts = before.holder !== undefined && !this.isRecordedFresh(before, nowMs);
+        const hadUnrecordedStarts = before.holder !== undefined && !this.term.isRecordedFresh(before);
         logger.info("term-candidacy", {
             after: before.holder?.term,
             silentMs: Math.round(seen.silentMs),
@@ -327,12 +315,4 @@
         this.takeHolder(won);
         await duty.start(won, hadUnrecordedStarts);
     }
-
-    /** Whether the last coordinator was seen to reach the store so lately that it can't have worked without it. */
-    private isRecordedFresh(view: TermView, nowMs: number): boolean {
-        const { clock, rules } = this.parts;
-        const writtenMs = Math.abs(clock.getWallTime() - view.writtenAtMs);
-        return nowMs - this.storeSeenAtMs < rules.recordedWithinMs
-            || writtenMs < rules.recordedWithinMs - rules.wallToleranceMs;
-    }
 }
--- /dev/null
+++ b/packages/run-entry-vm/src/termObserver.test.ts
@@ -0,0 +1,59 @@
+import { describe, expect, it } from "@jest/globals";
+import { MemoryStore, VirtualClock } from "@sardinestage/emulate-platform";
+import { TermLog } from "@sardinestage/keep-term";
+import { defaultRules } from "./defaultRules.js";
+import { TermObserver } from "./termObserver.js";
+
+async function createObserved() {
+    const clock = new VirtualClock();
+    const store = new MemoryStore(clock, () => 0.5);
+    const holder = new TermLog(store, { vm: "holder", incarnation: "holder", host: "host", port: 1 }, clock);
+    const won = holder.tryWin(0);
+    await clock.runFor(100);
+    const term = (await won)?.term ?? 0;
+    const other = new TermLog(store, { vm: "other", incarnation: "other", host: "host", port: 1 }, clock);
+    const observer = new TermObserver(other, clock, defaultRules);
+    const read = async () => {
+        const reading = observer.read();
+        await clock.runFor(50);
+        return await reading;
+    };
+    const renew = async () => {
+        const renewing = holder.renew(term);
+        await clock.runFor(50);
+        await renewing;
+    };
+    return { clock, observer, read, renew };
+}
+
+describe("TermObserver", () => {
+    describe("when the coordinator renews", () => {
+        it("sees that it lives", async () => {
+            const { clock, observer, read, renew } = await createObserved();
+            await read();
+            await clock.runFor(500);
+            await renew();
+            await read();
+            expect(observer.renewalAgeMs).toBeLessThanOrEqual(50);
+        });
+    });
+
+    describe("when the coordinator has stopped renewing", () => {
+        it("sees that at the first look, without waiting for a second", async () => {
+            const { clock, observer, read } = await createObserved();
+            await clock.runFor(5000);
+            await read();
+            expect(observer.renewalAgeMs).toBeGreaterThan(5000);
+        });
+
+        it("doesn't take a record for a new renewal that it sees long after it was written", async () => {
+            const { clock, observer, read, renew } = await createObserved();
+            await read();
+            await clock.runFor(500);
+            await renew();
+            await clock.runFor(5000);
+            await read();
+            expect(observer.renewalAgeMs).toBeGreaterThan(5000);
+        });
+    });
+});
