Wait longer for a coordinator that is slow to answer, and let strong VMs coordinate

Cause: (1) who wins was blind to size; a VM with 0.32 of a core and 7 Mbit/s takes 1.1 s to read 738 jobs, and its loop stands still for 0.6 to 0.8 s. (2) A follower gave up after 500 ms each time, closed its connection and opened another: with loop turns of 180 ms the three turns that a new connection needs never fit (vestland-a-2: 2,760 of 2,700 ms of processor, 12 KB of frames in 2 s instead of 70), so that nobody heard it for 4 s although it renewed.

Change: a candidate names its strength (share x speed of its processor); weaker ones stand later (up to 0.6 s), and a weak coordinator hands over to a strong VM that has followed for 3 s. The wait for an answer follows what answers usually take, up to 2 s (AnswerTimeout), and one connection a kind serves all waits.

Tests: membership.test.ts, over a fake network; with a wait of 500 ms or without the handover they fail.

--- a/packages/exchange-frames/src/peerClient.ts
+++ b/packages/exchange-frames/src/peerClient.ts
@@ -37,15 +37,20 @@
      *
      * @param kind What is asked.
      * @param body A value that CBOR can carry.
+     * @param timeoutMs How long the reply may take, in milliseconds.
      * @returns The reply's body; or `PeerRefusedConnection` when nothing listens there, or `PeerUnreachable`.
      */
-    request(kind: FrameKind, body: unknown): Promise<Result<unknown, StageError>> {
+    request(
+        kind: FrameKind,
+        body: unknown,
+        timeoutMs: number = this.options.timeoutMs,
+    ): Promise<Result<unknown, StageError>> {
         const socket = this.socket ?? this.openSocket();
         const sequence = ++this.sequence;
         return new Promise(resolve => {
             const timer = setTimeout(() => {
                 this.dropSocket(socket, createUnreachableError(this.options, "did not answer in time"));
-            }, this.options.timeoutMs);
+            }, timeoutMs);
             this.waiting.set(sequence, result => {
                 clearTimeout(timer);
                 resolve(result);
--- a/packages/keep-term/src/termHolder.ts
+++ b/packages/keep-term/src/termHolder.ts
@@ -9,4 +9,6 @@
     /** Where its peers reach it. */
     readonly host: string;
     readonly port: number;
+    /** How much work the VM can do: its share of cores of usual speed. */
+    readonly strength: number;
 }
--- a/packages/keep-term/src/termLog.test.ts
+++ b/packages/keep-term/src/termLog.test.ts
@@ -6,7 +6,8 @@
 function createLogs(random: () => number = () => 0.5) {
     const clock = new VirtualClock();
     const store = new MemoryStore(clock, random);
-    const createLog = (vm: string) => new TermLog(store, { vm, incarnation: vm, host: "host", port: 1 }, clock);
+    const createLog = (vm: string) =>
+        new TermLog(store, { vm, incarnation: vm, host: "host", port: 1, strength: 1 }, clock);
     return { clock, store, first: createLog("first"), second: createLog("second") };
 }
 
--- a/packages/keep-term/src/termLog.ts
+++ b/packages/keep-term/src/termLog.ts
@@ -11,8 +11,8 @@
 const APPEND_TIMEOUT_MS = 600;
 
 const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
-/** `[vm, incarnation, host, port, term, written at (Unix milliseconds)]`; term 0 in the record that wins it. */
-type TermRow = [string, string, string, number, number, number];
+/** `[vm, incarnation, host, port, term, written at (Unix milliseconds), strength]`; term 0 in the record that wins it. */
+type TermRow = [string, string, string, number, number, number, number];
 
 /**
  * The topic that decides who coordinates. Every append names the offset at which it expects the topic to end, so that
@@ -37,8 +37,15 @@
         if (record?.value === undefined) {
             return { holder: undefined, end: page.end, writtenAtMs: 0 };
         }
-        const [vm, incarnation, host, port, term, writtenAtMs] = encoder.decode(record.value) as TermRow;
-        const holder: TermHolder = { term: term === 0 ? record.offset + 1 : term, vm, incarnation, host, port };
+        const [vm, incarnation, host, port, term, writtenAtMs, strength] = encoder.decode(record.value) as TermRow;
+        const holder: TermHolder = {
+            term: term === 0 ? record.offset + 1 : term,
+            vm,
+            incarnation,
+            host,
+            port,
+            strength,
+        };
         return { holder, end: Math.max(page.end, record.offset + 1), writtenAtMs };
     }
 
@@ -86,8 +93,8 @@
     }
 
     private append(at: number, term: number) {
-        const { vm, incarnation, host, port } = this.candidate;
-        const row: TermRow = [vm, incarnation, host, port, term, this.clock.getWallTime()];
+        const { vm, incarnation, host, port, strength } = this.candidate;
+        const row: TermRow = [vm, incarnation, host, port, term, this.clock.getWallTime(), strength];
         const records = [{ key: TERM_KEY, value: encoder.encode(row) }];
         return this.store.append({ topic: Topic.Term, records, at, timeoutMs: APPEND_TIMEOUT_MS });
     }
--- a/packages/run-entry-vm/src/defaultRules.ts
+++ b/packages/run-entry-vm/src/defaultRules.ts
@@ -15,5 +15,8 @@
     renewMs: 500,
     standDelayPerStoreMs: 6,
     maxStandDelayMs: 350,
+    weakerStandDelayMs: 600,
+    giveWayWeakness: 0.4,
+    steadyMs: 3000,
     standJitterMs: 60,
 };
--- a/packages/run-entry-vm/src/entryVmRules.ts
+++ b/packages/run-entry-vm/src/entryVmRules.ts
@@ -21,6 +21,12 @@
     readonly standDelayPerStoreMs: number;
     /** The longest such wait, in milliseconds. */
     readonly maxStandDelayMs: number;
+    /** How long a VM waits before it stands for having next to no strength beside the strongest, in milliseconds. */
+    readonly weakerStandDelayMs: number;
+    /** A coordinator that is this much weaker than another VM hands the term over (0 to 1). */
+    readonly giveWayWeakness: number;
+    /** Terms are handed over so long after they began, and to VMs that have followed for so long, in milliseconds. */
+    readonly steadyMs: number;
     /** Random part of the wait, in milliseconds, so that few race. */
     readonly standJitterMs: number;
 }
--- a/packages/run-entry-vm/src/followers.test.ts
+++ b/packages/run-entry-vm/src/followers.test.ts
@@ -3,7 +3,7 @@
 import { Followers } from "./followers.js";
 
 function createCandidate(vm: string, incarnation = vm): Candidate {
-    return { vm, incarnation, host: "host", port: 1 };
+    return { vm, incarnation, host: "host", port: 1, strength: 1 };
 }
 
 describe("Followers", () => {
--- /dev/null
+++ b/packages/run-entry-vm/src/membership.test.ts
@@ -0,0 +1,151 @@
+import { describe, expect, it } from "@jest/globals";
+import type { Clock } from "@sardinestage/describe-ports";
+import { waitFor } from "@sardinestage/describe-ports";
+import { MemoryStore, VirtualClock } from "@sardinestage/emulate-platform";
+import { FrameKind } from "@sardinestage/exchange-frames";
+import type { Candidate, TermHolder } from "@sardinestage/keep-term";
+import { RenewalOutcome, TermLog } from "@sardinestage/keep-term";
+import type { EventLogger } from "@sardinestage/log-events";
+import { LoopWatch } from "@sardinestage/watch-loop";
+import type { ConfigKeeper } from "./configKeeper.js";
+import { defaultRules } from "./defaultRules.js";
+import type { FollowRequest } from "./followRequest.js";
+import { Membership } from "./membership.js";
+import type { Peers } from "./peers.js";
+import type { TermDuty } from "./termDuty.js";
+
+/** VMs that share a store; the answers of each take as long as the test says. */
+class Installation {
+    readonly clock = new VirtualClock();
+    readonly store = new MemoryStore(this.clock, () => 0.5);
+    readonly answerMs = new Map<string, number>();
+    readonly candidacies: string[] = [];
+    private readonly members = new Map<string, Membership>();
+    private readonly duties = new Map<string, FakeDuty>();
+
+    addVm(vm: string, strength: number): Membership {
+        const { clock } = this;
+        const self: Candidate = { vm, incarnation: vm, host: vm, port: 1, strength };
+        const termLog = new TermLog(this.store, self, clock);
+        const duty = new FakeDuty(clock, termLog);
+        const watch = new LoopWatch(clock);
+        watch.start();
+        const logger: EventLogger = {
+            info: event => {
+                if (event === "term-candidacy") {
+                    this.candidacies.push(vm);
+                }
+            },
+            warn: () => undefined,
+            error: () => undefined,
+        };
+        const membership = new Membership({
+            self,
+            termLog,
+            duty: duty as unknown as TermDuty,
+            peers: { request: this.request.bind(this) } as unknown as Peers,
+            config: { version: 1 } as ConfigKeeper,
+            clock,
+            logger,
+            rules: defaultRules,
+            watch,
+        });
+        this.members.set(vm, membership);
+        this.duties.set(vm, duty);
+        void membership.run();
+        return membership;
+    }
+
+    /** The VM that coordinates. */
+    get coordinator(): string | undefined {
+        return [...this.duties].find(([, duty]) => duty.isActive)?.[0];
+    }
+
+    private async request(peer: Candidate, kind: FrameKind, body: unknown, timeoutMs: number) {
+        const member = this.members.get(peer.vm);
+        const answerMs = this.answerMs.get(peer.vm) ?? 2;
+        await waitFor(this.clock, Math.min(timeoutMs, answerMs));
+        if (member === undefined || answerMs > timeoutMs) {
+            return { body: undefined, isRefused: false, hasAnswered: false };
+        }
+        const isFollowing = kind === FrameKind.FollowCoordinator;
+        const answer = isFollowing ? member.answerFollow(body as FollowRequest) : member.answerPeer();
+        return { body: answer, isRefused: false, hasAnswered: true };
+    }
+}
+
+/** Holds a term and renews it, and does nothing else. */
+class FakeDuty {
+    holder: TermHolder | undefined;
+    isLeaving = false;
+    readonly storeSilentMs = 0;
+    private wonAtMs = 0;
+
+    constructor(private readonly clock: Clock, private readonly termLog: TermLog) {}
+
+    get isActive(): boolean {
+        return this.holder !== undefined;
+    }
+
+    get heldMs(): number {
+        return this.clock.getNow() - this.wonAtMs;
+    }
+
+    announceLeaving(): void {
+        this.isLeaving = true;
+    }
+
+    start(holder: TermHolder): Promise<void> {
+        this.holder = holder;
+        this.wonAtMs = this.clock.getNow();
+        void this.runRenewals(holder.term);
+        return Promise.resolve();
+    }
+
+    private async runRenewals(term: number): Promise<void> {
+        while (await this.termLog.renew(term) === RenewalOutcome.Renewed) {
+            await waitFor(this.clock, defaultRules.renewMs);
+        }
+        this.holder = undefined;
+        this.isLeaving = false;
+    }
+}
+
+describe("Membership", () => {
+    describe("when the coordinator is busy and answers in 700 ms", () => {
+        it("goes on following it instead of timing out again and again", async () => {
+            const installation = new Installation();
+            installation.addVm("first", 1);
+            await installation.clock.runFor(1000);
+            const others = ["a", "b", "c"].map(vm => installation.addVm(vm, 1));
+            await installation.clock.runFor(2000);
+            installation.answerMs.set("first", 700);
+            await installation.clock.runFor(8000);
+            expect(installation.coordinator).toBe("first");
+            expect(installation.candidacies).toEqual(["first"]);
+            expect(others.map(other => other.answerPeer().heardMs < 1500)).toEqual([true, true, true]);
+        });
+    });
+
+    describe("when a weak VM has won the term", () => {
+        it("hands it to a strong one, so that the largest work isn't done on the smallest VM", async () => {
+            const installation = new Installation();
+            installation.addVm("weak", 0.3);
+            await installation.clock.runFor(1000);
+            installation.addVm("also-weak", 0.3);
+            installation.addVm("strong", 1.35);
+            await installation.clock.runFor(6000);
+            expect(installation.coordinator).toBe("strong");
+            expect(installation.candidacies).toEqual(["weak", "strong"]);
+        });
+
+        it("keeps it where no other is much stronger", async () => {
+            const installation = new Installation();
+            installation.addVm("first", 1);
+            await installation.clock.runFor(1000);
+            installation.addVm("second", 1.2);
+            await installation.clock.runFor(6000);
+            expect(installation.candidacies).toEqual(["first"]);
+        });
+    });
+});
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -5,10 +5,13 @@
 import { FrameKind } from "@sardinestage/exchange-frames";
 import type { Candidate, CoordinatorView, TermHolder, TermLog, TermView } from "@sardinestage/keep-term";
 import { CandidacyStep, chooseCandidacyStep } from "@sardinestage/keep-term";
+import { AnswerTimeout } from "@sardinestage/learn-behaviour";
 import type { EventLogger } from "@sardinestage/log-events";
 import type { LoopWatch } from "@sardinestage/watch-loop";
 import { chooseSome } from "./chooseSome.js";
+import { computeWeakness } from "./computeWeakness.js";
 import type { ConfigKeeper } from "./configKeeper.js";
+import { describeCandidacy } from "./describeCandidacy.js";
 import type { EntryVmRules } from "./entryVmRules.js";
 import { Followers } from "./followers.js";
 import type { FollowReply } from "./followReply.js";
@@ -22,6 +25,8 @@
 const HEARD_LATELY_MS = 700;
 /** Answer time of a store that stands next door, in milliseconds. */
 const NEAR_STORE_MS = 6;
+/** The longest wait for a coordinator that is slow to answer, in milliseconds. */
+const MOST_FOLLOW_MS = 2000;
 /** Peers that are asked about a coordinator in doubt: all of a large installation would be a storm. */
 const PEERS_ASKED = 5;
 /** Pause between two looks at a coordinator that is in doubt, in milliseconds. */
@@ -53,12 +58,14 @@
     private membersVersion = "";
     private readonly followers = new Followers();
     private readonly term: TermObserver;
+    private readonly followTimeout: AnswerTimeout;
     private theirConfigVersion = -1;
     private isClosed = false;
     private isDraining = false;
 
     constructor(private readonly parts: MembershipParts) {
         this.heardAtMs = parts.watch.getAttentiveTime();
+        this.followTimeout = new AnswerTimeout({ leastMs: parts.rules.silenceMs / 2, mostMs: MOST_FOLLOW_MS });
         this.term = new TermObserver(parts.termLog, parts.clock, parts.rules);
     }
 
@@ -155,12 +162,13 @@
 
     /** Asks the coordinator whether all is well. */
     private async checkCoordinator(): Promise<boolean> {
-        const { duty, self, rules, clock, watch } = this.parts;
+        const { duty, self, clock, watch } = this.parts;
         if (duty.isActive) {
             this.heardAtMs = watch.getAttentiveTime();
             this.term.noteStoreSeen(clock.getNow() - duty.storeSilentMs);
             this.holder = duty.holder;
             this.members = this.followers.list(clock.getNow());
+            this.releaseToStronger(clock.getNow());
             return true;
         }
         if (this.holder === undefined || this.holder.incarnation === self.incarnation) {
@@ -169,14 +177,33 @@
         const asked = this.holder;
         const sentAtMs = clock.getNow();
         const request = this.buildFollowRequest();
-        const answer = await this.parts.peers.request(asked, FrameKind.FollowCoordinator, request, rules.silenceMs / 2);
+        const { currentMs } = this.followTimeout;
+        const answer = await this.parts.peers.request(asked, FrameKind.FollowCoordinator, request, currentMs);
         this.isRefused = answer.isRefused;
         if (!answer.hasAnswered) {
+            this.followTimeout.noteSilence();
             return false;
         }
+        this.followTimeout.noteAnswer(clock.getNow() - sentAtMs);
         return this.takeFollowReply(answer.body as FollowReply, asked, sentAtMs);
     }
 
+    /** The coordinator's work is the same on any VM, so a VM that isn't among the strong hands it to one that is. */
+    private releaseToStronger(nowMs: number): void {
+        const { duty, self, rules, logger } = this.parts;
+        if (duty.isLeaving || duty.heldMs < rules.steadyMs) {
+            return;
+        }
+        const steady = this.followers.listSteady(nowMs, rules.steadyMs);
+        if (computeWeakness(self, steady) >= rules.giveWayWeakness) {
+            logger.info("term-offered", {
+                strength: self.strength,
+                strongest: Math.max(...steady.map(vm => vm.strength)),
+            });
+            duty.announceLeaving();
+        }
+    }
+
     private buildFollowRequest(): FollowRequest {
         const { self, config } = this.parts;
         const isOurs = this.theirConfigVersion < config.version && this.theirConfigVersion >= 0;
@@ -284,7 +311,9 @@
         const { clock, rules, termLog, duty, logger, self } = this.parts;
         if (before.holder?.incarnation !== self.incarnation) {
             const slower = Math.max(0, this.term.storeMs - NEAR_STORE_MS) * rules.standDelayPerStoreMs;
-            await waitFor(clock, Math.min(rules.maxStandDelayMs, slower) + Math.random() * rules.standJitterMs);
+            const weaker = rules.weakerStandDelayMs * computeWeakness(self, this.members);
+            const delayMs = Math.min(rules.maxStandDelayMs, slower) + weaker + Math.random() * rules.standJitterMs;
+            await waitFor(clock, delayMs);
         }
         const view = await this.readTerm();
         if (view === undefined || this.isClosed || this.isDraining) {
@@ -295,16 +324,7 @@
             return;
         }
         const hadUnrecordedStarts = before.holder !== undefined && !this.term.isRecordedFresh(before);
-        logger.info("term-candidacy", {
-            after: before.holder?.term,
-            silentMs: Math.round(seen.silentMs),
-            storeSilentMs: Math.round(seen.storeSilentMs),
-            renewalAgeMs: Math.round(seen.renewalAgeMs),
-            isRefused: seen.isRefused,
-            isLeaving: seen.isLeaving,
-            peers: seen.peers,
-            peersAnswered: seen.peersAnswered,
-        });
+        logger.info("term-candidacy", describeCandidacy(seen, before.holder?.term));
         const won = isOurs ? view.holder : await termLog.tryWin(view.end);
         if (won === undefined) {
             return;
--- a/packages/run-entry-vm/src/peers.ts
+++ b/packages/run-entry-vm/src/peers.ts
@@ -25,7 +25,7 @@
         timeoutMs: number,
     ): Promise<PeerAnswer> {
         const client = this.getClient(peer.host, peer.port, kind, timeoutMs);
-        const result = await client.request(kind, body);
+        const result = await client.request(kind, body, timeoutMs);
         if (result.ok) {
             return { body: result.val, isRefused: false, hasAnswered: true };
         }
@@ -38,9 +38,9 @@
         this.clients.clear();
     }
 
-    /** Questions that may take long have a connection of their own, so that a timeout ends only their kind. */
+    /** Each kind of question has a connection of its own, so that a timeout ends only its kind. */
     private getClient(host: string, port: number, kind: FrameKind, timeoutMs: number): PeerClient {
-        const key = `${host}:${port}/${kind}/${timeoutMs}`;
+        const key = `${host}:${port}/${kind}`;
         let client = this.clients.get(key);
         if (client === undefined) {
             const { peerKey } = this;
--- a/packages/run-entry-vm/src/termDuty.ts
+++ b/packages/run-entry-vm/src/termDuty.ts
@@ -36,6 +36,7 @@
 export class TermDuty {
     private coordinator: Coordinator | undefined;
     private renewedAtMs = 0;
+    private wonAtMs = 0;
     /** The term that this process holds; undefined while it holds none. */
     holder: TermHolder | undefined;
     isLeaving = false;
@@ -47,6 +48,11 @@
         return this.holder !== undefined;
     }
 
+    /** How long this process has held the term, in milliseconds. */
+    get heldMs(): number {
+        return this.holder === undefined ? 0 : this.parts.clock.getNow() - this.wonAtMs;
+    }
+
     /** How long the store hasn't answered, in milliseconds. */
     get storeSilentMs(): number {
         return this.holder === undefined
@@ -59,6 +65,7 @@
         const { clock, logger } = this.parts;
         this.holder = holder;
         this.renewedAtMs = clock.getNow();
+        this.wonAtMs = clock.getNow();
         logger.info("term-won", { term: holder.term, hadUnrecordedStarts });
         void this.runRenewals(holder.term);
         for (let tries = 0; tries < TAKEOVER_TRIES && this.holder === holder; tries++) {
@@ -119,6 +126,7 @@
         this.coordinator?.close();
         this.coordinator = undefined;
         this.holder = undefined;
+        this.isLeaving = false;
     }
 
     private async runRenewals(term: number): Promise<void> {
--- a/packages/run-entry-vm/src/termObserver.test.ts
+++ b/packages/run-entry-vm/src/termObserver.test.ts
@@ -7,11 +7,15 @@
 async function createObserved() {
     const clock = new VirtualClock();
     const store = new MemoryStore(clock, () => 0.5);
-    const holder = new TermLog(store, { vm: "holder", incarnation: "holder", host: "host", port: 1 }, clock);
+    const holder = new TermLog(
+        store,
+        { vm: "holder", incarnation: "holder", host: "host", port: 1, strength: 1 },
+        clock,
+    );
     const won = holder.tryWin(0);
     await clock.runFor(100);
     const term = (await won)?.term ?? 0;
-    const other = new TermLog(store, { vm: "other", incarnation: "other", host: "host", port: 1 }, clock);
+    const other = new TermLog(store, { vm: "other", incarnation: "other", host: "host", port: 1, strength: 1 }, clock);
     const observer = new TermObserver(other, clock, defaultRules);
     const read = async () => {
         const reading = observer.read();
