Notice a silent connection before a confirmed change is overdue

Cause: a read of the operator's records waited for 20 s, of accepted jobs for 10 s.

Change: both wait 2 s, so that a silent connection is found within 3 s and the change read within 4 s. Class: a wait on a connection that is longer than the promise that depends on it; no other read waits so long.

--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -25,8 +25,8 @@
 import { WorkerWatch } from "./workerWatch.js";
 import { WorkRound } from "./workRound.js";
 
-/** How long a read of accepted jobs waits for the next one, in milliseconds. */
-const JOBS_WAIT_MS = 10_000;
+/** How long a read of accepted jobs waits, in milliseconds: a connection that went silent shows only after that. */
+const JOBS_WAIT_MS = 2000;
 /** Pause between two reads of accepted jobs, in milliseconds: a burst comes in few reads. */
 const JOBS_PAUSE_MS = 10;
 /** Pause between two reads of the workers' list, in milliseconds. */
--- a/packages/run-entry-vm/src/configKeeper.ts
+++ b/packages/run-entry-vm/src/configKeeper.ts
@@ -5,8 +5,8 @@
 import { TopicFollower } from "@sardinestage/follow-topic";
 import type { EventLogger } from "@sardinestage/log-events";
 
-/** How long a read of the operator's records waits for the next one, in milliseconds. */
-const WAIT_MS = 20_000;
+/** How long a read waits for the next record, in milliseconds: a connection that went silent shows only after that. */
+const WAIT_MS = 2000;
 
 /** What a configuration keeper works with. */
 interface ConfigKeeperParts {
