Start nothing unrecorded while the term is renewed

Suspected cause: a coordinator whose appends of progress fail for 5 s goes on unrecorded, although its renewals, to another topic, succeed; its successor takes fresh renewals for a sign that everything is recorded, and starts the same run again.

Change: unrecorded work begins only when the renewals have failed for as long. The permission and the successor's inference now rest on the same fact. Test that failed before: progressWriter.test.ts, "starts nothing unrecorded while the term is renewed".

--- a/packages/coordinate-work/src/coordinatorParts.ts
+++ b/packages/coordinate-work/src/coordinatorParts.ts
@@ -6,6 +6,8 @@
     readonly rules: CoordinatorRules;
     /** The term that was won: the fencing token of all orders and the epoch of all records. */
     readonly term: number;
+    /** Time since the term was last renewed in the store for certain, in milliseconds. */
+    readonly getRenewalAge: () => number;
     /** Whether an earlier coordinator may have started work without recording it. */
     readonly hadUnrecordedStarts: boolean;
     /** Called once when somebody else has taken over. */
--- /dev/null
+++ b/packages/coordinate-work/src/progressWriter.test.ts
@@ -0,0 +1,46 @@
+import { describe, expect, it } from "@jest/globals";
+import { Metrics } from "@sardinestage/count-metrics";
+import type { StorePort } from "@sardinestage/describe-ports";
+import { AppendOutcome } from "@sardinestage/describe-ports";
+import { VirtualClock } from "@sardinestage/emulate-platform";
+import type { CoordinatorParts } from "./coordinatorParts.js";
+import { ProgressWriter } from "./progressWriter.js";
+
+/** A writer whose store takes no progress, in a term that was renewed so long ago. */
+function createWriter(renewalAgeMs: number) {
+    const clock = new VirtualClock();
+    const store = {
+        append: () => Promise.resolve({ outcome: AppendOutcome.Refused, offset: 0, end: 0 }),
+    } as unknown as StorePort;
+    const writer = new ProgressWriter({
+        clock,
+        store,
+        term: 1,
+        getRenewalAge: () => renewalAgeMs,
+        onDeposed: () => undefined,
+        logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
+        metrics: new Metrics(),
+    } as unknown as CoordinatorParts);
+    let starts = 0;
+    writer.note("job", () => Uint8Array.of(1));
+    writer.waitRecorded(() => starts++, true);
+    return { clock, writer, getStarts: () => starts };
+}
+
+describe("ProgressWriter", () => {
+    describe("when the store takes no progress for long", () => {
+        it("starts nothing unrecorded while the term is renewed: a successor would start it twice", async () => {
+            const { clock, writer, getStarts } = createWriter(400);
+            await clock.runFor(9000);
+            expect(getStarts()).toBe(0);
+            writer.close();
+        });
+
+        it("goes on unrecorded once the term isn't renewed either", async () => {
+            const { clock, writer, getStarts } = createWriter(6000);
+            await clock.runFor(9000);
+            expect(getStarts()).toBe(1);
+            writer.close();
+        });
+    });
+});
--- a/packages/coordinate-work/src/progressWriter.ts
+++ b/packages/coordinate-work/src/progressWriter.ts
@@ -65,9 +65,14 @@
         this.waiters.push({ run, mayGoUnrecorded });
     }
 
-    /** Whether the store hasn't taken a record for so long that work goes on without. */
+    /**
+     * Whether the store hasn't taken a record for so long that work goes on without. A successor judges by the renewals of
+     * the term whether all is recorded, so these must have stopped as well.
+     */
     get isStoreAway(): boolean {
-        return this.isFlushing && this.parts.clock.getNow() - this.writtenAtMs >= limits.unrecordedAfterMs;
+        const { clock, getRenewalAge } = this.parts;
+        return this.isFlushing && clock.getNow() - this.writtenAtMs >= limits.unrecordedAfterMs
+            && getRenewalAge() >= limits.unrecordedAfterMs;
     }
 
     /** Stops writing; what waits is dropped. */
--- a/packages/coordinate-work/src/testing/coordinatorBed.ts
+++ b/packages/coordinate-work/src/testing/coordinatorBed.ts
@@ -108,6 +108,7 @@
             rules,
             term,
             hadUnrecordedStarts,
+            getRenewalAge: () => Infinity,
             onDeposed: reason => {
                 this.deposed.push(reason);
                 coordinator.close();
--- a/packages/run-entry-vm/src/createEntryVm.ts
+++ b/packages/run-entry-vm/src/createEntryVm.ts
@@ -22,12 +22,13 @@
         new TermDuty({
             ...parts,
             termLog: context.get(TermLog),
-            createCoordinator: (term, hadUnrecordedStarts, onDeposed) =>
+            createCoordinator: (term, hadUnrecordedStarts, getRenewalAge, onDeposed) =>
                 new Coordinator({
                     ...parts,
                     rules: parts.coordinatorRules,
                     term,
                     hadUnrecordedStarts,
+                    getRenewalAge,
                     onDeposed,
                 }),
         })
--- a/packages/run-entry-vm/src/termDuty.ts
+++ b/packages/run-entry-vm/src/termDuty.ts
@@ -28,6 +28,7 @@
     readonly createCoordinator: (
         term: number,
         hadUnrecordedStarts: boolean,
+        getRenewalAge: () => number,
         onDeposed: (reason: string) => void,
     ) => Coordinator;
 }
@@ -53,6 +54,11 @@
         return this.holder === undefined ? 0 : this.parts.clock.getNow() - this.wonAtMs;
     }
 
+    /** Time since the term was last renewed for certain, in milliseconds. */
+    get renewalAgeMs(): number {
+        return this.parts.clock.getNow() - this.renewedAtMs;
+    }
+
     /** How long the store hasn't answered, in milliseconds. */
     get storeSilentMs(): number {
         return this.holder === undefined
@@ -72,6 +78,7 @@
             const coordinator = this.parts.createCoordinator(
                 holder.term,
                 hadUnrecordedStarts,
+                () => this.renewalAgeMs,
                 reason => this.stop(holder.term, reason),
             );
             this.coordinator = coordinator;
