Keep a busy coordinator's renewals and answers ahead of what can wait

What callers saw: after each change of coordinator on the grown deployments nobody could reach the new one for 2 to 4 s (job-state-unavailable, no-coordinator), and it was deposed although it renewed.

Cause: a saturated coordinator. After a takeover it opened 342 holds in one turn; a timer that was late fired before the answer that already lay there was read, so that the call counted as lost and its connection was thrown away; looks at workers went on at the same rate however late the loop was. Followers whose connections were new got no byte for 2 s while the loop turned every 200 ms (trial with counters in PeerClient: connected, 205 bytes written, none read): new connections are served last.

--- a/packages/coordinate-work/src/coordinator.test.ts
+++ b/packages/coordinate-work/src/coordinator.test.ts
@@ -1,4 +1,4 @@
-import { describe, expect, it } from "@jest/globals";
+import { describe, expect, it, jest } from "@jest/globals";
 import { Topic } from "@sardinestage/describe-ports";
 import type { JobSpec } from "@sardinestage/describe-work";
 import { JobState } from "@sardinestage/describe-work";
@@ -22,6 +22,25 @@
 }
 
 describe("Coordinator", () => {
+    describe("when it takes over a large fleet", () => {
+        it("doesn't hold all workers in one turn, which would keep its renewals waiting", async () => {
+            const bed = await createBed(100, 500);
+            const holding = jest.spyOn(bed.fleet, "hold");
+            bed.startTerm(false);
+            await bed.clock.runFor(1);
+            let before = 0;
+            let most = 0;
+            for (let step = 0; step < 200; step++) {
+                await bed.clock.runFor(1);
+                const first = new Set(holding.mock.calls.map(([worker]) => worker.id)).size;
+                most = Math.max(most, first - before);
+                before = first;
+            }
+            expect(before).toBe(100);
+            expect(most).toBeLessThanOrEqual(20);
+        });
+    });
+
     describe("when nothing is wrong", () => {
         it("runs the steps of a job in order and completes it", async () => {
             const bed = await createBed(2, 500);
--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -5,6 +5,7 @@
 import type { Job, Task } from "@sardinestage/track-jobs";
 import { applyCancel, applyRunLost } from "@sardinestage/track-jobs";
 import { AdviceBook } from "./adviceBook.js";
+import { applyInTurns } from "./applyInTurns.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import { describeFleet } from "./describeFleet.js";
 import { Fleet } from "./fleet.js";
@@ -159,7 +160,7 @@
         });
         void this.jobsFollower.run();
         void this.workersFollower.run();
-        this.fleet.links.forEach(link => this.startHolding(link));
+        applyInTurns(clock, [...this.fleet.links.values()], link => this.startHolding(link));
         this.scheduleRound(limits.roundDelayMs);
         this.scheduleUpkeep();
         return true;
--- a/packages/coordinate-work/src/coordinatorParts.ts
+++ b/packages/coordinate-work/src/coordinatorParts.ts
@@ -8,6 +8,8 @@
     readonly term: number;
     /** Time since the term was last renewed in the store for certain, in milliseconds. */
     readonly getRenewalAge: () => number;
+    /** How late this process's loop usually is, in milliseconds. */
+    readonly getLoopDelay: () => number;
     /** Whether an earlier coordinator may have started work without recording it. */
     readonly hadUnrecordedStarts: boolean;
     /** Called once when somebody else has taken over. */
--- a/packages/coordinate-work/src/holdLoop.test.ts
+++ b/packages/coordinate-work/src/holdLoop.test.ts
@@ -37,7 +37,7 @@
     const workers = {
         hold: () => new Promise<HoldAnswer>(resolve => clock.schedule(5, () => resolve(answer))),
     };
-    const parts = { clock, workers, term: 1, rules: { leaseMs: 4500 }, metrics: new Metrics() };
+    const parts = { clock, workers, term: 1, rules: { leaseMs: 4500 }, metrics: new Metrics(), getLoopDelay: () => 0 };
     return parts as unknown as CoordinatorParts;
 }
 
--- a/packages/coordinate-work/src/holdLoop.ts
+++ b/packages/coordinate-work/src/holdLoop.ts
@@ -1,5 +1,6 @@
 import type { HoldAnswer } from "@sardinestage/describe-ports";
 import { OrderOutcome, waitFor } from "@sardinestage/describe-ports";
+import { chooseHoldWait } from "./chooseHoldWait.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import { limits } from "./limits.js";
 import type { WorkerLink } from "./workerLink.js";
@@ -68,7 +69,7 @@
             leaseUntilMs = Math.floor(link.getClock(nowMs) + parts.rules.leaseMs);
             link.leaseUntilMs = Math.max(link.leaseUntilMs, leaseUntilMs);
         }
-        const longestMs = link.isShared ? limits.sharedHoldWaitMs : limits.holdWaitMs;
+        const longestMs = chooseHoldWait(link.isShared, parts.getLoopDelay());
         const waitMs = link.isHeld && link.clockAtMs > 0 && link.missedHolds === 0 ? longestMs : 0;
         const order = { fence: parts.term, lastSeen: link.recordedEnd, leaseUntilMs, waitMs };
         return parts.workers.hold({ id, address }, order);
--- a/packages/coordinate-work/src/limits.ts
+++ b/packages/coordinate-work/src/limits.ts
@@ -4,6 +4,11 @@
     holdWaitMs: 1000,
     /** The same of a worker on which filling tasks work beside serving ones, whose load swings. */
     sharedHoldWaitMs: 400,
+    /** The longest of either while this process is short of processor; well below `workerSilenceMs`. */
+    busyHoldWaitMs: 1400,
+    busySharedHoldWaitMs: 1000,
+    /** A loop that is usually this late is fully busy, in milliseconds. */
+    busyLoopDelayMs: 100,
     /** Pause after a hold without an answer, in milliseconds. */
     holdRetryMs: 150,
     /** A worker that hasn't answered for so long gets no new work, in milliseconds: a hold's wait and a round trip. */
--- a/packages/coordinate-work/src/testing/coordinatorBed.ts
+++ b/packages/coordinate-work/src/testing/coordinatorBed.ts
@@ -109,6 +109,7 @@
             term,
             hadUnrecordedStarts,
             getRenewalAge: () => Infinity,
+            getLoopDelay: () => 0,
             onDeposed: reason => {
                 this.deposed.push(reason);
                 coordinator.close();
--- a/packages/exchange-frames/src/peerClient.test.ts
+++ b/packages/exchange-frames/src/peerClient.test.ts
@@ -17,13 +17,16 @@
     }
 });
 
-async function startServer(port: number, metrics: Metrics): Promise<void> {
+async function startServer(port: number, metrics: Metrics, onRequest?: () => void): Promise<void> {
     const server = new PeerServer({
         peerKey: "secret",
         maxFrameBytes: MAX_FRAME_BYTES,
         maxConnections: 10,
         metrics,
-        handlers: new Map([[FrameKind.ShareStatus, body => ({ echoed: body })]]),
+        handlers: new Map([[FrameKind.ShareStatus, body => {
+            onRequest?.();
+            return { echoed: body };
+        }]]),
     });
     closers.push(() => server.close());
     await server.listen(ADDRESS, port);
@@ -35,6 +38,14 @@
     return client;
 }
 
+/** Keeps the loop from turning, as work that takes long does. */
+function stopLoop(lengthMs: number): void {
+    const untilMs = performance.now() + lengthMs;
+    while (performance.now() < untilMs) {
+        // Nothing else may happen.
+    }
+}
+
 async function findFreePort(): Promise<number> {
     const server = createServer();
     await listenOnAnyPort(server);
@@ -58,6 +69,16 @@
         });
     });
 
+    describe("when its own process stands still", () => {
+        it("doesn't lose a reply that lay unread meanwhile", async () => {
+            const port = await findFreePort();
+            await startServer(port, new Metrics(), () => setImmediate(() => stopLoop(400)));
+            const client = createClient(port, "secret", 300);
+            const reply = await client.request(FrameKind.ShareStatus, { n: 1 });
+            expect(reply.val).toEqual({ echoed: { n: 1 } });
+        });
+    });
+
     describe("when the key is wrong", () => {
         it("gets no answer, and the refusal is counted", async () => {
             const port = await findFreePort();
--- a/packages/exchange-frames/src/peerClient.ts
+++ b/packages/exchange-frames/src/peerClient.ts
@@ -48,9 +48,13 @@
         const socket = this.socket ?? this.openSocket();
         const sequence = ++this.sequence;
         return new Promise(resolve => {
-            const timer = setTimeout(() => {
-                this.dropSocket(socket, createUnreachableError(this.options, "did not answer in time"));
-            }, timeoutMs);
+            // A reply that lies unread because this process was late is read before the connection is given up.
+            const timer = setTimeout(() =>
+                setImmediate(() => {
+                    if (this.waiting.has(sequence)) {
+                        this.dropSocket(socket, createUnreachableError(this.options, "did not answer in time"));
+                    }
+                }), timeoutMs);
             this.waiting.set(sequence, result => {
                 clearTimeout(timer);
                 resolve(result);
--- a/packages/run-entry-vm/src/createEntryVm.ts
+++ b/packages/run-entry-vm/src/createEntryVm.ts
@@ -29,6 +29,7 @@
                     term,
                     hadUnrecordedStarts,
                     getRenewalAge,
+                    getLoopDelay: () => context.get(LoopWatch).usualDelayMs,
                     onDeposed,
                 }),
         })
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -145,7 +145,9 @@
             isLeaving: duty.isLeaving,
             storeSilentMs: duty.storeSilentMs,
             membersVersion,
-            members: request.membersVersion === membersVersion ? undefined : [this.parts.self, ...members],
+            members: duty.isActive && request.membersVersion !== membersVersion
+                ? [this.parts.self, ...members]
+                : undefined,
             configVersion: config.version,
             config: configVersion < config.version ? config.config : undefined,
         };
--- a/packages/watch-loop/src/loopWatch.test.ts
+++ b/packages/watch-loop/src/loopWatch.test.ts
@@ -54,6 +54,20 @@
             expect(watch.getAttentiveTime()).toBe(1200);
         });
 
+        it("tells how late its timers usually are", () => {
+            const { clock, runSmoothly, stall } = createLoop();
+            const watch = new LoopWatch(clock);
+            watch.start();
+            for (let turn = 0; turn < 50; turn++) {
+                runSmoothly(50);
+                stall(200);
+                runSmoothly(0);
+            }
+            expect(watch.usualDelayMs).toBeGreaterThan(100);
+            runSmoothly(10_000);
+            expect(watch.usualDelayMs).toBeLessThan(1);
+        });
+
         it("tells how late its timers were, once", () => {
             const { clock, runSmoothly, stall } = createLoop();
             const watch = new LoopWatch(clock);
--- a/packages/watch-loop/src/loopWatch.ts
+++ b/packages/watch-loop/src/loopWatch.ts
@@ -2,6 +2,8 @@
 
 /** Time between two looks at the clock, in milliseconds. */
 const TICK_MS = 100;
+/** Weight of the newest delay in the average. */
+const NEWEST_WEIGHT = 0.1;
 /** A look that is later than this counts as time in which nothing could be noticed, in milliseconds. */
 const TOLERATED_DELAY_MS = 100;
 
@@ -13,6 +15,8 @@
     private attentiveMs = 0;
     private tickedAtMs: number;
     private longestDelayMs = 0;
+    /** How late timers were on average lately, in milliseconds. */
+    usualDelayMs = 0;
     private cancelTick: (() => void) | undefined;
 
     constructor(private readonly clock: Clock) {
@@ -46,7 +50,9 @@
         this.cancelTick = this.clock.schedule(TICK_MS, () => {
             const nowMs = this.clock.getNow();
             this.attentiveMs += this.computeAttentive(nowMs);
-            this.longestDelayMs = Math.max(this.longestDelayMs, nowMs - this.tickedAtMs - TICK_MS);
+            const delayMs = Math.max(0, nowMs - this.tickedAtMs - TICK_MS);
+            this.longestDelayMs = Math.max(this.longestDelayMs, delayMs);
+            this.usualDelayMs += (delayMs - this.usualDelayMs) * NEWEST_WEIGHT;
             this.tickedAtMs = nowMs;
             this.scheduleTick();
         });
