--- a/packages/plan-starts/src/planStarts.test.ts
+++ b/packages/plan-starts/src/planStarts.test.ts
@@ -177,6 +177,17 @@
     });
 });
 
+describe("planStarts under sustained load", () => {
+    describe("when short work keeps coming", () => {
+        it("doesn't keep a long-running task away for longer than 3 s", () => {
+            const staying = createDemand({ cpuMillis: 1000, longRunning: true }, { waitedMs: 3000 });
+            const ending = createDemand({ cpuMillis: 1000 });
+            const plan = planStarts([ending, staying], [createRoom("w", { freeCpuMillis: 1000 })], rules);
+            expect(plan.starts.map(start => start.task)).toEqual(staying.waiting);
+        });
+    });
+});
+
 describe("planDisplacement", () => {
     describe("when urgent work finds no room", () => {
         it("takes nobody of the same or a higher priority", () => {
