--- a/.ci/checkTests.mjs
+++ b/.ci/checkTests.mjs
@@ -12,25 +12,29 @@
 const text = existsSync(list) ? readFileSync(list, "utf8") : "";
 const known = new Set([...text.matchAll(/^test: (.+)$/gm)].map(match => match[1].trim()));
 const folder = mkdtempSync(join(tmpdir(), "tests-"));
-const report = join(folder, "report.json");
+const outcomes = join(folder, "outcomes.json");
 
 if (text !== "") {
     console.log(`Known to fail:\n${text}`);
 }
-const run = spawnSync("npm", ["test", "--", "--json", `--outputFile=${report}`], {
+const run = spawnSync("npm", ["test", "--", "--reporters=default", `--reporters=${root}.ci/outcomeReporter.mjs`], {
     cwd: root,
+    env: { ...process.env, TEST_OUTCOMES: outcomes },
     stdio: ["ignore", "ignore", "inherit"],
 });
-if (!existsSync(report)) {
-    console.error("The tests left no report: see above.");
-    process.exit(run.status || 1);
-}
-const { testResults } = JSON.parse(readFileSync(report, "utf8"));
+const files = existsSync(outcomes) ? JSON.parse(readFileSync(outcomes, "utf8")) : undefined;
 rmSync(folder, { recursive: true });
+if (files === undefined) {
+    console.error("The tests told no outcomes: see above.");
+    process.exit(1);
+}
 
-const brokenFiles = testResults.filter(file => file.status === "failed" && file.assertionResults.length === 0);
-const tests = testResults.flatMap(file => file.assertionResults);
+const tests = files.flatMap(file => file.tests);
 const failed = tests.filter(test => test.status === "failed").map(test => test.fullName);
+// A file can fail outside its tests: while it is loaded, or in what goes before or after them.
+const brokenFiles = files.filter(file =>
+    file.failedOutsideTests || (file.message !== "" && file.tests.every(test => test.status !== "failed"))
+);
 const unexpected = failed.filter(name => !known.has(name));
 const mended = [...known].filter(name => !failed.includes(name));
 
