--- a/packages/exchange-frames/src/peerClient.test.ts
+++ b/packages/exchange-frames/src/peerClient.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, describe, expect, it } from "@jest/globals";
 import { Metrics } from "@sardinestage/count-metrics";
+import { stopLoop } from "@sardinestage/emulate-platform";
 import { ErrorKind } from "@sardinestage/errors";
 import { createServer } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
@@ -38,14 +39,6 @@
     return client;
 }
 
-/** Keeps the loop from turning, as work that takes long does. */
-function stopLoop(lengthMs: number): void {
-    const untilMs = performance.now() + lengthMs;
-    while (performance.now() < untilMs) {
-        // Nothing else may happen.
-    }
-}
-
 async function findFreePort(): Promise<number> {
     const server = createServer();
     await listenOnAnyPort(server);
--- a/packages/exchange-frames/src/peerClient.ts
+++ b/packages/exchange-frames/src/peerClient.ts
@@ -1,4 +1,5 @@
 import { ErrorKind, RunEffect, StageError } from "@sardinestage/errors";
+import { scheduleTimeout } from "@sardinestage/watch-loop";
 import { createConnection } from "node:net";
 import type { Socket } from "node:net";
 import type { Result } from "ts-results";
@@ -48,15 +49,11 @@
         const socket = this.socket ?? this.openSocket();
         const sequence = ++this.sequence;
         return new Promise(resolve => {
-            // A reply that lies unread because this process was late is read before the connection is given up.
-            const timer = setTimeout(() =>
-                setImmediate(() => {
-                    if (this.waiting.has(sequence)) {
-                        this.dropSocket(socket, createUnreachableError(this.options, "did not answer in time"));
-                    }
-                }), timeoutMs);
+            const giveUp = () =>
+                this.dropSocket(socket, createUnreachableError(this.options, "did not answer in time"));
+            const cancelTimeout = scheduleTimeout(giveUp, timeoutMs);
             this.waiting.set(sequence, result => {
-                clearTimeout(timer);
+                cancelTimeout();
                 resolve(result);
             });
             socket.write(encodeFrame({ kind, sequence, body }));
--- a/packages/watch-loop/src/index.ts
+++ b/packages/watch-loop/src/index.ts
@@ -1,1 +1,2 @@
 export { LoopWatch } from "./loopWatch.js";
+export { scheduleTimeout } from "./scheduleTimeout.js";
