Don't depose a coordinator that other VMs follow

Cause: a VM that had no answer of the coordinator for 10 s stood, although its renewals were 0.04 to 0.7 s old and other VMs followed it. Change: a renewal says how many VMs follow; a VM that reads so of at least a quarter of the members it knows doesn't stand for its own sake. One that nobody follows is still replaced. Tests: two fail without the rule (candidacy, membership), one each way guards it.

--- a/packages/keep-term/src/candidacyRules.ts
+++ b/packages/keep-term/src/candidacyRules.ts
@@ -8,6 +8,8 @@
     readonly freshRenewalMs: number;
     /** A coordinator that answers nobody for so long is of no use although it renews, in milliseconds. */
     readonly unreachableMs: number;
+    /** A renewing coordinator that this share of the members follows is reached by the others (0 to 1). */
+    readonly followedShare: number;
     /** A process that reaches nobody stands only when no renewal has come for so long, in milliseconds. */
     readonly renewalSilenceMs: number;
 }
--- a/packages/keep-term/src/chooseCandidacyStep.test.ts
+++ b/packages/keep-term/src/chooseCandidacyStep.test.ts
@@ -9,6 +9,7 @@
     renewalSilenceMs: 2500,
     freshRenewalMs: 1200,
     unreachableMs: 4000,
+    followedShare: 0.25,
 };
 const WELL: CoordinatorView = {
     isKnown: true,
@@ -21,6 +22,8 @@
     peersAnswered: 3,
     isHeardByPeer: true,
     renewalAgeMs: 500,
+    followers: 0,
+    members: 4,
 };
 
 describe("chooseCandidacyStep", () => {
@@ -41,6 +44,23 @@
             expect(chooseCandidacyStep(view, RULES)).toBe(CandidacyStep.Follow);
         });
 
+        it("doesn't depose one that renews and that others follow, however long it is unreached from here", () => {
+            const view = { ...WELL, silentMs: 60_000, isHeardByPeer: false, renewalAgeMs: 70, followers: 1 };
+            expect(chooseCandidacyStep(view, RULES)).toBe(CandidacyStep.Follow);
+        });
+
+        it("stands if one that renews has lost almost all that followed it", () => {
+            const view = {
+                ...WELL,
+                silentMs: 60_000,
+                isHeardByPeer: false,
+                renewalAgeMs: 70,
+                followers: 1,
+                members: 9,
+            };
+            expect(chooseCandidacyStep(view, RULES)).toBe(CandidacyStep.Stand);
+        });
+
         it("stands if nobody has heard it for long although it renews", () => {
             const view = { ...WELL, silentMs: 4100, isHeardByPeer: false, renewalAgeMs: 70 };
             expect(chooseCandidacyStep(view, RULES)).toBe(CandidacyStep.Stand);
--- a/packages/keep-term/src/chooseCandidacyStep.ts
+++ b/packages/keep-term/src/chooseCandidacyStep.ts
@@ -24,8 +24,9 @@
     if (view.isHeardByPeer) {
         return CandidacyStep.Relay;
     }
-    if (isRenewing && view.silentMs < rules.unreachableMs) {
-        // Busy rather than dead: another takeover would only add to the work.
+    const isFollowed = view.followers > 0 && view.followers >= view.members * rules.followedShare;
+    if (isRenewing && (isFollowed || view.silentMs < rules.unreachableMs)) {
+        // Busy, or only unreached from here, rather than dead: another takeover would only add to the work.
         return CandidacyStep.Follow;
     }
     const isIsolated = view.peers > 0 && view.peersAnswered === 0 && !view.isRefused;
--- a/packages/keep-term/src/coordinatorView.ts
+++ b/packages/keep-term/src/coordinatorView.ts
@@ -19,4 +19,7 @@
     readonly isHeardByPeer: boolean;
     /** Time since the store last showed a renewal of its, in milliseconds. */
     readonly renewalAgeMs: number;
+    /** How many VMs followed it then, and how many members this process knows of. */
+    readonly followers: number;
+    readonly members: number;
 }
--- a/packages/keep-term/src/termView.ts
+++ b/packages/keep-term/src/termView.ts
@@ -8,4 +8,6 @@
     readonly end: number;
     /** When its newest record was written by its writer's time of day, in Unix milliseconds; 0 for no record. */
     readonly writtenAtMs: number;
+    /** How many VMs followed the holder then. */
+    readonly followers: number;
 }
--- a/packages/run-entry-vm/src/createEntryVm.ts
+++ b/packages/run-entry-vm/src/createEntryVm.ts
@@ -6,6 +6,7 @@
 import { ConfigKeeper } from "./configKeeper.js";
 import { EntryVm } from "./entryVm.js";
 import type { EntryVmParts } from "./entryVmParts.js";
+import { Followers } from "./followers.js";
 import { LoadReporter } from "./loadReporter.js";
 import { Membership } from "./membership.js";
 import { Peers } from "./peers.js";
@@ -15,6 +16,7 @@
 export function createEntryVm(parts: EntryVmParts): EntryVm {
     const container = new Container({ defaultScope: "Singleton" });
     container.bind(Peers).toConstantValue(new Peers(parts.peerKey));
+    container.bind(Followers).toConstantValue(new Followers());
     container.bind(LoopWatch).toConstantValue(new LoopWatch(parts.clock));
     container.bind(ConfigKeeper).toConstantValue(new ConfigKeeper(parts));
     container.bind(TermLog).toConstantValue(new TermLog(parts.store, parts.self, parts.clock));
@@ -22,6 +24,7 @@
         new TermDuty({
             ...parts,
             termLog: context.get(TermLog),
+            followers: context.get(Followers),
             createCoordinator: (term, hadUnrecordedStarts, getRenewalAge, onDeposed) =>
                 new Coordinator({
                     ...parts,
@@ -40,6 +43,7 @@
             termLog: context.get(TermLog),
             duty: context.get(TermDuty),
             peers: context.get(Peers),
+            followers: context.get(Followers),
             config: context.get(ConfigKeeper),
             watch: context.get(LoopWatch),
         })
--- a/packages/run-entry-vm/src/defaultRules.ts
+++ b/packages/run-entry-vm/src/defaultRules.ts
@@ -7,6 +7,7 @@
     renewalSilenceMs: 2500,
     freshRenewalMs: 1500,
     unreachableMs: 10_000,
+    followedShare: 0.25,
     recordedWithinMs: 4500,
     wallToleranceMs: 2000,
     storeSteadyMs: 700,
--- a/packages/run-entry-vm/src/followers.ts
+++ b/packages/run-entry-vm/src/followers.ts
@@ -38,6 +38,11 @@
         return [...this.followers.values()].map(({ candidate }) => candidate);
     }
 
+    /** How many VMs follow now. */
+    getFollowing(nowMs: number): number {
+        return [...this.followers.values()].filter(({ atMs }) => nowMs - atMs < FOLLOWING_MS).length;
+    }
+
     /** Lists the VMs that have followed without a break for so long. */
     listSteady(nowMs: number, forMs: number): readonly Candidate[] {
         return [...this.followers.values()]
--- a/packages/run-entry-vm/src/membership.test.ts
+++ b/packages/run-entry-vm/src/membership.test.ts
@@ -9,6 +9,7 @@
 import { LoopWatch } from "@sardinestage/watch-loop";
 import type { ConfigKeeper } from "./configKeeper.js";
 import { defaultRules } from "./defaultRules.js";
+import { Followers } from "./followers.js";
 import type { FollowRequest } from "./followRequest.js";
 import { Membership } from "./membership.js";
 import type { Peers } from "./peers.js";
@@ -20,6 +21,8 @@
     readonly store = new MemoryStore(this.clock, () => 0.5);
     readonly answerMs = new Map<string, number>();
     readonly candidacies: string[] = [];
+    /** VMs whose requests to others get no answer. */
+    readonly unanswered = new Set<string>();
     private readonly members = new Map<string, Membership>();
     private readonly duties = new Map<string, FakeDuty>();
 
@@ -27,7 +30,8 @@
         const { clock } = this;
         const self: Candidate = { vm, incarnation: vm, host: vm, port: 1, strength };
         const termLog = new TermLog(this.store, self, clock);
-        const duty = new FakeDuty(clock, termLog);
+        const followers = new Followers();
+        const duty = new FakeDuty(clock, termLog, followers);
         const watch = new LoopWatch(clock);
         watch.start();
         const logger: EventLogger = {
@@ -43,7 +47,8 @@
             self,
             termLog,
             duty: duty as unknown as TermDuty,
-            peers: { request: this.request.bind(this) } as unknown as Peers,
+            peers: { request: this.request.bind(this, vm) } as unknown as Peers,
+            followers,
             config: { version: 1 } as ConfigKeeper,
             clock,
             logger,
@@ -61,8 +66,8 @@
         return [...this.duties].find(([, duty]) => duty.isActive)?.[0];
     }
 
-    private async request(peer: Candidate, kind: FrameKind, body: unknown, timeoutMs: number) {
-        const member = this.members.get(peer.vm);
+    private async request(vm: string, peer: Candidate, kind: FrameKind, body: unknown, timeoutMs: number) {
+        const member = this.unanswered.has(vm) ? undefined : this.members.get(peer.vm);
         const answerMs = this.answerMs.get(peer.vm) ?? 2;
         await waitFor(this.clock, Math.min(timeoutMs, answerMs));
         if (member === undefined || answerMs > timeoutMs) {
@@ -81,7 +86,11 @@
     readonly storeSilentMs = 0;
     private wonAtMs = 0;
 
-    constructor(private readonly clock: Clock, private readonly termLog: TermLog) {}
+    constructor(
+        private readonly clock: Clock,
+        private readonly termLog: TermLog,
+        private readonly followers: Followers,
+    ) {}
 
     get isActive(): boolean {
         return this.holder !== undefined;
@@ -103,12 +112,16 @@
     }
 
     private async runRenewals(term: number): Promise<void> {
-        while (await this.termLog.renew(term) === RenewalOutcome.Renewed) {
+        while (await this.renew(term) === RenewalOutcome.Renewed) {
             await waitFor(this.clock, defaultRules.renewMs);
         }
         this.holder = undefined;
         this.isLeaving = false;
     }
+
+    private renew(term: number): Promise<RenewalOutcome> {
+        return this.termLog.renew(term, this.followers.getFollowing(this.clock.getNow()));
+    }
 }
 
 describe("Membership", () => {
@@ -127,6 +140,34 @@
         });
     });
 
+    describe("when one VM can't reach the coordinator that the others follow", () => {
+        it("doesn't depose it, however long that lasts", async () => {
+            const installation = new Installation();
+            installation.addVm("first", 1);
+            await installation.clock.runFor(1000);
+            ["a", "b", "c"].forEach(vm => installation.addVm(vm, 1));
+            await installation.clock.runFor(2000);
+            installation.unanswered.add("late");
+            installation.addVm("late", 1);
+            await installation.clock.runFor(30_000);
+            expect(installation.candidacies).toEqual(["first"]);
+        });
+    });
+
+    describe("when nobody reaches a coordinator that renews", () => {
+        it("is replaced after a while", async () => {
+            const installation = new Installation();
+            installation.addVm("first", 1);
+            await installation.clock.runFor(1000);
+            const others = ["a", "b", "c"];
+            others.forEach(vm => installation.addVm(vm, 1));
+            await installation.clock.runFor(2000);
+            installation.answerMs.set("first", 60_000);
+            await installation.clock.runFor(20_000);
+            expect(others).toContain(installation.coordinator);
+        });
+    });
+
     describe("when a weak VM has won the term", () => {
         it("hands it to a strong one, so that the largest work isn't done on the smallest VM", async () => {
             const installation = new Installation();
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -13,7 +13,7 @@
 import type { ConfigKeeper } from "./configKeeper.js";
 import { describeCandidacy } from "./describeCandidacy.js";
 import type { EntryVmRules } from "./entryVmRules.js";
-import { Followers } from "./followers.js";
+import type { Followers } from "./followers.js";
 import type { FollowReply } from "./followReply.js";
 import type { FollowRequest } from "./followRequest.js";
 import type { PeerReport } from "./peerReport.js";
@@ -38,6 +38,7 @@
     readonly termLog: TermLog;
     readonly duty: TermDuty;
     readonly peers: Peers;
+    readonly followers: Followers;
     readonly config: ConfigKeeper;
     readonly clock: Clock;
     readonly logger: EventLogger;
@@ -56,7 +57,6 @@
     private relay: Candidate | undefined;
     private members: readonly Candidate[] = [];
     private membersVersion = "";
-    private readonly followers = new Followers();
     private readonly term: TermObserver;
     private readonly followTimeout: AnswerTimeout;
     private theirConfigVersion = -1;
@@ -132,12 +132,12 @@
         const { duty, config, clock } = this.parts;
         const nowMs = clock.getNow();
         const { candidate, configVersion } = request;
-        this.followers.note(candidate, nowMs);
+        this.parts.followers.note(candidate, nowMs);
         if (request.config !== undefined) {
             config.takeConfig(request.config as WorkConfig, "follower");
         }
-        const members = this.followers.list(nowMs);
-        const membersVersion = `${this.parts.self.incarnation}/${this.followers.version}`;
+        const members = this.parts.followers.list(nowMs);
+        const membersVersion = `${this.parts.self.incarnation}/${this.parts.followers.version}`;
         return {
             holder: duty.holder ?? this.holder,
             incarnation: this.parts.self.incarnation,
@@ -169,7 +169,7 @@
             this.heardAtMs = watch.getAttentiveTime();
             this.term.noteStoreSeen(clock.getNow() - duty.storeSilentMs);
             this.holder = duty.holder;
-            this.members = this.followers.list(clock.getNow());
+            this.members = this.parts.followers.list(clock.getNow());
             this.releaseToStronger(clock.getNow());
             return true;
         }
@@ -196,7 +196,7 @@
         if (duty.isLeaving || duty.heldMs < rules.steadyMs) {
             return;
         }
-        const steady = this.followers.listSteady(nowMs, rules.steadyMs);
+        const steady = this.parts.followers.listSteady(nowMs, rules.steadyMs);
         if (computeWeakness(self, steady) >= rules.giveWayWeakness) {
             logger.info("term-offered", {
                 strength: self.strength,
@@ -269,6 +269,8 @@
             peersAnswered: reports.length,
             isHeardByPeer: heard !== undefined,
             renewalAgeMs: this.term.renewalAgeMs,
+            followers: view?.followers ?? 0,
+            members: this.members.length,
         };
         const step = chooseCandidacyStep(seen, rules);
         if (step === CandidacyStep.Stand && view !== undefined && !this.isDraining) {
--- a/packages/run-entry-vm/src/termDuty.ts
+++ b/packages/run-entry-vm/src/termDuty.ts
@@ -7,6 +7,7 @@
 import { RenewalOutcome } from "@sardinestage/keep-term";
 import type { EventLogger } from "@sardinestage/log-events";
 import type { EntryVmRules } from "./entryVmRules.js";
+import type { Followers } from "./followers.js";
 
 /** Pause between two tries to take over, in milliseconds. */
 const TAKEOVER_RETRY_MS = 100;
@@ -24,6 +25,7 @@
     readonly clock: Clock;
     readonly logger: EventLogger;
     readonly rules: EntryVmRules;
+    readonly followers: Followers;
     /** Makes a coordinator for a term. */
     readonly createCoordinator: (
         term: number,
@@ -137,7 +139,7 @@
     }
 
     private async runRenewals(term: number): Promise<void> {
-        const { clock, termLog, rules, logger } = this.parts;
+        const { clock, termLog, rules, logger, followers } = this.parts;
         let hasFailed = false;
         while (this.holder?.term === term) {
             await waitFor(clock, hasFailed ? rules.renewMs / 4 : rules.renewMs);
@@ -145,7 +147,7 @@
                 return;
             }
             const sentAtMs = clock.getNow();
-            const outcome = await termLog.renew(term);
+            const outcome = await termLog.renew(term, followers.getFollowing(sentAtMs));
             if (outcome === RenewalOutcome.Deposed) {
                 this.stop(term, "another-won");
                 return;
--- a/packages/run-entry-vm/src/termObserver.test.ts
+++ b/packages/run-entry-vm/src/termObserver.test.ts
@@ -23,7 +23,7 @@
         return await reading;
     };
     const renew = async () => {
-        const renewing = holder.renew(term);
+        const renewing = holder.renew(term, 0);
         await clock.runFor(50);
         await renewing;
     };
