Send a configuration only to a VM that the store doesn't tell

Cause: with each version the coordinator sent the whole configuration to each VM whose look came before its own read of the store did, so to nearly all: 5 MB/s from a coordinator that had no processor left (logs: 10.6 MB in 2 s). Holds timed out, leases lapsed, and runs whose good ends had not been heard of were started again. Ruled out: a change of coordinator (none), a cut or crash of these workers. ConfigLag has its tests.

--- /dev/null
+++ b/packages/run-entry-vm/src/configLag.test.ts
@@ -0,0 +1,29 @@
+import { describe, expect, it } from "@jest/globals";
+import { ConfigLag } from "./configLag.js";
+
+describe("ConfigLag", () => {
+    describe("when configurations come in quick succession and the store tells of each", () => {
+        it("has none sent by another VM", () => {
+            const lag = new ConfigLag();
+            const stale: boolean[] = [];
+            for (let version = 1; version < 30; version++) {
+                lag.note(version, version + 1, version * 250);
+                stale.push(lag.isStale(version * 250));
+            }
+            expect(stale).not.toContain(true);
+        });
+    });
+
+    describe("when the store doesn't tell of one", () => {
+        it("has it sent within a second", () => {
+            const lag = new ConfigLag();
+            lag.note(1, 2, 0);
+            lag.note(1, 2, 250);
+            expect(lag.isStale(250)).toBe(false);
+            lag.note(1, 3, 750);
+            expect(lag.isStale(750)).toBe(true);
+            lag.note(3, 3, 1000);
+            expect(lag.isStale(1000)).toBe(false);
+        });
+    });
+});
--- a/packages/run-entry-vm/src/followReply.ts
+++ b/packages/run-entry-vm/src/followReply.ts
@@ -16,6 +16,6 @@
     /** The VMs that follow it, when the request showed another version. */
     readonly members?: readonly Candidate[];
     readonly configVersion: number;
-    /** The configuration, when the request showed an older version. */
+    /** The configuration, when the request asked for it. */
     readonly config?: unknown;
 }
--- a/packages/run-entry-vm/src/followRequest.ts
+++ b/packages/run-entry-vm/src/followRequest.ts
@@ -5,7 +5,8 @@
     readonly candidate: Candidate;
     /** Of the members that this VM knows of; empty at first. */
     readonly membersVersion: string;
-    readonly configVersion: number;
-    /** The configuration, when the coordinator's last reply showed an older version. */
+    /** Whether the configuration is to come with the reply. */
+    readonly needsConfig: boolean;
+    /** The configuration, when the coordinator stays behind it. */
     readonly config?: unknown;
 }
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -11,6 +11,7 @@
 import { chooseSome } from "./chooseSome.js";
 import { computeWeakness } from "./computeWeakness.js";
 import type { ConfigKeeper } from "./configKeeper.js";
+import { ConfigLag } from "./configLag.js";
 import { describeCandidacy } from "./describeCandidacy.js";
 import type { EntryVmRules } from "./entryVmRules.js";
 import type { Followers } from "./followers.js";
@@ -59,7 +60,8 @@
     private membersVersion = "";
     private readonly term: TermObserver;
     private readonly followTimeout: AnswerTimeout;
-    private theirConfigVersion = -1;
+    private readonly ourConfigLag = new ConfigLag();
+    private readonly theirConfigLag = new ConfigLag();
     private isClosed = false;
     private isDraining = false;
 
@@ -131,8 +133,7 @@
     answerFollow(request: FollowRequest): FollowReply {
         const { duty, config, clock } = this.parts;
         const nowMs = clock.getNow();
-        const { candidate, configVersion } = request;
-        this.parts.followers.note(candidate, nowMs);
+        this.parts.followers.note(request.candidate, nowMs);
         if (request.config !== undefined) {
             config.takeConfig(request.config as WorkConfig, "follower");
         }
@@ -149,7 +150,7 @@
                 ? [this.parts.self, ...members]
                 : undefined,
             configVersion: config.version,
-            config: configVersion < config.version ? config.config : undefined,
+            config: request.needsConfig ? config.config : undefined,
         };
     }
 
@@ -207,21 +208,18 @@
     }
 
     private buildFollowRequest(): FollowRequest {
-        const { self, config } = this.parts;
-        const isOurs = this.theirConfigVersion < config.version && this.theirConfigVersion >= 0;
+        const { self, config, clock } = this.parts;
+        const nowMs = clock.getNow();
         return {
             candidate: self,
             membersVersion: this.membersVersion,
-            configVersion: config.version,
-            config: isOurs ? config.config : undefined,
+            needsConfig: config.version < 0 || this.ourConfigLag.isStale(nowMs),
+            config: this.theirConfigLag.isStale(nowMs) ? config.config : undefined,
         };
     }
 
     private takeFollowReply(reply: FollowReply, asked: TermHolder, sentAtMs: number): boolean {
-        this.theirConfigVersion = reply.configVersion;
-        if (reply.config !== undefined) {
-            this.parts.config.takeConfig(reply.config as WorkConfig, "coordinator");
-        }
+        this.takeConfigState(reply);
         this.takeHolder(reply.holder);
         // Another process at its address: the one that held the term has ended.
         this.isRefused = reply.incarnation !== asked.incarnation && this.holder?.term === asked.term;
@@ -238,6 +236,15 @@
         return !reply.isLeaving && reply.storeSilentMs < this.parts.rules.storeSilenceMs;
     }
 
+    private takeConfigState(reply: FollowReply): void {
+        const { config, clock } = this.parts;
+        if (reply.config !== undefined) {
+            config.takeConfig(reply.config as WorkConfig, "coordinator");
+        }
+        this.ourConfigLag.note(config.version, reply.configVersion, clock.getNow());
+        this.theirConfigLag.note(reply.configVersion, config.version, clock.getNow());
+    }
+
     private takeHolder(holder: TermHolder | undefined): void {
         if (holder === undefined || holder.term <= (this.holder?.term ?? -1)) {
             return;
