Let the ends of a worker come together while the coordinator is busy

Cause: a hold answers with each end at once, and each answer lists all that the worker runs: 770 answers a second, the largest part of what the coordinator did. Change: the busier the loop, the longer the pause before the next hold, up to 200 ms; none while the loop is on time.

--- a/packages/coordinate-work/src/holdLoop.ts
+++ b/packages/coordinate-work/src/holdLoop.ts
@@ -1,5 +1,6 @@
 import type { HoldAnswer } from "@sardinestage/describe-ports";
 import { OrderOutcome, waitFor } from "@sardinestage/describe-ports";
+import { chooseHoldPause } from "./chooseHoldPause.js";
 import { chooseHoldWait } from "./chooseHoldWait.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import { limits } from "./limits.js";
@@ -59,6 +60,10 @@
         }
         this.handlers.takeAnswer(this.link, answer, sentAtMs);
         await this.waitForRecord();
+        const pauseMs = chooseHoldPause(this.parts.getLoopDelay());
+        if (pauseMs > 0) {
+            await waitFor(this.parts.clock, pauseMs);
+        }
     }
 
     private sendHold(nowMs: number): Promise<HoldAnswer> {
--- a/packages/coordinate-work/src/limits.ts
+++ b/packages/coordinate-work/src/limits.ts
@@ -7,6 +7,8 @@
     /** The longest of either while this process is short of processor; well below `workerSilenceMs`. */
     busyHoldWaitMs: 1400,
     busySharedHoldWaitMs: 1000,
+    /** The longest pause between an answer and the next hold while this process is short of processor. */
+    busyHoldPauseMs: 200,
     /** A loop that is usually this late is fully busy, in milliseconds. */
     busyLoopDelayMs: 100,
     /** Pause after a hold without an answer, in milliseconds. */
