--- a/packages/run-entry-vm/src/followers.test.ts
+++ b/packages/run-entry-vm/src/followers.test.ts
@@ -15,7 +15,7 @@
             const { version } = followers;
             followers.note(createCandidate("a"), 250);
             followers.note(createCandidate("b"), 250);
-            followers.list(250);
+            followers.dropSilent(250);
             expect(followers.version).toBe(version);
         });
     });
@@ -30,7 +30,8 @@
             versions.add(followers.version);
             followers.note(createCandidate("a", "restarted"), 5000);
             versions.add(followers.version);
-            expect(followers.list(9000).map(({ vm }) => vm)).toEqual(["a"]);
+            followers.dropSilent(9000);
+            expect(followers.list().map(({ vm }) => vm)).toEqual(["a"]);
             versions.add(followers.version);
             expect(versions.size).toBe(4);
         });
--- a/packages/run-entry-vm/src/followers.ts
+++ b/packages/run-entry-vm/src/followers.ts
@@ -2,7 +2,6 @@
 
 /** A VM that hasn't followed for so long is no longer named to others, in milliseconds. */
 const FORGET_AFTER_MS = 8000;
-
 /** A VM that has followed within this is following, in milliseconds. */
 const FOLLOWING_MS = 1000;
 
@@ -27,14 +26,18 @@
         this.followers.set(candidate.vm, { candidate, atMs: nowMs, sinceMs: isKnown ? known.sinceMs : nowMs });
     }
 
-    /** Lists the VMs that have followed lately, and forgets the others. */
-    list(nowMs: number): readonly Candidate[] {
+    /** Forgets the VMs that haven't followed lately. */
+    dropSilent(nowMs: number): void {
         for (const [vm, { atMs }] of this.followers) {
             if (nowMs - atMs >= FORGET_AFTER_MS) {
                 this.followers.delete(vm);
                 this.version++;
             }
         }
+    }
+
+    /** Lists the VMs that are known to follow. */
+    list(): readonly Candidate[] {
         return [...this.followers.values()].map(({ candidate }) => candidate);
     }
 
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -19,6 +19,7 @@
 import type { FollowRequest } from "./followRequest.js";
 import type { PeerReport } from "./peerReport.js";
 import type { Peers } from "./peers.js";
+import { requestReports } from "./requestReports.js";
 import type { TermDuty } from "./termDuty.js";
 import { TermObserver } from "./termObserver.js";
 
@@ -131,23 +132,22 @@
 
     /** Answers a VM that follows this one. */
     answerFollow(request: FollowRequest): FollowReply {
-        const { duty, config, clock } = this.parts;
-        const nowMs = clock.getNow();
-        this.parts.followers.note(request.candidate, nowMs);
+        const { self, duty, config, clock, followers } = this.parts;
+        followers.note(request.candidate, clock.getNow());
+        followers.dropSilent(clock.getNow());
         if (request.config !== undefined) {
             config.takeConfig(request.config as WorkConfig, "follower");
         }
-        const members = this.parts.followers.list(nowMs);
-        const membersVersion = `${this.parts.self.incarnation}/${this.parts.followers.version}`;
+        const membersVersion = `${self.incarnation}/${followers.version}`;
         return {
             holder: duty.holder ?? this.holder,
-            incarnation: this.parts.self.incarnation,
+            incarnation: self.incarnation,
             isCoordinator: duty.isActive,
             isLeaving: duty.isLeaving,
             storeSilentMs: duty.storeSilentMs,
             membersVersion,
             members: duty.isActive && request.membersVersion !== membersVersion
-                ? [this.parts.self, ...members]
+                ? [self, ...followers.list()]
                 : undefined,
             configVersion: config.version,
             config: request.needsConfig ? config.config : undefined,
@@ -170,7 +170,8 @@
             this.heardAtMs = watch.getAttentiveTime();
             this.term.noteStoreSeen(clock.getNow() - duty.storeSilentMs);
             this.holder = duty.holder;
-            this.members = this.parts.followers.list(clock.getNow());
+            this.parts.followers.dropSilent(clock.getNow());
+            this.members = this.parts.followers.list();
             this.releaseToStronger(clock.getNow());
             return true;
         }
@@ -261,8 +262,12 @@
 
     /** Finds out what is wrong with the coordinator, and what to do about it. */
     private async resolveDoubt(): Promise<void> {
-        const { clock, rules, logger, watch } = this.parts;
-        const [view, reports] = await Promise.all([this.readTerm(), this.requestReports()]);
+        const { clock, rules, logger, watch, peers } = this.parts;
+        const asked = chooseSome(this.members.filter(member => this.isOtherPeer(member)), PEERS_ASKED);
+        const [view, reports] = await Promise.all([
+            this.readTerm(),
+            requestReports(peers, asked, rules.peerTimeoutMs),
+        ]);
         const heard = reports.find(({ report }) => report.heardMs < HEARD_LATELY_MS && this.isCurrent(report.holder));
         reports.forEach(({ report }) => this.takeHolder(report.holder));
         const seen: CoordinatorView = {
@@ -272,7 +277,7 @@
             isLeaving: this.isLeaving,
             storeSilentMs: this.term.storeSteadyMs >= rules.storeSteadyMs ? this.storeSilentMs : 0,
             hasStore: view !== undefined,
-            peers: Math.min(PEERS_ASKED, this.members.filter(member => this.isOtherPeer(member)).length),
+            peers: asked.length,
             peersAnswered: reports.length,
             isHeardByPeer: heard !== undefined,
             renewalAgeMs: this.term.renewalAgeMs,
@@ -307,16 +312,6 @@
         return view;
     }
 
-    private async requestReports(): Promise<{ peer: Candidate; report: PeerReport }[]> {
-        const { peers, rules } = this.parts;
-        const others = chooseSome(this.members.filter(member => this.isOtherPeer(member)), PEERS_ASKED);
-        const answers = await Promise.all(others.map(async peer => {
-            const answer = await peers.request(peer, FrameKind.AskPeer, {}, rules.peerTimeoutMs);
-            return answer.hasAnswered ? [{ peer, report: answer.body as PeerReport }] : [];
-        }));
-        return answers.flat();
-    }
-
     /** Waits its turn (those near the store go first) and tries to win the term that follows what was read. */
     private async tryStanding(before: TermView, seen: CoordinatorView): Promise<void> {
         const { clock, rules, termLog, duty, logger, self } = this.parts;
--- /dev/null
+++ b/packages/run-entry-vm/src/requestReports.ts
@@ -0,0 +1,28 @@
+import { FrameKind } from "@sardinestage/exchange-frames";
+import type { Candidate } from "@sardinestage/keep-term";
+import type { PeerReport } from "./peerReport.js";
+import type { Peers } from "./peers.js";
+
+/** What a peer said of the coordinator. */
+interface ReceivedReport {
+    readonly peer: Candidate;
+    readonly report: PeerReport;
+}
+
+/**
+ * Asks peers what they know of the coordinator.
+ *
+ * @param timeoutMs How long each may take, in milliseconds.
+ * @returns The reports of those that answered.
+ */
+export async function requestReports(
+    peers: Peers,
+    asked: readonly Candidate[],
+    timeoutMs: number,
+): Promise<readonly ReceivedReport[]> {
+    const answers = await Promise.all(asked.map(async peer => {
+        const answer = await peers.request(peer, FrameKind.AskPeer, {}, timeoutMs);
+        return answer.hasAnswered ? [{ peer, report: answer.body as PeerReport }] : [];
+    }));
+    return answers.flat();
+}
--- a/packages/run-entry-vm/src/termDuty.ts
+++ b/packages/run-entry-vm/src/termDuty.ts
@@ -63,17 +63,15 @@
 
     /** How long the store hasn't answered, in milliseconds. */
     get storeSilentMs(): number {
-        return this.holder === undefined
-            ? 0
-            : Math.max(0, this.parts.clock.getNow() - this.renewedAtMs - this.parts.rules.renewMs);
+        return this.holder === undefined ? 0 : Math.max(0, this.renewalAgeMs - this.parts.rules.renewMs);
     }
 
     /** Begins a term that was just won; returns once it has taken over or has given up. */
     async start(holder: TermHolder, hadUnrecordedStarts: boolean): Promise<void> {
         const { clock, logger } = this.parts;
         this.holder = holder;
-        this.renewedAtMs = clock.getNow();
         this.wonAtMs = clock.getNow();
+        this.renewedAtMs = this.wonAtMs;
         logger.info("term-won", { term: holder.term, hadUnrecordedStarts });
         void this.runRenewals(holder.term);
         for (let tries = 0; tries < TAKEOVER_TRIES && this.holder === holder; tries++) {
