Log how many VMs follow a coordinator that another stands against

A candidacy against a coordinator that renews couldn't be told from one against a coordinator that nobody reaches; term-candidacy now has followers and members. Log fields only; no behaviour changes.

--- a/packages/run-entry-vm/src/describeCandidacy.ts
+++ b/packages/run-entry-vm/src/describeCandidacy.ts
@@ -14,5 +14,7 @@
         isLeaving: seen.isLeaving,
         peers: seen.peers,
         peersAnswered: seen.peersAnswered,
+        followers: seen.followers,
+        members: seen.members,
     };
 }
