One measure of a busy process, and one filter for who follows

chooseHoldWait and chooseHoldPause each worked out how busy the loop's delay makes a process; computeBusyShare serves both. Followers filtered its VMs by the same condition in getFollowing and listSteady: the first now counts the second's list for no time at all, which is the same set as sinceMs is never in the future.

--- a/packages/coordinate-work/src/chooseHoldPause.ts
+++ b/packages/coordinate-work/src/chooseHoldPause.ts
@@ -1,3 +1,4 @@
+import { computeBusyShare } from "./computeBusyShare.js";
 import { limits } from "./limits.js";
 
 /**
@@ -8,6 +9,5 @@
  * @returns Milliseconds.
  */
 export function chooseHoldPause(loopDelayMs: number): number {
-    const busy = Math.min(1, Math.max(0, loopDelayMs) / limits.busyLoopDelayMs);
-    return Math.round(limits.busyHoldPauseMs * busy);
+    return Math.round(limits.busyHoldPauseMs * computeBusyShare(loopDelayMs));
 }
--- a/packages/coordinate-work/src/chooseHoldWait.ts
+++ b/packages/coordinate-work/src/chooseHoldWait.ts
@@ -1,3 +1,4 @@
+import { computeBusyShare } from "./computeBusyShare.js";
 import { limits } from "./limits.js";
 
 /**
@@ -12,6 +13,5 @@
 export function chooseHoldWait(isShared: boolean, loopDelayMs: number): number {
     const usualMs = isShared ? limits.sharedHoldWaitMs : limits.holdWaitMs;
     const mostMs = isShared ? limits.busySharedHoldWaitMs : limits.busyHoldWaitMs;
-    const busy = Math.min(1, Math.max(0, loopDelayMs) / limits.busyLoopDelayMs);
-    return Math.round(usualMs + (mostMs - usualMs) * busy);
+    return Math.round(usualMs + (mostMs - usualMs) * computeBusyShare(loopDelayMs));
 }
--- a/packages/run-entry-vm/src/followers.ts
+++ b/packages/run-entry-vm/src/followers.ts
@@ -43,7 +43,7 @@
 
     /** How many VMs follow now. */
     getFollowing(nowMs: number): number {
-        return [...this.followers.values()].filter(({ atMs }) => nowMs - atMs < FOLLOWING_MS).length;
+        return this.listSteady(nowMs, 0).length;
     }
 
     /** Lists the VMs that have followed without a break for so long. */
