A request's timeout is the request's; what became of a call is noted in one way

Peers gave each PeerClient a timeout that every request then overrode. The timeout is now an argument of request; PeerPool passes its own. The tests pass the same times to the request instead of the client, with the same assertions. Membership, ProgressWriter and RecordDesk told AnswerTimeout of an answer or of silence in the same six lines: AnswerTimeout.noteOutcome. No change of behaviour.

--- a/packages/accept-jobs/src/recordDesk.ts
+++ b/packages/accept-jobs/src/recordDesk.ts
@@ -117,12 +117,7 @@
         const tookMs = clock.getNow() - sentAtMs;
         metrics.recordDuration("accept_append", tookMs);
         const outcome = convertOutcome(answer.outcome);
-        if (outcome === SubmitOutcome.Unknown) {
-            this.timeout.noteSilence();
-        }
-        else {
-            this.timeout.noteAnswer(tookMs);
-        }
+        this.timeout.noteOutcome(outcome !== SubmitOutcome.Unknown, tookMs);
         if (outcome !== SubmitOutcome.Accepted) {
             metrics.count("accept_failures_total", `store-${AppendOutcome[answer.outcome]}`);
             void this.watchStore();
--- a/packages/coordinate-work/src/progressWriter.ts
+++ b/packages/coordinate-work/src/progressWriter.ts
@@ -188,12 +188,7 @@
         const sentAtMs = clock.getNow();
         const timeoutMs = this.chooseTimeout(sentAtMs);
         const answer = await store.append({ topic: Topic.Progress, records, writer, timeoutMs });
-        if (answer.outcome === AppendOutcome.Unknown) {
-            this.timeout.noteSilence();
-        }
-        else {
-            this.timeout.noteAnswer(clock.getNow() - sentAtMs);
-        }
+        this.timeout.noteOutcome(answer.outcome !== AppendOutcome.Unknown, clock.getNow() - sentAtMs);
         if (answer.outcome === AppendOutcome.Appended && records.length > 0) {
             this.sequence++;
         }
--- a/packages/exchange-frames/src/peerClient.test.ts
+++ b/packages/exchange-frames/src/peerClient.test.ts
@@ -10,6 +10,7 @@
 
 const ADDRESS = "127.0.0.1";
 const MAX_FRAME_BYTES = 4096;
+const TIMEOUT_MS = 300;
 const closers: (() => void)[] = [];
 
 afterEach(() => {
@@ -33,8 +34,8 @@
     await server.listen(ADDRESS, port);
 }
 
-function createClient(port: number, peerKey: string, timeoutMs = 300): PeerClient {
-    const client = new PeerClient({ address: ADDRESS, port, peerKey, maxFrameBytes: MAX_FRAME_BYTES, timeoutMs });
+function createClient(port: number, peerKey: string): PeerClient {
+    const client = new PeerClient({ address: ADDRESS, port, peerKey, maxFrameBytes: MAX_FRAME_BYTES });
     closers.push(() => client.close());
     return client;
 }
@@ -57,7 +58,9 @@
             const port = await findFreePort();
             await startServer(port, new Metrics());
             const client = createClient(port, "secret");
-            const replies = await Promise.all([1, 2, 3].map(n => client.request(FrameKind.ShareStatus, { n })));
+            const replies = await Promise.all(
+                [1, 2, 3].map(n => client.request(FrameKind.ShareStatus, { n }, TIMEOUT_MS)),
+            );
             expect(replies.map(reply => reply.val)).toEqual([1, 2, 3].map(n => ({ echoed: { n } })));
         });
     });
@@ -66,8 +69,8 @@
         it("doesn't lose a reply that lay unread meanwhile", async () => {
             const port = await findFreePort();
             await startServer(port, new Metrics(), () => setImmediate(() => stopLoop(400)));
-            const client = createClient(port, "secret", 300);
-            const reply = await client.request(FrameKind.ShareStatus, { n: 1 });
+            const client = createClient(port, "secret");
+            const reply = await client.request(FrameKind.ShareStatus, { n: 1 }, TIMEOUT_MS);
             expect(reply.val).toEqual({ echoed: { n: 1 } });
         });
     });
@@ -77,7 +80,7 @@
             const port = await findFreePort();
             const metrics = new Metrics();
             await startServer(port, metrics);
-            const reply = await createClient(port, "guess").request(FrameKind.ShareStatus, {});
+            const reply = await createClient(port, "guess").request(FrameKind.ShareStatus, {}, TIMEOUT_MS);
             expect(reply.err).toBe(true);
             expect(await metrics.writeText()).toContain("peer_frames_refused_total{reason=\"unauthenticated\"} 1");
         });
@@ -85,7 +88,11 @@
 
     describe("when nothing listens", () => {
         it("tells a refused connection from an unreachable peer", async () => {
-            const reply = await createClient(await findFreePort(), "secret").request(FrameKind.ShareStatus, {});
+            const reply = await createClient(await findFreePort(), "secret").request(
+                FrameKind.ShareStatus,
+                {},
+                TIMEOUT_MS,
+            );
             expect(reply.err && reply.val.kind).toBe(ErrorKind.PeerRefusedConnection);
         });
     });
@@ -99,9 +106,9 @@
                 sockets.forEach(socket => socket.destroy());
                 silent.close();
             });
-            const client = createClient((silent.address() as AddressInfo).port, "secret", 50);
-            const first = await client.request(FrameKind.ShareStatus, {});
-            const second = await client.request(FrameKind.ShareStatus, {});
+            const client = createClient((silent.address() as AddressInfo).port, "secret");
+            const first = await client.request(FrameKind.ShareStatus, {}, 50);
+            const second = await client.request(FrameKind.ShareStatus, {}, 50);
             expect([first, second].map(reply => reply.err && reply.val.kind)).toEqual([
                 ErrorKind.PeerUnreachable,
                 ErrorKind.PeerUnreachable,
--- a/packages/exchange-frames/src/peerClient.ts
+++ b/packages/exchange-frames/src/peerClient.ts
@@ -16,8 +16,6 @@
     readonly port: number;
     readonly peerKey: string;
     readonly maxFrameBytes: number;
-    /** A request without a reply for so many milliseconds fails, and its connection is given up. */
-    readonly timeoutMs: number;
 }
 
 type Settle = (result: Result<unknown, StageError>) => void;
@@ -38,14 +36,10 @@
      *
      * @param kind What is asked.
      * @param body A value that CBOR can carry.
-     * @param timeoutMs How long the reply may take, in milliseconds.
+     * @param timeoutMs How long the reply may take, in milliseconds; after that the connection is given up.
      * @returns The reply's body; or `PeerRefusedConnection` when nothing listens there, or `PeerUnreachable`.
      */
-    request(
-        kind: FrameKind,
-        body: unknown,
-        timeoutMs: number = this.options.timeoutMs,
-    ): Promise<Result<unknown, StageError>> {
+    request(kind: FrameKind, body: unknown, timeoutMs: number): Promise<Result<unknown, StageError>> {
         const socket = this.socket ?? this.openSocket();
         const sequence = ++this.sequence;
         return new Promise(resolve => {
--- a/packages/learn-behaviour/src/answerTimeout.ts
+++ b/packages/learn-behaviour/src/answerTimeout.ts
@@ -25,6 +25,21 @@
         return Math.min(mostMs, Math.max(leastMs, this.usualMs * PATIENCE) * this.widened);
     }
 
+    /**
+     * Notes what became of a call.
+     *
+     * @param isAnswered Whether an answer came in time.
+     * @param tookMs How long that took, in milliseconds.
+     */
+    noteOutcome(isAnswered: boolean, tookMs: number): void {
+        if (isAnswered) {
+            this.noteAnswer(tookMs);
+        }
+        else {
+            this.noteSilence();
+        }
+    }
+
     /** Notes an answer; what was waited longer for than usual becomes usual soon. */
     noteAnswer(tookMs: number): void {
         this.usualMs = this.usualMs === 0 ? tookMs : this.usualMs + (tookMs - this.usualMs) * NEWEST_WEIGHT;
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -184,12 +184,8 @@
         const { currentMs } = this.followTimeout;
         const answer = await this.parts.peers.request(asked, FrameKind.FollowCoordinator, request, currentMs);
         this.isRefused = answer.isRefused;
-        if (!answer.hasAnswered) {
-            this.followTimeout.noteSilence();
-            return false;
-        }
-        this.followTimeout.noteAnswer(clock.getNow() - sentAtMs);
-        return this.takeFollowReply(answer.body as FollowReply, asked, sentAtMs);
+        this.followTimeout.noteOutcome(answer.hasAnswered, clock.getNow() - sentAtMs);
+        return answer.hasAnswered && this.takeFollowReply(answer.body as FollowReply, asked, sentAtMs);
     }
 
     /** The coordinator's work is the same on any VM, so a VM that isn't among the strong hands it to one that is. */
--- a/packages/run-entry-vm/src/peers.ts
+++ b/packages/run-entry-vm/src/peers.ts
@@ -24,7 +24,7 @@
         body: unknown,
         timeoutMs: number,
     ): Promise<PeerAnswer> {
-        const client = this.getClient(peer.host, peer.port, kind, timeoutMs);
+        const client = this.getClient(peer.host, peer.port, kind);
         const result = await client.request(kind, body, timeoutMs);
         if (result.ok) {
             return { body: result.val, isRefused: false, hasAnswered: true };
@@ -39,12 +39,12 @@
     }
 
     /** Each kind of question has a connection of its own, so that a timeout ends only its kind. */
-    private getClient(host: string, port: number, kind: FrameKind, timeoutMs: number): PeerClient {
+    private getClient(host: string, port: number, kind: FrameKind): PeerClient {
         const key = `${host}:${port}/${kind}`;
         let client = this.clients.get(key);
         if (client === undefined) {
             const { peerKey } = this;
-            client = new PeerClient({ address: host, port, peerKey, maxFrameBytes: MAX_FRAME_BYTES, timeoutMs });
+            client = new PeerClient({ address: host, port, peerKey, maxFrameBytes: MAX_FRAME_BYTES });
             this.clients.set(key, client);
         }
         return client;
--- a/packages/track-members/src/peerPool.ts
+++ b/packages/track-members/src/peerPool.ts
@@ -19,10 +19,10 @@
     /** Sends a request to a peer and waits for its reply. */
     request(peer: PeerAddress, kind: FrameKind, body: unknown): Promise<Result<unknown, StageError>> {
         const key = `${peer.address}:${peer.port}`;
-        const client = this.clients.get(key)
-            ?? new PeerClient({ address: peer.address, port: peer.port, ...this.options });
+        const { timeoutMs, ...shared } = this.options;
+        const client = this.clients.get(key) ?? new PeerClient({ address: peer.address, port: peer.port, ...shared });
         this.clients.set(key, client);
-        return client.request(kind, body);
+        return client.request(kind, body, timeoutMs);
     }
 
     /** Closes connections to peers that are not listed any more. */
