One silent logger for tests, and one watched loop for those of LoopWatch

A logger that writes nothing stood in four test files; log-events has it. The tests of LoopWatch made and started the same watch four times. Assertions as before.

--- a/packages/accept-jobs/src/recordDesk.test.ts
+++ b/packages/accept-jobs/src/recordDesk.test.ts
@@ -3,11 +3,11 @@
 import type { StorePort } from "@sardinestage/describe-ports";
 import { AppendOutcome, systemClock, Topic } from "@sardinestage/describe-ports";
 import { MemoryStore, VirtualClock } from "@sardinestage/emulate-platform";
+import { silentLogger } from "@sardinestage/log-events";
 import type { CoordinatorReply } from "./coordinatorReply.js";
 import { RecordDesk } from "./recordDesk.js";
 import { SubmitOutcome } from "./submitOutcome.js";
 
-const silentLogger = { info: () => {}, warn: () => {}, error: () => {} };
 const record = { key: "job", value: new Uint8Array([1]) };
 
 /** A desk whose store and coordinator give the same answer to every call. */
--- a/packages/coordinate-work/src/progressWriter.test.ts
+++ b/packages/coordinate-work/src/progressWriter.test.ts
@@ -3,6 +3,7 @@
 import type { StorePort } from "@sardinestage/describe-ports";
 import { AppendOutcome } from "@sardinestage/describe-ports";
 import { VirtualClock } from "@sardinestage/emulate-platform";
+import { silentLogger } from "@sardinestage/log-events";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import { ProgressWriter } from "./progressWriter.js";
 
@@ -18,7 +19,7 @@
         term: 1,
         getRenewalAge: () => renewalAgeMs,
         onDeposed: () => undefined,
-        logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
+        logger: silentLogger,
         metrics: new Metrics(),
     } as unknown as CoordinatorParts);
     let starts = 0;
--- a/packages/run-entry-vm/src/configKeeper.test.ts
+++ b/packages/run-entry-vm/src/configKeeper.test.ts
@@ -3,14 +3,13 @@
 import { ReadOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
 import type { WorkConfig } from "@sardinestage/describe-work";
 import { MemoryStore, VirtualClock } from "@sardinestage/emulate-platform";
-import type { EventLogger } from "@sardinestage/log-events";
+import { silentLogger } from "@sardinestage/log-events";
 import { ConfigKeeper } from "./configKeeper.js";
 
 /** Time that a change may take to come into force, in milliseconds. */
 const APPLY_MS = 4000;
 /** What a call may take beyond the wait that it asks for, in milliseconds. */
 const CALL_MS = 1000;
-const SILENT_LOGGER: EventLogger = { info: () => undefined, warn: () => undefined, error: () => undefined };
 
 /** Records hold the version in their first byte. */
 const CODEC = {
@@ -39,7 +38,7 @@
         store,
         codec: CODEC,
         clock,
-        logger: SILENT_LOGGER,
+        logger: silentLogger,
         onConfig: () => undefined,
     });
     const publish = async (version: number) => {
--- a/packages/scheduler/src/testing/fakeDomain.ts
+++ b/packages/scheduler/src/testing/fakeDomain.ts
@@ -3,6 +3,7 @@
 import { applyTaskRecord, TaskLedger, TaskRecordKind } from "@sardinestage/fold-tasks";
 import type { TaskStream } from "@sardinestage/follow-tasks";
 import { GrantLedger } from "@sardinestage/grant-connections";
+import { silentLogger } from "@sardinestage/log-events";
 import { EvictionBudget } from "@sardinestage/plan-reactions";
 import type { VmRecord } from "@sardinestage/types";
 import { TaskPhase, Urgency, VmRole, VmState, WorkKind } from "@sardinestage/types";
@@ -246,7 +247,6 @@
         const stream = this.createStream(scheduler);
         const members = this.createMembers(scheduler);
         const metrics = new Metrics();
-        const logger = { info: () => {}, warn: () => {}, error: () => {} };
         const fleet = { findControl: (worker: string) => scheduler.controls.get(worker) } as unknown as WorkerFleet;
         scheduler.guard = new WorkerGuard({
             settings,
@@ -255,7 +255,7 @@
             fleet,
             members,
             metrics,
-            logger,
+            logger: silentLogger,
             now,
             isGivenUp: worker => this.isLeaving(scheduler, worker),
         });
@@ -265,7 +265,7 @@
             stream,
             members,
             metrics,
-            logger,
+            logger: silentLogger,
             now,
             behaviour: new Behaviour(0.9),
             grants: new GrantLedger({ ttlMs: 1, maxDeadlineMs: 1, clockMarginMs: 0 }),
--- a/packages/watch-loop/src/loopWatch.test.ts
+++ b/packages/watch-loop/src/loopWatch.test.ts
@@ -2,7 +2,7 @@
 import type { Clock } from "@sardinestage/describe-ports";
 import { LoopWatch } from "./loopWatch.js";
 
-/** A clock whose timers fire only when the test lets the loop turn. */
+/** A watch on a loop that turns, and whose timers fire, only when the test lets it. */
 function createLoop() {
     let nowMs = 0;
     let waiting: { atMs: number; run: () => void } | undefined;
@@ -27,15 +27,15 @@
     const stall = (lengthMs: number) => {
         nowMs += lengthMs;
     };
-    return { clock, runSmoothly, stall };
+    const watch = new LoopWatch(clock);
+    watch.start();
+    return { watch, runSmoothly, stall };
 }
 
 describe("LoopWatch", () => {
     describe("while the loop turns", () => {
         it("counts all time", () => {
-            const { clock, runSmoothly } = createLoop();
-            const watch = new LoopWatch(clock);
-            watch.start();
+            const { watch, runSmoothly } = createLoop();
             runSmoothly(1030);
             expect(watch.getAttentiveTime()).toBe(1030);
             expect(watch.takeLongestDelay()).toBe(0);
@@ -44,9 +44,7 @@
 
     describe("when the loop stands still", () => {
         it("leaves that time out", () => {
-            const { clock, runSmoothly, stall } = createLoop();
-            const watch = new LoopWatch(clock);
-            watch.start();
+            const { watch, runSmoothly, stall } = createLoop();
             runSmoothly(500);
             stall(3000);
             expect(watch.getAttentiveTime()).toBe(700);
@@ -55,9 +53,7 @@
         });
 
         it("tells how late its timers usually are", () => {
-            const { clock, runSmoothly, stall } = createLoop();
-            const watch = new LoopWatch(clock);
-            watch.start();
+            const { watch, runSmoothly, stall } = createLoop();
             for (let turn = 0; turn < 50; turn++) {
                 runSmoothly(50);
                 stall(200);
@@ -69,9 +65,7 @@
         });
 
         it("tells how late its timers were, once", () => {
-            const { clock, runSmoothly, stall } = createLoop();
-            const watch = new LoopWatch(clock);
-            watch.start();
+            const { watch, runSmoothly, stall } = createLoop();
             runSmoothly(500);
             stall(3000);
             runSmoothly(100);
