Extend every lease before a new coordinator does anything else

Cause: a worker's lease can be asked for only on its own clock, which its first answer tells. The second call, which extends the lease, came after all that the first answer listed had been applied and recorded, and in one line with planning rounds and start orders, which began 300 ms after the takeover however many workers had no lease yet. Change: the first answer only tells the clock, and the call that extends the lease goes out before anything is done with the list; StartGate keeps the first starts back until each worker that answers has its lease, for one lease at most.

--- a/packages/coordinate-work/src/coordinator.test.ts
+++ b/packages/coordinate-work/src/coordinator.test.ts
@@ -41,6 +41,27 @@
         });
     });
 
+    describe("when it takes over with more waiting work than it can order at once", () => {
+        it("lets no lease lapse behind its start orders", async () => {
+            const bed = await createBed(200, 60_000);
+            bed.startTerm(false);
+            void bed.submit("lasting", createSpec([createStep({ taskCount: 400, longRunning: true })]), createQueue());
+            await bed.clock.runFor(3000);
+            expect(bed.witness.countAtWork()).toBe(400);
+            bed.coordinator?.close();
+            const waiting = createStep({ taskCount: 40, cpuMillis: 400 });
+            for (let job = 0; job < 40; job++) {
+                void bed.submit(`waiting${job}`, createSpec([waiting]), createQueue());
+            }
+            await bed.clock.runFor(2000);
+            bed.callMs = 2;
+            bed.startTerm(false);
+            await bed.clock.runFor(6000);
+            expect(bed.events.filter(event => event.includes("Lapsed"))).toEqual([]);
+            expect(bed.witness.countAtWork()).toBeGreaterThan(400);
+        });
+    });
+
     describe("when nothing is wrong", () => {
         it("runs the steps of a job in order and completes it", async () => {
             const bed = await createBed(2, 500);
--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -22,6 +22,7 @@
 import { ProgressWriter } from "./progressWriter.js";
 import { RunBook } from "./runBook.js";
 import { ServingBook } from "./servingBook.js";
+import { StartGate } from "./startGate.js";
 import type { WorkerLink } from "./workerLink.js";
 import { WorkerWatch } from "./workerWatch.js";
 import { WorkRound } from "./workRound.js";
@@ -32,8 +33,6 @@
 const JOBS_PAUSE_MS = 10;
 /** Pause between two reads of the workers' list, in milliseconds. */
 const WORKERS_PAUSE_MS = 400;
-/** After so long the first round begins although some workers haven't answered, in milliseconds. */
-const FIRST_ROUND_AFTER_MS = 300;
 /** Time between two clean-ups of what has ended, in milliseconds. */
 const UPKEEP_MS = 2000;
 
@@ -54,6 +53,7 @@
     private readonly ends: JobEnds;
     private readonly janitor: Janitor;
     private readonly intake: JobIntake;
+    private starts: StartGate | undefined;
     private isClosed = false;
     private isOpen = false;
     private readonly openedAtMs: number;
@@ -160,7 +160,14 @@
         });
         void this.jobsFollower.run();
         void this.workersFollower.run();
-        applyInTurns(clock, [...this.fleet.links.values()], link => this.startHolding(link));
+        const links = [...this.fleet.links.values()];
+        this.starts = new StartGate(links, {
+            ...this.parts.rules,
+            listLinks: () => this.fleet.links.values(),
+            openedAtMs: this.openedAtMs,
+            hadUnrecordedStarts: this.parts.hadUnrecordedStarts,
+        });
+        applyInTurns(clock, links, link => this.startHolding(link));
         this.scheduleRound(limits.roundDelayMs);
         this.scheduleUpkeep();
         return true;
@@ -294,7 +301,7 @@
         const startedAtMs = clock.getNow();
         this.expireLeases(startedAtMs);
         let nextDueMs: number | undefined;
-        if (this.isStartAllowed(startedAtMs)) {
+        if (this.starts?.tryOpening(startedAtMs) === true) {
             nextDueMs = this.round.run();
         }
         metrics.recordDuration("planning_round", clock.getNow() - startedAtMs);
@@ -312,21 +319,6 @@
         this.fleet.dropGone(nowMs);
     }
 
-    /** The first starts wait until the workers have said what they run, and longer when unrecorded work may be about. */
-    private isStartAllowed(nowMs: number): boolean {
-        const { hadUnrecordedStarts, rules } = this.parts;
-        const unheard = [...this.fleet.links.values()].filter(link => !link.isHeld && !link.isGone);
-        if (hadUnrecordedStarts) {
-            // Workers that the list has lost may run something too; they are listed again by then.
-            const isListComplete = nowMs - this.openedAtMs >= rules.entryReturnMs;
-            return isListComplete && unheard.every(link => nowMs > link.getLapseTime());
-        }
-        if (unheard.length === 0) {
-            return true;
-        }
-        return nowMs - this.openedAtMs >= FIRST_ROUND_AFTER_MS;
-    }
-
     private scheduleUpkeep(): void {
         const { clock, logger } = this.parts;
         clock.schedule(UPKEEP_MS, () => {
--- a/packages/coordinate-work/src/holdLoop.test.ts
+++ b/packages/coordinate-work/src/holdLoop.test.ts
@@ -2,11 +2,11 @@
 import { Metrics } from "@sardinestage/count-metrics";
 import type { HoldAnswer } from "@sardinestage/describe-ports";
 import { OrderOutcome } from "@sardinestage/describe-ports";
-import { RunEnd, WorkerState } from "@sardinestage/describe-work";
+import { RunEnd } from "@sardinestage/describe-work";
 import { VirtualClock } from "@sardinestage/emulate-platform";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import { HoldLoop } from "./holdLoop.js";
-import { WorkerLink } from "./workerLink.js";
+import { createLink } from "./testing/createLink.js";
 
 const ended = { number: 1, task: { jobId: "job", occurrence: 0, step: 0, index: 0 }, run: 1, end: RunEnd.Done };
 const answer: HoldAnswer = {
@@ -17,21 +17,6 @@
     ended: [{ ...ended, checkpoint: "" }],
 };
 
-function createLink(): WorkerLink {
-    return new WorkerLink({
-        id: "w",
-        bornMs: 1,
-        service: "service",
-        address: "w",
-        domain: "here",
-        state: WorkerState.Ready,
-        capacity: { cpuMillis: 1000, memoryMb: 1000, accelerators: 0 },
-        labels: [],
-        rack: "",
-        remainingMs: 0,
-    }, 0);
-}
-
 /** Only what a hold loop uses. */
 function createParts(clock: VirtualClock): CoordinatorParts {
     const workers = {
@@ -48,7 +33,7 @@
             let isRead = false;
             let taken = 0;
             let asked = 0;
-            const loop = new HoldLoop(createParts(clock), createLink(), {
+            const loop = new HoldLoop(createParts(clock), createLink("w"), {
                 hasAllJobs: () => {
                     asked++;
                     return Promise.resolve(isRead);
--- a/packages/coordinate-work/src/holdLoop.ts
+++ b/packages/coordinate-work/src/holdLoop.ts
@@ -34,6 +34,11 @@
             }
             if (answer.outcome === OrderOutcome.Accepted) {
                 this.link.missedHolds = 0;
+                if (this.link.clockAtMs === 0) {
+                    this.noteClock(answer);
+                    continue;
+                }
+                this.link.isLeaseExtended = true;
                 await this.takeAnswer(answer, sentAtMs);
             }
             else if (answer.outcome === OrderOutcome.StaleFence) {
@@ -47,6 +52,17 @@
         }
     }
 
+    /**
+     * A lease can be asked for only on the worker's own clock. It goes out before anything is done with what the worker
+     * lists: reading that may take longer than what an earlier coordinator let it have.
+     */
+    private noteClock(answer: HoldAnswer): void {
+        const { link, parts } = this;
+        link.clockMs = answer.clockMs;
+        link.clockAtMs = parts.clock.getNow();
+        link.leaseUntilMs = answer.clockMs + parts.rules.maxLeaseMs;
+    }
+
     /** An end of a job that wasn't read yet must not be acknowledged unseen, so the job is read first. */
     private async takeAnswer(answer: HoldAnswer, sentAtMs: number): Promise<void> {
         const isComplete = await this.handlers.hasAllJobs(answer);
--- /dev/null
+++ b/packages/coordinate-work/src/startGate.ts
@@ -0,0 +1,51 @@
+import type { WorkerLink } from "./workerLink.js";
+
+/** What a start gate judges by. */
+interface StartGateParts {
+    /** The workers that are known now. */
+    readonly listLinks: () => Iterable<WorkerLink>;
+    /** When the term began here, in steady milliseconds. */
+    readonly openedAtMs: number;
+    /** How long a worker may run on without hearing from a coordinator, in milliseconds. */
+    readonly leaseMs: number;
+    /** An entry that vanished while the store was away is back within this, in milliseconds. */
+    readonly entryReturnMs: number;
+    /** Whether an earlier coordinator may have started work without recording it. */
+    readonly hadUnrecordedStarts: boolean;
+}
+
+/**
+ * Keeps the first starts of a term back until each worker that answers has its lease extended: start orders would
+ * delay the renewals of what runs already, which is worth more than what waits. Where unrecorded work may be about, the
+ * first starts wait longer.
+ */
+export class StartGate {
+    private areLeasesExtended = false;
+
+    /**
+     * @param taken The workers that may run what an earlier coordinator started.
+     * @param parts What it judges by.
+     */
+    constructor(private readonly taken: readonly WorkerLink[], private readonly parts: StartGateParts) {}
+
+    /** Whether starts may begin. */
+    tryOpening(nowMs: number): boolean {
+        const { openedAtMs, leaseMs } = this.parts;
+        // After a whole lease, whatever could lapse has lapsed.
+        this.areLeasesExtended ||= nowMs - openedAtMs >= leaseMs || this.taken.every(isSettled);
+        return this.areLeasesExtended && (!this.parts.hadUnrecordedStarts || this.isAllHeard(nowMs));
+    }
+
+    private isAllHeard(nowMs: number): boolean {
+        const { listLinks, openedAtMs, entryReturnMs } = this.parts;
+        const unheard = [...listLinks()].filter(link => !link.isHeld && !link.isGone);
+        // Workers that the list has lost may run something too; they are listed again by then.
+        const isListComplete = nowMs - openedAtMs >= entryReturnMs;
+        return isListComplete && unheard.every(link => nowMs > link.getLapseTime());
+    }
+}
+
+/** Whether a worker has its lease, or doesn't answer so that nothing can be done for it now. */
+function isSettled(link: WorkerLink): boolean {
+    return link.isLeaseExtended || link.isGone || link.missedHolds > 0;
+}
--- a/packages/coordinate-work/src/testing/coordinatorBed.ts
+++ b/packages/coordinate-work/src/testing/coordinatorBed.ts
@@ -3,7 +3,14 @@
 import { Topic } from "@sardinestage/describe-ports";
 import type { JobSpec, QueueConfig, TaskRef, WorkerEntry } from "@sardinestage/describe-work";
 import { formatTaskKey } from "@sardinestage/describe-work";
-import { EmulatedFleet, EmulatedWorker, MemoryStore, RunWitness, VirtualClock } from "@sardinestage/emulate-platform";
+import {
+    BusyWorkerPort,
+    EmulatedFleet,
+    EmulatedWorker,
+    MemoryStore,
+    RunWitness,
+    VirtualClock,
+} from "@sardinestage/emulate-platform";
 import { CANCEL_SUFFIX, encodeJobRecord } from "@sardinestage/track-jobs";
 import { Coordinator } from "../coordinator.js";
 
@@ -28,6 +35,8 @@
     readonly cancelled = new Set<string>();
     readonly deposed: string[] = [];
     coordinator: Coordinator | undefined;
+    /** What each call to a worker, and each answer, takes of the coordinator's one thread, in milliseconds. */
+    callMs = 0;
     private term = 0;
 
     /**
@@ -94,7 +103,7 @@
         const { term } = this;
         const coordinator = new Coordinator({
             store: this.store,
-            workers: this.fleet,
+            workers: new BusyWorkerPort(this.fleet, this.clock, this.callMs),
             advice: { requestTickets: () => Promise.resolve({ tickets: undefined, validMs: 0 }) },
             vms: { list: () => Promise.resolve(undefined), startUpkeep: () => Promise.reject(new Error("unused")) },
             codec: bedCodec,
--- a/packages/coordinate-work/src/workerLink.ts
+++ b/packages/coordinate-work/src/workerLink.ts
@@ -11,6 +11,8 @@
     bornMs = 0;
     /** Whether it has answered in this term: what it runs is known. */
     isHeld = false;
+    /** Whether it has taken a lease of this term. */
+    isLeaseExtended = false;
     /** Whether its entry is gone from the list. */
     isGone = false;
     /** Ends up to this number have been applied. */
--- a/packages/emulate-platform/src/index.ts
+++ b/packages/emulate-platform/src/index.ts
@@ -1,3 +1,4 @@
+export { BusyWorkerPort } from "./busyWorkerPort.js";
 export { createStep } from "./createStep.js";
 export { EmulatedFleet } from "./emulatedFleet.js";
 export { EmulatedWorker } from "./emulatedWorker.js";
