Tell what a coordinator's thread is spent on, and which leases lapsed

Logs couldn't tell the hypotheses apart: process-load told how busy, not with what, and each lapsed run was one line in a flood of run-end lines of which most are dropped. process-load now has roundsMs, answersMs and paceMs of its 2 s (WorkMeter); leases-lapsed tells the worker, how many runs, and how long ago it was heard, one line an answer.

--- a/packages/coordinate-work/src/buildRooms.ts
+++ b/packages/coordinate-work/src/buildRooms.ts
@@ -38,6 +38,7 @@
         labels: entry.labels,
         capacityCpuMillis: entry.capacity.cpuMillis,
         freeCpuMillis: entry.capacity.cpuMillis,
+        endingCpuMillis: 0,
         freeMemoryMb: entry.capacity.memoryMb,
         freeAccelerators: entry.capacity.accelerators,
         fillCpuMillis: 0,
--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -4,6 +4,7 @@
 import { TopicFollower } from "@sardinestage/follow-topic";
 import type { Job, Task } from "@sardinestage/track-jobs";
 import { applyCancel, applyRunLost } from "@sardinestage/track-jobs";
+import { WorkKind } from "@sardinestage/watch-loop";
 import { AdviceBook } from "./adviceBook.js";
 import { applyInTurns } from "./applyInTurns.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
@@ -245,9 +246,11 @@
         if (!this.isOpen || link.entry.address === "") {
             return;
         }
+        const { meter } = this.parts;
         const loop = new HoldLoop(this.parts, link, {
             hasAllJobs: answer => this.hasAllJobs(answer),
-            takeAnswer: (held, answer, sentAtMs) => this.handleAnswer(held, answer, sentAtMs),
+            takeAnswer: (held, answer, sentAtMs) =>
+                meter.measure(WorkKind.Answers, () => this.handleAnswer(held, answer, sentAtMs)),
             isOver: held => this.isClosed || this.fleet.links.get(held.entry.id) !== held,
         });
         void loop.run();
@@ -262,7 +265,7 @@
     private handleAnswer(link: WorkerLink, answer: HoldAnswer, sentAtMs: number): void {
         this.runs.takeAnswer(link, answer, sentAtMs);
         this.watch.stopUnwanted(link);
-        this.pace.handleFigures(link);
+        this.parts.meter.measure(WorkKind.Pace, () => this.pace.handleFigures(link));
         this.watch.watchProgress(link);
         if (link.entry.state === WorkerState.Draining) {
             this.watch.drainWorker(link);
@@ -285,14 +288,14 @@
     }
 
     private scheduleRound(delayMs: number): void {
-        const { clock } = this.parts;
+        const { clock, meter } = this.parts;
         const atMs = clock.getNow() + delayMs;
         if (this.isClosed || !this.isOpen || this.roundAtMs <= atMs) {
             return;
         }
         this.cancelRound?.();
         this.roundAtMs = atMs;
-        this.cancelRound = clock.schedule(delayMs, () => this.runRound());
+        this.cancelRound = clock.schedule(delayMs, () => meter.measure(WorkKind.Rounds, () => this.runRound()));
     }
 
     private runRound(): void {
--- a/packages/coordinate-work/src/coordinatorParts.ts
+++ b/packages/coordinate-work/src/coordinatorParts.ts
@@ -1,3 +1,4 @@
+import type { WorkMeter } from "@sardinestage/watch-loop";
 import type { CoordinatorRules } from "./coordinatorRules.js";
 import type { PlatformParts } from "./platformParts.js";
 
@@ -10,6 +11,8 @@
     readonly getRenewalAge: () => number;
     /** How late this process's loop usually is, in milliseconds. */
     readonly getLoopDelay: () => number;
+    /** Measures what the process's one thread is spent on. */
+    readonly meter: WorkMeter;
     /** Whether an earlier coordinator may have started work without recording it. */
     readonly hadUnrecordedStarts: boolean;
     /** Called once when somebody else has taken over. */
--- a/packages/coordinate-work/src/runBook.ts
+++ b/packages/coordinate-work/src/runBook.ts
@@ -31,6 +31,7 @@
     takeAnswer(link: WorkerLink, answer: HoldAnswer, sentAtMs: number): void {
         const nowMs = this.parts.clock.getNow();
         this.noteLife(link, answer);
+        this.reportLapses(link, answer.ended, nowMs);
         link.clockMs = answer.clockMs;
         link.clockAtMs = nowMs;
         [...answer.ended, ...answer.running].forEach(row => this.book.jobs.openListed(row.task));
@@ -61,6 +62,21 @@
         this.book.noteChanged(task.step.occurrence.job);
     }
 
+    /** Runs that lapse are told of for each worker at once: in a flood of ends they are what matters. */
+    private reportLapses(link: WorkerLink, ended: readonly EndedRow[], nowMs: number): void {
+        const lapsed = ended.filter(row => row.number > link.appliedEnd && row.end === RunEnd.Lapsed);
+        if (lapsed.length === 0) {
+            return;
+        }
+        this.parts.metrics.count("leases_lapsed_total", "run", lapsed.length);
+        this.parts.logger.warn("leases-lapsed", {
+            worker: link.entry.id,
+            runs: lapsed.length,
+            first: formatTaskKey(lapsed[0].task),
+            heardMsAgo: link.isHeld ? Math.round(nowMs - link.clockAtMs) : undefined,
+        });
+    }
+
     private noteLife(link: WorkerLink, answer: HoldAnswer): void {
         if (link.bornMs === answer.bornMs) {
             return;
--- a/packages/coordinate-work/src/testing/coordinatorBed.ts
+++ b/packages/coordinate-work/src/testing/coordinatorBed.ts
@@ -12,6 +12,7 @@
     VirtualClock,
 } from "@sardinestage/emulate-platform";
 import { CANCEL_SUFFIX, encodeJobRecord } from "@sardinestage/track-jobs";
+import { WorkMeter } from "@sardinestage/watch-loop";
 import { Coordinator } from "../coordinator.js";
 
 const APPEND_TIMEOUT_MS = 1000;
@@ -119,6 +120,7 @@
             hadUnrecordedStarts,
             getRenewalAge: () => Infinity,
             getLoopDelay: () => 0,
+            meter: new WorkMeter(this.clock),
             onDeposed: reason => {
                 this.deposed.push(reason);
                 coordinator.close();
--- a/packages/run-entry-vm/src/createEntryVm.ts
+++ b/packages/run-entry-vm/src/createEntryVm.ts
@@ -1,7 +1,7 @@
 import { JobDesk, RecordDesk } from "@sardinestage/accept-jobs";
 import { Coordinator } from "@sardinestage/coordinate-work";
 import { TermLog } from "@sardinestage/keep-term";
-import { LoopWatch } from "@sardinestage/watch-loop";
+import { LoopWatch, WorkMeter } from "@sardinestage/watch-loop";
 import { Container } from "inversify";
 import { ConfigKeeper } from "./configKeeper.js";
 import { EntryVm } from "./entryVm.js";
@@ -18,6 +18,7 @@
     container.bind(Peers).toConstantValue(new Peers(parts.peerKey));
     container.bind(Followers).toConstantValue(new Followers());
     container.bind(LoopWatch).toConstantValue(new LoopWatch(parts.clock));
+    container.bind(WorkMeter).toConstantValue(new WorkMeter(parts.clock));
     container.bind(ConfigKeeper).toConstantValue(new ConfigKeeper(parts));
     container.bind(TermLog).toConstantValue(new TermLog(parts.store, parts.self, parts.clock));
     container.bind(TermDuty).toDynamicValue(context =>
@@ -33,6 +34,7 @@
                     hadUnrecordedStarts,
                     getRenewalAge,
                     getLoopDelay: () => context.get(LoopWatch).usualDelayMs,
+                    meter: context.get(WorkMeter),
                     onDeposed,
                 }),
         })
@@ -52,6 +54,7 @@
         new LoadReporter({
             ...parts,
             watch: context.get(LoopWatch),
+            meter: context.get(WorkMeter),
             isCoordinator: () => context.get(Membership).isCoordinator,
         })
     ).inSingletonScope();
--- a/packages/run-entry-vm/src/loadReporter.ts
+++ b/packages/run-entry-vm/src/loadReporter.ts
@@ -1,7 +1,7 @@
 import type { Metrics } from "@sardinestage/count-metrics";
 import type { Clock } from "@sardinestage/describe-ports";
 import type { EventLogger } from "@sardinestage/log-events";
-import type { LoopWatch } from "@sardinestage/watch-loop";
+import type { LoopWatch, WorkMeter } from "@sardinestage/watch-loop";
 
 /** Time between two reports, in milliseconds. */
 const REPORT_MS = 2000;
@@ -11,6 +11,7 @@
 /** What a load reporter works with. */
 interface LoadReporterParts {
     readonly watch: LoopWatch;
+    readonly meter: WorkMeter;
     readonly clock: Clock;
     readonly logger: EventLogger;
     readonly metrics: Metrics;
@@ -45,10 +46,11 @@
     }
 
     private async report(): Promise<void> {
-        const { watch, metrics, logger, getProcessorMs, isCoordinator } = this.parts;
+        const { watch, meter, metrics, logger, getProcessorMs, isCoordinator } = this.parts;
         const loopDelayMs = Math.round(watch.takeLongestDelay());
         metrics.setGauge("loop_delay_milliseconds", loopDelayMs);
         const processorMs = getProcessorMs();
+        const spent = meter.takeSpent();
         const bytes = await metrics.readTotals("bytes_total");
         if (isCoordinator() || loopDelayMs > WORTH_TELLING_MS) {
             const grown = Object.entries(bytes).map(([name, total]) => [name, total - (this.bytes[name] ?? 0)]);
@@ -56,6 +58,7 @@
                 isCoordinator: isCoordinator(),
                 loopDelayMs,
                 processorMs: Math.round(processorMs - this.processorMs),
+                ...spent,
                 ...Object.fromEntries(grown) as Record<string, number>,
             });
         }
