Start an interrupted long-running task before work that ends takes its room

Cause: work that stays gives way to work that ends for its first 2 s, and a new coordinator counts these from when it first saw the step wait. The room that a lapsed task left went to work that ends. Change: a long-running step of which a waiting task has run before gives way to nothing within its priority. Test: 'starts it again before work that ends takes its room' failed before.

--- a/packages/plan-starts/src/compareDemands.ts
+++ b/packages/plan-starts/src/compareDemands.ts
@@ -1,3 +1,4 @@
+import { isInterrupted } from "./isInterrupted.js";
 import type { StepDemand } from "./stepDemand.js";
 
 /** Slack that a job needs before its first start, as a share of its remaining work: under load everything takes longer. */
@@ -8,6 +9,8 @@
 
 /** The order of work that ends and work that stays; the lower goes first. */
 enum Turn {
+    /** It stays, was at work before, and is away from those that it serves. */
+    Resumes,
     /** It stays, and has given way for long enough. */
     StaysOverdue,
     Ends,
@@ -29,7 +32,8 @@
 /**
  * Orders demands: by priority, then by their prospect; within these, what has begun goes before what hasn't, and the
  * tightest first. Work that ends goes before work that stays, since it gives its room back, but not for long: under
- * sustained load work that stays would never start. Answers bursts: where not all can be in time, those that have begun
+ * sustained load work that stays would never start. What stays and was interrupted gives way to nothing. Answers bursts:
+ * where not all can be in time, those that have begun
  * and those that still can be are finished, instead of all being a little late.
  *
  * @returns Negative when `left` goes first.
@@ -50,6 +54,9 @@
     if (!demand.step.spec.longRunning) {
         return Turn.Ends;
     }
+    if (isInterrupted(demand)) {
+        return Turn.Resumes;
+    }
     return demand.waitedMs >= LONGEST_GIVING_WAY_MS ? Turn.StaysOverdue : Turn.Stays;
 }
 
--- a/packages/plan-starts/src/planStarts.test.ts
+++ b/packages/plan-starts/src/planStarts.test.ts
@@ -107,6 +107,16 @@
         });
     });
 
+    describe("when the lease of a long-running task has lapsed", () => {
+        it("starts it again before work that ends takes its room", () => {
+            const interrupted = createDemand({ longRunning: true }, { slackMs: 900 });
+            interrupted.waiting[0].run = 1;
+            const ending = createDemand({}, { slackMs: 10, isStarted: true });
+            const plan = planStarts([ending, interrupted], [createRoom("w", { freeCpuMillis: 1000 })], rules);
+            expect(plan.starts.map(start => start.task.step)).toEqual([interrupted.step]);
+        });
+    });
+
     describe("when a worker has no room", () => {
         it("never gives it more than it has", () => {
             const demand = createDemand({ taskCount: 100, cpuMillis: 3000 });
