Keep a worker's room for an interrupted long-running task that fits nowhere

Cause: on a full fleet (servers reserve 88 to 94 % of the processor, 640 thousandths of a core are free on a worker on average) a task of 3.2 cores fits nowhere, and each piece that comes free goes to smaller tasks of work that ends, so that enough never gathers in one place. Read from code; no log tells it yet. Change: for each such task one worker gets no further start in the round: the one with the most room among those where what ends by itself leaves enough (endingCpuMillis). Answers starvation of the large by the small; the worker loses less than the task needs. Tests: 'keeps one for it, instead of giving each piece that comes free to smaller tasks' and 'keeps no more than it needs' failed before.

--- a/packages/plan-starts/src/planStarts.test.ts
+++ b/packages/plan-starts/src/planStarts.test.ts
@@ -54,6 +54,7 @@
         labels: ["kind", "rack"],
         capacityCpuMillis: 16_000,
         freeCpuMillis: 16_000,
+        endingCpuMillis: 0,
         freeMemoryMb: 64_000,
         freeAccelerators: 0,
         fillCpuMillis: 0,
@@ -117,6 +118,28 @@
         });
     });
 
+    describe("when an interrupted long-running task finds no worker with enough room", () => {
+        it("keeps one for it, instead of giving each piece that comes free to smaller tasks", () => {
+            const interrupted = createDemand({ longRunning: true, cpuMillis: 3000 });
+            interrupted.waiting[0].run = 1;
+            const small = createDemand({ taskCount: 4, cpuMillis: 1000 });
+            const rooms = [
+                createRoom("soon", { freeCpuMillis: 2000, endingCpuMillis: 6000 }),
+                createRoom("never", { freeCpuMillis: 2500, endingCpuMillis: 0 }),
+            ];
+            const plan = planStarts([small, interrupted], rooms, rules);
+            expect(plan.starts.map(start => start.workerId)).toEqual(["never", "never"]);
+        });
+
+        it("keeps no more than it needs", () => {
+            const interrupted = createDemand({ longRunning: true, cpuMillis: 3000 });
+            interrupted.waiting[0].run = 1;
+            const small = createDemand({ taskCount: 4, cpuMillis: 1000 });
+            const rooms = ["a", "b"].map(id => createRoom(id, { freeCpuMillis: 2000, endingCpuMillis: 6000 }));
+            expect(planStarts([small, interrupted], rooms, rules).starts.length).toBe(2);
+        });
+    });
+
     describe("when a worker has no room", () => {
         it("never gives it more than it has", () => {
             const demand = createDemand({ taskCount: 100, cpuMillis: 3000 });
--- a/packages/plan-starts/src/planStarts.ts
+++ b/packages/plan-starts/src/planStarts.ts
@@ -3,10 +3,12 @@
 import { computePlaceScore } from "./computePlaceScore.js";
 import { hasRoom } from "./hasRoom.js";
 import { isAllowedOn } from "./isAllowedOn.js";
+import { isInterrupted } from "./isInterrupted.js";
 import type { PlaceView } from "./placeView.js";
 import { planGang } from "./planGang.js";
 import type { PlannedStart } from "./plannedStart.js";
 import { RefusedShapes } from "./refusedShapes.js";
+import { reserveRooms } from "./reserveRooms.js";
 import type { StartPlan } from "./startPlan.js";
 import type { StepDemand } from "./stepDemand.js";
 import { takeRoom } from "./takeRoom.js";
@@ -48,10 +50,14 @@
         if (starts.length >= rules.maxStarts) {
             break;
         }
+        const before = starts.length;
         const isMet = !refused.has(demand) && planDemand(demand, rooms, rules, starts);
         if (!isMet) {
             refused.add(demand);
             unmet.push(demand);
+            if (isInterrupted(demand)) {
+                reserveRooms(demand.step, demand.waiting.length - (starts.length - before), rooms);
+            }
         }
     }
     return { starts, unmet };
--- a/packages/plan-starts/src/takeRoom.ts
+++ b/packages/plan-starts/src/takeRoom.ts
@@ -14,6 +14,7 @@
     }
     else {
         room.freeCpuMillis -= spec.cpuMillis;
+        room.endingCpuMillis += spec.longRunning ? 0 : spec.cpuMillis;
     }
     room.freeMemoryMb -= spec.memoryMb;
     room.freeAccelerators -= spec.accelerators;
--- a/packages/plan-starts/src/workerRoom.ts
+++ b/packages/plan-starts/src/workerRoom.ts
@@ -11,6 +11,8 @@
     readonly capacityCpuMillis: number;
     /** Thousandths of a core that no task has reserved. */
     freeCpuMillis: number;
+    /** Thousandths of a core that tasks have reserved which end by themselves. */
+    endingCpuMillis: number;
     freeMemoryMb: number;
     freeAccelerators: number;
     /** Thousandths of a core that filling tasks asked for. */
