--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -20,6 +20,7 @@
 import { PaceDesk } from "./paceDesk.js";
 import { PlaceJudge } from "./placeJudge.js";
 import { ProgressWriter } from "./progressWriter.js";
+import { RoundTimer } from "./roundTimer.js";
 import { RunBook } from "./runBook.js";
 import { ServingBook } from "./servingBook.js";
 import type { WorkerLink } from "./workerLink.js";
@@ -57,11 +58,11 @@
     private isClosed = false;
     private isOpen = false;
     private readonly openedAtMs: number;
-    private cancelRound: (() => void) | undefined;
-    private roundAtMs = Infinity;
+    private readonly rounds: RoundTimer;
 
     constructor(private readonly parts: CoordinatorParts) {
         this.openedAtMs = parts.clock.getNow();
+        this.rounds = new RoundTimer(parts.clock, () => this.runRound());
         this.writer = new ProgressWriter(parts);
         this.janitor = new Janitor(parts, this.jobs, this.writer);
         this.advice = new AdviceBook(parts, () => this.scheduleRound(limits.roundDelayMs));
@@ -172,7 +173,7 @@
         this.writer.close();
         this.jobsFollower.close();
         this.workersFollower.close();
-        this.cancelRound?.();
+        this.rounds.close();
     }
 
     /** Whether the takeover is complete, so that questions can be answered. */
@@ -278,19 +279,14 @@
     }
 
     private scheduleRound(delayMs: number): void {
-        const { clock } = this.parts;
-        const atMs = clock.getNow() + delayMs;
-        if (this.isClosed || !this.isOpen || this.roundAtMs <= atMs) {
-            return;
+        if (!this.isClosed && this.isOpen) {
+            this.rounds.schedule(delayMs);
         }
-        this.cancelRound?.();
-        this.roundAtMs = atMs;
-        this.cancelRound = clock.schedule(delayMs, () => this.runRound());
     }
 
-    private runRound(): void {
+    /** Returns after how many milliseconds the next round is due if nothing happens before. */
+    private runRound(): number {
         const { clock, metrics } = this.parts;
-        this.roundAtMs = Infinity;
         const startedAtMs = clock.getNow();
         this.expireLeases(startedAtMs);
         let nextDueMs: number | undefined;
@@ -299,7 +295,7 @@
         }
         metrics.recordDuration("planning_round", clock.getNow() - startedAtMs);
         const dueInMs = nextDueMs === undefined ? limits.idleRoundMs : nextDueMs - clock.getWallTime();
-        this.scheduleRound(Math.min(limits.idleRoundMs, Math.max(1, dueInMs)));
+        return Math.min(limits.idleRoundMs, Math.max(1, dueInMs));
     }
 
     private expireLeases(nowMs: number): void {
--- a/packages/coordinate-work/src/limits.ts
+++ b/packages/coordinate-work/src/limits.ts
@@ -38,6 +38,8 @@
     roundDelayMs: 4,
     /** Time between rounds when nothing happens, in milliseconds. */
     idleRoundMs: 250,
+    /** Planning rounds take at most this share of the loop; leases, answers and callers have the rest. */
+    roundShare: 0.25,
     /** Starts in one round. */
     startsARound: 200,
 } as const;
