A planning round takes no longer than a hundredth of a lease

Change: RoundScope chooses how many steps a round looks at from what the last one took (chooseRoundSize: cut in proportion when it was too long, doubled while the bound is what holds it back, 32 at first); what was left over goes first in the next round, every other turn, beside the most urgent (FairTurns), so that neither starves. The next round then follows as soon as the share of the loop allows. Plans of displacement end with the round's time as well, under the same turns; the list of workers for advice is made only for queues that have advice. Left out on purpose: the first round of a flood may be longer than its limit, since its cost is known only afterwards; gathering (ready steps, rooms) isn't bounded here. Guarded by roundScope.test.ts (no later round over its limit, all 1,000 steps are reached, urgent work is looked at in the next round, steps behind urgent ones that find no room are reached) and fairTurns.test.ts. Seen to fail: urgency alone in place of turns, and no bound.

--- a/packages/coordinate-work/src/limits.ts
+++ b/packages/coordinate-work/src/limits.ts
@@ -40,6 +40,8 @@
     idleRoundMs: 250,
     /** Planning rounds take at most this share of the loop; leases, answers and callers have the rest. */
     roundShare: 0.25,
+    /** A planning round takes no longer than this share of a lease, so that none runs out meanwhile. */
+    roundLeaseShare: 0.01,
     /** Starts in one round. */
     startsARound: 200,
 } as const;
--- a/packages/coordinate-work/src/workRound.ts
+++ b/packages/coordinate-work/src/workRound.ts
@@ -14,12 +14,14 @@
 import { computeStartsLeft } from "./computeStartsLeft.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import type { DurationBook } from "./durationBook.js";
+import { FairTurns } from "./fairTurns.js";
 import type { Fleet } from "./fleet.js";
 import type { JobBook } from "./jobBook.js";
 import { limits } from "./limits.js";
 import type { OrderDesk } from "./orderDesk.js";
 import type { PlaceJudge } from "./placeJudge.js";
 import type { ProgressWriter } from "./progressWriter.js";
+import { RoundScope } from "./roundScope.js";
 import type { RunBook } from "./runBook.js";
 import type { ServingBook } from "./servingBook.js";
 
@@ -63,8 +65,15 @@
 export class WorkRound {
     private readonly displacedAtMs = new WeakMap<StepRun, number>();
     private readonly readyAtMs = new WeakMap<StepRun, number>();
-
-    constructor(private readonly parts: CoordinatorParts, private readonly round: RoundParts) {}
+    /** How long a round may take, in milliseconds. */
+    private readonly longestMs: number;
+    private readonly scope: RoundScope;
+    private readonly displacementTurns = new FairTurns<StepRun>();
+
+    constructor(private readonly parts: CoordinatorParts, private readonly round: RoundParts) {
+        this.longestMs = parts.rules.leaseMs * limits.roundLeaseShare;
+        this.scope = new RoundScope(this.longestMs);
+    }
 
     /** Runs a round; returns when the next occurrence of a job is due (Unix milliseconds), if one is. */
     run(): number | undefined {
@@ -81,7 +90,9 @@
             task => this.round.serving.estimateHeadroom(task, nowMs + PLACING_AHEAD_MS),
         );
         const isBusy = computeReservedShare(rooms) >= BUSY_SHARE;
-        const demands = steps.map(({ step, waiting }) => this.buildDemand(step, waiting));
+        const waiting = steps.map(({ step, waiting: tasks }) => this.buildDemand(step, tasks));
+        const demands = this.scope.takeDemands(waiting);
+        const plannedFromMs = clock.getNow();
         const plan = planStarts(demands, rooms, {
             maxStarts: limits.startsARound,
             longestWaitMs: isBusy ? Infinity : LONGEST_WAIT_MS,
@@ -89,17 +100,35 @@
             describePlace: (room, step) => this.round.places.describePlace(room, step),
         });
         plan.starts.forEach(({ task, workerId }) => this.startTask(task, workerId, nowMs));
+        this.scope.noteRound(demands.length, clock.getNow() - plannedFromMs);
+        this.tryDisplacing(plan.unmet, rooms, plannedFromMs);
+        const isPartial = demands.length < waiting.length;
+        return isPartial ? clock.getWallTime() : nextDueMs;
+    }
 
+    /** Has advice asked for and room made for what found none, as far as the round's time goes. */
+    private tryDisplacing(unmet: readonly StepDemand[], rooms: readonly WorkerRoom[], nowMs: number): void {
+        unmet.forEach(demand => this.requestAdvice(demand, rooms));
+        const bySteps = new Map(unmet.map(demand => [demand.step, demand]));
+        const left: StepRun[] = [];
         let displacements = 0;
-        for (const demand of plan.unmet) {
-            this.requestAdvice(demand, rooms.map(room => room.workerId));
-            if (displacements < DISPLACEMENTS_A_ROUND && this.isDisplacing(demand, nowMs)) {
-                const found = planDisplacement(demand, rooms, id => this.round.fleet.links.get(id)?.tasks ?? []);
-                displacements += found === undefined ? 0 : 1;
-                this.stopVictims(demand, found, nowMs);
+        let tries = 0;
+        for (const step of this.displacementTurns.listInTurn([...bySteps.keys()])) {
+            const demand = bySteps.get(step);
+            if (demand === undefined || displacements >= DISPLACEMENTS_A_ROUND || !this.isDisplacing(demand, nowMs)) {
+                continue;
+            }
+            // A round whose starts took all its time still tries one.
+            if (tries > 0 && this.parts.clock.getNow() - nowMs >= this.longestMs) {
+                left.push(step);
+                continue;
             }
+            tries++;
+            const found = planDisplacement(demand, rooms, id => this.round.fleet.links.get(id)?.tasks ?? []);
+            displacements += found === undefined ? 0 : 1;
+            this.stopVictims(demand, found, nowMs);
         }
-        return nextDueMs;
+        this.displacementTurns.noteLeft(left);
     }
 
     private buildDemand(step: StepRun, waiting: Task[]): StepDemand {
@@ -176,10 +205,10 @@
         }
     }
 
-    private requestAdvice(demand: StepDemand, workers: readonly string[]): void {
+    private requestAdvice(demand: StepDemand, rooms: readonly WorkerRoom[]): void {
         const task = demand.waiting.at(0);
         if (task !== undefined && task.step.occurrence.job.queue.advice !== undefined) {
-            this.round.advice.request(task, workers);
+            this.round.advice.request(task, rooms.map(room => room.workerId));
         }
     }
 
