The virtual clock finds the next timer in a heap

Change: a binary heap, by time and then by the order of scheduling as before; a cancelled timer is dropped when its turn comes.

--- a/packages/emulate-platform/src/virtualClock.ts
+++ b/packages/emulate-platform/src/virtualClock.ts
@@ -1,20 +1,17 @@
 import type { Clock } from "@sardinestage/describe-ports";
+import type { Timer } from "./timer.js";
+import { TimerHeap } from "./timerHeap.js";
 
 /** Unix time at which every virtual clock begins, in milliseconds. */
 const WALL_START_MS = 1_800_000_000_000;
 
-/** A timer that hasn't fired. */
-interface Timer {
-    readonly atMs: number;
-    readonly order: number;
-    readonly run: () => void;
-}
-
 /** A clock that moves only when told to: hours of protocol take seconds, and the same seed takes the same course. */
 export class VirtualClock implements Clock {
     private nowMs = 0;
     private order = 0;
-    private readonly timers = new Map<number, Timer>();
+    private readonly timers = new TimerHeap();
+    /** Cancelled timers leave the heap when their turn comes. */
+    private readonly waiting = new Set<number>();
 
     /** Steady time. */
     getNow(): number {
@@ -29,8 +26,9 @@
     /** Calls back once after a delay. */
     schedule(delayMs: number, run: () => void): () => void {
         const order = this.order++;
-        this.timers.set(order, { atMs: this.nowMs + Math.max(0, delayMs), order, run });
-        return () => this.timers.delete(order);
+        this.timers.add({ atMs: this.nowMs + Math.max(0, delayMs), order, run });
+        this.waiting.add(order);
+        return () => this.waiting.delete(order);
     }
 
     /** Lets time pass, and everything that was scheduled in it happen. */
@@ -39,7 +37,8 @@
         await flushPromises();
         let next = this.findNext(untilMs);
         while (next !== undefined) {
-            this.timers.delete(next.order);
+            this.timers.removeFirst();
+            this.waiting.delete(next.order);
             this.nowMs = next.atMs;
             next.run();
             await flushPromises();
@@ -49,14 +48,12 @@
     }
 
     private findNext(untilMs: number): Timer | undefined {
-        let first: Timer | undefined;
-        for (const timer of this.timers.values()) {
-            const isEarlier = first === undefined || timer.atMs < first.atMs;
-            if (timer.atMs <= untilMs && isEarlier) {
-                first = timer;
-            }
+        let first = this.timers.getFirst();
+        while (first !== undefined && !this.waiting.has(first.order)) {
+            this.timers.removeFirst();
+            first = this.timers.getFirst();
         }
-        return first;
+        return first === undefined || first.atMs > untilMs ? undefined : first;
     }
 }
 
