Tell why an interrupted long-running task doesn't run again

Logs couldn't tell whether such a task waited for room, for a worker that may run it, or for its turn. long-running-waits, at most once a second, names the first, what it needs, and on how many workers it is allowed, finds processor, and finds memory. No change of behaviour.

--- a/packages/coordinate-work/src/workRound.ts
+++ b/packages/coordinate-work/src/workRound.ts
@@ -24,6 +24,7 @@
 import { RoundScope } from "./roundScope.js";
 import type { RunBook } from "./runBook.js";
 import type { ServingBook } from "./servingBook.js";
+import { WaitReporter } from "./waitReporter.js";
 
 /** A job that takes longer than this many times its allowed duration is of no more use. */
 const USELESS_AFTER = 3;
@@ -68,9 +69,11 @@
     /** How long a round may take, in milliseconds. */
     private readonly longestMs: number;
     private readonly scope: RoundScope;
+    private readonly waits: WaitReporter;
     private readonly displacementTurns = new FairTurns<StepRun>();
 
     constructor(private readonly parts: CoordinatorParts, private readonly round: RoundParts) {
+        this.waits = new WaitReporter(parts.logger);
         this.longestMs = parts.rules.leaseMs * limits.roundLeaseShare;
         this.scope = new RoundScope(this.longestMs);
     }
@@ -99,6 +102,7 @@
             isAdvised: (task, workerId) => this.round.advice.isAdvised(task, workerId),
             describePlace: (room, step) => this.round.places.describePlace(room, step),
         });
+        this.waits.reportUnmet(plan.unmet, rooms, nowMs);
         plan.starts.forEach(({ task, workerId }) => this.startTask(task, workerId, nowMs));
         this.scope.noteRound(demands.length, clock.getNow() - plannedFromMs);
         this.tryDisplacing(plan.unmet, rooms, plannedFromMs);
--- a/packages/plan-starts/src/index.ts
+++ b/packages/plan-starts/src/index.ts
@@ -1,4 +1,6 @@
 export { compareDemands } from "./compareDemands.js";
+export { isAllowedOn } from "./isAllowedOn.js";
+export { isInterrupted } from "./isInterrupted.js";
 export type { PlaceView } from "./placeView.js";
 export { planDisplacement } from "./planDisplacement.js";
 export type { PlannedStart } from "./plannedStart.js";
