Compare plans with a plain reference on random fleets; measure a round's planning

So that it goes on deciding the same, 300 random fleets (gangs, racks, labels, limits per worker, advice, filling and serving steps, workers with few starts left, maxStarts) are planned by planStarts and planDisplacement and by a copy of the present algorithm in the test folder.

measureRounds plans 20 rounds at three sizes: 30 waiting steps of 10 to 20 tasks, 10 serving and 18 filling images, 12 tasks a worker of which half serve.

--- /dev/null
+++ b/packages/coordinate-work/src/testing/measureRounds.ts
@@ -0,0 +1,164 @@
+import type { StepSpec } from "@sardinestage/describe-work";
+import { createStep } from "@sardinestage/emulate-platform";
+import { HeadroomEstimator } from "@sardinestage/learn-behaviour";
+import { planDisplacement, planStarts, type StepDemand, takeRoom, type WorkerRoom } from "@sardinestage/plan-starts";
+import { Job, openDueOccurrences, type StepRun, type Task, TaskPhase } from "@sardinestage/track-jobs";
+import { performance } from "node:perf_hooks";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { PlaceJudge } from "../placeJudge.js";
+import { createQueue } from "./createQueue.js";
+
+const SEED = 20261204;
+const UINT32_RANGE = 0x1_0000_0000;
+const NOW_MS = 1_800_000_000_000;
+const FLEETS = [45, 342, 1900];
+const ROUNDS = 20;
+const SERVING_IMAGES = 10;
+const FILLING_IMAGES = 18;
+const TASKS_A_WORKER = 12;
+const WAITING_STEPS = 30;
+const CAPACITY_CPU_MILLIS = 16_000;
+const WORKERS_A_RACK = 20;
+const LEARNED_FIGURES = 400;
+const STARTS_A_ROUND = 200;
+const SERVING_CPU_MILLIS = [1000, 1500, 2000, 3000];
+const FILLING_CPU_MILLIS = [1000, 2000, 3000];
+
+const generator = xoroshiro128plus(SEED);
+
+/** Prints what a planning round takes at three sizes of the fleet, with the load of a busy sheet. */
+function runMeasurement(): void {
+    for (const workers of FLEETS) {
+        const estimator = createEstimator();
+        const times = { starts: [] as number[], displacement: [] as number[] };
+        let counts = "";
+        for (let round = 0; round < ROUNDS; round++) {
+            const { rooms, tasks } = createFleet(workers);
+            const demands = Array.from({ length: WAITING_STEPS }, createDemand);
+            const judge = new PlaceJudge(estimator);
+            const startedAtMs = performance.now();
+            const plan = planStarts(demands, rooms, {
+                maxStarts: STARTS_A_ROUND,
+                longestWaitMs: Infinity,
+                isAdvised: () => true,
+                describePlace: (room, step) => judge.describePlace(room, step),
+            });
+            const plannedAtMs = performance.now();
+            const found = plan.unmet.filter(demand =>
+                planDisplacement(demand, rooms, id => tasks.get(id) ?? []) !== undefined
+            );
+            times.displacement.push(performance.now() - plannedAtMs);
+            times.starts.push(plannedAtMs - startedAtMs);
+            counts = `${plan.starts.length} starts, ${plan.unmet.length} unmet, ${found.length} displacing`;
+        }
+        const [starts, displacement] = [times.starts, times.displacement].map(computeMedian);
+        process.stdout.write(
+            `${workers} workers: starts ${starts.toFixed(2)} ms, displacement ${
+                displacement.toFixed(2)
+            } ms (${counts})\n`,
+        );
+    }
+}
+
+function computeMedian(values: number[]): number {
+    return [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)];
+}
+
+function createEstimator(): HeadroomEstimator {
+    const estimator = new HeadroomEstimator();
+    for (let figure = 0; figure < LEARNED_FIGURES; figure++) {
+        const neighbours = [{ image: `fill${pickBelow(FILLING_IMAGES)}`, weight: 0.25 }];
+        const image = `serve${pickBelow(SERVING_IMAGES)}`;
+        const headroom = 1 + pickBelow(3);
+        estimator.learnDifference(image, { headroom, neighbours }, { headroom: 3, neighbours: [] }, 0.2);
+        estimator.learnUsual(image, 3);
+    }
+    return estimator;
+}
+
+function createFleet(workers: number): { rooms: WorkerRoom[]; tasks: Map<string, readonly Task[]> } {
+    const tasks = new Map<string, readonly Task[]>();
+    const rooms = Array.from({ length: workers }, (_unused, index): WorkerRoom => {
+        const room: WorkerRoom = {
+            workerId: `w${index}`,
+            service: "service",
+            rack: `rack${Math.floor(index / WORKERS_A_RACK)}`,
+            labels: ["kind", `rack${Math.floor(index / WORKERS_A_RACK)}`],
+            capacityCpuMillis: CAPACITY_CPU_MILLIS,
+            freeCpuMillis: CAPACITY_CPU_MILLIS,
+            freeMemoryMb: 64_000,
+            freeAccelerators: 0,
+            fillCpuMillis: 0,
+            servers: [],
+            fillers: [],
+            startsLeft: 1000,
+        };
+        const residents = Array.from({ length: TASKS_A_WORKER }, (_none, place) => createResident(place % 2 === 0));
+        residents.forEach(task => takeRoom(room, task.step, 3));
+        room.startsLeft = 1000;
+        tasks.set(room.workerId, residents);
+        return room;
+    });
+    return { rooms, tasks };
+}
+
+function createResident(isServing: boolean): Task {
+    const [task] = createStepRun(isServing ? createServing(1) : createFilling(1), isServing ? 1 : 2).tasks;
+    task.phase = TaskPhase.Running;
+    return task;
+}
+
+function createDemand(): StepDemand {
+    const count = 10 + pickBelow(11);
+    const kind = pickBelow(10);
+    const spec = kind < 3
+        ? createServing(count)
+        : kind < 8
+        ? createFilling(count)
+        : createStep({ taskCount: count, cpuMillis: 6000, gang: kind === 9, sameRack: kind === 9 });
+    const step = createStepRun(spec, pickBelow(3));
+    return {
+        step,
+        waiting: step.tasks,
+        isStarted: false,
+        remainingMs: 1000,
+        waitedMs: 1000,
+        slackMs: pickBelow(4000),
+        lateSlackMs: 5000,
+    };
+}
+
+function createServing(taskCount: number): StepSpec {
+    return createStep({
+        taskCount,
+        image: `serve${pickBelow(SERVING_IMAGES)}`,
+        cpuMillis: SERVING_CPU_MILLIS[pickBelow(SERVING_CPU_MILLIS.length)],
+        tailTargetMs: 100,
+        longRunning: true,
+        maxTasksPerWorker: pickBelow(3),
+    });
+}
+
+function createFilling(taskCount: number): StepSpec {
+    return createStep({
+        taskCount,
+        image: `fill${pickBelow(FILLING_IMAGES)}`,
+        cpuMillis: FILLING_CPU_MILLIS[pickBelow(FILLING_CPU_MILLIS.length)],
+        fillsLeftover: true,
+        savesProgress: true,
+    });
+}
+
+function createStepRun(step: StepSpec, priority: number): StepRun {
+    const spec = { payload: "", steps: [step], repeatCount: 0, firstRunMs: 0, intervalMs: 0 };
+    const job = new Job("job", spec, { ...createQueue(), service: "service", priority }, NOW_MS);
+    openDueOccurrences(job, NOW_MS);
+    const [run] = job.open.get(0)?.steps ?? [];
+    return run;
+}
+
+function pickBelow(bound: number): number {
+    return Math.floor((generator.next() >>> 0) / UINT32_RANGE * bound);
+}
+
+runMeasurement();
--- /dev/null
+++ b/packages/plan-starts/src/randomFleet.test.ts
@@ -0,0 +1,74 @@
+import { describe, expect, it } from "@jest/globals";
+import { formatTaskKey } from "@sardinestage/describe-work";
+import { planDisplacement } from "./planDisplacement.js";
+import { planStarts } from "./planStarts.js";
+import type { StartPlan } from "./startPlan.js";
+import { planDisplacementPlainly } from "./testing/planDisplacementPlainly.js";
+import { planStartsPlainly } from "./testing/planStartsPlainly.js";
+import { RandomFleet } from "./testing/randomFleet.js";
+import type { WorkerRoom } from "./workerRoom.js";
+
+const SEEDS = Array.from({ length: 300 }, (_unused, index) => 20261204 + index);
+const MAX_STARTS = [5, 60, 1000];
+const LONGEST_WAITS_MS = [2000, Infinity];
+
+function buildRules(fleet: RandomFleet, seed: number) {
+    return {
+        maxStarts: MAX_STARTS[seed % MAX_STARTS.length],
+        longestWaitMs: LONGEST_WAITS_MS[seed % LONGEST_WAITS_MS.length],
+        isAdvised: fleet.isAdvised.bind(fleet),
+        describePlace: fleet.describePlace.bind(fleet),
+    };
+}
+
+function describePlan(plan: StartPlan): string[] {
+    return [
+        ...plan.starts.map(start => `${formatTaskKey(start.task.ref)} on ${start.workerId}`),
+        ...plan.unmet.map(demand => `${demand.step.occurrence.job.id} unmet`),
+    ];
+}
+
+function describeLeft(room: WorkerRoom) {
+    const { workerId, freeCpuMillis, freeMemoryMb, freeAccelerators, fillCpuMillis, startsLeft } = room;
+    const counts = { servers: room.servers.length, fillers: room.fillers.length };
+    return { workerId, freeCpuMillis, freeMemoryMb, freeAccelerators, fillCpuMillis, startsLeft, ...counts };
+}
+
+describe("planStarts on random fleets", () => {
+    describe("when rooms are judged once for all that is alike", () => {
+        it("plans the same as judging every room again for every task", () => {
+            for (const seed of SEEDS) {
+                const [fleet, reference] = [new RandomFleet(seed), new RandomFleet(seed)];
+                const plan = describePlan(planStarts(fleet.demands, fleet.rooms, buildRules(fleet, seed)));
+                const expected = describePlan(
+                    planStartsPlainly(reference.demands, reference.rooms, buildRules(reference, seed)),
+                );
+                expect({ seed, plan }).toEqual({ seed, plan: expected });
+                expect(fleet.rooms.map(describeLeft)).toEqual(reference.rooms.map(describeLeft));
+            }
+        });
+    });
+});
+
+describe("planDisplacement on random fleets", () => {
+    describe("when what could give way is summed up once a round", () => {
+        it("chooses the same victims as looking at every task for every demand", () => {
+            let found = 0;
+            for (const seed of SEEDS) {
+                const fleet = new RandomFleet(seed);
+                const { unmet } = planStarts(fleet.demands, fleet.rooms, buildRules(fleet, seed));
+                const listTasks = (workerId: string) => fleet.tasks.get(workerId) ?? [];
+                for (const demand of unmet) {
+                    const expected = planDisplacementPlainly(demand, fleet.rooms, listTasks);
+                    const displacement = planDisplacement(demand, fleet.rooms, listTasks);
+                    expect({ seed, workerId: displacement?.workerId }).toEqual({ seed, workerId: expected?.workerId });
+                    expect(displacement?.victims.map(task => task.ref)).toEqual(
+                        expected?.victims.map(task => task.ref),
+                    );
+                    found += displacement === undefined ? 0 : 1;
+                }
+            }
+            expect(found).toBeGreaterThan(SEEDS.length);
+        });
+    });
+});
--- /dev/null
+++ b/packages/plan-starts/src/testing/planStartsPlainly.ts
@@ -0,0 +1,176 @@
+import type { StepRun, Task } from "@sardinestage/track-jobs";
+import { compareDemands } from "../compareDemands.js";
+import { computePlaceScore } from "../computePlaceScore.js";
+import { hasRoom } from "../hasRoom.js";
+import { isAllowedOn } from "../isAllowedOn.js";
+import type { PlaceView } from "../placeView.js";
+import type { PlannedStart } from "../plannedStart.js";
+import { RefusedShapes } from "../refusedShapes.js";
+import type { StartPlan } from "../startPlan.js";
+import type { StepDemand } from "../stepDemand.js";
+import { takeRoom } from "../takeRoom.js";
+import type { WorkerRoom } from "../workerRoom.js";
+
+const MOST_STRAIN = 0.88;
+const FAILED_THERE_PENALTY = 10;
+
+interface StartRules {
+    readonly maxStarts: number;
+    readonly longestWaitMs: number;
+    readonly isAdvised: (task: Task, workerId: string) => boolean;
+    readonly describePlace: (room: WorkerRoom, step: StepRun) => PlaceView;
+}
+
+/** The plain way to plan starts: judges every room again for every task. */
+export function planStartsPlainly(
+    demands: readonly StepDemand[],
+    rooms: readonly WorkerRoom[],
+    rules: StartRules,
+): StartPlan {
+    const starts: PlannedStart[] = [];
+    const unmet: StepDemand[] = [];
+    const refused = new RefusedShapes();
+    for (const demand of [...demands].sort(compareDemands)) {
+        if (starts.length >= rules.maxStarts) {
+            break;
+        }
+        const isMet = !refused.has(demand) && planDemand(demand, rooms, rules, starts);
+        if (!isMet) {
+            refused.add(demand);
+            unmet.push(demand);
+        }
+    }
+    return { starts, unmet };
+}
+
+function planDemand(
+    demand: StepDemand,
+    rooms: readonly WorkerRoom[],
+    rules: StartRules,
+    starts: PlannedStart[],
+): boolean {
+    return demand.step.spec.gang
+        ? planGang(demand, rooms, rules, starts)
+        : planTasks(demand, rooms, rules, starts);
+}
+
+function planTasks(
+    demand: StepDemand,
+    rooms: readonly WorkerRoom[],
+    rules: StartRules,
+    starts: PlannedStart[],
+): boolean {
+    const { step } = demand;
+    const usable = rooms.filter(room => isAllowedOn(step, room));
+    const perWorker = countPerWorker(demand);
+    const mayWait = step.spec.fillsLeftover && demand.waitedMs < rules.longestWaitMs;
+    for (const task of demand.waiting) {
+        if (starts.length >= rules.maxStarts) {
+            return true;
+        }
+        const room = chooseRoom(task, usable, perWorker, mayWait, rules);
+        if (room === undefined) {
+            return false;
+        }
+        takeRoom(room, step);
+        perWorker.set(room.workerId, (perWorker.get(room.workerId) ?? 0) + 1);
+        starts.push({ task, workerId: room.workerId });
+    }
+    return true;
+}
+
+function countPerWorker(demand: StepDemand): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const task of demand.step.tasks) {
+        if (task.isActive) {
+            counts.set(task.workerId, (counts.get(task.workerId) ?? 0) + 1);
+        }
+    }
+    return counts;
+}
+
+function chooseRoom(
+    task: Task,
+    rooms: readonly WorkerRoom[],
+    perWorker: ReadonlyMap<string, number>,
+    mayWait: boolean,
+    rules: StartRules,
+): WorkerRoom | undefined {
+    const { spec } = task.step;
+    let best: WorkerRoom | undefined;
+    let bestScore = -Infinity;
+    for (const room of rooms) {
+        const isFull = spec.maxTasksPerWorker > 0 && (perWorker.get(room.workerId) ?? 0) >= spec.maxTasksPerWorker;
+        if (!hasRoom(room, spec) || isFull || !rules.isAdvised(task, room.workerId)) {
+            continue;
+        }
+        const view = rules.describePlace(room, task.step);
+        if (mayWait && view.strain > MOST_STRAIN) {
+            continue;
+        }
+        const failed = room.workerId === task.lastFailedOn ? FAILED_THERE_PENALTY : 0;
+        const score = computePlaceScore(room, spec, view) - failed;
+        if (score > bestScore) {
+            best = room;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+function planGang(
+    demand: StepDemand,
+    rooms: readonly WorkerRoom[],
+    rules: StartRules,
+    starts: PlannedStart[],
+): boolean {
+    const { step } = demand;
+    if (demand.waiting.length < step.tasks.length) {
+        return true;
+    }
+    const usable = rooms.filter(room => isAllowedOn(step, room));
+    const racks = step.spec.sameRack ? [...new Set(usable.map(room => room.rack))] : [];
+    const candidates = [...racks.map(rack => usable.filter(room => room.rack === rack)), usable];
+    for (const candidate of candidates) {
+        const found = tryPlacing(demand, candidate, rules);
+        if (found !== undefined) {
+            for (const start of found) {
+                takeRoom(start.room, step);
+                starts.push({ task: start.task, workerId: start.room.workerId });
+            }
+            return true;
+        }
+    }
+    return false;
+}
+
+interface Placed {
+    readonly task: Task;
+    readonly room: WorkerRoom;
+}
+
+function tryPlacing(demand: StepDemand, rooms: readonly WorkerRoom[], rules: StartRules): Placed[] | undefined {
+    const { spec } = demand.step;
+    const copies = rooms.map(room => ({
+        room,
+        copy: { ...room, servers: [...room.servers], fillers: [...room.fillers] },
+        taken: 0,
+    }));
+    const placed: Placed[] = [];
+    const score = (room: WorkerRoom) => computePlaceScore(room, spec, rules.describePlace(room, demand.step));
+    for (const task of demand.waiting) {
+        const best = copies
+            .filter(entry => hasRoom(entry.copy, spec))
+            .filter(entry => spec.maxTasksPerWorker === 0 || entry.taken < spec.maxTasksPerWorker)
+            .filter(entry => rules.isAdvised(task, entry.room.workerId))
+            .sort((left, right) => score(right.copy) - score(left.copy))
+            .at(0);
+        if (best === undefined) {
+            return undefined;
+        }
+        takeRoom(best.copy, demand.step);
+        best.taken++;
+        placed.push({ task, room: best.room });
+    }
+    return placed;
+}
--- /dev/null
+++ b/packages/plan-starts/src/testing/randomFleet.ts
@@ -0,0 +1,176 @@
+import type { JobSpec, StepSpec } from "@sardinestage/describe-work";
+import { createStep } from "@sardinestage/emulate-platform";
+import type { StepRun, Task } from "@sardinestage/track-jobs";
+import { Job, openDueOccurrences, TaskPhase } from "@sardinestage/track-jobs";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { PlaceView } from "../placeView.js";
+import type { StepDemand } from "../stepDemand.js";
+import { takeRoom } from "../takeRoom.js";
+import type { WorkerRoom } from "../workerRoom.js";
+
+const NOW_MS = 1_800_000_000_000;
+const UINT32_RANGE = 0x1_0000_0000;
+const WORKERS = 24;
+const DEMANDS = 40;
+const SERVICES = ["north", "south"];
+const RACKS = ["r1", "r2", "r3", "r4"];
+const LABELS = ["plain", "special"];
+const IMAGES = ["a", "b", "c"];
+const CPU_MILLIS = [500, 1000, 2000, 4000];
+const CAPACITY_CPU_MILLIS = 16_000;
+const PRIORITIES = 4;
+const PERCENTS = [0, 5, 40, 90];
+
+/** A random fleet at work and what waits there; the same seed gives the same. */
+export class RandomFleet {
+    /** The tasks on each worker. */
+    readonly tasks = new Map<string, Task[]>();
+    readonly rooms: readonly WorkerRoom[];
+    readonly demands: readonly StepDemand[];
+    private readonly generator: ReturnType<typeof xoroshiro128plus>;
+    private readonly advised = new Set<string>();
+    private jobs = 0;
+
+    constructor(seed: number) {
+        this.generator = xoroshiro128plus(seed);
+        this.rooms = Array.from({ length: WORKERS }, (_unused, index) => this.createRoom(`w${index}`));
+        this.demands = Array.from({ length: DEMANDS }, () => this.createDemand());
+    }
+
+    /** Whether the advice service lets a step's tasks run on a worker. */
+    isAdvised(task: Task, workerId: string): boolean {
+        const { queue, id } = task.step.occurrence.job;
+        return queue.advice === undefined || this.advised.has(`${id}/${workerId}`);
+    }
+
+    /** A picture of neighbours that depends on what the round has added. */
+    describePlace(room: WorkerRoom, step: StepRun): PlaceView {
+        const { image, fillsLeftover, tailTargetMs } = step.spec;
+        const harm = room.fillers.reduce((sum, filler) => sum + (filler.image === image ? 0.02 : 0.09), 0);
+        const alike = room.servers.filter(server => server.step.spec.image === image).length;
+        return {
+            strain: fillsLeftover && room.servers.length === 0 ? 0 : 0.3 + harm + room.servers.length * 0.05,
+            isHarmful: fillsLeftover && image === "a",
+            alikeShare: tailTargetMs === 0 || room.servers.length === 0 ? 1 : alike / room.servers.length,
+        };
+    }
+
+    private createRoom(workerId: string): WorkerRoom {
+        const rack = this.pick(RACKS);
+        const room: WorkerRoom = {
+            workerId,
+            service: this.pick(SERVICES),
+            rack,
+            labels: [this.pick(LABELS), rack],
+            capacityCpuMillis: CAPACITY_CPU_MILLIS,
+            freeCpuMillis: CAPACITY_CPU_MILLIS,
+            freeMemoryMb: 30_000,
+            freeAccelerators: this.pickBelow(3),
+            fillCpuMillis: 0,
+            servers: [],
+            fillers: [],
+            startsLeft: 0,
+        };
+        const residents = Array.from({ length: this.pickBelow(14) }, () => this.createResident(workerId));
+        residents.forEach(task => takeRoom(room, task.step, 2));
+        this.tasks.set(workerId, residents);
+        room.startsLeft = this.pick([0, 1, 3, 1000, 1000, 1000]);
+        return room;
+    }
+
+    private createResident(workerId: string): Task {
+        const isGang = this.pickBelow(8) === 0;
+        const [task] = this.createStepRun({ ...this.createSpec(), taskCount: 1, gang: isGang }).tasks;
+        task.phase = this.pick([TaskPhase.Running, TaskPhase.Running, TaskPhase.Ordered, TaskPhase.Stopping]);
+        task.workerId = workerId;
+        task.percent = this.pick(PERCENTS);
+        return task;
+    }
+
+    private createDemand(): StepDemand {
+        const isGang = this.pickBelow(5) === 0;
+        const isLimited = this.pickBelow(4) === 0;
+        const step = this.createStepRun({
+            ...this.createSpec(),
+            taskCount: 1 + this.pickBelow(8),
+            gang: isGang,
+            sameRack: isGang && this.pickBelow(2) === 0,
+            maxTasksPerWorker: isLimited ? 1 + this.pickBelow(2) : 0,
+        });
+        step.tasks.forEach(task => this.setHistory(task));
+        return {
+            step,
+            waiting: step.tasks.filter(task => task.phase === TaskPhase.Waiting),
+            isStarted: this.pickBelow(2) === 0,
+            remainingMs: 1000,
+            waitedMs: this.pickBelow(4) * 1000,
+            slackMs: this.pickBelow(4000) - 1000,
+            lateSlackMs: this.pickBelow(4000) - 500,
+        };
+    }
+
+    /** Some tasks of a step run already, some have failed somewhere. */
+    private setHistory(task: Task): void {
+        const worker = `w${this.pickBelow(WORKERS)}`;
+        const state = this.pickBelow(8);
+        if (state === 0) {
+            task.phase = TaskPhase.Running;
+            task.workerId = worker;
+        }
+        if (state < 3) {
+            task.lastFailedOn = worker;
+        }
+    }
+
+    private createSpec(): StepSpec {
+        const kind = this.pickBelow(3);
+        return createStep({
+            image: this.pick(IMAGES),
+            cpuMillis: this.pick(CPU_MILLIS),
+            memoryMb: this.pick([500, 2000]),
+            accelerators: this.pickBelow(6) === 0 ? 1 : 0,
+            requiredLabel: this.pickBelow(4) === 0 ? this.pick(LABELS) : "",
+            preferredRack: this.pickBelow(3) === 0 ? this.pick(RACKS) : "",
+            longRunning: kind === 0,
+            tailTargetMs: kind === 0 ? 100 : 0,
+            fillsLeftover: kind === 1,
+            savesProgress: this.pickBelow(2) === 0,
+        });
+    }
+
+    private createStepRun(step: StepSpec): StepRun {
+        const spec: JobSpec = { payload: "", steps: [step], repeatCount: 0, firstRunMs: 0, intervalMs: 0 };
+        const id = `job${this.jobs++}`;
+        const needsAdvice = this.pickBelow(6) === 0;
+        const job = new Job(id, spec, {
+            name: "queue",
+            host: "",
+            pathPrefix: "",
+            service: this.pick(SERVICES),
+            priority: this.pickBelow(PRIORITIES),
+            maxAttempts: 3,
+            stretch: 2,
+            targetLatencyMs: 500,
+            ...needsAdvice ? { advice: { decideMs: 10, eachMs: 1, validMs: 1000 } } : {},
+        }, NOW_MS);
+        for (let worker = 0; worker < WORKERS; worker++) {
+            if (this.pickBelow(3) === 0) {
+                this.advised.add(`${id}/w${worker}`);
+            }
+        }
+        openDueOccurrences(job, NOW_MS);
+        const run = job.open.get(0)?.steps[0];
+        if (run === undefined) {
+            throw new Error("The occurrence isn't open.");
+        }
+        return run;
+    }
+
+    private pickBelow(bound: number): number {
+        return Math.floor((this.generator.next() >>> 0) / UINT32_RANGE * bound);
+    }
+
+    private pick<Item>(items: readonly Item[]): Item {
+        return items[this.pickBelow(items.length)];
+    }
+}
