Judge each room once for all tasks that are alike, and again only when it was taken from

Each task of a step judged every room again though one placement changes one room, steps with the same task judged them again, and a gang sorted all rooms for each member, with a judgement in each comparison.

RankingBook keeps one ranking (a heap) for all steps whose judgement depends on the same things (service, label, rack, image, size, kind, whether they may wait); RoomLedger tells which rooms were taken from since, and only these are judged again. Limits per worker, advice and earlier failures are a step's own: OpenRooms passes over such rooms and gives them back. Whether a gang fits is counted first (its members are alike, so it doesn't depend on the order), after which it's placed without copies of all rooms. describePlace takes the step's spec, which is all that it may depend on; isAdvised is asked once a step and worker.

The plans of 300 random fleets are those of the plain algorithm; the test fails when a room isn't judged again after a start.

--- a/packages/coordinate-work/src/placeJudge.ts
+++ b/packages/coordinate-work/src/placeJudge.ts
@@ -1,7 +1,6 @@
 import type { StepSpec } from "@sardinestage/describe-work";
 import type { HeadroomEstimator } from "@sardinestage/learn-behaviour";
 import type { PlaceView, WorkerRoom } from "@sardinestage/plan-starts";
-import type { StepRun } from "@sardinestage/track-jobs";
 import { estimateTaken } from "./estimateTaken.js";
 
 /** A filling task that takes so much of any headroom needs a place of its own. */
@@ -29,9 +28,8 @@
 
     constructor(private readonly estimator: HeadroomEstimator) {}
 
-    /** What is known of a task of a step beside those that a worker has. */
-    describePlace(room: WorkerRoom, step: StepRun): PlaceView {
-        const { spec } = step;
+    /** What is known of a task beside those that a worker has. */
+    describePlace(room: WorkerRoom, spec: StepSpec): PlaceView {
         if (spec.tailTargetMs > 0) {
             return this.describeServing(room, spec);
         }
--- a/packages/coordinate-work/src/testing/measureRounds.ts
+++ b/packages/coordinate-work/src/testing/measureRounds.ts
@@ -41,7 +41,7 @@
                 maxStarts: STARTS_A_ROUND,
                 longestWaitMs: Infinity,
                 isAdvised: () => true,
-                describePlace: (room, step) => judge.describePlace(room, step),
+                describePlace: (room, spec) => judge.describePlace(room, spec),
             });
             const plannedAtMs = performance.now();
             const found = plan.unmet.filter(demand =>
--- a/packages/coordinate-work/src/workRound.ts
+++ b/packages/coordinate-work/src/workRound.ts
@@ -86,7 +86,7 @@
             maxStarts: limits.startsARound,
             longestWaitMs: isBusy ? Infinity : LONGEST_WAIT_MS,
             isAdvised: (task, workerId) => this.round.advice.isAdvised(task, workerId),
-            describePlace: (room, step) => this.round.places.describePlace(room, step),
+            describePlace: (room, spec) => this.round.places.describePlace(room, spec),
         });
         plan.starts.forEach(({ task, workerId }) => this.startTask(task, workerId, nowMs));
 
--- a/packages/plan-starts/src/planGang.ts
+++ b/packages/plan-starts/src/planGang.ts
@@ -1,19 +1,15 @@
-import type { StepRun, Task } from "@sardinestage/track-jobs";
-import { computePlaceScore } from "./computePlaceScore.js";
+import type { StepSpec } from "@sardinestage/describe-work";
 import { hasRoom } from "./hasRoom.js";
 import { isAllowedOn } from "./isAllowedOn.js";
-import type { PlaceView } from "./placeView.js";
+import { OpenRooms } from "./openRooms.js";
 import type { PlannedStart } from "./plannedStart.js";
+import type { RankingBook } from "./rankingBook.js";
+import type { RoomLedger } from "./roomLedger.js";
+import type { RoomRanking } from "./roomRanking.js";
+import type { StartRules } from "./startRules.js";
 import type { StepDemand } from "./stepDemand.js";
-import { takeRoom } from "./takeRoom.js";
 import type { WorkerRoom } from "./workerRoom.js";
 
-/** What the placing of a gang takes into account. */
-interface GangRules {
-    readonly isAdvised: (task: Task, workerId: string) => boolean;
-    readonly describePlace: (room: WorkerRoom, step: StepRun) => PlaceView;
-}
-
 /**
  * Places all tasks of a gang, or none: part of a gang would only hold room. A gang that is faster in one rack is
  * tried rack by rack first.
@@ -23,62 +19,75 @@
  */
 export function planGang(
     demand: StepDemand,
-    rooms: readonly WorkerRoom[],
-    rules: GangRules,
+    ledger: RoomLedger,
+    rankings: RankingBook,
+    rules: StartRules,
     starts: PlannedStart[],
 ): boolean {
-    const { step } = demand;
-    if (demand.waiting.length < step.tasks.length) {
+    const { step, waiting } = demand;
+    if (waiting.length < step.tasks.length || waiting.length === 0) {
         return true;
     }
-    const usable = rooms.filter(room => isAllowedOn(step, room));
-    const racks = step.spec.sameRack ? [...new Set(usable.map(room => room.rack))] : [];
-    const candidates = [...racks.map(rack => usable.filter(room => room.rack === rack)), usable];
-    for (const candidate of candidates) {
-        const found = tryPlacing(demand, candidate, rules);
-        if (found !== undefined) {
-            for (const start of found) {
-                takeRoom(start.room, step);
-                starts.push({ task: start.task, workerId: start.room.workerId });
-            }
-            return true;
-        }
+    const allowed = ledger.rooms.filter(room => isAllowedOn(step, room));
+    const usable = allowed.filter(room => hasRoom(room, step.spec) && rules.isAdvised(waiting[0], room.workerId));
+    if (!isFitting(demand, usable)) {
+        return false;
     }
-    return false;
+    const racks = step.spec.sameRack ? [...new Set(allowed.map(room => room.rack))] : [];
+    const rack = racks.find(each => isFitting(demand, usable.filter(room => room.rack === each)));
+    const ranking = rack === undefined
+        ? rankings.resolve(step, false)
+        : rankings.createRanking(step, false, room => room.rack === rack);
+    bindMembers(demand, ledger, ranking, new Set(usable), starts);
+    return true;
 }
 
-/** A member of a gang and where it would go. */
-interface Placed {
-    readonly task: Task;
-    readonly room: WorkerRoom;
+/** Members are alike, so whether they fit doesn't depend on who goes where. */
+function isFitting(demand: StepDemand, rooms: readonly WorkerRoom[]): boolean {
+    let left = demand.waiting.length;
+    return rooms.some(room => {
+        left -= countFitting(room, demand.step.spec, left);
+        return left <= 0;
+    });
 }
 
-function tryPlacing(
+/** How many tasks of a step fit into a room, up to so many. */
+function countFitting(room: WorkerRoom, spec: StepSpec, most: number): number {
+    const limit = Math.min(most, spec.maxTasksPerWorker === 0 ? most : spec.maxTasksPerWorker);
+    const left = { ...room };
+    let fitting = 0;
+    while (fitting < limit && hasRoom(left, spec)) {
+        left.freeCpuMillis -= spec.fillsLeftover ? 0 : spec.cpuMillis;
+        left.freeMemoryMb -= spec.memoryMb;
+        left.freeAccelerators -= spec.accelerators;
+        left.startsLeft--;
+        fitting++;
+    }
+    return fitting;
+}
+
+function bindMembers(
     demand: StepDemand,
-    rooms: readonly WorkerRoom[],
-    rules: GangRules,
-): Placed[] | undefined {
-    const { spec } = demand.step;
-    const copies = rooms.map(room => ({
-        room,
-        copy: { ...room, servers: [...room.servers], fillers: [...room.fillers] },
-        taken: 0,
-    }));
-    const placed: Placed[] = [];
-    const score = (room: WorkerRoom) => computePlaceScore(room, spec, rules.describePlace(room, demand.step));
+    ledger: RoomLedger,
+    ranking: RoomRanking,
+    usable: ReadonlySet<WorkerRoom>,
+    starts: PlannedStart[],
+): void {
+    const { step } = demand;
+    const { maxTasksPerWorker } = step.spec;
+    const perWorker = new Map<number, number>();
+    const open = new OpenRooms(ranking, ({ index }) => {
+        const isFull = maxTasksPerWorker > 0 && (perWorker.get(index) ?? 0) >= maxTasksPerWorker;
+        return !isFull && usable.has(ledger.rooms[index]);
+    });
     for (const task of demand.waiting) {
-        const best = copies
-            .filter(entry => hasRoom(entry.copy, spec))
-            .filter(entry => spec.maxTasksPerWorker === 0 || entry.taken < spec.maxTasksPerWorker)
-            .filter(entry => rules.isAdvised(task, entry.room.workerId))
-            .sort((left, right) => score(right.copy) - score(left.copy))
-            .at(0);
+        const best = open.removeBest();
         if (best === undefined) {
-            return undefined;
+            throw new Error("A gang that fits found no room.");
         }
-        takeRoom(best.copy, demand.step);
-        best.taken++;
-        placed.push({ task, room: best.room });
+        ledger.take(best.index, step);
+        perWorker.set(best.index, (perWorker.get(best.index) ?? 0) + 1);
+        starts.push({ task, workerId: ledger.rooms[best.index].workerId });
     }
-    return placed;
+    open.close();
 }
--- /dev/null
+++ b/packages/plan-starts/src/planTasks.ts
@@ -0,0 +1,77 @@
+import type { Task } from "@sardinestage/track-jobs";
+import { OpenRooms } from "./openRooms.js";
+import type { PlannedStart } from "./plannedStart.js";
+import type { RankingBook } from "./rankingBook.js";
+import type { RoomLedger } from "./roomLedger.js";
+import type { StartRules } from "./startRules.js";
+import type { StepDemand } from "./stepDemand.js";
+
+/** A worker on which the task has failed is the last choice. */
+const FAILED_THERE_PENALTY = 10;
+
+/**
+ * Places the tasks of a step one by one, as many as find room.
+ *
+ * @param starts Takes the starts.
+ * @returns Whether all found room, as far as the round may start them.
+ */
+export function planTasks(
+    demand: StepDemand,
+    ledger: RoomLedger,
+    rankings: RankingBook,
+    rules: StartRules,
+    starts: PlannedStart[],
+): boolean {
+    const { step, waiting } = demand;
+    const { maxTasksPerWorker, fillsLeftover } = step.spec;
+    const perWorker = countPerWorker(demand);
+    const ranking = rankings.resolve(step, fillsLeftover && demand.waitedMs < rules.longestWaitMs);
+    const open = new OpenRooms(ranking, ({ index }) => {
+        const { workerId } = ledger.rooms[index];
+        const isFull = maxTasksPerWorker > 0 && (perWorker.get(workerId) ?? 0) >= maxTasksPerWorker;
+        return !isFull && rules.isAdvised(waiting[0], workerId);
+    });
+    const startable = waiting.slice(0, rules.maxStarts - starts.length);
+    const isMet = startable.every(task => {
+        const index = takeBest(task, ledger, open);
+        if (index === undefined) {
+            return false;
+        }
+        const { workerId } = ledger.rooms[index];
+        ledger.take(index, step);
+        perWorker.set(workerId, (perWorker.get(workerId) ?? 0) + 1);
+        starts.push({ task, workerId });
+        return true;
+    });
+    open.close();
+    return isMet;
+}
+
+function countPerWorker(demand: StepDemand): Map<string, number> {
+    const counts = new Map<string, number>();
+    if (demand.step.spec.maxTasksPerWorker > 0) {
+        for (const task of demand.step.tasks) {
+            if (task.isActive) {
+                counts.set(task.workerId, (counts.get(task.workerId) ?? 0) + 1);
+            }
+        }
+    }
+    return counts;
+}
+
+/** A task that failed on a worker gets its next chance elsewhere: the worker may be at fault. */
+function takeBest(task: Task, ledger: RoomLedger, open: OpenRooms): number | undefined {
+    const best = open.removeBest();
+    if (best === undefined || ledger.rooms[best.index].workerId !== task.lastFailedOn) {
+        return best?.index;
+    }
+    const other = open.removeBest();
+    const score = best.score - FAILED_THERE_PENALTY;
+    const isOtherBetter = other !== undefined
+        && (other.score > score || (other.score === score && other.index < best.index));
+    const [chosen, unused] = isOtherBetter ? [other, best] : [best, other];
+    if (unused !== undefined) {
+        open.restore(unused);
+    }
+    return chosen.index;
+}
--- /dev/null
+++ b/packages/plan-starts/src/rankedRoom.ts
@@ -0,0 +1,8 @@
+/** A room as it was when it was judged. */
+export interface RankedRoom {
+    /** Its place among the round's rooms. */
+    readonly index: number;
+    readonly score: number;
+    /** How often it had been taken from by then. */
+    readonly version: number;
+}
--- a/packages/plan-starts/src/testing/planStartsPlainly.ts
+++ b/packages/plan-starts/src/testing/planStartsPlainly.ts
@@ -1,12 +1,12 @@
-import type { StepRun, Task } from "@sardinestage/track-jobs";
+import type { Task } from "@sardinestage/track-jobs";
 import { compareDemands } from "../compareDemands.js";
 import { computePlaceScore } from "../computePlaceScore.js";
 import { hasRoom } from "../hasRoom.js";
 import { isAllowedOn } from "../isAllowedOn.js";
-import type { PlaceView } from "../placeView.js";
 import type { PlannedStart } from "../plannedStart.js";
 import { RefusedShapes } from "../refusedShapes.js";
 import type { StartPlan } from "../startPlan.js";
+import type { StartRules } from "../startRules.js";
 import type { StepDemand } from "../stepDemand.js";
 import { takeRoom } from "../takeRoom.js";
 import type { WorkerRoom } from "../workerRoom.js";
@@ -14,13 +14,6 @@
 const MOST_STRAIN = 0.88;
 const FAILED_THERE_PENALTY = 10;
 
-interface StartRules {
-    readonly maxStarts: number;
-    readonly longestWaitMs: number;
-    readonly isAdvised: (task: Task, workerId: string) => boolean;
-    readonly describePlace: (room: WorkerRoom, step: StepRun) => PlaceView;
-}
-
 /** The plain way to plan starts: judges every room again for every task. */
 export function planStartsPlainly(
     demands: readonly StepDemand[],
@@ -104,7 +97,7 @@
         if (!hasRoom(room, spec) || isFull || !rules.isAdvised(task, room.workerId)) {
             continue;
         }
-        const view = rules.describePlace(room, task.step);
+        const view = rules.describePlace(room, spec);
         if (mayWait && view.strain > MOST_STRAIN) {
             continue;
         }
@@ -157,7 +150,7 @@
         taken: 0,
     }));
     const placed: Placed[] = [];
-    const score = (room: WorkerRoom) => computePlaceScore(room, spec, rules.describePlace(room, demand.step));
+    const score = (room: WorkerRoom) => computePlaceScore(room, spec, rules.describePlace(room, spec));
     for (const task of demand.waiting) {
         const best = copies
             .filter(entry => hasRoom(entry.copy, spec))
--- a/packages/plan-starts/src/testing/randomFleet.ts
+++ b/packages/plan-starts/src/testing/randomFleet.ts
@@ -44,8 +44,8 @@
     }
 
     /** A picture of neighbours that depends on what the round has added. */
-    describePlace(room: WorkerRoom, step: StepRun): PlaceView {
-        const { image, fillsLeftover, tailTargetMs } = step.spec;
+    describePlace(room: WorkerRoom, spec: StepSpec): PlaceView {
+        const { image, fillsLeftover, tailTargetMs } = spec;
         const harm = room.fillers.reduce((sum, filler) => sum + (filler.image === image ? 0.02 : 0.09), 0);
         const alike = room.servers.filter(server => server.step.spec.image === image).length;
         return {
