Work out once a round what each pair of images does to each other

describeFilling, describeServing and estimateTaken looked up each pair of images by name for every serving and every filling task of every room, worked out an image's worst harm from all models at every judgement and a serving image's sensitivity once for each of its tasks, and after each start all of a room anew.

HeadroomTable keeps what the estimator says for one round, by the numbers of images; PlaceJudge adds to what is left in a room only what was added to the room. WorkRound tells it when a round begins; until now rooms were made anew each round, so that nothing outlived it, but a room that is kept and has one filling task in place of another would have been judged by the old one.

--- /dev/null
+++ b/packages/coordinate-work/src/placeJudge.test.ts
@@ -0,0 +1,99 @@
+import { describe, expect, it } from "@jest/globals";
+import type { StepSpec } from "@sardinestage/describe-work";
+import { createStep } from "@sardinestage/emulate-platform";
+import { HeadroomEstimator } from "@sardinestage/learn-behaviour";
+import type { WorkerRoom } from "@sardinestage/plan-starts";
+import { takeRoom } from "@sardinestage/plan-starts";
+import type { StepRun } from "@sardinestage/track-jobs";
+import { Job, openDueOccurrences } from "@sardinestage/track-jobs";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { PlaceJudge } from "./placeJudge.js";
+import { createQueue } from "./testing/createQueue.js";
+import { PlainPlaceJudge } from "./testing/plainPlaceJudge.js";
+
+const SEEDS = Array.from({ length: 40 }, (_unused, index) => 20261204 + index);
+const UINT32_RANGE = 0x1_0000_0000;
+const NOW_MS = 1_800_000_000_000;
+const IMAGES = 5;
+const ROUNDS = 3;
+const STEPS = 30;
+
+function createRandom(seed: number): (bound: number) => number {
+    const generator = xoroshiro128plus(seed);
+    return bound => Math.floor((generator.next() >>> 0) / UINT32_RANGE * bound);
+}
+
+function createRoom(): WorkerRoom {
+    return {
+        workerId: "worker",
+        service: "service",
+        rack: "rack",
+        labels: [],
+        capacityCpuMillis: 16_000,
+        freeCpuMillis: 16_000,
+        freeMemoryMb: 64_000,
+        freeAccelerators: 0,
+        fillCpuMillis: 0,
+        servers: [],
+        fillers: [],
+        startsLeft: 1000,
+    };
+}
+
+function createRun(spec: StepSpec): StepRun {
+    const job = new Job(
+        "job",
+        { payload: "", steps: [spec], repeatCount: 0, firstRunMs: 0, intervalMs: 0 },
+        createQueue(),
+        NOW_MS,
+    );
+    openDueOccurrences(job, NOW_MS);
+    const [run] = job.open.get(0)?.steps ?? [];
+    return run;
+}
+
+function createSpec(pickBelow: (bound: number) => number): StepSpec {
+    const kind = pickBelow(5);
+    return createStep({
+        image: `image${pickBelow(IMAGES)}`,
+        cpuMillis: 500 * (1 + pickBelow(6)),
+        tailTargetMs: kind < 2 ? 100 : 0,
+        fillsLeftover: kind === 2 || kind === 3,
+    });
+}
+
+function learnSome(estimator: HeadroomEstimator, pickBelow: (bound: number) => number): void {
+    for (let figure = 0; figure < 20; figure++) {
+        const neighbours = [{ image: `image${pickBelow(IMAGES)}`, weight: 0.25 }];
+        const [image, headroom] = [`image${pickBelow(IMAGES - 1)}`, 1 + pickBelow(4)];
+        estimator.learnDifference(image, { headroom, neighbours }, { headroom: 3, neighbours: [] }, 0.2);
+        estimator.learnUsual(image, headroom);
+    }
+}
+
+describe("PlaceJudge", () => {
+    describe("when rooms fill up in a round and more is learned between rounds", () => {
+        it.each(SEEDS)("judges like one that remembers nothing (seed %d)", seed => {
+            const pickBelow = createRandom(seed);
+            const estimator = new HeadroomEstimator();
+            const [judge, plain] = [new PlaceJudge(estimator), new PlainPlaceJudge(estimator)];
+            const rooms = [createRoom(), createRoom(), createRoom()];
+            for (let round = 0; round < ROUNDS; round++) {
+                judge.startRound();
+                for (let step = 0; step < STEPS; step++) {
+                    const spec = createSpec(pickBelow);
+                    for (const room of rooms) {
+                        const [view, expected] = [judge.describePlace(room, spec), plain.describePlace(room, spec)];
+                        expect(view.strain).toBeCloseTo(expected.strain, 9);
+                        expect(view.isHarmful).toBe(expected.isHarmful);
+                        expect(view.alikeShare).toBe(expected.alikeShare);
+                    }
+                    takeRoom(rooms[pickBelow(rooms.length)], createRun(spec), pickBelow(2) === 0 ? 2 : undefined);
+                }
+                learnSome(estimator, pickBelow);
+                // Another task of the same number, as rooms that are kept from round to round would show it.
+                rooms.forEach(room => room.fillers.splice(0, 1, createSpec(pickBelow)));
+            }
+        });
+    });
+});
--- a/packages/coordinate-work/src/placeJudge.ts
+++ b/packages/coordinate-work/src/placeJudge.ts
@@ -1,14 +1,10 @@
 import type { StepSpec } from "@sardinestage/describe-work";
 import type { HeadroomEstimator } from "@sardinestage/learn-behaviour";
 import type { PlaceView, WorkerRoom } from "@sardinestage/plan-starts";
-import { estimateTaken } from "./estimateTaken.js";
+import { HeadroomTable } from "./headroomTable.js";
 
 /** A filling task that takes so much of any headroom needs a place of its own. */
 const HARMFUL = 0.3;
-/** Headroom of a serving task of which nothing is known. */
-const USUAL_HEADROOM = 2.5;
-/** A serving image from which some neighbour would take so much on a whole worker suffers easily. */
-const SENSITIVE = 3;
 /** Less headroom than this is all the same. */
 const LEAST_HEADROOM = 0.05;
 /** A place that neither suffers nor does harm. */
@@ -16,17 +12,28 @@
 
 /** What the serving tasks of a room have left beside the filling ones there. */
 interface RoomHeadroom {
-    readonly servers: number;
-    readonly fillers: number;
+    /** How many filling tasks it was worked out with. */
+    fillers: number;
+    /** The images of the room's serving tasks, in their order. */
+    readonly images: number[];
     /** In the order of the room's serving tasks. */
-    readonly lefts: readonly number[];
+    readonly lefts: number[];
 }
 
 /** Tells what a task would do to the serving tasks on a worker, from what was learned of pairs of images. */
 export class PlaceJudge {
-    private readonly headrooms = new WeakMap<WorkerRoom, RoomHeadroom>();
+    private table: HeadroomTable;
+    private headrooms = new WeakMap<WorkerRoom, RoomHeadroom>();
 
-    constructor(private readonly estimator: HeadroomEstimator) {}
+    constructor(private readonly estimator: HeadroomEstimator) {
+        this.table = new HeadroomTable(estimator);
+    }
+
+    /** Begins a round, in which nothing is learned and tasks are only added to rooms. */
+    startRound(): void {
+        this.table = new HeadroomTable(this.estimator);
+        this.headrooms = new WeakMap();
+    }
 
     /** What is known of a task beside those that a worker has. */
     describePlace(room: WorkerRoom, spec: StepSpec): PlaceView {
@@ -37,56 +44,67 @@
     }
 
     private describeFilling(room: WorkerRoom, spec: StepSpec): PlaceView {
-        const lefts = this.getLefts(room);
-        let worst = Infinity;
-        room.servers.forEach((server, index) => {
-            const taken = estimateTaken(this.estimator, server.step.spec.image, spec, room.capacityCpuMillis);
-            worst = Math.min(worst, lefts[index] - taken);
-        });
+        const { images, lefts } = this.getHeadroom(room);
+        const harms = this.table.resolveHarms(spec.image);
         const weight = spec.cpuMillis / Math.max(1, room.capacityCpuMillis);
-        const isHarmful = this.estimator.estimateWorstHarm(spec.image) * weight >= HARMFUL;
-        return { strain: convertToStrain(worst), isHarmful, alikeShare: 1 };
+        let worst = Infinity;
+        for (let index = 0; index < lefts.length; index++) {
+            worst = Math.min(worst, lefts[index] - this.table.getHarm(spec.image, harms, images[index]) * weight);
+        }
+        return { strain: convertToStrain(worst), isHarmful: harms.worst * weight >= HARMFUL, alikeShare: 1 };
     }
 
     private describeServing(room: WorkerRoom, spec: StepSpec): PlaceView {
-        let headroom = this.estimateUsual(spec.image);
+        const image = this.table.resolveImage(spec.image);
+        const { images } = this.getHeadroom(room);
+        let headroom = this.table.getUsual(image);
         for (const filler of room.fillers) {
-            headroom -= estimateTaken(this.estimator, spec.image, filler, room.capacityCpuMillis);
+            headroom -= this.computeTaken(room, filler, image);
+        }
+        let alike = 0;
+        for (const other of images) {
+            alike += this.isAlike(other, image) ? 1 : 0;
         }
-        const alike = room.servers.filter(server => this.isAlike(server.step.spec.image, spec.image)).length;
-        const alikeShare = room.servers.length === 0 ? 1 : alike / room.servers.length;
+        const alikeShare = images.length === 0 ? 1 : alike / images.length;
         return { strain: convertToStrain(headroom), isHarmful: false, alikeShare };
     }
 
-    /** A round takes from rooms as it goes, so what is left is worked out anew only where something was added. */
-    private getLefts(room: WorkerRoom): readonly number[] {
+    /** A round adds to rooms as it goes; only what was added is worked out. */
+    private getHeadroom(room: WorkerRoom): RoomHeadroom {
         const known = this.headrooms.get(room);
-        if (known !== undefined && known.servers === room.servers.length && known.fillers === room.fillers.length) {
-            return known.lefts;
+        const headroom: RoomHeadroom = known ?? { fillers: 0, images: [], lefts: [] };
+        if (known === undefined) {
+            this.headrooms.set(room, headroom);
+        }
+        const { images, lefts } = headroom;
+        for (; headroom.fillers < room.fillers.length; headroom.fillers++) {
+            for (let index = 0; index < lefts.length; index++) {
+                lefts[index] -= this.computeTaken(room, room.fillers[headroom.fillers], images[index]);
+            }
         }
-        const lefts = room.servers.map(server => {
-            const own = server.headroom ?? this.estimateUsual(server.step.spec.image);
-            return room.fillers.reduce(
-                (left, filler) =>
-                    left - estimateTaken(this.estimator, server.step.spec.image, filler, room.capacityCpuMillis),
-                own,
-            );
-        });
-        this.headrooms.set(room, { servers: room.servers.length, fillers: room.fillers.length, lefts });
-        return lefts;
+        for (let index = images.length; index < room.servers.length; index++) {
+            const server = room.servers[index];
+            const image = this.table.resolveImage(server.step.spec.image);
+            let left = server.headroom ?? this.table.getUsual(image);
+            for (const filler of room.fillers) {
+                left -= this.computeTaken(room, filler, image);
+            }
+            images.push(image);
+            lefts.push(left);
+        }
+        return headroom;
     }
 
-    private estimateUsual(image: string): number {
-        return this.estimator.estimateUsual(image) ?? USUAL_HEADROOM;
+    private computeTaken(room: WorkerRoom, filler: StepSpec, serving: number): number {
+        const harms = this.table.resolveHarms(filler.image);
+        return this.table.getHarm(filler.image, harms, serving) * filler.cpuMillis
+            / Math.max(1, room.capacityCpuMillis);
     }
 
     /** Whether two serving images are the same, or are both known to suffer or both known not to. */
-    private isAlike(image: string, other: string): boolean {
-        if (image === other) {
-            return true;
-        }
-        const [left, right] = [this.estimator.estimateSensitivity(image), this.estimator.estimateSensitivity(other)];
-        return left !== undefined && right !== undefined && (left > SENSITIVE) === (right > SENSITIVE);
+    private isAlike(image: number, other: number): boolean {
+        const [left, right] = [this.table.isSensitive(image), this.table.isSensitive(other)];
+        return image === other || (left !== undefined && right !== undefined && left === right);
     }
 }
 
--- a/packages/coordinate-work/src/workRound.ts
+++ b/packages/coordinate-work/src/workRound.ts
@@ -82,6 +82,7 @@
         );
         const isBusy = computeReservedShare(rooms) >= BUSY_SHARE;
         const demands = steps.map(({ step, waiting }) => this.buildDemand(step, waiting));
+        this.round.places.startRound();
         const plan = planStarts(demands, rooms, {
             maxStarts: limits.startsARound,
             longestWaitMs: isBusy ? Infinity : LONGEST_WAIT_MS,
