Sum up once a round what may give way, and don't search again in vain

Stopping filling tasks frees no processor, so a demand that lacks processor can't be helped where all that may give way fills.

DisplacementPlanner lives for one round: it lists what may give way on a worker once, with what that holds by priority, skips workers where all of it would be too little, and remembers what found nobody (service, priority, label, size). The latter holds for the round: rooms don't change after the starts, and stops only make fewer that may give way; who was told to stop meanwhile is left out as before.

--- a/packages/coordinate-work/src/testing/measureRounds.ts
+++ b/packages/coordinate-work/src/testing/measureRounds.ts
@@ -1,7 +1,7 @@
 import type { StepSpec } from "@sardinestage/describe-work";
 import { createStep } from "@sardinestage/emulate-platform";
 import { HeadroomEstimator } from "@sardinestage/learn-behaviour";
-import { planDisplacement, planStarts, type StepDemand, takeRoom, type WorkerRoom } from "@sardinestage/plan-starts";
+import { DisplacementPlanner, planStarts, type StepDemand, takeRoom, type WorkerRoom } from "@sardinestage/plan-starts";
 import { Job, openDueOccurrences, type StepRun, type Task, TaskPhase } from "@sardinestage/track-jobs";
 import { performance } from "node:perf_hooks";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
@@ -44,9 +44,8 @@
                 describePlace: (room, spec) => judge.describePlace(room, spec),
             });
             const plannedAtMs = performance.now();
-            const found = plan.unmet.filter(demand =>
-                planDisplacement(demand, rooms, id => tasks.get(id) ?? []) !== undefined
-            );
+            const planner = new DisplacementPlanner(rooms, id => tasks.get(id) ?? []);
+            const found = plan.unmet.filter(demand => planner.plan(demand) !== undefined);
             times.displacement.push(performance.now() - plannedAtMs);
             times.starts.push(plannedAtMs - startedAtMs);
             counts = `${plan.starts.length} starts, ${plan.unmet.length} unmet, ${found.length} displacing`;
--- a/packages/coordinate-work/src/workRound.ts
+++ b/packages/coordinate-work/src/workRound.ts
@@ -1,6 +1,6 @@
 import { formatTaskKey } from "@sardinestage/describe-work";
 import type { StepDemand, WorkerRoom } from "@sardinestage/plan-starts";
-import { planDisplacement, planStarts } from "@sardinestage/plan-starts";
+import { DisplacementPlanner, planStarts } from "@sardinestage/plan-starts";
 import type { StepRun, Task } from "@sardinestage/track-jobs";
 import {
     applyRunStart,
@@ -91,11 +91,12 @@
         });
         plan.starts.forEach(({ task, workerId }) => this.startTask(task, workerId, nowMs));
 
+        const displacement = new DisplacementPlanner(rooms, id => this.round.fleet.links.get(id)?.tasks ?? []);
         let displacements = 0;
         for (const demand of plan.unmet) {
             this.requestAdvice(demand, rooms.map(room => room.workerId));
             if (displacements < DISPLACEMENTS_A_ROUND && this.isDisplacing(demand, nowMs)) {
-                const found = planDisplacement(demand, rooms, id => this.round.fleet.links.get(id)?.tasks ?? []);
+                const found = displacement.plan(demand);
                 displacements += found === undefined ? 0 : 1;
                 this.stopVictims(demand, found, nowMs);
             }
--- /dev/null
+++ b/packages/plan-starts/src/displacementPlanner.ts
@@ -0,0 +1,110 @@
+import type { StepSpec } from "@sardinestage/describe-work";
+import type { Task } from "@sardinestage/track-jobs";
+import type { Displacement } from "./displacement.js";
+import { isAllowedOn } from "./isAllowedOn.js";
+import { RoomVictims } from "./roomVictims.js";
+import type { StepDemand } from "./stepDemand.js";
+import type { Victim } from "./victim.js";
+import type { WorkerRoom } from "./workerRoom.js";
+
+/**
+ * Decides within one round what gives way to demands that found no room. Answers urgent work that meets a fleet full
+ * of patient work. What may give way on a worker is summed up once, and a demand whose like found nobody isn't looked
+ * at again: a round's stops only make fewer that may give way.
+ */
+export class DisplacementPlanner {
+    private readonly victims = new Map<string, RoomVictims>();
+    private readonly hopeless = new Set<string>();
+
+    /**
+     * @param rooms What the workers have left.
+     * @param listTasks The tasks that run on a worker.
+     */
+    constructor(
+        private readonly rooms: readonly WorkerRoom[],
+        private readonly listTasks: (workerId: string) => Iterable<Task>,
+    ) {}
+
+    /**
+     * Chooses what gives way to one task of a demand: the cheapest set of tasks of lower priority on one worker.
+     *
+     * @returns Undefined when nobody may give way.
+     */
+    plan(demand: StepDemand): Displacement | undefined {
+        const key = createKey(demand);
+        if (this.hopeless.has(key)) {
+            return undefined;
+        }
+        const found = this.findCheapest(demand);
+        if (found === undefined) {
+            this.hopeless.add(key);
+        }
+        return found;
+    }
+
+    private findCheapest(demand: StepDemand): Displacement | undefined {
+        const { spec, occurrence } = demand.step;
+        const { priority } = occurrence.job.queue;
+        let best: Displacement | undefined;
+        let bestCost = Infinity;
+        for (const room of this.rooms) {
+            if (!isAllowedOn(demand.step, room) || room.startsLeft <= 0) {
+                continue;
+            }
+            const chosen = chooseVictims(room, spec, priority, this.resolveVictims(room));
+            const cost = chosen === undefined ? Infinity : chosen.reduce((sum, victim) => sum + victim.cost, 0);
+            if (chosen !== undefined && cost < bestCost) {
+                best = { workerId: room.workerId, victims: chosen.map(victim => victim.task) };
+                bestCost = cost;
+            }
+        }
+        return best;
+    }
+
+    private resolveVictims(room: WorkerRoom): RoomVictims {
+        const known = this.victims.get(room.workerId);
+        if (known !== undefined) {
+            return known;
+        }
+        const victims = new RoomVictims(this.listTasks(room.workerId));
+        this.victims.set(room.workerId, victims);
+        return victims;
+    }
+}
+
+/** Names all that decides who may give way to a demand. */
+function createKey(demand: StepDemand): string {
+    const { spec, occurrence } = demand.step;
+    const { service, priority } = occurrence.job.queue;
+    const cpuMillis = spec.fillsLeftover ? "fills" : spec.cpuMillis;
+    return [service, priority, spec.requiredLabel, cpuMillis, spec.memoryMb, spec.accelerators].join("|");
+}
+
+function chooseVictims(
+    room: WorkerRoom,
+    spec: StepSpec,
+    priority: number,
+    roomVictims: RoomVictims,
+): Victim[] | undefined {
+    let cpu = spec.fillsLeftover ? 0 : spec.cpuMillis - room.freeCpuMillis;
+    let memory = spec.memoryMb - room.freeMemoryMb;
+    let accelerators = spec.accelerators - room.freeAccelerators;
+    const isMet = () => cpu <= 0 && memory <= 0 && accelerators <= 0;
+    const freeable = roomVictims.getFreeable(priority);
+    const isInVain = cpu > freeable.cpuMillis || memory > freeable.memoryMb || accelerators > freeable.accelerators;
+    if (isMet() || isInVain) {
+        return undefined;
+    }
+    const victims: Victim[] = [];
+    for (const victim of roomVictims.listBelow(priority)) {
+        const taken = victim.task.step.spec;
+        victims.push(victim);
+        cpu -= taken.fillsLeftover ? 0 : taken.cpuMillis;
+        memory -= taken.memoryMb;
+        accelerators -= taken.accelerators;
+        if (isMet()) {
+            return victims;
+        }
+    }
+    return undefined;
+}
--- a/packages/plan-starts/src/index.ts
+++ b/packages/plan-starts/src/index.ts
@@ -1,6 +1,7 @@
 export { compareDemands } from "./compareDemands.js";
+export type { Displacement } from "./displacement.js";
+export { DisplacementPlanner } from "./displacementPlanner.js";
 export type { PlaceView } from "./placeView.js";
-export { planDisplacement } from "./planDisplacement.js";
 export type { PlannedStart } from "./plannedStart.js";
 export { planStarts } from "./planStarts.js";
 export type { ServerPlace } from "./serverPlace.js";
--- a/packages/plan-starts/src/planStarts.test.ts
+++ b/packages/plan-starts/src/planStarts.test.ts
@@ -2,7 +2,7 @@
 import type { JobSpec, QueueConfig, StepSpec } from "@sardinestage/describe-work";
 import { createStep } from "@sardinestage/emulate-platform";
 import { Job, openDueOccurrences } from "@sardinestage/track-jobs";
-import { planDisplacement } from "./planDisplacement.js";
+import { DisplacementPlanner } from "./displacementPlanner.js";
 import { planStarts } from "./planStarts.js";
 import type { StepDemand } from "./stepDemand.js";
 import type { WorkerRoom } from "./workerRoom.js";
@@ -188,13 +188,14 @@
     });
 });
 
-describe("planDisplacement", () => {
+describe("DisplacementPlanner", () => {
     describe("when urgent work finds no room", () => {
         it("takes nobody of the same or a higher priority", () => {
             const demand = createDemand({ cpuMillis: 4000 }, {}, { priority: 1 });
             const resident = createDemand({ cpuMillis: 16_000 }, {}, { priority: 1 });
             const rooms = [createRoom("a", { freeCpuMillis: 0 })];
-            expect(planDisplacement(demand, rooms, () => resident.waiting)).toBeUndefined();
+            const planner = new DisplacementPlanner(rooms, () => resident.waiting);
+            expect(planner.plan(demand)).toBeUndefined();
         });
     });
 });
--- a/packages/plan-starts/src/randomFleet.test.ts
+++ b/packages/plan-starts/src/randomFleet.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from "@jest/globals";
 import { formatTaskKey } from "@sardinestage/describe-work";
-import { planDisplacement } from "./planDisplacement.js";
+import { TaskPhase } from "@sardinestage/track-jobs";
+import { DisplacementPlanner } from "./displacementPlanner.js";
 import { planStarts } from "./planStarts.js";
 import type { StartPlan } from "./startPlan.js";
 import { planDisplacementPlainly } from "./testing/planDisplacementPlainly.js";
@@ -50,7 +51,7 @@
     });
 });
 
-describe("planDisplacement on random fleets", () => {
+describe("DisplacementPlanner on random fleets", () => {
     describe("when what could give way is summed up once a round", () => {
         it("chooses the same victims as looking at every task for every demand", () => {
             let found = 0;
@@ -58,14 +59,16 @@
                 const fleet = new RandomFleet(seed);
                 const { unmet } = planStarts(fleet.demands, fleet.rooms, buildRules(fleet, seed));
                 const listTasks = (workerId: string) => fleet.tasks.get(workerId) ?? [];
+                const planner = new DisplacementPlanner(fleet.rooms, listTasks);
                 for (const demand of unmet) {
                     const expected = planDisplacementPlainly(demand, fleet.rooms, listTasks);
-                    const displacement = planDisplacement(demand, fleet.rooms, listTasks);
+                    const displacement = planner.plan(demand);
                     expect({ seed, workerId: displacement?.workerId }).toEqual({ seed, workerId: expected?.workerId });
                     expect(displacement?.victims.map(task => task.ref)).toEqual(
                         expected?.victims.map(task => task.ref),
                     );
                     found += displacement === undefined ? 0 : 1;
+                    displacement?.victims.forEach(task => task.phase = TaskPhase.Stopping);
                 }
             }
             expect(found).toBeGreaterThan(SEEDS.length);
