--- a/packages/coordinate-work/src/workRound.ts
+++ b/packages/coordinate-work/src/workRound.ts
@@ -1,6 +1,6 @@
 import { formatTaskKey } from "@sardinestage/describe-work";
 import type { StepDemand, WorkerRoom } from "@sardinestage/plan-starts";
-import { planDisplacement, planStarts } from "@sardinestage/plan-starts";
+import { DisplacementPlanner, planStarts } from "@sardinestage/plan-starts";
 import type { StepRun, Task } from "@sardinestage/track-jobs";
 import {
     applyRunStart,
@@ -95,12 +95,13 @@
         const isBusy = computeReservedShare(rooms) >= BUSY_SHARE;
         const waiting = steps.map(({ step, waiting: tasks }) => this.buildDemand(step, tasks));
         const demands = this.scope.takeDemands(waiting);
+        this.round.places.startRound();
         const plannedFromMs = clock.getNow();
         const plan = planStarts(demands, rooms, {
             maxStarts: limits.startsARound,
             longestWaitMs: isBusy ? Infinity : LONGEST_WAIT_MS,
             isAdvised: (task, workerId) => this.round.advice.isAdvised(task, workerId),
-            describePlace: (room, step) => this.round.places.describePlace(room, step),
+            describePlace: (room, spec) => this.round.places.describePlace(room, spec),
         });
         this.waits.reportUnmet(plan.unmet, rooms, nowMs);
         plan.starts.forEach(({ task, workerId }) => this.startTask(task, workerId, nowMs));
@@ -114,6 +115,7 @@
     private tryDisplacing(unmet: readonly StepDemand[], rooms: readonly WorkerRoom[], nowMs: number): void {
         unmet.forEach(demand => this.requestAdvice(demand, rooms));
         const bySteps = new Map(unmet.map(demand => [demand.step, demand]));
+        const planner = new DisplacementPlanner(rooms, id => this.round.fleet.links.get(id)?.tasks ?? []);
         const left: StepRun[] = [];
         let displacements = 0;
         let tries = 0;
@@ -128,7 +130,7 @@
                 continue;
             }
             tries++;
-            const found = planDisplacement(demand, rooms, id => this.round.fleet.links.get(id)?.tasks ?? []);
+            const found = planner.plan(demand);
             displacements += found === undefined ? 0 : 1;
             this.stopVictims(demand, found, nowMs);
         }
--- a/packages/plan-starts/src/reserveRooms.ts
+++ b/packages/plan-starts/src/reserveRooms.ts
@@ -1,5 +1,6 @@
 import type { StepRun } from "@sardinestage/track-jobs";
 import { isAllowedOn } from "./isAllowedOn.js";
+import type { RoomLedger } from "./roomLedger.js";
 import type { WorkerRoom } from "./workerRoom.js";
 
 /**
@@ -9,14 +10,21 @@
  *
  * @param step Whose tasks wait.
  * @param count How many of its tasks wait.
- * @param rooms What the workers have left; those that are kept get no further start.
+ * @param ledger What the workers have left; those that are kept get no further start.
  */
-export function reserveRooms(step: StepRun, count: number, rooms: readonly WorkerRoom[]): void {
-    const { cpuMillis, memoryMb, accelerators } = step.spec;
-    rooms.filter(room => room.startsLeft > 0 && isAllowedOn(step, room))
-        .filter(room => room.freeCpuMillis + room.endingCpuMillis >= cpuMillis)
-        .filter(room => room.freeMemoryMb >= memoryMb && room.freeAccelerators >= accelerators)
-        .sort((left, right) => right.freeCpuMillis - left.freeCpuMillis)
+export function reserveRooms(step: StepRun, count: number, ledger: RoomLedger): void {
+    const { rooms } = ledger;
+    rooms.map((_room, index) => index)
+        .filter(index => isPromising(step, rooms[index]))
+        .sort((left, right) => rooms[right].freeCpuMillis - rooms[left].freeCpuMillis)
         .slice(0, count)
-        .forEach(room => room.startsLeft = 0);
+        .forEach(index => ledger.reserve(index));
+}
+
+/** Whether a task of the step will fit there once what ends by itself has ended. */
+function isPromising(step: StepRun, room: WorkerRoom): boolean {
+    const { cpuMillis, memoryMb, accelerators } = step.spec;
+    return room.startsLeft > 0 && isAllowedOn(step, room)
+        && room.freeCpuMillis + room.endingCpuMillis >= cpuMillis
+        && room.freeMemoryMb >= memoryMb && room.freeAccelerators >= accelerators;
 }
--- a/packages/plan-starts/src/planDisplacement.ts
+++ b/packages/plan-starts/src/testing/planDisplacementPlainly.ts
@@ -1,9 +1,9 @@
 import type { StepSpec } from "@sardinestage/describe-work";
 import type { Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
-import { isAllowedOn } from "./isAllowedOn.js";
-import type { StepDemand } from "./stepDemand.js";
-import type { WorkerRoom } from "./workerRoom.js";
+import { isAllowedOn } from "../isAllowedOn.js";
+import type { StepDemand } from "../stepDemand.js";
+import type { WorkerRoom } from "../workerRoom.js";
 
 /** Work that is lost when a task without checkpoints is stopped, against one with them. */
 const UNSAVED_WEIGHT = 10;
@@ -14,16 +14,8 @@
     readonly victims: readonly Task[];
 }
 
-/**
- * Decides what gives way to one task of a demand that found no room: the cheapest set of tasks of lower priority on
- * one worker. Answers urgent work that meets a fleet full of patient work.
- *
- * @param demand What found no room.
- * @param rooms What the workers have left.
- * @param listTasks The tasks that run on a worker.
- * @returns Undefined when nobody may give way.
- */
-export function planDisplacement(
+/** The plain way to plan displacement: looks at every task of every worker for every demand. */
+export function planDisplacementPlainly(
     demand: StepDemand,
     rooms: readonly WorkerRoom[],
     listTasks: (workerId: string) => Iterable<Task>,
