Read a job's state in the store where the coordinator doesn't answer

Cause: only the coordinator answered questions, though every end is in the store. Change: where the coordinator's answer is later than it usually comes, the question goes to the store as well and the first definite answer counts (StateReader: progress; without it the accepted jobs; without these progress again, since a job is dropped only after its end is recorded). After three silences the coordinator is asked once a second by one question, the store at once (CoordinatorTrust). Ends are remembered (JobLedger) and asked of nobody again. The store has only pages of up to 1 MB: a page answers all questions that wait at the VM, and pages take 500 KB a second at most (KeyReader). All in the caller's time (Timeout-Ms). A count of waiting jobs is told for 2 s after it was asked for, then refused. Ruled out: keys spread over partitions (an append and an epoch for each); each VM following progress (all bytes to all VMs).

--- a/packages/accept-jobs/src/index.ts
+++ b/packages/accept-jobs/src/index.ts
@@ -3,6 +3,8 @@
 export type { CoordinatorLine } from "./coordinatorLine.js";
 export type { CoordinatorReply } from "./coordinatorReply.js";
 export { JobDesk } from "./jobDesk.js";
+export { JobLedger } from "./jobLedger.js";
 export { RecordDesk } from "./recordDesk.js";
 export type { StateAnswer } from "./stateAnswer.js";
+export { StateReader } from "./stateReader.js";
 export { SubmitOutcome } from "./submitOutcome.js";
--- /dev/null
+++ b/packages/accept-jobs/src/jobDesk.test.ts
@@ -0,0 +1,316 @@
+import { describe, expect, it } from "@jest/globals";
+import { Metrics } from "@sardinestage/count-metrics";
+import type { KeyedRecord, NewestAnswer, StorePort } from "@sardinestage/describe-ports";
+import { Topic } from "@sardinestage/describe-ports";
+import type { QueueConfig } from "@sardinestage/describe-work";
+import { JobState } from "@sardinestage/describe-work";
+import { MemoryStore, VirtualClock } from "@sardinestage/emulate-platform";
+import { silentLogger } from "@sardinestage/log-events";
+import { CANCEL_SUFFIX, encodeJobRecord, encodeProgress, Job } from "@sardinestage/track-jobs";
+import type { CoordinatorCall } from "./coordinatorCall.js";
+import type { CoordinatorReply } from "./coordinatorReply.js";
+import { JobDesk } from "./jobDesk.js";
+import { JobLedger } from "./jobLedger.js";
+import { RecordDesk } from "./recordDesk.js";
+import type { StateAnswer } from "./stateAnswer.js";
+import { StateReader } from "./stateReader.js";
+
+const KEEP_MS = 120_000;
+const PATIENCE_MS = 3000;
+const APPEND_TIMEOUT_MS = 1000;
+const ID = "5c0e7a21d94b36f8";
+const spec = { payload: "p", steps: [], repeatCount: 0, firstRunMs: 0, intervalMs: 0 };
+const queue: QueueConfig = {
+    name: "queue",
+    host: "host",
+    pathPrefix: "/",
+    service: "service",
+    priority: 0,
+    maxAttempts: 2,
+    stretch: 2,
+    targetLatencyMs: 500,
+};
+
+type Behaviour = (call: CoordinatorCall, timeoutMs: number) => Promise<CoordinatorReply | undefined>;
+
+function createJobRecord(id: string): KeyedRecord {
+    return { key: id, value: encodeJobRecord({ spec, queue, acceptedAtMs: 0 }) };
+}
+
+function createProgress(id: string, state: JobState): KeyedRecord {
+    const job = new Job(id, spec, queue, 0);
+    job.state = state;
+    job.finishedAtMs = 1;
+    return { key: id, value: encodeProgress(job) };
+}
+
+function createId(index: number): string {
+    return index.toString(16).padStart(16, "0");
+}
+
+/** A desk over an emulated store, with a coordinator of the test's. */
+class Bed {
+    readonly clock = new VirtualClock();
+    readonly store = new MemoryStore(this.clock, () => 0.5);
+    readonly calls: CoordinatorCall[] = [];
+    /** Topics of the pages that the desk has asked for. */
+    readonly pages: Topic[] = [];
+    /** Something that happens just before the store makes a page. */
+    beforePage: (pages: number) => Promise<void> = () => Promise.resolve();
+    readonly desk: JobDesk;
+    /** By default nothing answers. */
+    coordinator: Behaviour = (_, timeoutMs) => this.waitInVain(timeoutMs);
+
+    constructor() {
+        const { clock } = this;
+        const logger = silentLogger;
+        const line = {
+            call: (call: CoordinatorCall, timeoutMs: number) => {
+                this.calls.push(call);
+                return this.coordinator(call, timeoutMs);
+            },
+        };
+        const store: StorePort = {
+            append: call => this.store.append(call),
+            read: (topic, from, waitMs) => this.store.read(topic, from, waitMs),
+            readNewest: (topic, afterKey) => this.readPage(topic, afterKey),
+        };
+        const ledger = new JobLedger(clock, KEEP_MS);
+        this.desk = new JobDesk({
+            records: new RecordDesk({ store, line, clock, logger, metrics: new Metrics() }),
+            states: new StateReader({ store, clock, logger, ledger }),
+            ledger,
+            line,
+            clock,
+            logger,
+        });
+    }
+
+    async append(topic: Topic, records: readonly KeyedRecord[]): Promise<void> {
+        await this.runUntilSettled(this.store.append({ topic, records, timeoutMs: APPEND_TIMEOUT_MS }));
+    }
+
+    /** Lets time pass until a promise has settled. */
+    async runUntilSettled<T>(promise: Promise<T>): Promise<{ result: T; tookMs: number }> {
+        const startedAtMs = this.clock.getNow();
+        let settled: { result: T; tookMs: number } | undefined;
+        void promise.then(result => settled = { result, tookMs: this.clock.getNow() - startedAtMs });
+        for (let passed = 0; passed < 10_000 && settled === undefined; passed++) {
+            await this.clock.runFor(1);
+        }
+        if (settled === undefined) {
+            throw new Error("Nothing came of it in ten seconds.");
+        }
+        return settled;
+    }
+
+    getState(id: string, patienceMs = PATIENCE_MS): Promise<{ result: StateAnswer; tookMs: number }> {
+        return this.runUntilSettled(this.desk.getState(id, patienceMs));
+    }
+
+    async waitInVain(timeoutMs: number): Promise<undefined> {
+        return new Promise(resolve => this.clock.schedule(timeoutMs, () => resolve(undefined)));
+    }
+
+    private async readPage(topic: Topic, afterKey: string | undefined): Promise<NewestAnswer> {
+        this.pages.push(topic);
+        await this.beforePage(this.pages.length);
+        return this.store.readNewest(topic, afterKey);
+    }
+}
+
+describe("JobDesk", () => {
+    const silences: readonly { name: string; behave?: Behaviour }[] = [
+        { name: "doesn't answer" },
+        { name: "isn't sure", behave: () => Promise.resolve({ isUnsure: true }) },
+        { name: "isn't known during a takeover", behave: () => Promise.resolve({ isUnsent: true }) },
+    ];
+    describe.each(silences)("when the coordinator $name", ({ behave }) => {
+        function createBed(): Bed {
+            const bed = new Bed();
+            bed.coordinator = behave ?? bed.coordinator;
+            return bed;
+        }
+
+        it.each([JobState.Running, JobState.Completed, JobState.Failed, JobState.Cancelled])(
+            "tells that a job is %s as its progress in the store says",
+            async state => {
+                const bed = createBed();
+                await bed.append(Topic.Jobs, [createJobRecord(ID)]);
+                await bed.append(Topic.Progress, [createProgress(ID, state)]);
+                const { result, tookMs } = await bed.getState(ID);
+                expect(result).toEqual({ state });
+                expect(tookMs).toBeLessThan(PATIENCE_MS / 2);
+            },
+        );
+
+        it("tells that an accepted job without progress is queued", async () => {
+            const bed = createBed();
+            await bed.append(Topic.Jobs, [createJobRecord(ID)]);
+            expect((await bed.getState(ID)).result).toEqual({ state: JobState.Queued });
+        });
+
+        it("tells that a job with a cancellation is cancelled", async () => {
+            const bed = createBed();
+            await bed.append(Topic.Jobs, [createJobRecord(ID), {
+                key: ID + CANCEL_SUFFIX,
+                value: new Uint8Array([1]),
+            }]);
+            expect((await bed.getState(ID)).result).toEqual({ state: JobState.Cancelled });
+        });
+
+        it("tells that a job that it cancelled itself is cancelled, though its progress doesn't say so yet", async () => {
+            const bed = createBed();
+            await bed.append(Topic.Jobs, [createJobRecord(ID)]);
+            await bed.append(Topic.Progress, [createProgress(ID, JobState.Running)]);
+            await bed.runUntilSettled(bed.desk.cancel(ID, queue));
+            expect((await bed.getState(ID)).result).toEqual({ state: JobState.Cancelled });
+        });
+
+        it("shows no job that nobody submitted, cancelled or not", async () => {
+            const bed = createBed();
+            await bed.append(Topic.Jobs, [createJobRecord(createId(1)), {
+                key: ID + CANCEL_SUFFIX,
+                value: new Uint8Array([1]),
+            }]);
+            expect((await bed.getState(ID)).result).toEqual({ isAbsent: true });
+        });
+
+        it("keeps to the caller's time", async () => {
+            const bed = createBed();
+            await bed.append(Topic.Jobs, [createJobRecord(ID)]);
+            const { result, tookMs } = await bed.getState(ID, 200);
+            expect(result).toEqual({ state: JobState.Queued });
+            expect(tookMs).toBeLessThan(180);
+        });
+    });
+
+    describe("when a job ends and is dropped between the reads", () => {
+        it("never tells that it is unknown", async () => {
+            const bed = new Bed();
+            await bed.append(Topic.Jobs, [createJobRecord(ID)]);
+            bed.beforePage = async pages => {
+                if (pages === 2) {
+                    const call = { timeoutMs: APPEND_TIMEOUT_MS };
+                    const progress = createProgress(ID, JobState.Completed);
+                    await bed.store.append({ ...call, topic: Topic.Progress, records: [progress] });
+                    await bed.store.append({ ...call, topic: Topic.Jobs, records: [{ key: ID, value: undefined }] });
+                }
+            };
+            expect((await bed.getState(ID)).result).toEqual({ state: JobState.Completed });
+            expect(bed.pages).toEqual([Topic.Progress, Topic.Jobs, Topic.Progress]);
+        });
+    });
+
+    describe("when neither the coordinator nor the store answers", () => {
+        it("refuses, and soon refuses at once", async () => {
+            const bed = new Bed();
+            bed.store.faults.isDown = true;
+            for (let asked = 0; asked < 4; asked++) {
+                expect((await bed.getState(ID)).result).toEqual({ isUnavailable: true });
+            }
+            const { result, tookMs } = await bed.getState(ID);
+            expect(result).toEqual({ isUnavailable: true });
+            expect(tookMs).toBeLessThan(50);
+        });
+
+        it("answers again soon after the store does", async () => {
+            const bed = new Bed();
+            await bed.append(Topic.Jobs, [createJobRecord(ID)]);
+            bed.store.faults.isDown = true;
+            for (let asked = 0; asked < 6; asked++) {
+                await bed.getState(ID);
+            }
+            bed.store.faults.isDown = false;
+            await bed.clock.runFor(300);
+            expect((await bed.getState(ID)).result).toEqual({ state: JobState.Queued });
+        });
+    });
+
+    describe("when the coordinator answers late", () => {
+        it("is answered by the store meanwhile, and by the coordinator where the store fails", async () => {
+            const bed = new Bed();
+            bed.coordinator = async () => {
+                await bed.waitInVain(600);
+                return { state: JobState.Running };
+            };
+            await bed.append(Topic.Jobs, [createJobRecord(ID)]);
+            expect((await bed.getState(ID)).result).toEqual({ state: JobState.Queued });
+            bed.store.faults.isDown = true;
+            expect((await bed.getState(ID)).result).toEqual({ state: JobState.Running });
+        });
+    });
+
+    describe("when the coordinator has been silent several times", () => {
+        it("asks it seldom, and the store at once, until it answers", async () => {
+            const bed = new Bed();
+            await bed.append(Topic.Jobs, [createJobRecord(ID)]);
+            for (let asked = 0; asked < 3; asked++) {
+                await bed.getState(ID);
+            }
+            await bed.clock.runFor(5000);
+            bed.calls.length = 0;
+            for (let asked = 0; asked < 20; asked++) {
+                const { result, tookMs } = await bed.getState(ID);
+                expect(result).toEqual({ state: JobState.Queued });
+                expect(tookMs).toBeLessThan(100);
+                await bed.clock.runFor(100 - tookMs);
+            }
+            expect(bed.calls.length).toBeLessThanOrEqual(3);
+            bed.coordinator = () => Promise.resolve({ state: JobState.Running });
+            await bed.clock.runFor(1000);
+            await bed.getState(ID);
+            await bed.clock.runFor(10);
+            bed.pages.length = 0;
+            expect((await bed.getState(ID)).result).toEqual({ state: JobState.Running });
+            expect(bed.pages).toEqual([]);
+        });
+    });
+
+    describe("when many questions wait for the store", () => {
+        it("answers all of them from few pages", async () => {
+            const bed = new Bed();
+            bed.coordinator = () => Promise.resolve({ isUnsent: true });
+            const ids = Array.from({ length: 120 }, (_, index) => createId(index * 7));
+            await bed.append(Topic.Jobs, ids.map(createJobRecord));
+            await bed.append(Topic.Progress, ids.map(id => createProgress(id, JobState.Running)));
+            const answers = await bed.runUntilSettled(Promise.all(ids.map(id => bed.desk.getState(id, PATIENCE_MS))));
+            expect(answers.result).toEqual(ids.map(() => ({ state: JobState.Running })));
+            expect(bed.pages.length).toBeLessThanOrEqual(5);
+        });
+
+        it("asks nobody about ends that it has seen", async () => {
+            const bed = new Bed();
+            await bed.append(Topic.Progress, [
+                createProgress(createId(1), JobState.Completed),
+                createProgress(createId(2), JobState.Failed),
+            ]);
+            await bed.getState(createId(1));
+            bed.pages.length = 0;
+            bed.calls.length = 0;
+            expect((await bed.getState(createId(2))).result).toEqual({ state: JobState.Failed });
+            expect([bed.pages.length, bed.calls.length]).toEqual([0, 0]);
+        });
+
+        it("reads the accepted jobs for none that it accepted itself", async () => {
+            const bed = new Bed();
+            await bed.runUntilSettled(bed.desk.submit(ID, queue, spec));
+            expect((await bed.getState(ID)).result).toEqual({ state: JobState.Queued });
+            expect(bed.pages).toEqual([Topic.Progress]);
+        });
+    });
+
+    describe("when the coordinator doesn't answer a count of waiting jobs", () => {
+        it("tells the last count for two seconds, and then none", async () => {
+            const bed = new Bed();
+            const silent = bed.coordinator;
+            bed.coordinator = () => Promise.resolve({ pending: 7 });
+            expect((await bed.runUntilSettled(bed.desk.getPending("queue", 500))).result).toBe(7);
+            bed.coordinator = silent;
+            expect((await bed.runUntilSettled(bed.desk.getPending("queue", 500))).result).toBe(7);
+            await bed.clock.runFor(1500);
+            expect((await bed.runUntilSettled(bed.desk.getPending("queue", 500))).result).toBeUndefined();
+            expect((await bed.runUntilSettled(bed.desk.getPending("other", 500))).result).toBeUndefined();
+        });
+    });
+});
--- a/packages/run-entry-vm/src/createEntryVm.ts
+++ b/packages/run-entry-vm/src/createEntryVm.ts
@@ -1,4 +1,4 @@
-import { JobDesk, RecordDesk } from "@sardinestage/accept-jobs";
+import { JobDesk, JobLedger, RecordDesk, StateReader } from "@sardinestage/accept-jobs";
 import { Coordinator } from "@sardinestage/coordinate-work";
 import { TermLog } from "@sardinestage/keep-term";
 import { LoopWatch } from "@sardinestage/watch-loop";
@@ -57,8 +57,17 @@
     ).inSingletonScope();
     container.bind(RecordDesk).toDynamicValue(context => new RecordDesk({ ...parts, line: context.get(Membership) }))
         .inSingletonScope();
+    container.bind(JobLedger).toConstantValue(new JobLedger(parts.clock, parts.coordinatorRules.keepFinishedMs));
+    container.bind(StateReader).toDynamicValue(context => new StateReader({ ...parts, ledger: context.get(JobLedger) }))
+        .inSingletonScope();
     container.bind(JobDesk).toDynamicValue(context =>
-        new JobDesk({ ...parts, records: context.get(RecordDesk), line: context.get(Membership) })
+        new JobDesk({
+            ...parts,
+            records: context.get(RecordDesk),
+            states: context.get(StateReader),
+            ledger: context.get(JobLedger),
+            line: context.get(Membership),
+        })
     ).inSingletonScope();
     return new EntryVm({
         ...parts,
--- a/packages/track-jobs/src/index.ts
+++ b/packages/track-jobs/src/index.ts
@@ -8,6 +8,7 @@
 export { computeRemainingChain } from "./computeRemainingChain.js";
 export { decodeFinished } from "./decodeFinished.js";
 export { decodeJobRecord } from "./decodeJobRecord.js";
+export { decodeState } from "./decodeState.js";
 export { encodeJobRecord } from "./encodeJobRecord.js";
 export { encodeProgress } from "./encodeProgress.js";
 export { Job } from "./job.js";
