Find out what became of a submission without an answer, while its caller waits

Cause: an append without an answer was sent twice, then to the coordinator, which waits for the same store or has no processor left; after its second it was 504. While the store was in doubt each batch waited that second for a silent coordinator. Change: after a try without an answer the VM reads the tail of the topic from where it ended before the first try (by key where that isn't known or kept) and appends again, until the caller's time (Timeout-Ms) is used up: 200 once it is in the store. It stays 504 if it isn't, since a lost append may be carried out later. After three silences the coordinator gets an append a second; the rest is refused (503) at once, and truly, as nothing was sent. The emulated store can carry out late what it didn't answer (lateMs). Four tests on the system's clock give the desk 300 ms, as it would look for 2.7 s otherwise; what they assert is as it was. Before: 3 of the 4 new cases of recordDesk.test.ts fail; after: all pass.

--- a/packages/accept-jobs/src/jobDesk.ts
+++ b/packages/accept-jobs/src/jobDesk.ts
@@ -48,11 +48,20 @@
         this.counts = new PendingCounts(parts.clock);
     }
 
-    /** Accepts a job; the same id any number of times is one job. */
-    async submit(id: string, queue: QueueConfig, spec: JobSpec): Promise<SubmitOutcome> {
+    /**
+     * Accepts a job; the same id any number of times is one job.
+     *
+     * @param patienceMs How long the caller waits, in milliseconds.
+     */
+    async submit(
+        id: string,
+        queue: QueueConfig,
+        spec: JobSpec,
+        patienceMs = USUAL_PATIENCE_MS,
+    ): Promise<SubmitOutcome> {
         const sentAtMs = this.parts.clock.getNow();
         const value = encodeJobRecord({ spec, queue, acceptedAtMs: this.parts.clock.getWallTime() });
-        const outcome = await this.parts.records.append({ key: id, value });
+        const outcome = await this.parts.records.append({ key: id, value }, patienceMs * USABLE_SHARE);
         this.recordOutcome("job-submit", id, queue.name, outcome, sentAtMs);
         if (outcome === SubmitOutcome.Accepted) {
             this.parts.ledger.noteAccepted(id);
@@ -60,11 +69,15 @@
         return outcome;
     }
 
-    /** Cancels a job for good. */
-    async cancel(id: string, queue: QueueConfig): Promise<SubmitOutcome> {
+    /**
+     * Cancels a job for good.
+     *
+     * @param patienceMs How long the caller waits, in milliseconds.
+     */
+    async cancel(id: string, queue: QueueConfig, patienceMs = USUAL_PATIENCE_MS): Promise<SubmitOutcome> {
         const sentAtMs = this.parts.clock.getNow();
         const value = new Uint8Array([1]);
-        const outcome = await this.parts.records.append({ key: id + CANCEL_SUFFIX, value });
+        const outcome = await this.parts.records.append({ key: id + CANCEL_SUFFIX, value }, patienceMs * USABLE_SHARE);
         this.recordOutcome("job-cancel", id, queue.name, outcome, sentAtMs);
         if (outcome === SubmitOutcome.Accepted) {
             this.parts.ledger.noteCancelled(id);
--- a/packages/accept-jobs/src/recordDesk.test.ts
+++ b/packages/accept-jobs/src/recordDesk.test.ts
@@ -8,6 +8,8 @@
 import { RecordDesk } from "./recordDesk.js";
 import { SubmitOutcome } from "./submitOutcome.js";
 
+/** How long a desk on the system's clock looks what became of a record, in milliseconds: its answers come at once. */
+const SHORT_MS = 300;
 const record = { key: "job", value: new Uint8Array([1]) };
 
 /** A desk whose store and coordinator give the same answer to every call. */
@@ -51,12 +53,12 @@
 
         it("doesn't say that nothing was stored when a relaying peer got no answer", async () => {
             const desk = createDesk(AppendOutcome.Refused, { isUnsure: true });
-            expect(await desk.append(record)).toBe(SubmitOutcome.Unknown);
+            expect(await desk.append(record, SHORT_MS)).toBe(SubmitOutcome.Unknown);
         });
 
         it("doesn't say that nothing was stored when the coordinator didn't answer", async () => {
             const desk = createDesk(AppendOutcome.Refused, undefined);
-            expect(await desk.append(record)).toBe(SubmitOutcome.Unknown);
+            expect(await desk.append(record, SHORT_MS)).toBe(SubmitOutcome.Unknown);
         });
     });
 
@@ -139,14 +141,98 @@
                 logger: silentLogger,
                 metrics: new Metrics(),
             });
-            expect(await desk.append(record)).toBe(SubmitOutcome.Unknown);
+            expect(await desk.append(record, SHORT_MS)).toBe(SubmitOutcome.Unknown);
         });
     });
 
     describe("when the store doesn't answer this VM", () => {
         it("doesn't refuse although the coordinator's store refused", async () => {
             const desk = createDesk(AppendOutcome.Unknown, { outcome: AppendOutcome.Refused });
-            expect(await desk.append(record)).toBe(SubmitOutcome.Unknown);
+            expect(await desk.append(record, SHORT_MS)).toBe(SubmitOutcome.Unknown);
+        });
+    });
+
+    describe("when the store answers no append, and the coordinator doesn't answer", () => {
+        const TIMEOUT_MS = 2700;
+
+        function createSilentBed() {
+            const clock = new VirtualClock();
+            const store = new MemoryStore(clock, () => 0);
+            let calls = 0;
+            const call = (_: unknown, timeoutMs: number): Promise<undefined> => {
+                calls++;
+                return new Promise(resolve => clock.schedule(timeoutMs, () => resolve(undefined)));
+            };
+            const desk = new RecordDesk({ store, line: { call }, clock, logger: silentLogger, metrics: new Metrics() });
+            const outcomes = new Map<string, { outcome: SubmitOutcome; tookMs: number }>();
+            const submit = (key: string) => {
+                const sentAtMs = clock.getNow();
+                void desk.append({ key, value: new Uint8Array([1]) }, TIMEOUT_MS)
+                    .then(outcome => outcomes.set(key, { outcome, tookMs: clock.getNow() - sentAtMs }));
+            };
+            return { clock, store, outcomes, submit, countCalls: () => calls };
+        }
+
+        it("accepts what it finds there, known tail or not", async () => {
+            const { clock, store, outcomes, submit } = createSilentBed();
+            store.faults.lostShare = 1;
+            submit("first");
+            await clock.runFor(1500);
+            store.faults.lostShare = 0;
+            submit("second");
+            await clock.runFor(100);
+            store.faults.lostShare = 1;
+            submit("third");
+            await clock.runFor(1500);
+            expect([...outcomes.values()].map(({ outcome }) => outcome)).toEqual(Array(3).fill(SubmitOutcome.Accepted));
+            expect(Math.max(...[...outcomes.values()].map(({ tookMs }) => tookMs))).toBeLessThan(1500);
+        });
+
+        it("accepts what is carried out late, but in the caller's time", async () => {
+            const { clock, store, outcomes, submit } = createSilentBed();
+            store.faults.lostShare = 1;
+            store.faults.lateMs = 1800;
+            submit("job");
+            await clock.runFor(TIMEOUT_MS);
+            expect(outcomes.get("job")?.outcome).toBe(SubmitOutcome.Accepted);
+        });
+
+        it("says that it doesn't know of what may be carried out later still, in the caller's time", async () => {
+            const { clock, store, outcomes, submit } = createSilentBed();
+            store.faults.lostShare = 1;
+            store.faults.lateMs = 5000;
+            submit("job");
+            await clock.runFor(TIMEOUT_MS);
+            expect(outcomes.get("job")?.outcome).toBe(SubmitOutcome.Unknown);
+            await clock.runFor(5000);
+            const page = store.readNewest(Topic.Jobs, undefined);
+            await clock.runFor(50);
+            expect((await page).records.map(({ key }) => key)).toEqual(["job"]);
+        });
+
+        it("refuses at once and truly while the store is away and the coordinator was silent several times", async () => {
+            const { clock, store, outcomes, submit, countCalls } = createSilentBed();
+            store.faults.isDown = true;
+            for (let index = 0; index < 4; index++) {
+                submit(`early${index}`);
+                await clock.runFor(1200);
+            }
+            const before = countCalls();
+            for (let index = 0; index < 20; index++) {
+                submit(`late${index}`);
+                await clock.runFor(100);
+            }
+            await clock.runFor(1200);
+            const late = [...outcomes].filter(([key]) => key.startsWith("late")).map(([, taken]) => taken);
+            const refused = late.filter(({ outcome }) => outcome === SubmitOutcome.Refused);
+            expect(countCalls() - before).toBeLessThanOrEqual(3);
+            expect(refused.length).toBeGreaterThanOrEqual(17);
+            expect(Math.max(...refused.map(({ tookMs }) => tookMs))).toBeLessThan(50);
+            store.faults.isDown = false;
+            await clock.runFor(5000);
+            const page = store.readNewest(Topic.Jobs, undefined);
+            await clock.runFor(50);
+            expect((await page).records).toEqual([]);
         });
     });
 });
--- a/packages/accept-jobs/src/recordDesk.ts
+++ b/packages/accept-jobs/src/recordDesk.ts
@@ -1,10 +1,12 @@
 import type { Metrics } from "@sardinestage/count-metrics";
 import type { Clock, KeyedRecord, StorePort } from "@sardinestage/describe-ports";
-import { AppendOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
+import { AppendOutcome, ReadOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
 import { AnswerTimeout } from "@sardinestage/learn-behaviour";
 import type { EventLogger } from "@sardinestage/log-events";
 import { CoordinatorCallKind } from "./coordinatorCallKind.js";
 import type { CoordinatorLine } from "./coordinatorLine.js";
+import { CoordinatorTrust } from "./coordinatorTrust.js";
+import { KeyReader } from "./keyReader.js";
 import { SubmitOutcome } from "./submitOutcome.js";
 
 /** How long an append may take at least and at most, in milliseconds, before it is repeated or goes another way. */
@@ -19,6 +21,10 @@
 const LOOK_PAUSE_MS = 250;
 /** How long the coordinator may take for an append, in milliseconds. */
 const RELAYED_TIMEOUT_MS = 1000;
+/** Pause between two looks whether a record is in the store after all, in milliseconds. */
+const CONFIRM_PAUSE_MS = 100;
+/** How long a record is worked on if the caller doesn't say, in milliseconds. */
+const USUAL_TIMEOUT_MS = 2700;
 
 /** What a record desk works with. */
 interface RecordDeskParts {
@@ -32,12 +38,15 @@
 /** A record that waits for the next append. */
 interface Entry {
     readonly record: KeyedRecord;
+    /** When its caller stops waiting, in steady milliseconds. */
+    readonly untilMs: number;
     readonly settle: (outcome: SubmitOutcome) => void;
 }
 
 /**
  * Puts callers' records into the store, many in one append. Where the store doesn't answer this VM, the coordinator
- * appends for it; a record that is appended twice is the same record. No caller's record is used to find out whether the
+ * appends for it; a record that is appended twice is the same record. What became of a record without an answer is looked
+ * up in the store for as long as its caller waits. No caller's record is used to find out whether the
  * store answers again: callers would wait for it, and couldn't be told what became of their job. Answers outages.
  */
 export class RecordDesk {
@@ -47,13 +56,25 @@
     private batchesUnderWay = 0;
     private isDoubted = false;
     private readonly timeout = new AnswerTimeout(APPEND_TIMEOUTS);
+    private readonly trust: CoordinatorTrust;
+    private readonly keys: KeyReader;
+    /** Where the topic ended when an append was last answered: what is sent later comes after it. */
+    private knownEnd: number | undefined;
 
-    constructor(private readonly parts: RecordDeskParts) {}
+    constructor(private readonly parts: RecordDeskParts) {
+        this.trust = new CoordinatorTrust(parts.clock, parts.logger, "appends");
+        this.keys = new KeyReader({ ...parts, topic: Topic.Jobs, name: "jobs" });
+    }
 
-    /** Puts a record into the store. */
-    append(record: KeyedRecord): Promise<SubmitOutcome> {
+    /**
+     * Puts a record into the store.
+     *
+     * @param timeoutMs How long to try, and to look what became of it, in milliseconds.
+     */
+    append(record: KeyedRecord, timeoutMs = USUAL_TIMEOUT_MS): Promise<SubmitOutcome> {
         return new Promise(resolve => {
-            this.waiting.push({ record, settle: resolve });
+            const untilMs = this.parts.clock.getNow() + timeoutMs;
+            this.waiting.push({ record, untilMs, settle: resolve });
             this.startBatch();
         });
     }
@@ -72,26 +93,114 @@
             this.startBatch();
         };
         const cancel = this.parts.clock.schedule(NEXT_BATCH_MS, endGathering);
-        void this.appendAnyWay(entries.map(entry => entry.record)).then(outcome => {
+        void this.appendAnyWay(entries).finally(() => {
             cancel();
             this.batchesUnderWay--;
-            entries.forEach(entry => entry.settle(outcome));
             endGathering();
         });
     }
 
-    /** Tries the store and then the coordinator; while the store is in doubt, only the coordinator. */
-    private async appendAnyWay(records: readonly KeyedRecord[]): Promise<SubmitOutcome> {
-        const first = this.isDoubted ? SubmitOutcome.Refused : await this.appendDirectly(records);
-        if (first === SubmitOutcome.Accepted) {
-            return first;
+    /** Tries the store; what it refused goes to the coordinator, and of what it didn't answer is found out what became. */
+    private async appendAnyWay(entries: readonly Entry[]): Promise<void> {
+        const from = this.knownEnd;
+        const records = entries.map(entry => entry.record);
+        const direct = this.isDoubted ? SubmitOutcome.Refused : await this.appendDirectly(records);
+        const outcome = direct === SubmitOutcome.Refused ? await this.appendRelayed(records) : direct;
+        if (outcome === SubmitOutcome.Unknown) {
+            const relayed = direct === SubmitOutcome.Unknown ? this.appendRelayed(records) : Promise.resolve(outcome);
+            void this.confirmUnknown(entries, relayed, from);
+            return;
+        }
+        entries.forEach(entry => entry.settle(outcome));
+    }
+
+    /**
+     * Settles records that may be in the store: as accepted once they are found there, or are appended after all.
+     *
+     * @param relayed What becomes of them by way of the coordinator.
+     * @param from Where the topic ended before they were first sent, if that is known.
+     */
+    private async confirmUnknown(
+        entries: readonly Entry[],
+        relayed: Promise<SubmitOutcome>,
+        from: number | undefined,
+    ): Promise<void> {
+        const { clock, metrics } = this.parts;
+        const open = new Set(entries);
+        const accept = (entry: Entry, way: string) => {
+            if (open.delete(entry)) {
+                metrics.count("accept_confirmed_total", way);
+                entry.settle(SubmitOutcome.Accepted);
+            }
+        };
+        const expiries = entries.map(entry =>
+            clock.schedule(Math.max(0, entry.untilMs - clock.getNow()), () => {
+                open.delete(entry);
+                entry.settle(SubmitOutcome.Unknown);
+            })
+        );
+        const whenRelayed = relayed.then(outcome => {
+            if (outcome === SubmitOutcome.Accepted) {
+                [...open].forEach(entry => accept(entry, "relayed"));
+            }
+        });
+        await this.confirmStored(open, accept, from);
+        await whenRelayed;
+        expiries.forEach(cancel => cancel());
+        open.forEach(entry => entry.settle(SubmitOutcome.Unknown));
+    }
+
+    /** Looks for records in the store, and appends those that aren't there again, until none is left or it doesn't answer. */
+    private async confirmStored(
+        open: ReadonlySet<Entry>,
+        accept: (entry: Entry, way: string) => void,
+        from: number | undefined,
+    ): Promise<void> {
+        let next = from;
+        while (open.size > 0) {
+            const found = await this.findStored([...open], next);
+            if (found === undefined) {
+                return;
+            }
+            next = found.next;
+            [...open].filter(entry => found.keys.has(entry.record.key)).forEach(entry => accept(entry, "found"));
+            const missing = [...open];
+            if (
+                missing.length > 0
+                && await this.tryAppending(missing.map(entry => entry.record)) === SubmitOutcome.Accepted
+            ) {
+                missing.forEach(entry => accept(entry, "appended"));
+            }
+            if (open.size > 0) {
+                await waitFor(this.parts.clock, CONFIRM_PAUSE_MS);
+            }
         }
-        const second = await this.appendRelayed(records);
-        if (second === SubmitOutcome.Accepted) {
-            return second;
+    }
+
+    /**
+     * Finds which records are in the store: in the tail since an earlier append, which is short; by key where that isn't
+     * known or kept.
+     *
+     * @returns Undefined when the store didn't answer.
+     */
+    private async findStored(
+        entries: readonly Entry[],
+        from: number | undefined,
+    ): Promise<{ keys: ReadonlySet<string>; next: number | undefined } | undefined> {
+        if (from !== undefined) {
+            const answer = await this.parts.store.read(Topic.Jobs, from, 0);
+            if (answer.outcome === ReadOutcome.Failed) {
+                return undefined;
+            }
+            if (answer.outcome === ReadOutcome.Read) {
+                const stored = answer.records.filter(({ value }) => value !== undefined);
+                return { keys: new Set(stored.map(({ key }) => key)), next: answer.next };
+            }
         }
-        const isUnknown = first === SubmitOutcome.Unknown || second === SubmitOutcome.Unknown;
-        return isUnknown ? SubmitOutcome.Unknown : SubmitOutcome.Refused;
+        const read = ({ record, untilMs }: Entry) => this.keys.read(record.key, untilMs);
+        const answers = await Promise.all(entries.map(read));
+        const keys = new Set(answers.flatMap(records => records?.map(({ key }) => key) ?? []));
+        return answers.includes(undefined) && keys.size === 0 ? undefined : { keys, next: undefined };
     }
 
     /** An answer that was lost says nothing about the record, so the same records are sent once more. */
@@ -116,6 +225,9 @@
         const answer = await store.append({ topic: Topic.Jobs, records, timeoutMs: this.timeout.currentMs });
         const tookMs = clock.getNow() - sentAtMs;
         metrics.recordDuration("accept_append", tookMs);
+        if (answer.outcome === AppendOutcome.Appended) {
+            this.knownEnd = Math.max(answer.end, this.knownEnd ?? 0);
+        }
         const outcome = convertOutcome(answer.outcome);
         this.timeout.noteOutcome(outcome !== SubmitOutcome.Unknown, tookMs);
         if (outcome !== SubmitOutcome.Accepted) {
@@ -142,21 +254,28 @@
     }
 
     private async appendRelayed(records: readonly KeyedRecord[]): Promise<SubmitOutcome> {
-        const call = { kind: CoordinatorCallKind.Append, records };
-        const reply = await this.parts.line.call(call, RELAYED_TIMEOUT_MS);
+        const { clock, line, metrics } = this.parts;
+        if (!this.trust.admitCall()) {
+            metrics.count("accept_failures_total", "coordinator-doubted");
+            return SubmitOutcome.Refused;
+        }
+        const sentAtMs = clock.getNow();
+        const reply = await line.call({ kind: CoordinatorCallKind.Append, records }, RELAYED_TIMEOUT_MS);
         if (reply === undefined) {
-            this.parts.metrics.count("accept_failures_total", "no-coordinator");
+            this.trust.noteSilence();
+            metrics.count("accept_failures_total", "no-coordinator");
             return SubmitOutcome.Unknown;
         }
         if (reply.isUnsent === true) {
-            this.parts.metrics.count("accept_failures_total", "coordinator-unreached");
+            metrics.count("accept_failures_total", "coordinator-unreached");
             return SubmitOutcome.Refused;
         }
         if (reply.outcome === undefined) {
             // A peer passed the call on and got no answer: the record may be in the store.
-            this.parts.metrics.count("accept_failures_total", "relay-unanswered");
+            metrics.count("accept_failures_total", "relay-unanswered");
             return SubmitOutcome.Unknown;
         }
+        this.trust.noteAnswer(clock.getNow() - sentAtMs);
         return convertOutcome(reply.outcome);
     }
 }
--- a/packages/emulate-platform/src/memoryStore.ts
+++ b/packages/emulate-platform/src/memoryStore.ts
@@ -28,7 +28,7 @@
 
 /** The platform's store in memory: conditional appends, writers with epochs, the newest record of each key. */
 export class MemoryStore implements StorePort {
-    readonly faults: StoreFaults = { isDown: false, lostShare: 0, answerMs: USUAL_ANSWER_MS };
+    readonly faults: StoreFaults = { isDown: false, lostShare: 0, lateMs: 0, answerMs: USUAL_ANSWER_MS };
     private readonly streams = new Map<Topic, Stream>();
 
     /**
@@ -43,10 +43,17 @@
         if (this.faults.isDown) {
             return this.waitUnanswered(call.timeoutMs);
         }
-        const answer = this.applyAppend(call);
         if (this.random() < this.faults.lostShare) {
+            const { lateMs } = this.faults;
+            if (lateMs > 0) {
+                this.clock.schedule(lateMs, () => this.applyAppend(call));
+            }
+            else {
+                this.applyAppend(call);
+            }
             return this.waitUnanswered(call.timeoutMs);
         }
+        const answer = this.applyAppend(call);
         await waitFor(this.clock, this.faults.answerMs / 2);
         return answer;
     }
