Give up on the coordinator's answer by the question's time, not by its connection

Since questions keep to their callers' time, a caller with little of it would have cost a connection each.

--- a/packages/accept-jobs/src/jobDesk.ts
+++ b/packages/accept-jobs/src/jobDesk.ts
@@ -16,6 +16,11 @@
 import { SubmitOutcome } from "./submitOutcome.js";
 import { waitForFirst } from "./waitForFirst.js";
 
+/**
+ * How long the coordinator's answer is waited for, in milliseconds, whatever its caller's time: giving a call up costs the
+ * connection, and a busy coordinator serves new ones last.
+ */
+const CALL_TIMEOUT_MS = 1500;
 /** The longest that a question is worked on, in milliseconds. */
 const QUESTION_TIMEOUT_MS = 2000;
 /** Part of a caller's time after which there is no use in an answer: what is left brings it to the caller. */
@@ -99,7 +104,7 @@
         }
         const sentAtMs = clock.getNow();
         const untilMs = sentAtMs + computeTimeout(patienceMs);
-        const told = this.requestState(id, untilMs);
+        const told = this.requestState(id);
         const soonMs = Math.min(this.trust.waitMs, (untilMs - sentAtMs) / 2);
         const early = await this.waitSoon(told, soonMs);
         // Nobody waits for a coordinator that is in doubt: it is asked to find out whether it answers again.
@@ -121,14 +126,14 @@
      * @returns A count that is at most as old as callers may be told; undefined when there is none.
      */
     async getPending(queue: string, patienceMs = USUAL_PATIENCE_MS): Promise<number | undefined> {
-        const told = this.requestPending(queue, computeTimeout(patienceMs));
-        const isDoubted = this.trust.waitMs === 0;
-        return (isDoubted ? undefined : await told) ?? this.counts.find(queue);
+        const told = this.requestPending(queue);
+        const waitMs = this.trust.waitMs === 0 ? 0 : computeTimeout(patienceMs);
+        return await this.waitSoon(told, waitMs) ?? this.counts.find(queue);
     }
 
-    private async requestPending(queue: string, timeoutMs: number): Promise<number | undefined> {
+    private async requestPending(queue: string): Promise<number | undefined> {
         const askedAtMs = this.parts.clock.getNow();
-        const reply = await this.request({ kind: CoordinatorCallKind.GetPending, queue }, askedAtMs + timeoutMs);
+        const reply = await this.request({ kind: CoordinatorCallKind.GetPending, queue });
         if (reply?.pending !== undefined) {
             this.counts.note(queue, reply.pending, askedAtMs);
         }
@@ -136,17 +141,19 @@
     }
 
     /** An answer, if it comes soon. */
-    private async waitSoon(told: Promise<StateAnswer | undefined>, soonMs: number): Promise<StateAnswer | undefined> {
+    private async waitSoon<T>(told: Promise<T | undefined>, soonMs: number): Promise<T | undefined> {
         let cancel: () => void = () => undefined;
-        const late = new Promise<"late">(resolve => cancel = this.parts.clock.schedule(soonMs, () => resolve("late")));
-        const first = await waitForFirst<StateAnswer | "late">([told.then(answer => answer ?? "late"), late]);
+        const late = new Promise<undefined>(resolve =>
+            cancel = this.parts.clock.schedule(soonMs, () => resolve(undefined))
+        );
+        const first = await Promise.race([told, late]);
         cancel();
-        return first === "late" ? undefined : first;
+        return first;
     }
 
     /** Asks the coordinator for a job's state; undefined when it isn't asked, doesn't answer or doesn't know. */
-    private async requestState(id: string, untilMs: number): Promise<StateAnswer | undefined> {
-        const reply = await this.request({ kind: CoordinatorCallKind.GetState, id }, untilMs);
+    private async requestState(id: string): Promise<StateAnswer | undefined> {
+        const reply = await this.request({ kind: CoordinatorCallKind.GetState, id });
         if (reply === undefined || reply.isUnsent === true || reply.isUnsure === true) {
             return undefined;
         }
@@ -157,12 +164,12 @@
         return reply.state === undefined ? { isAbsent: true } : { state: reply.state };
     }
 
-    private async request(call: CoordinatorCall, untilMs: number): Promise<CoordinatorReply | undefined> {
+    private async request(call: CoordinatorCall): Promise<CoordinatorReply | undefined> {
         if (!this.trust.admitCall()) {
             return undefined;
         }
         const sentAtMs = this.parts.clock.getNow();
-        const reply = await this.parts.line.call(call, untilMs - sentAtMs);
+        const reply = await this.parts.line.call(call, CALL_TIMEOUT_MS);
         if (reply === undefined) {
             this.trust.noteSilence();
         }
