A coordinator that only reads the store's answers late isn't taken for one without the store

The coordinator was out of processor (226 of 240 ms in 2 s, its loop up to 0.39 s late before the first change, over 1 s later), and began to wait for the next renewal only then, so that its renewals were older than 1.5 s as well. Each change reads and holds everything again, so the next coordinator was busier.

The silence is counted from the first renewal that failed, not from the last that was answered, for the decision to stand and for refusing appends of others. What successors derive about unrecorded work is still counted from the last answer. Renewals keep their rate by when they were sent. A coordinator that is cut off from the store is replaced as soon as before: a call that fails takes 0.6 s, and its age counts from its sending.

Ruled out as the cause of these changes: the link (78 KB received of 500 KB in 2 s before the first) and the store (4 ms an answer). Not mended by this: takeovers fill the link, and the coordinator stays out of processor.

"isn't taken for one without the store" in membership.test.ts fails without it. The tests there now use the real duty.

--- a/packages/keep-term/src/coordinatorView.ts
+++ b/packages/keep-term/src/coordinatorView.ts
@@ -8,7 +8,7 @@
     readonly isRefused: boolean;
     /** It said that it is about to stop. */
     readonly isLeaving: boolean;
-    /** How long it has gone without an answer of the store, in milliseconds. */
+    /** How long its calls to the store have failed, in milliseconds; not how late it reads the answers. */
     readonly storeSilentMs: number;
     /** Whether the store answers this process. */
     readonly hasStore: boolean;
--- a/packages/run-entry-vm/src/followReply.ts
+++ b/packages/run-entry-vm/src/followReply.ts
@@ -11,6 +11,8 @@
     readonly isLeaving: boolean;
     /** How long it has gone without an answer of the store, in milliseconds. */
     readonly storeSilentMs: number;
+    /** How long its calls to the store have failed, in milliseconds. */
+    readonly storeLostMs: number;
     /** Changes whenever the VMs that follow it do. */
     readonly membersVersion: string;
     /** The VMs that follow it, when the request showed another version. */
--- a/packages/run-entry-vm/src/membership.test.ts
+++ b/packages/run-entry-vm/src/membership.test.ts
@@ -1,10 +1,11 @@
 import { describe, expect, it } from "@jest/globals";
-import type { Clock } from "@sardinestage/describe-ports";
-import { waitFor } from "@sardinestage/describe-ports";
+import type { Coordinator } from "@sardinestage/coordinate-work";
+import type { StorePort } from "@sardinestage/describe-ports";
+import { AppendOutcome, waitFor } from "@sardinestage/describe-ports";
 import { MemoryStore, VirtualClock } from "@sardinestage/emulate-platform";
 import { FrameKind } from "@sardinestage/exchange-frames";
-import type { Candidate, TermHolder } from "@sardinestage/keep-term";
-import { RenewalOutcome, TermLog } from "@sardinestage/keep-term";
+import type { Candidate } from "@sardinestage/keep-term";
+import { TermLog } from "@sardinestage/keep-term";
 import type { EventLogger } from "@sardinestage/log-events";
 import { LoopWatch } from "@sardinestage/watch-loop";
 import type { ConfigKeeper } from "./configKeeper.js";
@@ -13,7 +14,7 @@
 import type { FollowRequest } from "./followRequest.js";
 import { Membership } from "./membership.js";
 import type { Peers } from "./peers.js";
-import type { TermDuty } from "./termDuty.js";
+import { TermDuty } from "./termDuty.js";
 
 /** VMs that share a store; the answers of each take as long as the test says. */
 class Installation {
@@ -21,17 +22,21 @@
     readonly store = new MemoryStore(this.clock, () => 0.5);
     readonly answerMs = new Map<string, number>();
     readonly candidacies: string[] = [];
+    /** How late a VM reads what the store has answered, in milliseconds. */
+    readonly readDelayMs = new Map<string, number>();
+    /** VMs that the store doesn't answer. */
+    readonly withoutStore = new Set<string>();
     /** VMs whose requests to others get no answer. */
     readonly unanswered = new Set<string>();
     private readonly members = new Map<string, Membership>();
-    private readonly duties = new Map<string, FakeDuty>();
+    private readonly duties = new Map<string, TermDuty>();
 
     addVm(vm: string, strength: number): Membership {
         const { clock } = this;
         const self: Candidate = { vm, incarnation: vm, host: vm, port: 1, strength };
-        const termLog = new TermLog(this.store, self, clock);
+        const store = this.createStore(vm);
+        const termLog = new TermLog(store, self, clock);
         const followers = new Followers();
-        const duty = new FakeDuty(clock, termLog, followers);
         const watch = new LoopWatch(clock);
         watch.start();
         const logger: EventLogger = {
@@ -43,16 +48,20 @@
             warn: () => undefined,
             error: () => undefined,
         };
+        const coordinator = { open: () => Promise.resolve(true), close: () => undefined } as unknown as Coordinator;
+        const createCoordinator = () => coordinator;
+        const rules = defaultRules;
+        const duty = new TermDuty({ termLog, store, clock, logger, rules, followers, createCoordinator });
         const membership = new Membership({
             self,
             termLog,
-            duty: duty as unknown as TermDuty,
+            duty,
             peers: { request: this.request.bind(this, vm) } as unknown as Peers,
             followers,
             config: { version: 1 } as ConfigKeeper,
             clock,
             logger,
-            rules: defaultRules,
+            rules,
             watch,
         });
         this.members.set(vm, membership);
@@ -66,6 +75,28 @@
         return [...this.duties].find(([, duty]) => duty.isActive)?.[0];
     }
 
+    /** The VMs that hold a term as far as they know: one without the store doesn't know yet that it lost its own. */
+    get coordinators(): readonly string[] {
+        return [...this.duties].filter(([, duty]) => duty.isActive).map(([vm]) => vm);
+    }
+
+    private createStore(vm: string): StorePort {
+        const { store, clock } = this;
+        return {
+            append: async call => {
+                if (this.withoutStore.has(vm)) {
+                    await waitFor(clock, call.timeoutMs);
+                    return { outcome: AppendOutcome.Unknown, offset: 0, end: 0 };
+                }
+                const answer = await store.append(call);
+                await waitFor(clock, this.readDelayMs.get(vm) ?? 0);
+                return answer;
+            },
+            read: (topic, from, waitMs) => store.read(topic, from, waitMs),
+            readNewest: (topic, afterKey) => store.readNewest(topic, afterKey),
+        };
+    }
+
     private async request(vm: string, peer: Candidate, kind: FrameKind, body: unknown, timeoutMs: number) {
         const member = this.unanswered.has(vm) ? undefined : this.members.get(peer.vm);
         const answerMs = this.answerMs.get(peer.vm) ?? 2;
@@ -79,51 +110,6 @@
     }
 }
 
-/** Holds a term and renews it, and does nothing else. */
-class FakeDuty {
-    holder: TermHolder | undefined;
-    isLeaving = false;
-    readonly storeSilentMs = 0;
-    private wonAtMs = 0;
-
-    constructor(
-        private readonly clock: Clock,
-        private readonly termLog: TermLog,
-        private readonly followers: Followers,
-    ) {}
-
-    get isActive(): boolean {
-        return this.holder !== undefined;
-    }
-
-    get heldMs(): number {
-        return this.clock.getNow() - this.wonAtMs;
-    }
-
-    announceLeaving(): void {
-        this.isLeaving = true;
-    }
-
-    start(holder: TermHolder): Promise<void> {
-        this.holder = holder;
-        this.wonAtMs = this.clock.getNow();
-        void this.runRenewals(holder.term);
-        return Promise.resolve();
-    }
-
-    private async runRenewals(term: number): Promise<void> {
-        while (await this.renew(term) === RenewalOutcome.Renewed) {
-            await waitFor(this.clock, defaultRules.renewMs);
-        }
-        this.holder = undefined;
-        this.isLeaving = false;
-    }
-
-    private renew(term: number): Promise<RenewalOutcome> {
-        return this.termLog.renew(term, this.followers.getFollowing(this.clock.getNow()));
-    }
-}
-
 describe("Membership", () => {
     describe("when the coordinator is busy and answers in 700 ms", () => {
         it("goes on following it instead of timing out again and again", async () => {
@@ -140,6 +126,33 @@
         });
     });
 
+    describe("when the coordinator is so busy that it reads the store's answers late", () => {
+        it("isn't taken for one without the store", async () => {
+            const installation = new Installation();
+            installation.addVm("first", 1);
+            await installation.clock.runFor(1000);
+            ["a", "b", "c"].forEach(vm => installation.addVm(vm, 1));
+            await installation.clock.runFor(2000);
+            installation.readDelayMs.set("first", 1600);
+            await installation.clock.runFor(20_000);
+            expect(installation.candidacies).toEqual(["first"]);
+        });
+    });
+
+    describe("when the store doesn't answer the coordinator", () => {
+        it("is replaced within 3 s", async () => {
+            const installation = new Installation();
+            installation.addVm("first", 1);
+            await installation.clock.runFor(1000);
+            const others = ["a", "b", "c"];
+            others.forEach(vm => installation.addVm(vm, 1));
+            await installation.clock.runFor(2000);
+            installation.withoutStore.add("first");
+            await installation.clock.runFor(3000);
+            expect(others).toContain(installation.coordinators.at(-1));
+        });
+    });
+
     describe("when one VM can't reach the coordinator that the others follow", () => {
         it("doesn't depose it, however long that lasts", async () => {
             const installation = new Installation();
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -55,7 +55,7 @@
     private heardAtMs: number;
     private isRefused = false;
     private isLeaving = false;
-    private storeSilentMs = 0;
+    private storeLostMs = 0;
     private relay: Candidate | undefined;
     private members: readonly Candidate[] = [];
     private membersVersion = "";
@@ -145,6 +145,7 @@
             isCoordinator: duty.isActive,
             isLeaving: duty.isLeaving,
             storeSilentMs: duty.storeSilentMs,
+            storeLostMs: duty.storeLostMs,
             membersVersion,
             members: duty.isActive && request.membersVersion !== membersVersion
                 ? [self, ...followers.list()]
@@ -226,11 +227,11 @@
         this.heardAtMs = this.parts.watch.getAttentiveTime();
         this.relay = undefined;
         this.isLeaving = reply.isLeaving;
-        this.storeSilentMs = reply.storeSilentMs;
+        this.storeLostMs = reply.storeLostMs;
         this.term.noteStoreSeen(sentAtMs - reply.storeSilentMs);
         this.members = reply.members ?? this.members;
         this.membersVersion = reply.membersVersion;
-        return !reply.isLeaving && reply.storeSilentMs < this.parts.rules.storeSilenceMs;
+        return !reply.isLeaving && reply.storeLostMs < this.parts.rules.storeSilenceMs;
     }
 
     private takeConfigState(reply: FollowReply): void {
@@ -251,7 +252,7 @@
         this.holder = holder;
         this.isRefused = false;
         this.isLeaving = false;
-        this.storeSilentMs = 0;
+        this.storeLostMs = 0;
         this.relay = undefined;
         this.heardAtMs = this.parts.watch.getAttentiveTime();
     }
@@ -271,7 +272,7 @@
             silentMs: watch.getAttentiveTime() - this.heardAtMs,
             isRefused: this.isRefused,
             isLeaving: this.isLeaving,
-            storeSilentMs: this.term.storeSteadyMs >= rules.storeSteadyMs ? this.storeSilentMs : 0,
+            storeSilentMs: this.term.storeSteadyMs >= rules.storeSteadyMs ? this.storeLostMs : 0,
             hasStore: view !== undefined,
             peers: asked.length,
             peersAnswered: reports.length,
--- a/packages/run-entry-vm/src/termDuty.ts
+++ b/packages/run-entry-vm/src/termDuty.ts
@@ -39,6 +39,8 @@
 export class TermDuty {
     private coordinator: Coordinator | undefined;
     private renewedAtMs = 0;
+    /** When the first of the renewals that failed in a row was sent, in steady milliseconds. */
+    private failingSinceMs = Infinity;
     private wonAtMs = 0;
     /** The term that this process holds; undefined while it holds none. */
     holder: TermHolder | undefined;
@@ -66,12 +68,21 @@
         return this.holder === undefined ? 0 : Math.max(0, this.renewalAgeMs - this.parts.rules.renewMs);
     }
 
+    /**
+     * How long calls to the store have failed, in milliseconds. A process that is short of processor reads answers late, which
+     * says nothing of the store.
+     */
+    get storeLostMs(): number {
+        return this.holder === undefined ? 0 : Math.max(0, this.parts.clock.getNow() - this.failingSinceMs);
+    }
+
     /** Begins a term that was just won; returns once it has taken over or has given up. */
     async start(holder: TermHolder, hadUnrecordedStarts: boolean): Promise<void> {
         const { clock, logger } = this.parts;
         this.holder = holder;
         this.wonAtMs = clock.getNow();
         this.renewedAtMs = this.wonAtMs;
+        this.failingSinceMs = Infinity;
         logger.info("term-won", { term: holder.term, hadUnrecordedStarts });
         void this.runRenewals(holder.term);
         for (let tries = 0; tries < TAKEOVER_TRIES && this.holder === holder; tries++) {
@@ -99,7 +110,7 @@
     /** Answers a call to the coordinator. */
     async answer(call: CoordinatorCall): Promise<CoordinatorReply> {
         if (call.kind === CoordinatorCallKind.Append) {
-            if (this.storeSilentMs >= STORE_AWAY_MS) {
+            if (this.storeLostMs >= STORE_AWAY_MS) {
                 // The caller is told at once to come back, rather than after a wait that is likely in vain.
                 return { outcome: AppendOutcome.Refused };
             }
@@ -139,8 +150,9 @@
     private async runRenewals(term: number): Promise<void> {
         const { clock, termLog, rules, logger, followers } = this.parts;
         let hasFailed = false;
+        let nextAtMs = clock.getNow() + rules.renewMs;
         while (this.holder?.term === term) {
-            await waitFor(clock, hasFailed ? rules.renewMs / 4 : rules.renewMs);
+            await waitFor(clock, Math.max(0, nextAtMs - clock.getNow()));
             if (this.holder?.term !== term) {
                 return;
             }
@@ -152,11 +164,14 @@
             }
             if (hasFailed !== (outcome === RenewalOutcome.Failed)) {
                 hasFailed = !hasFailed;
+                this.failingSinceMs = hasFailed ? sentAtMs : Infinity;
                 logger.warn(hasFailed ? "store-lost" : "store-regained", { term });
             }
             if (!hasFailed) {
                 this.renewedAtMs = sentAtMs;
             }
+            // What others see is the time between two renewals, which mustn't grow by how late the answers are read.
+            nextAtMs = hasFailed ? clock.getNow() + rules.renewMs / 4 : sentAtMs + rules.renewMs;
         }
     }
 }
