Learn from a replica's figure without reading all other replicas again

What it cost: in a process whose processor is used up, learning from figures was most of what a look at a shared worker took. What is learned stays the same but for rounding. A replica that has ended is left out as before.

--- a/packages/coordinate-work/src/servingBook.ts
+++ b/packages/coordinate-work/src/servingBook.ts
@@ -1,13 +1,12 @@
 import type { HeadroomEstimator, ServingFigure, WeightedNeighbour } from "@sardinestage/learn-behaviour";
 import { HeadroomTrend } from "@sardinestage/learn-behaviour";
 import type { StepRun, Task } from "@sardinestage/track-jobs";
-import { TaskPhase } from "@sardinestage/track-jobs";
+import type { Look } from "./look.js";
+import { ReplicaLooks } from "./replicaLooks.js";
 import type { WorkerLink } from "./workerLink.js";
 
 /** Figures of a worker that follow closer say nothing new, in milliseconds: they cover the last half second. */
 const LOOK_GAP_MS = 250;
-/** Figures of two replicas are compared when they are no further apart, in milliseconds. */
-const SAME_TIME_MS = 700;
 /** A replica's figure is compared with its own that is no older, in milliseconds. */
 const OWN_FIGURE_MS = 1500;
 /** Variance of the difference of two replicas' figures, and of one replica's at two times, in headroom squared. */
@@ -20,31 +19,28 @@
 const FULL_PERCENT = 100;
 const MS_PER_SECOND = 1000;
 
-/** What was seen of a serving task when its worker was last looked at. */
-interface Look extends ServingFigure {
-    readonly workerId: string;
-    readonly atMs: number;
-    /** How much less headroom it has than the others of its step, averaged; never negative. */
-    readonly lack: number;
-}
-
 /** Keeps what serving tasks showed, and tells how much headroom they'd have without filling tasks. */
 export class ServingBook {
     private readonly looks = new WeakMap<Task, Look>();
     private readonly trends = new WeakMap<StepRun, HeadroomTrend>();
+    private readonly replicas = new WeakMap<StepRun, ReplicaLooks>();
     private readonly takenAtMs = new WeakMap<WorkerLink, number>();
 
     constructor(private readonly estimator: HeadroomEstimator) {}
 
+    /** Whether a worker's figures say anything that they didn't when they were last taken. */
+    hasNews(link: WorkerLink, nowMs: number): boolean {
+        return nowMs - (this.takenAtMs.get(link) ?? -Infinity) >= LOOK_GAP_MS;
+    }
+
     /** Takes the figures that a worker has listed of its serving and filling tasks. */
     takeFigures(link: WorkerLink, servers: readonly Task[], fillers: readonly Task[], nowMs: number): void {
-        if (nowMs - (this.takenAtMs.get(link) ?? -Infinity) < LOOK_GAP_MS) {
+        if (!this.hasNews(link, nowMs)) {
             return;
         }
         this.takenAtMs.set(link, nowMs);
         const capacity = Math.max(1, link.entry.capacity.cpuMillis);
-        const neighbours = fillers.filter(task => task.figure > 0)
-            .map(task => ({ image: task.step.spec.image, weight: task.figure / capacity }));
+        const neighbours = collectNeighbours(fillers, capacity);
         for (const task of servers) {
             if (task.figure > 0 && task.percent >= FULL_PERCENT) {
                 this.takeFigure(task, neighbours, link.entry.id, nowMs);
@@ -75,7 +71,9 @@
         const before = this.looks.get(task);
         const lackBefore = before?.workerId === workerId ? before.lack : 0;
         const lack = Math.max(0, lackBefore + (expected - alone - lackBefore) * LACK_RATE);
-        this.looks.set(task, { headroom, neighbours, workerId, atMs, lack });
+        const look: Look = { headroom, neighbours, workerId, atMs, lack };
+        this.looks.set(task, look);
+        this.getReplicas(task.step).takeLook(task, look);
         trend.takeFigure(alone, 1 / (1 + taken), atMs);
         this.estimator.learnUsual(image, trend.estimateHeadroom(atMs, 0) ?? alone);
     }
@@ -86,32 +84,34 @@
         return trend;
     }
 
+    private getReplicas(step: StepRun): ReplicaLooks {
+        const replicas = this.replicas.get(step) ?? new ReplicaLooks();
+        this.replicas.set(step, replicas);
+        return replicas;
+    }
+
     /** Replicas elsewhere are the best reference; without them, the replica's own last figure is one. */
     private learnHarm(task: Task, figure: ServingFigure, workerId: string, atMs: number, change: number): void {
         const { image } = task.step.spec;
-        const others = task.step.tasks.flatMap(other => {
-            const look = other === task || other.phase !== TaskPhase.Running ? undefined : this.looks.get(other);
-            return look !== undefined && look.workerId !== workerId && atMs - look.atMs <= SAME_TIME_MS ? [look] : [];
-        });
+        const others = this.getReplicas(task.step).computeOthers(workerId, atMs, change);
         const own = this.looks.get(task);
-        if (others.length > 0) {
-            this.estimator.learnDifference(image, figure, computeAverage(others, atMs, change), REPLICA_VARIANCE);
+        if (others !== undefined) {
+            this.estimator.learnDifference(image, figure, others, REPLICA_VARIANCE);
         }
         else if (own !== undefined && own.workerId === workerId && atMs - own.atMs <= OWN_FIGURE_MS) {
-            this.estimator.learnDifference(image, figure, computeAverage([own], atMs, change), OWN_VARIANCE);
+            const headroom = own.headroom + change * (atMs - own.atMs) / MS_PER_SECOND;
+            this.estimator.learnDifference(image, figure, { headroom, neighbours: own.neighbours }, OWN_VARIANCE);
         }
     }
 }
 
-/** Averages looks, brought to one time. */
-function computeAverage(looks: readonly Look[], atMs: number, change: number): ServingFigure {
-    const share = 1 / looks.length;
-    const headroom = looks.reduce(
-        (sum, look) => sum + (look.headroom + change * (atMs - look.atMs) / MS_PER_SECOND) * share,
-        0,
-    );
-    const neighbours = looks.flatMap(look =>
-        look.neighbours.map(({ image, weight }) => ({ image, weight: weight * share }))
-    );
-    return { headroom, neighbours };
+/** The filling tasks that use processor, those of one image as one. */
+function collectNeighbours(fillers: readonly Task[], capacityCpuMillis: number): WeightedNeighbour[] {
+    const weights = new Map<string, number>();
+    for (const { figure, step } of fillers) {
+        if (figure > 0) {
+            weights.set(step.spec.image, (weights.get(step.spec.image) ?? 0) + figure / capacityCpuMillis);
+        }
+    }
+    return [...weights].map(([image, weight]) => ({ image, weight }));
 }
--- a/packages/learn-behaviour/src/linearEstimator.test.ts
+++ b/packages/learn-behaviour/src/linearEstimator.test.ts
@@ -45,4 +45,23 @@
             expect(estimator.getDeviation("unseen")).toBe(2);
         });
     });
+
+    describe("when inputs come up one after another", () => {
+        it("keeps what it has learned of the others, and how they depend on each other", () => {
+            const early = new LinearEstimator(PRIOR);
+            const late = new LinearEstimator(PRIOR);
+            const names = Array.from({ length: 40 }, (_unused, index) => `n${index}`);
+            // The one meets all names before it learns, so that it never has to make room again.
+            early.learn(new Map(names.map(name => [name, 0])), 0, NOISE_VARIANCE);
+            names.forEach((name, index) => {
+                const inputs = new Map([[name, 0.3], [names[Math.max(0, index - 1)], 0.2], ["n0", 0.1]]);
+                early.learn(inputs, index / 10, NOISE_VARIANCE);
+                late.learn(inputs, index / 10, NOISE_VARIANCE);
+            });
+            for (const name of names) {
+                expect(late.getCoefficient(name)).toBeCloseTo(early.getCoefficient(name), 9);
+                expect(late.getDeviation(name)).toBeCloseTo(early.getDeviation(name), 9);
+            }
+        });
+    });
 });
