Wait for a slow store when a term shuts out its predecessor; tell of failed takeovers

Cause: the first append of a term waited 120 ms, the least of an AnswerTimeout that knows nothing yet; a store that takes 200 ms for an answer never met that, and each try made a new coordinator, which knew nothing either. A timeout shorter than the work it waits for, whose retry adds to it. Found by reading; nothing logged it. Change: the first append waits as long as any may (1 s). takeover-failed tells the step and how long it took. The emulated store gives up what it answers later than a call waits. Test: 'doesn't give its first append up before a slow store can answer' failed before.

--- a/packages/coordinate-work/src/coordinator.test.ts
+++ b/packages/coordinate-work/src/coordinator.test.ts
@@ -62,6 +62,17 @@
         });
     });
 
+    describe("when it takes over while the store is slow", () => {
+        it("doesn't give its first append up before a slow store can answer", async () => {
+            const bed = await createBed(2, 500);
+            bed.store.faults.answerMs = 200;
+            bed.startTerm(false);
+            await bed.clock.runFor(1500);
+            expect(bed.coordinator?.isReady).toBe(true);
+            expect(bed.terms).toBe(1);
+        });
+    });
+
     describe("when nothing is wrong", () => {
         it("runs the steps of a job in order and completes it", async () => {
             const bed = await createBed(2, 500);
--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -146,6 +146,8 @@
             ? await Promise.all([progress.load(), this.jobsFollower.load(), this.workersFollower.load()])
             : [false];
         if (loads.includes(false) || this.isClosed) {
+            const tookMs = Math.round(clock.getNow() - this.openedAtMs);
+            logger.warn("takeover-failed", { term, step: isWriter ? "read" : "fence", tookMs });
             return false;
         }
         const readAtMs = clock.getNow();
--- a/packages/coordinate-work/src/progressWriter.ts
+++ b/packages/coordinate-work/src/progressWriter.ts
@@ -37,7 +37,8 @@
 
     /** Takes the topic over: from then on no earlier coordinator can write. */
     async open(): Promise<boolean> {
-        const answer = await this.append([]);
+        // Nothing is known yet of how long the store takes, and all that a takeover does waits for this.
+        const answer = await this.append([], limits.flushTimeoutMs);
         return answer.outcome === AppendOutcome.Appended;
     }
 
@@ -182,11 +183,13 @@
         return untilAwayMs > 0 ? Math.min(currentMs, Math.max(limits.flushLeastTimeoutMs, untilAwayMs)) : currentMs;
     }
 
-    private async append(records: readonly KeyedRecord[]): Promise<AppendAnswer> {
+    private async append(
+        records: readonly KeyedRecord[],
+        timeoutMs = this.chooseTimeout(this.parts.clock.getNow()),
+    ): Promise<AppendAnswer> {
         const writer = { name: WRITER_NAME, epoch: this.parts.term, sequence: this.sequence };
         const { store, clock } = this.parts;
         const sentAtMs = clock.getNow();
-        const timeoutMs = this.chooseTimeout(sentAtMs);
         const answer = await store.append({ topic: Topic.Progress, records, writer, timeoutMs });
         this.timeout.noteOutcome(answer.outcome !== AppendOutcome.Unknown, clock.getNow() - sentAtMs);
         if (answer.outcome === AppendOutcome.Appended && records.length > 0) {
--- a/packages/coordinate-work/src/testing/coordinatorBed.ts
+++ b/packages/coordinate-work/src/testing/coordinatorBed.ts
@@ -50,6 +50,11 @@
         this.witness = new RunWitness(() => this.clock.getNow(), task => this.listEarlier(task));
     }
 
+    /** How many terms have begun. */
+    get terms(): number {
+        return this.term;
+    }
+
     /** Adds a worker, and lists it. */
     async addWorker(id: string): Promise<void> {
         this.fleet.workers.set(id, new EmulatedWorker(id, this.clock, this.witness, this.getDuration));
--- a/packages/emulate-platform/src/memoryStore.ts
+++ b/packages/emulate-platform/src/memoryStore.ts
@@ -54,7 +54,12 @@
             return this.waitUnanswered(call.timeoutMs);
         }
         const answer = this.applyAppend(call);
-        await waitFor(this.clock, this.faults.answerMs / 2);
+        const { answerMs } = this.faults;
+        if (answerMs > call.timeoutMs) {
+            // It comes, but nobody waits for it any more.
+            return this.waitUnanswered(call.timeoutMs - answerMs / 2);
+        }
+        await waitFor(this.clock, answerMs / 2);
         return answer;
     }
 
