Give room that was made by stopping work to what it was made for

What callers saw: LOST: a long-running task whose run lapsed began again 10 to 17 s later though there was room for it. Cause: servers' memory is full of filling tasks. To bring an interrupted task back the coordinator stopped filling tasks of lower priority on one worker, and the next round gave each piece of memory that came free back to the very tasks that had been stopped: being smaller they fit before enough had gathered. So they were stopped and started in turn and the larger task never got in; besides a step was given room for one task a second. An inversion of priorities by size. Evidence: 'has all its long-running tasks at work again within 3 s of their leases' end' (one worker full of filling tasks, eight tasks of a lost worker): before, none of the eight was back after 3 s, and the log shows stop-order 'displaced' and run-order of the same tasks on the same worker within 10 ms of their end; with the change all eight are. Change: PromisedRooms remembers on which workers room is made for a step, for 2 s or until a task of it starts there; planStarts keeps these rooms for it. An interrupted step has room made for all its tasks at once (16 a round), others for one at a time as before. Moved out of WorkRound into DisplacementDesk. The plain planner of the comparison on random fleets keeps rooms in the same way.

--- a/packages/coordinate-work/src/coordinator.test.ts
+++ b/packages/coordinate-work/src/coordinator.test.ts
@@ -249,6 +249,29 @@
         });
     });
 
+    describe("when a worker is lost, and filling tasks hold the memory of the others", () => {
+        it("has all its long-running tasks at work again within 3 s of their leases' end", async () => {
+            const bed = await createBed(1, 120_000);
+            bed.startTerm(false);
+            const filling = createStep({ taskCount: 64, fillsLeftover: true, savesProgress: true });
+            void bed.submit("filling", createSpec([filling]), createQueue({ priority: 2 }));
+            await bed.clock.runFor(2000);
+            expect(bed.witness.countAtWork()).toBe(64);
+            void bed.addWorker("lost");
+            await bed.clock.runFor(1000);
+            const lasting = createStep({ taskCount: 8, longRunning: true, memoryMb: 8000 });
+            void bed.submit("lasting", createSpec([lasting]), createQueue());
+            await bed.clock.runFor(4000);
+            expect(bed.witness.countAtWork()).toBe(72);
+            bed.stopWorker("lost");
+            // The lease, on a clock that may be slow, and what its last renewal was under way.
+            await bed.clock.runFor(4700);
+            await bed.clock.runFor(3000);
+            expect(bed.witness.faults).toEqual([]);
+            expect(bed.witness.countAtWork()).toBe(8);
+        });
+    });
+
     describe("when a worker is cut off", () => {
         it("starts its tasks elsewhere only after its lease has run out", async () => {
             const bed = await createBed(1, 20_000);
--- a/packages/coordinate-work/src/workRound.ts
+++ b/packages/coordinate-work/src/workRound.ts
@@ -1,6 +1,6 @@
 import { formatTaskKey } from "@sardinestage/describe-work";
 import type { StepDemand, WorkerRoom } from "@sardinestage/plan-starts";
-import { DisplacementPlanner, planStarts } from "@sardinestage/plan-starts";
+import { planStarts } from "@sardinestage/plan-starts";
 import type { StepRun, Task } from "@sardinestage/track-jobs";
 import {
     applyRunStart,
@@ -13,14 +13,15 @@
 import { buildRooms } from "./buildRooms.js";
 import { computeStartsLeft } from "./computeStartsLeft.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
+import { DisplacementDesk } from "./displacementDesk.js";
 import type { DurationBook } from "./durationBook.js";
-import { FairTurns } from "./fairTurns.js";
 import type { Fleet } from "./fleet.js";
 import type { JobBook } from "./jobBook.js";
 import { limits } from "./limits.js";
 import type { OrderDesk } from "./orderDesk.js";
 import type { PlaceJudge } from "./placeJudge.js";
 import type { ProgressWriter } from "./progressWriter.js";
+import { PromisedRooms } from "./promisedRooms.js";
 import { RoundScope } from "./roundScope.js";
 import type { RunBook } from "./runBook.js";
 import type { ServingBook } from "./servingBook.js";
@@ -28,10 +29,6 @@
 
 /** A job that takes longer than this many times its allowed duration is of no more use. */
 const USELESS_AFTER = 3;
-/** Sets of tasks that are stopped in one round to make room. */
-const DISPLACEMENTS_A_ROUND = 4;
-/** A step whose tasks were promised room gets no more for so long, in milliseconds. */
-const DISPLACEMENT_PAUSE_MS = 1000;
 
 /** Filling tasks that are moved in one round. */
 const MOVES_A_ROUND = 4;
@@ -64,18 +61,17 @@
 
 /** One planning round: gathers what waits and what is free, decides, records, and orders. */
 export class WorkRound {
-    private readonly displacedAtMs = new WeakMap<StepRun, number>();
     private readonly readyAtMs = new WeakMap<StepRun, number>();
-    /** How long a round may take, in milliseconds. */
-    private readonly longestMs: number;
     private readonly scope: RoundScope;
     private readonly waits: WaitReporter;
-    private readonly displacementTurns = new FairTurns<StepRun>();
+    private readonly promises = new PromisedRooms();
+    private readonly displacements: DisplacementDesk;
 
     constructor(private readonly parts: CoordinatorParts, private readonly round: RoundParts) {
         this.waits = new WaitReporter(parts.logger);
-        this.longestMs = parts.rules.leaseMs * limits.roundLeaseShare;
-        this.scope = new RoundScope(this.longestMs);
+        const longestMs = parts.rules.leaseMs * limits.roundLeaseShare;
+        this.scope = new RoundScope(longestMs);
+        this.displacements = new DisplacementDesk(parts, { ...round, promises: this.promises, longestMs });
     }
 
     /** Runs a round; returns when the next occurrence of a job is due (Unix milliseconds), if one is. */
@@ -106,37 +102,12 @@
         this.waits.reportUnmet(plan.unmet, rooms, nowMs);
         plan.starts.forEach(({ task, workerId }) => this.startTask(task, workerId, nowMs));
         this.scope.noteRound(demands.length, clock.getNow() - plannedFromMs);
-        this.tryDisplacing(plan.unmet, rooms, plannedFromMs);
+        plan.unmet.forEach(demand => this.requestAdvice(demand, rooms));
+        this.displacements.stopOthers(plan.unmet, rooms, plannedFromMs);
         const isPartial = demands.length < waiting.length;
         return isPartial ? clock.getWallTime() : nextDueMs;
     }
 
-    /** Has advice asked for and room made for what found none, as far as the round's time goes. */
-    private tryDisplacing(unmet: readonly StepDemand[], rooms: readonly WorkerRoom[], nowMs: number): void {
-        unmet.forEach(demand => this.requestAdvice(demand, rooms));
-        const bySteps = new Map(unmet.map(demand => [demand.step, demand]));
-        const planner = new DisplacementPlanner(rooms, id => this.round.fleet.links.get(id)?.tasks ?? []);
-        const left: StepRun[] = [];
-        let displacements = 0;
-        let tries = 0;
-        for (const step of this.displacementTurns.listInTurn([...bySteps.keys()])) {
-            const demand = bySteps.get(step);
-            if (demand === undefined || displacements >= DISPLACEMENTS_A_ROUND || !this.isDisplacing(demand, nowMs)) {
-                continue;
-            }
-            // A round whose starts took all its time still tries one.
-            if (tries > 0 && this.parts.clock.getNow() - nowMs >= this.longestMs) {
-                left.push(step);
-                continue;
-            }
-            tries++;
-            const found = planner.plan(demand);
-            displacements += found === undefined ? 0 : 1;
-            this.stopVictims(demand, found, nowMs);
-        }
-        this.displacementTurns.noteLeft(left);
-    }
-
     private buildDemand(step: StepRun, waiting: Task[]): StepDemand {
         const { occurrence } = step;
         const { queue } = occurrence.job;
@@ -155,6 +126,7 @@
             remainingMs,
             waitedMs: nowMs - readyAtMs,
             slackMs: objectiveMs - spentMs - remainingMs,
+            promised: this.promises.list(step, nowMs),
             lateSlackMs: objectiveMs * USELESS_AFTER - spentMs - remainingMs,
         };
     }
@@ -168,6 +140,7 @@
         const { job } = task.step.occurrence;
         applyRunStart(task, workerId, run, nowMs);
         link.tasks.add(task);
+        this.promises.noteStart(task, workerId);
         const fields = { task: formatTaskKey(task.ref), run, worker: workerId };
         this.parts.logger.info("run-order", { ...fields, tasksThere: link.tasks.size });
         this.round.writer.note(job.id, () => encodeProgress(job));
@@ -217,26 +190,6 @@
             this.round.advice.request(task, rooms.map(room => room.workerId));
         }
     }
-
-    /** A step is given room again only after what it was promised had time to come free. */
-    private isDisplacing(demand: StepDemand, nowMs: number): boolean {
-        const displacedAtMs = this.displacedAtMs.get(demand.step);
-        const isUseful = demand.lateSlackMs >= 0 || demand.step.spec.longRunning;
-        return isUseful && (displacedAtMs === undefined || nowMs - displacedAtMs >= DISPLACEMENT_PAUSE_MS);
-    }
-
-    private stopVictims(
-        demand: StepDemand,
-        found: { readonly workerId: string; readonly victims: readonly Task[] } | undefined,
-        nowMs: number,
-    ): void {
-        const link = found === undefined ? undefined : this.round.fleet.links.get(found.workerId);
-        if (found === undefined || link === undefined) {
-            return;
-        }
-        this.displacedAtMs.set(demand.step, nowMs);
-        found.victims.forEach(victim => this.round.orders.sendStop(victim, link, "displaced"));
-    }
 }
 
 function isMovable(task: Task, nowMs: number): boolean {
--- a/packages/plan-starts/src/planStarts.test.ts
+++ b/packages/plan-starts/src/planStarts.test.ts
@@ -140,6 +140,23 @@
         });
     });
 
+    describe("when work was stopped to make room for a larger task", () => {
+        it("doesn't give the room back to what was stopped, piece by piece", () => {
+            const large = createDemand({ memoryMb: 8000 }, { promised: ["w"] });
+            const stopped = createDemand({ memoryMb: 1000, fillsLeftover: true }, {}, { priority: 2 });
+            const rooms = [createRoom("w", { freeMemoryMb: 3000 })];
+            expect(planStarts([stopped, large], rooms, rules).starts).toEqual([]);
+        });
+
+        it("gives the room to what it was made for, and the rest to others", () => {
+            const large = createDemand({ memoryMb: 8000 }, { promised: ["w"] });
+            const small = createDemand({ memoryMb: 1000, fillsLeftover: true }, {}, { priority: 2 });
+            const rooms = [createRoom("w", { freeMemoryMb: 9000 })];
+            expect(planStarts([small, large], rooms, rules).starts.map(({ task }) => task.step))
+                .toEqual([large.step, small.step]);
+        });
+    });
+
     describe("when a worker has no room", () => {
         it("never gives it more than it has", () => {
             const demand = createDemand({ taskCount: 100, cpuMillis: 3000 });
--- a/packages/plan-starts/src/planStarts.ts
+++ b/packages/plan-starts/src/planStarts.ts
@@ -1,5 +1,4 @@
 import { compareDemands } from "./compareDemands.js";
-import { isInterrupted } from "./isInterrupted.js";
 import { planGang } from "./planGang.js";
 import type { PlannedStart } from "./plannedStart.js";
 import { planTasks } from "./planTasks.js";
@@ -39,9 +38,7 @@
         if (!isMet) {
             refused.add(demand);
             unmet.push(demand);
-            if (isInterrupted(demand)) {
-                reserveRooms(demand.step, demand.waiting.length - (starts.length - before), ledger);
-            }
+            reserveRooms(demand, demand.waiting.length - (starts.length - before), ledger);
         }
     }
     return { starts, unmet };
--- a/packages/plan-starts/src/stepDemand.ts
+++ b/packages/plan-starts/src/stepDemand.ts
@@ -6,6 +6,8 @@
     readonly waiting: readonly Task[];
     /** Whether any task of its occurrence has run. */
     readonly isStarted: boolean;
+    /** Workers on which other work was stopped to make room for one task each. */
+    readonly promised?: readonly string[];
     /** The longest chain of work that is left, in milliseconds. */
     readonly remainingMs: number;
     /** How long the step has been ready, in milliseconds. */
--- a/packages/plan-starts/src/testing/planStartsPlainly.ts
+++ b/packages/plan-starts/src/testing/planStartsPlainly.ts
@@ -33,8 +33,14 @@
         if (!isMet) {
             refused.add(demand);
             unmet.push(demand);
-            const left = demand.waiting.length - (starts.length - before);
-            for (let task = 0; task < left && isInterrupted(demand); task++) {
+            let left = demand.waiting.length - (starts.length - before);
+            for (const room of rooms) {
+                if (left > 0 && room.startsLeft > 0 && demand.promised?.includes(room.workerId) === true) {
+                    room.startsLeft = 0;
+                    left--;
+                }
+            }
+            for (; left > 0 && isInterrupted(demand); left--) {
                 reserveRoom(demand, rooms);
             }
         }
@@ -47,7 +53,8 @@
     const { spec } = demand.step;
     let best: WorkerRoom | undefined;
     for (const room of rooms) {
-        const isBetter = best === undefined || room.freeCpuMillis > best.freeCpuMillis;
+        const isPromised = demand.promised?.includes(room.workerId) === true;
+        const isBetter = !isPromised && (best === undefined || room.freeCpuMillis > best.freeCpuMillis);
         const later = { ...room, freeCpuMillis: room.freeCpuMillis + room.endingCpuMillis };
         const fitsLater = later.freeCpuMillis >= spec.cpuMillis && hasRoom({ ...later, freeCpuMillis: Infinity }, spec);
         if (isBetter && fitsLater && isAllowedOn(demand.step, room)) {
--- a/packages/plan-starts/src/testing/randomFleet.ts
+++ b/packages/plan-starts/src/testing/randomFleet.ts
@@ -107,6 +107,7 @@
             remainingMs: 1000,
             waitedMs: this.pickBelow(4) * 1000,
             slackMs: this.pickBelow(4000) - 1000,
+            promised: this.pickBelow(4) === 0 ? [`w${this.pickBelow(WORKERS)}`, `w${this.pickBelow(WORKERS)}`] : [],
             lateSlackMs: this.pickBelow(4000) - 500,
         };
     }
