A coordinator that has just taken over is given twice the time

A takeover reads everything and holds every worker.

The renewals of a term that was seen to begin within 10 s prove life for 3 s, not 1.5.

"leaves one that has only just taken over twice the time" in chooseCandidacyStep.test.ts fails without it.

--- a/packages/keep-term/src/candidacyRules.ts
+++ b/packages/keep-term/src/candidacyRules.ts
@@ -12,4 +12,10 @@
     readonly followedShare: number;
     /** A process that reaches nobody stands only when no renewal has come for so long, in milliseconds. */
     readonly renewalSilenceMs: number;
+    /**
+     * A coordinator that took over within this is given `youngTermPatience` times as long: a takeover reads and holds everything,
+     * and another on top of it would do so again. In milliseconds.
+     */
+    readonly youngTermMs: number;
+    readonly youngTermPatience: number;
 }
--- a/packages/keep-term/src/chooseCandidacyStep.test.ts
+++ b/packages/keep-term/src/chooseCandidacyStep.test.ts
@@ -10,6 +10,8 @@
     freshRenewalMs: 1200,
     unreachableMs: 4000,
     followedShare: 0.25,
+    youngTermMs: 10_000,
+    youngTermPatience: 2,
 };
 const WELL: CoordinatorView = {
     isKnown: true,
@@ -24,6 +26,7 @@
     renewalAgeMs: 500,
     followers: 0,
     members: 4,
+    termAgeMs: 60_000,
 };
 
 describe("chooseCandidacyStep", () => {
@@ -66,6 +69,14 @@
             expect(chooseCandidacyStep(view, RULES)).toBe(CandidacyStep.Stand);
         });
 
+        it("leaves one that has only just taken over twice the time", () => {
+            const young = { ...WELL, isHeardByPeer: false, termAgeMs: 3000 };
+            const busy = { ...young, silentMs: 2300, renewalAgeMs: 1600 };
+            expect(chooseCandidacyStep(busy, RULES)).toBe(CandidacyStep.Follow);
+            expect(chooseCandidacyStep({ ...busy, renewalAgeMs: 2500 }, RULES)).toBe(CandidacyStep.Stand);
+            expect(chooseCandidacyStep({ ...busy, isRefused: true }, RULES)).toBe(CandidacyStep.Stand);
+        });
+
         it("speaks through a peer that hears it", () => {
             expect(chooseCandidacyStep({ ...WELL, silentMs: 1200 }, RULES)).toBe(CandidacyStep.Relay);
         });
--- a/packages/keep-term/src/chooseCandidacyStep.ts
+++ b/packages/keep-term/src/chooseCandidacyStep.ts
@@ -7,6 +7,7 @@
  * safety: the store lets one win, and workers refuse the orders of the other.
  */
 export function chooseCandidacyStep(view: CoordinatorView, rules: CandidacyRules): CandidacyStep {
+    const patience = view.termAgeMs < rules.youngTermMs ? rules.youngTermPatience : 1;
     const isHeardHere = !view.isRefused && view.silentMs < rules.silenceMs;
     if (!view.hasStore) {
         return view.isHeardByPeer && !isHeardHere ? CandidacyStep.Relay : CandidacyStep.Follow;
@@ -14,7 +15,7 @@
     if (!view.isKnown) {
         return CandidacyStep.Stand;
     }
-    const isRenewing = !view.isRefused && view.renewalAgeMs < rules.freshRenewalMs;
+    const isRenewing = !view.isRefused && view.renewalAgeMs < rules.freshRenewalMs * patience;
     if (view.isLeaving || (view.storeSilentMs >= rules.storeSilenceMs && !isRenewing)) {
         return CandidacyStep.Stand;
     }
--- a/packages/keep-term/src/coordinatorView.ts
+++ b/packages/keep-term/src/coordinatorView.ts
@@ -22,4 +22,6 @@
     /** How many VMs followed it then, and how many members this process knows of. */
     readonly followers: number;
     readonly members: number;
+    /** Time since another process lost the term to it, in milliseconds; infinite where no change was seen. */
+    readonly termAgeMs: number;
 }
--- a/packages/run-entry-vm/src/defaultRules.ts
+++ b/packages/run-entry-vm/src/defaultRules.ts
@@ -5,6 +5,8 @@
     silenceMs: 1000,
     storeSilenceMs: 700,
     renewalSilenceMs: 2500,
+    youngTermMs: 10_000,
+    youngTermPatience: 2,
     freshRenewalMs: 1500,
     unreachableMs: 10_000,
     followedShare: 0.25,
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -56,6 +56,8 @@
     private isRefused = false;
     private isLeaving = false;
     private storeLostMs = 0;
+    /** When the term was seen to change, in steady milliseconds. */
+    private changedAtMs = -Infinity;
     private relay: Candidate | undefined;
     private members: readonly Candidate[] = [];
     private membersVersion = "";
@@ -249,6 +251,7 @@
         }
         const { vm, term } = holder;
         this.parts.logger.info("coordinator-changed", { vm, term, from: this.holder?.vm, fromTerm: this.holder?.term });
+        this.changedAtMs = this.holder === undefined ? -Infinity : this.parts.clock.getNow();
         this.holder = holder;
         this.isRefused = false;
         this.isLeaving = false;
@@ -280,6 +283,7 @@
             renewalAgeMs: this.term.renewalAgeMs,
             followers: view?.followers ?? 0,
             members: this.members.length,
+            termAgeMs: clock.getNow() - this.changedAtMs,
         };
         const step = chooseCandidacyStep(seen, rules);
         if (step === CandidacyStep.Stand && view !== undefined && !this.isDraining) {
