A job whose first start is only ordered still counts as one that waits

The trace: no takeover before, all jobs of 14 to 17.2 s read within 2 s and ordered within 4 s of their submission. A job left the count when its first start was planned; the order then waits for its record and for a free call to the worker, which took seconds in a process without processor, and is never sent when the term ends first. A worker that is down does the same to what was ordered there.

A job counts until a worker has taken a task of it, as far as this coordinator was told: by its answer to the start, its list, an end, a checkpoint. After a takeover what an earlier coordinator ordered counts until the first list of its worker. A job whose only runs were stopped without a checkpoint counts as waiting again. The states that callers get for single jobs are as before.

Ruled out by the trace: jobs read late, and a coordinator that has just taken over.

--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -7,6 +7,7 @@
 import { AdviceBook } from "./adviceBook.js";
 import { applyInTurns } from "./applyInTurns.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
+import { countPending } from "./countPending.js";
 import { describeFleet } from "./describeFleet.js";
 import { Fleet } from "./fleet.js";
 import { HoldLoop } from "./holdLoop.js";
@@ -194,9 +195,9 @@
         return this.ends.findState(id) ?? (isFresh ? undefined : "unknown");
     }
 
-    /** Counts the accepted jobs of a queue of which nothing has run yet. */
+    /** Counts the accepted jobs of a queue of which no task has begun. */
     getPending(queue: string): number {
-        return this.jobs.getPending(queue);
+        return countPending(this.jobs.live.values(), queue);
     }
 
     /** Takes a cancellation that is in the store, ahead of reading it there. */
--- a/packages/coordinate-work/src/jobBook.ts
+++ b/packages/coordinate-work/src/jobBook.ts
@@ -1,6 +1,6 @@
 import type { KeyedRecord } from "@sardinestage/describe-ports";
 import type { TaskRef } from "@sardinestage/describe-work";
-import { JobState } from "@sardinestage/describe-work";
+import type { JobState } from "@sardinestage/describe-work";
 import type { StepRun, Task } from "@sardinestage/track-jobs";
 import {
     applyProgress,
@@ -113,15 +113,6 @@
         return this.live.has(jobId) || this.finished.has(jobId);
     }
 
-    /** Counts the jobs of a queue of which nothing has run yet. */
-    getPending(queue: string): number {
-        let pending = 0;
-        for (const job of this.live.values()) {
-            pending += job.queue.name === queue && job.state === JobState.Queued ? 1 : 0;
-        }
-        return pending;
-    }
-
     /**
      * Lists the steps that could start tasks now.
      *
