--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -8,6 +8,7 @@
 import { AdviceBook } from "./adviceBook.js";
 import { applyInTurns } from "./applyInTurns.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
+import { countPending } from "./countPending.js";
 import { describeFleet } from "./describeFleet.js";
 import { Fleet } from "./fleet.js";
 import { HoldLoop } from "./holdLoop.js";
@@ -205,9 +206,9 @@
         return this.ends.findState(id) ?? (isFresh ? undefined : "unknown");
     }
 
-    /** Counts the accepted jobs of a queue of which nothing has run yet. */
+    /** Counts the accepted jobs of a queue of which no task has begun. */
     getPending(queue: string): number {
-        return this.jobs.getPending(queue);
+        return countPending(this.jobs.live.values(), queue);
     }
 
     /** Takes a cancellation that is in the store, ahead of reading it there. */
