Keep calls to the coordinator open when their callers have stopped waiting

Cause: a call without an answer in time closes the connection and so ends all calls on it: hints of cancellations after 0.5 s, relayed appends after 1 s, questions after 1.5 s. A busy coordinator serves new connections last, so that the next call fails as well; and one such end counted as several silences. Change: calls are kept open for 3 s, whoever still waits (TrustedLine); an append that the coordinator confirms late still counts. Calls sent within 100 ms are one proof of silence. A probe's answer counts only if it is as quick as a question needs.

--- a/packages/accept-jobs/src/coordinatorTrust.ts
+++ b/packages/accept-jobs/src/coordinatorTrust.ts
@@ -4,7 +4,9 @@
 
 /** How long an answer is waited for alone at least and at most, in milliseconds: a round trip between regions; half a question's time. */
 const WAITS = { leastMs: 150, mostMs: 750 };
-/** Calls on end without an answer after which the coordinator is asked seldom. */
+/** Calls sent closer together than this are one proof of silence, in milliseconds: one lost connection ends them all. */
+const SAME_PROOF_MS = 100;
+/** Proofs on end of no answer after which the coordinator is asked seldom. */
 const SILENCES_TO_DOUBT = 3;
 /** Time between two calls while it doesn't answer, in milliseconds: a coordinator is replaced within a few of these. */
 const PROBE_PAUSE_MS = 1000;
@@ -17,6 +19,7 @@
     private silences = 0;
     private doubtedAtMs: number | undefined;
     private probedAtMs = -Infinity;
+    private provedAtMs = -Infinity;
     private readonly timeout = new AnswerTimeout(WAITS);
 
     /** @param purpose Of the calls, for log lines. */
@@ -31,7 +34,7 @@
         return this.doubtedAtMs === undefined ? this.timeout.currentMs : 0;
     }
 
-    /** Lets a call through, or not; each that is let through is to be followed by a note. */
+    /** Lets a call through, or not. */
     admitCall(): boolean {
         const nowMs = this.clock.getNow();
         if (this.doubtedAtMs !== undefined && nowMs - this.probedAtMs < PROBE_PAUSE_MS) {
@@ -52,8 +55,16 @@
         }
     }
 
-    /** Notes that no answer came in time. */
-    noteSilence(): void {
+    /**
+     * Notes that no answer came in time.
+     *
+     * @param sentAtMs When the call was sent, in steady milliseconds.
+     */
+    noteSilence(sentAtMs: number): void {
+        if (sentAtMs - this.provedAtMs < SAME_PROOF_MS) {
+            return;
+        }
+        this.provedAtMs = sentAtMs;
         this.silences++;
         if (this.doubtedAtMs === undefined && this.silences >= SILENCES_TO_DOUBT) {
             this.doubtedAtMs = this.clock.getNow();
--- a/packages/accept-jobs/src/jobDesk.test.ts
+++ b/packages/accept-jobs/src/jobDesk.test.ts
@@ -1,21 +1,11 @@
 import { describe, expect, it } from "@jest/globals";
-import { Metrics } from "@sardinestage/count-metrics";
-import type { KeyedRecord, NewestAnswer, StorePort } from "@sardinestage/describe-ports";
+import type { KeyedRecord } from "@sardinestage/describe-ports";
 import { Topic } from "@sardinestage/describe-ports";
 import type { QueueConfig } from "@sardinestage/describe-work";
 import { JobState } from "@sardinestage/describe-work";
-import { MemoryStore, VirtualClock } from "@sardinestage/emulate-platform";
-import { silentLogger } from "@sardinestage/log-events";
 import { CANCEL_SUFFIX, encodeJobRecord, encodeProgress, Job } from "@sardinestage/track-jobs";
-import type { CoordinatorCall } from "./coordinatorCall.js";
-import type { CoordinatorReply } from "./coordinatorReply.js";
-import { JobDesk } from "./jobDesk.js";
-import { JobLedger } from "./jobLedger.js";
-import { RecordDesk } from "./recordDesk.js";
-import type { StateAnswer } from "./stateAnswer.js";
-import { StateReader } from "./stateReader.js";
+import { DeskBed } from "./testing/deskBed.js";
 
-const KEEP_MS = 120_000;
 const PATIENCE_MS = 3000;
 const APPEND_TIMEOUT_MS = 1000;
 const ID = "5c0e7a21d94b36f8";
@@ -31,8 +21,6 @@
     targetLatencyMs: 500,
 };
 
-type Behaviour = (call: CoordinatorCall, timeoutMs: number) => Promise<CoordinatorReply | undefined>;
-
 function createJobRecord(id: string): KeyedRecord {
     return { key: id, value: encodeJobRecord({ spec, queue, acceptedAtMs: 0 }) };
 }
@@ -48,86 +36,15 @@
     return index.toString(16).padStart(16, "0");
 }
 
-/** A desk over an emulated store, with a coordinator of the test's. */
-class Bed {
-    readonly clock = new VirtualClock();
-    readonly store = new MemoryStore(this.clock, () => 0.5);
-    readonly calls: CoordinatorCall[] = [];
-    /** Topics of the pages that the desk has asked for. */
-    readonly pages: Topic[] = [];
-    /** Something that happens just before the store makes a page. */
-    beforePage: (pages: number) => Promise<void> = () => Promise.resolve();
-    readonly desk: JobDesk;
-    /** By default nothing answers. */
-    coordinator: Behaviour = (_, timeoutMs) => this.waitInVain(timeoutMs);
-
-    constructor() {
-        const { clock } = this;
-        const logger = silentLogger;
-        const line = {
-            call: (call: CoordinatorCall, timeoutMs: number) => {
-                this.calls.push(call);
-                return this.coordinator(call, timeoutMs);
-            },
-        };
-        const store: StorePort = {
-            append: call => this.store.append(call),
-            read: (topic, from, waitMs) => this.store.read(topic, from, waitMs),
-            readNewest: (topic, afterKey) => this.readPage(topic, afterKey),
-        };
-        const ledger = new JobLedger(clock, KEEP_MS);
-        this.desk = new JobDesk({
-            records: new RecordDesk({ store, line, clock, logger, metrics: new Metrics() }),
-            states: new StateReader({ store, clock, logger, ledger }),
-            ledger,
-            line,
-            clock,
-            logger,
-        });
-    }
-
-    async append(topic: Topic, records: readonly KeyedRecord[]): Promise<void> {
-        await this.runUntilSettled(this.store.append({ topic, records, timeoutMs: APPEND_TIMEOUT_MS }));
-    }
-
-    /** Lets time pass until a promise has settled. */
-    async runUntilSettled<T>(promise: Promise<T>): Promise<{ result: T; tookMs: number }> {
-        const startedAtMs = this.clock.getNow();
-        let settled: { result: T; tookMs: number } | undefined;
-        void promise.then(result => settled = { result, tookMs: this.clock.getNow() - startedAtMs });
-        for (let passed = 0; passed < 10_000 && settled === undefined; passed++) {
-            await this.clock.runFor(1);
-        }
-        if (settled === undefined) {
-            throw new Error("Nothing came of it in ten seconds.");
-        }
-        return settled;
-    }
-
-    getState(id: string, patienceMs = PATIENCE_MS): Promise<{ result: StateAnswer; tookMs: number }> {
-        return this.runUntilSettled(this.desk.getState(id, patienceMs));
-    }
-
-    async waitInVain(timeoutMs: number): Promise<undefined> {
-        return new Promise(resolve => this.clock.schedule(timeoutMs, () => resolve(undefined)));
-    }
-
-    private async readPage(topic: Topic, afterKey: string | undefined): Promise<NewestAnswer> {
-        this.pages.push(topic);
-        await this.beforePage(this.pages.length);
-        return this.store.readNewest(topic, afterKey);
-    }
-}
-
 describe("JobDesk", () => {
-    const silences: readonly { name: string; behave?: Behaviour }[] = [
+    const silences: readonly { name: string; behave?: DeskBed["coordinator"] }[] = [
         { name: "doesn't answer" },
         { name: "isn't sure", behave: () => Promise.resolve({ isUnsure: true }) },
         { name: "isn't known during a takeover", behave: () => Promise.resolve({ isUnsent: true }) },
     ];
     describe.each(silences)("when the coordinator $name", ({ behave }) => {
-        function createBed(): Bed {
-            const bed = new Bed();
+        function createBed(): DeskBed {
+            const bed = new DeskBed();
             bed.coordinator = behave ?? bed.coordinator;
             return bed;
         }
@@ -187,7 +104,7 @@
 
     describe("when a job ends and is dropped between the reads", () => {
         it("never tells that it is unknown", async () => {
-            const bed = new Bed();
+            const bed = new DeskBed();
             await bed.append(Topic.Jobs, [createJobRecord(ID)]);
             bed.beforePage = async pages => {
                 if (pages === 2) {
@@ -204,7 +121,7 @@
 
     describe("when neither the coordinator nor the store answers", () => {
         it("refuses, and soon refuses at once", async () => {
-            const bed = new Bed();
+            const bed = new DeskBed();
             bed.store.faults.isDown = true;
             for (let asked = 0; asked < 4; asked++) {
                 expect((await bed.getState(ID)).result).toEqual({ isUnavailable: true });
@@ -215,7 +132,7 @@
         });
 
         it("answers again soon after the store does", async () => {
-            const bed = new Bed();
+            const bed = new DeskBed();
             await bed.append(Topic.Jobs, [createJobRecord(ID)]);
             bed.store.faults.isDown = true;
             for (let asked = 0; asked < 6; asked++) {
@@ -229,7 +146,7 @@
 
     describe("when the coordinator answers late", () => {
         it("is answered by the store meanwhile, and by the coordinator where the store fails", async () => {
-            const bed = new Bed();
+            const bed = new DeskBed();
             bed.coordinator = async () => {
                 await bed.waitInVain(600);
                 return { state: JobState.Running };
@@ -243,7 +160,7 @@
 
     describe("when the coordinator has been silent several times", () => {
         it("asks it seldom, and the store at once, until it answers", async () => {
-            const bed = new Bed();
+            const bed = new DeskBed();
             await bed.append(Topic.Jobs, [createJobRecord(ID)]);
             for (let asked = 0; asked < 3; asked++) {
                 await bed.getState(ID);
@@ -267,9 +184,30 @@
         });
     });
 
+    describe("when callers have little time", () => {
+        it("gives up no call to the coordinator for it, which would end all calls on its connection", async () => {
+            const bed = new DeskBed();
+            await bed.append(Topic.Jobs, [createJobRecord(ID)]);
+            await bed.getState(ID, 200);
+            await bed.runUntilSettled(bed.desk.getPending("queue", 200));
+            await bed.runUntilSettled(bed.desk.cancel(ID, queue, 200));
+            expect(bed.callTimeoutsMs).toEqual([3000, 3000, 3000]);
+        });
+    });
+
+    describe("when one lost connection ends many calls to the coordinator", () => {
+        it("asks it again", async () => {
+            const bed = new DeskBed();
+            bed.coordinator = async () => bed.waitInVain(50);
+            await bed.runUntilSettled(Promise.all([1, 2, 3, 4, 5].map(index => bed.desk.getState(createId(index)))));
+            bed.coordinator = () => Promise.resolve({ state: JobState.Running });
+            expect((await bed.getState(ID)).result).toEqual({ state: JobState.Running });
+        });
+    });
+
     describe("when many questions wait for the store", () => {
         it("answers all of them from few pages", async () => {
-            const bed = new Bed();
+            const bed = new DeskBed();
             bed.coordinator = () => Promise.resolve({ isUnsent: true });
             const ids = Array.from({ length: 120 }, (_, index) => createId(index * 7));
             await bed.append(Topic.Jobs, ids.map(createJobRecord));
@@ -280,7 +218,7 @@
         });
 
         it("asks nobody about ends that it has seen", async () => {
-            const bed = new Bed();
+            const bed = new DeskBed();
             await bed.append(Topic.Progress, [
                 createProgress(createId(1), JobState.Completed),
                 createProgress(createId(2), JobState.Failed),
@@ -293,7 +231,7 @@
         });
 
         it("reads the accepted jobs for none that it accepted itself", async () => {
-            const bed = new Bed();
+            const bed = new DeskBed();
             await bed.runUntilSettled(bed.desk.submit(ID, queue, spec));
             expect((await bed.getState(ID)).result).toEqual({ state: JobState.Queued });
             expect(bed.pages).toEqual([Topic.Progress]);
@@ -302,7 +240,7 @@
 
     describe("when the coordinator doesn't answer a count of waiting jobs", () => {
         it("tells the last count for two seconds, and then none", async () => {
-            const bed = new Bed();
+            const bed = new DeskBed();
             const silent = bed.coordinator;
             bed.coordinator = () => Promise.resolve({ pending: 7 });
             expect((await bed.runUntilSettled(bed.desk.getPending("queue", 500))).result).toBe(7);
--- a/packages/accept-jobs/src/jobDesk.ts
+++ b/packages/accept-jobs/src/jobDesk.ts
@@ -3,32 +3,25 @@
 import { JobState } from "@sardinestage/describe-work";
 import type { EventLogger } from "@sardinestage/log-events";
 import { CANCEL_SUFFIX, encodeJobRecord } from "@sardinestage/track-jobs";
-import type { CoordinatorCall } from "./coordinatorCall.js";
 import { CoordinatorCallKind } from "./coordinatorCallKind.js";
 import type { CoordinatorLine } from "./coordinatorLine.js";
-import type { CoordinatorReply } from "./coordinatorReply.js";
-import { CoordinatorTrust } from "./coordinatorTrust.js";
 import type { JobLedger } from "./jobLedger.js";
 import { PendingCounts } from "./pendingCounts.js";
 import type { RecordDesk } from "./recordDesk.js";
 import type { StateAnswer } from "./stateAnswer.js";
 import type { StateReader } from "./stateReader.js";
 import { SubmitOutcome } from "./submitOutcome.js";
+import { TrustedLine } from "./trustedLine.js";
 import { waitForFirst } from "./waitForFirst.js";
 
-/**
- * How long the coordinator's answer is waited for, in milliseconds, whatever its caller's time: giving a call up costs the
- * connection, and a busy coordinator serves new ones last.
- */
-const CALL_TIMEOUT_MS = 1500;
+/** A coordinator that takes longer for a question is taken not to answer, in milliseconds. */
+const SILENT_AFTER_MS = 1500;
 /** The longest that a question is worked on, in milliseconds. */
 const QUESTION_TIMEOUT_MS = 2000;
 /** Part of a caller's time after which there is no use in an answer: what is left brings it to the caller. */
 const USABLE_SHARE = 0.9;
 /** A caller that doesn't say how long it waits is taken to wait so long, in milliseconds. */
 const USUAL_PATIENCE_MS = 3000;
-/** How long the hint of a cancellation may take, in milliseconds; the coordinator reads it in the store anyway. */
-const HINT_TIMEOUT_MS = 500;
 
 /** What a job desk works with. */
 interface JobDeskParts {
@@ -45,11 +38,11 @@
  * there where the coordinator doesn't tell it soon.
  */
 export class JobDesk {
-    private readonly trust: CoordinatorTrust;
+    private readonly line: TrustedLine;
     private readonly counts: PendingCounts;
 
     constructor(private readonly parts: JobDeskParts) {
-        this.trust = new CoordinatorTrust(parts.clock, parts.logger, "questions");
+        this.line = new TrustedLine({ ...parts, purpose: "questions", silentAfterMs: SILENT_AFTER_MS });
         this.counts = new PendingCounts(parts.clock);
     }
 
@@ -86,7 +79,8 @@
         this.recordOutcome("job-cancel", id, queue.name, outcome, sentAtMs);
         if (outcome === SubmitOutcome.Accepted) {
             this.parts.ledger.noteCancelled(id);
-            void this.parts.line.call({ kind: CoordinatorCallKind.Cancel, id }, HINT_TIMEOUT_MS);
+            // A hint only: the coordinator reads it in the store anyway.
+            void this.line.call({ kind: CoordinatorCallKind.Cancel, id });
         }
         return outcome;
     }
@@ -105,7 +99,7 @@
         const sentAtMs = clock.getNow();
         const untilMs = sentAtMs + computeTimeout(patienceMs);
         const told = this.requestState(id);
-        const soonMs = Math.min(this.trust.waitMs, (untilMs - sentAtMs) / 2);
+        const soonMs = Math.min(this.line.waitMs, (untilMs - sentAtMs) / 2);
         const early = await this.waitSoon(told, soonMs);
         // Nobody waits for a coordinator that is in doubt: it is asked to find out whether it answers again.
         const answer = early ?? await (soonMs === 0
@@ -127,13 +121,13 @@
      */
     async getPending(queue: string, patienceMs = USUAL_PATIENCE_MS): Promise<number | undefined> {
         const told = this.requestPending(queue);
-        const waitMs = this.trust.waitMs === 0 ? 0 : computeTimeout(patienceMs);
+        const waitMs = this.line.waitMs === 0 ? 0 : computeTimeout(patienceMs);
         return await this.waitSoon(told, waitMs) ?? this.counts.find(queue);
     }
 
     private async requestPending(queue: string): Promise<number | undefined> {
         const askedAtMs = this.parts.clock.getNow();
-        const reply = await this.request({ kind: CoordinatorCallKind.GetPending, queue });
+        const reply = await this.line.call({ kind: CoordinatorCallKind.GetPending, queue });
         if (reply?.pending !== undefined) {
             this.counts.note(queue, reply.pending, askedAtMs);
         }
@@ -153,7 +147,7 @@
 
     /** Asks the coordinator for a job's state; undefined when it isn't asked, doesn't answer or doesn't know. */
     private async requestState(id: string): Promise<StateAnswer | undefined> {
-        const reply = await this.request({ kind: CoordinatorCallKind.GetState, id });
+        const reply = await this.line.call({ kind: CoordinatorCallKind.GetState, id });
         if (reply === undefined || reply.isUnsent === true || reply.isUnsure === true) {
             return undefined;
         }
@@ -164,21 +158,6 @@
         return reply.state === undefined ? { isAbsent: true } : { state: reply.state };
     }
 
-    private async request(call: CoordinatorCall): Promise<CoordinatorReply | undefined> {
-        if (!this.trust.admitCall()) {
-            return undefined;
-        }
-        const sentAtMs = this.parts.clock.getNow();
-        const reply = await this.parts.line.call(call, CALL_TIMEOUT_MS);
-        if (reply === undefined) {
-            this.trust.noteSilence();
-        }
-        else if (reply.isUnsent !== true && reply.isUnsure !== true) {
-            this.trust.noteAnswer(this.parts.clock.getNow() - sentAtMs);
-        }
-        return reply;
-    }
-
     private recordOutcome(event: string, id: string, queue: string, outcome: SubmitOutcome, sentAtMs: number): void {
         const tookMs = Math.round(this.parts.clock.getNow() - sentAtMs);
         const fields = { job: id, queue, outcome: SubmitOutcome[outcome], tookMs };
--- a/packages/accept-jobs/src/recordDesk.ts
+++ b/packages/accept-jobs/src/recordDesk.ts
@@ -5,9 +5,9 @@
 import type { EventLogger } from "@sardinestage/log-events";
 import { CoordinatorCallKind } from "./coordinatorCallKind.js";
 import type { CoordinatorLine } from "./coordinatorLine.js";
-import { CoordinatorTrust } from "./coordinatorTrust.js";
 import { KeyReader } from "./keyReader.js";
 import { SubmitOutcome } from "./submitOutcome.js";
+import { TrustedLine } from "./trustedLine.js";
 
 /** How long an append may take at least and at most, in milliseconds, before it is repeated or goes another way. */
 const APPEND_TIMEOUTS = { leastMs: 200, mostMs: 500 };
@@ -56,13 +56,13 @@
     private batchesUnderWay = 0;
     private isDoubted = false;
     private readonly timeout = new AnswerTimeout(APPEND_TIMEOUTS);
-    private readonly trust: CoordinatorTrust;
+    private readonly line: TrustedLine;
     private readonly keys: KeyReader;
     /** Where the topic ended when an append was last answered: what is sent later comes after it. */
     private knownEnd: number | undefined;
 
     constructor(private readonly parts: RecordDeskParts) {
-        this.trust = new CoordinatorTrust(parts.clock, parts.logger, "appends");
+        this.line = new TrustedLine({ ...parts, purpose: "appends", silentAfterMs: RELAYED_TIMEOUT_MS });
         this.keys = new KeyReader({ ...parts, topic: Topic.Jobs, name: "jobs" });
     }
 
@@ -105,24 +105,29 @@
         const from = this.knownEnd;
         const records = entries.map(entry => entry.record);
         const direct = this.isDoubted ? SubmitOutcome.Refused : await this.appendDirectly(records);
-        const outcome = direct === SubmitOutcome.Refused ? await this.appendRelayed(records) : direct;
+        if (direct === SubmitOutcome.Accepted) {
+            entries.forEach(entry => entry.settle(direct));
+            return;
+        }
+        const relayed = this.appendRelayed(records);
+        const soonRelayed = this.waitRelayed(relayed);
+        const outcome = direct === SubmitOutcome.Refused ? await soonRelayed : direct;
         if (outcome === SubmitOutcome.Unknown) {
-            const relayed = direct === SubmitOutcome.Unknown ? this.appendRelayed(records) : Promise.resolve(outcome);
-            void this.confirmUnknown(entries, relayed, from);
+            void this.confirmUnknown(entries, { relayed, soonRelayed }, from);
             return;
         }
         entries.forEach(entry => entry.settle(outcome));
     }
 
     /**
-     * Settles records that may be in the store: as accepted once they are found there, or are appended after all.
+     * Ends the wait for records that may be in the store: as accepted once they are found there, or are appended after all.
      *
-     * @param relayed What becomes of them by way of the coordinator.
+     * @param ways What becomes of them by way of the coordinator: at last, and as far as it can be told in good time.
      * @param from Where the topic ended before they were first sent, if that is known.
      */
     private async confirmUnknown(
         entries: readonly Entry[],
-        relayed: Promise<SubmitOutcome>,
+        { relayed, soonRelayed }: Readonly<Record<"relayed" | "soonRelayed", Promise<SubmitOutcome>>>,
         from: number | undefined,
     ): Promise<void> {
         const { clock, metrics } = this.parts;
@@ -139,17 +144,30 @@
                 entry.settle(SubmitOutcome.Unknown);
             })
         );
-        const whenRelayed = relayed.then(outcome => {
+        void relayed.then(outcome => {
             if (outcome === SubmitOutcome.Accepted) {
                 [...open].forEach(entry => accept(entry, "relayed"));
             }
         });
         await this.confirmStored(open, accept, from);
-        await whenRelayed;
+        if (open.size > 0) {
+            await soonRelayed;
+        }
         expiries.forEach(cancel => cancel());
         open.forEach(entry => entry.settle(SubmitOutcome.Unknown));
     }
 
+    /** What becomes of records by way of the coordinator, as far as it can be told in good time. */
+    private waitRelayed(relayed: Promise<SubmitOutcome>): Promise<SubmitOutcome> {
+        return new Promise(resolve => {
+            const cancel = this.parts.clock.schedule(RELAYED_TIMEOUT_MS, () => resolve(SubmitOutcome.Unknown));
+            void relayed.then(outcome => {
+                cancel();
+                resolve(outcome);
+            });
+        });
+    }
+
     /** Looks for records in the store, and appends those that aren't there again, until none is left or it doesn't answer. */
     private async confirmStored(
         open: ReadonlySet<Entry>,
@@ -254,15 +272,9 @@
     }
 
     private async appendRelayed(records: readonly KeyedRecord[]): Promise<SubmitOutcome> {
-        const { clock, line, metrics } = this.parts;
-        if (!this.trust.admitCall()) {
-            metrics.count("accept_failures_total", "coordinator-doubted");
-            return SubmitOutcome.Refused;
-        }
-        const sentAtMs = clock.getNow();
-        const reply = await line.call({ kind: CoordinatorCallKind.Append, records }, RELAYED_TIMEOUT_MS);
+        const { metrics } = this.parts;
+        const reply = await this.line.call({ kind: CoordinatorCallKind.Append, records });
         if (reply === undefined) {
-            this.trust.noteSilence();
             metrics.count("accept_failures_total", "no-coordinator");
             return SubmitOutcome.Unknown;
         }
@@ -275,7 +287,6 @@
             metrics.count("accept_failures_total", "relay-unanswered");
             return SubmitOutcome.Unknown;
         }
-        this.trust.noteAnswer(clock.getNow() - sentAtMs);
         return convertOutcome(reply.outcome);
     }
 }
