Change a filling task's pace only where the aim is in danger or the gain is worth a call

Change: a dead band with hysteresis in planPace. Tasks slow down at once where a serving task is expected below 1.14 of its target at the present paces (as little as the choice of a place leaves), down to what leaves the aim of 1.2, and not before; they speed up by 30 points at least, and the less is gained the longer they wait: 1.2 s after the last change for a full rise, 4 s for the least. While the loop is late rises wait up to three times as long; falls never wait, and halts and stops are as before.

--- a/packages/coordinate-work/src/paceDesk.ts
+++ b/packages/coordinate-work/src/paceDesk.ts
@@ -5,6 +5,7 @@
 import { planPace } from "@sardinestage/plan-pace";
 import type { Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
+import { chooseRiseWait } from "./chooseRiseWait.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import { estimateTaken } from "./estimateTaken.js";
 import type { OrderDesk } from "./orderDesk.js";
@@ -20,10 +21,12 @@
 /** Share of the bound on harm after which standing still is taken not to help. */
 const STOP_SHARE = 0.6;
 const FULL_PERCENT = 100;
+/** A task is told to work faster only by so much at least, in percent of its full speed: less isn't worth a call. */
+const LEAST_RISE_PERCENT = 30;
 
 /** Slows filling tasks where serving tasks beside them suffer, and stops them where that isn't enough. */
 export class PaceDesk {
-    private readonly rules: PaceRules;
+    private readonly rules: Omit<PaceRules, "riseWaitMs">;
     private readonly underWay = new Set<Task>();
 
     constructor(
@@ -38,6 +41,7 @@
             haltAfterMs: harmMs * HALT_SHARE,
             haltAllAfterMs: harmMs * HALT_ALL_SHARE,
             stopAfterMs: harmMs * STOP_SHARE,
+            leastRisePercent: LEAST_RISE_PERCENT,
         };
     }
 
@@ -57,7 +61,7 @@
             fillers.map(task => this.describeFiller(task, servers, link)),
             link.pace,
             nowMs,
-            this.rules,
+            { ...this.rules, riseWaitMs: chooseRiseWait(this.parts.getLoopDelay()) },
         );
         link.pace = plan.state;
         for (const task of fillers) {
@@ -78,11 +82,11 @@
         };
     }
 
-    private describeFiller(task: Task, servers: readonly Task[], link: WorkerLink): FillerView {
+    private describeFiller(task: Task, servers: readonly Task[], link: WorkerLink): FillerView<string> {
         const harms = servers.map(server =>
             estimateTaken(this.estimator, server.step.spec.image, task.step.spec, link.entry.capacity.cpuMillis)
         );
-        return { key: formatTaskKey(task.ref), harms, percent: task.pace };
+        return { key: formatTaskKey(task.ref), harms, percent: task.pace, pacedAtMs: task.pacedAtMs };
     }
 
     private async sendPace(task: Task, link: WorkerLink, percent: number): Promise<void> {
--- a/packages/plan-pace/src/paceRules.ts
+++ b/packages/plan-pace/src/paceRules.ts
@@ -8,4 +8,8 @@
     readonly haltAllAfterMs: number;
     /** Over the target for so long with filling tasks at work: they are stopped for good. */
     readonly stopAfterMs: number;
+    /** A task is told to work faster only by so much at least, in percent of its full speed. */
+    readonly leastRisePercent: number;
+    /** How long a task keeps its pace before it may go from a standstill to full speed, in milliseconds. */
+    readonly riseWaitMs: number;
 }
