Decide paces only where a worker's figures say something new, and for runs that were left slowed

What it cost: PaceDesk.handleFigures judged a worker with each answer, of which ends bring 700 a second, although figures cover the last half second: 230 to 360 ms of 2 s of the coordinator's one thread. Two faults found on the way left filling tasks slowed for good: when the serving tasks of a worker had all gone (lapsed, failed, moved) nothing was decided there any more, so that what stood still beside them stood still to its end, and the worker was looked at as often as a shared one; and a successor took the runs that it found to work at full speed, whatever its predecessor had ordered. The state of harm was kept as well while a worker had no serving tasks: the next one there met a clock that had run for long. Change: a decision is made when the figures are new (the gap of ServingBook), when a filling task has begun, when a serving task has come over its target or back under it, and when it has been over it for as long as the next measure waits (isHarmNews), so that halts and stops are as prompt as before. A halt that is decided while another order to the task is under way goes out as soon as that is answered; before, it waited for the next answer. Without serving tasks the filling ones are released. A run that another coordinator started and that uses less than half of its processor is told its pace once. Whether a worker is shared is noted with each answer.

--- a/packages/coordinate-work/src/paceDesk.ts
+++ b/packages/coordinate-work/src/paceDesk.ts
@@ -1,9 +1,8 @@
 import { OrderOutcome } from "@sardinestage/describe-ports";
-import { formatTaskKey } from "@sardinestage/describe-work";
 import type { HeadroomEstimator } from "@sardinestage/learn-behaviour";
 import type { FillerView, PaceRules, ServerView } from "@sardinestage/plan-pace";
-import { planPace } from "@sardinestage/plan-pace";
-import type { Task } from "@sardinestage/track-jobs";
+import { isHarmNews, planPace } from "@sardinestage/plan-pace";
+import type { StepRun, Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
 import { chooseRiseWait } from "./chooseRiseWait.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
@@ -24,10 +23,23 @@
 /** A task is told to work faster only by so much at least, in percent of its full speed: less isn't worth a call. */
 const LEAST_RISE_PERCENT = 30;
 
+/** A run that another coordinator started uses less than this share of its processor if it was slowed. */
+const SLOWED_SHARE = 0.5;
+
+/** A filling task's run, since it was first decided on. */
+interface DecidedRun {
+    readonly run: number;
+    /** Whether its pace is known: a run that was found at work may have been slowed by another coordinator. */
+    isPaceKnown: boolean;
+}
+
 /** Slows filling tasks where serving tasks beside them suffer, and stops them where that isn't enough. */
 export class PaceDesk {
     private readonly rules: Omit<PaceRules, "riseWaitMs">;
-    private readonly underWay = new Set<Task>();
+    private readonly decidedAtMs = new WeakMap<WorkerLink, number>();
+    private readonly decided = new WeakMap<Task, DecidedRun>();
+    /** Tasks with an order under way, and the pace that each ought to have by now. */
+    private readonly wanted = new Map<Task, number>();
 
     constructor(
         private readonly parts: CoordinatorParts,
@@ -45,73 +57,144 @@
         };
     }
 
-    /** Reacts to the figures that a worker has just listed. */
+    /** Reacts to the figures that a worker has just listed, where they say something new. */
     handleFigures(link: WorkerLink): void {
-        const running = [...link.tasks].filter(isAtWork);
-        const servers = running.filter(isServing);
-        if (servers.length === 0) {
-            return;
-        }
-        const fillers = running.filter(task => task.step.spec.fillsLeftover);
-        link.isShared = fillers.length > 0;
         const nowMs = this.parts.clock.getNow();
+        let servers = 0;
+        let fillers = 0;
+        let isOver = false;
+        let isBegun = false;
+        for (const task of link.tasks) {
+            if (isFilling(task)) {
+                fillers++;
+                isBegun ||= this.decided.get(task)?.run !== task.run;
+            }
+            if (isServing(task)) {
+                servers++;
+                isOver ||= task.figure > task.step.spec.tailTargetMs;
+            }
+        }
+        link.isShared = servers > 0 && fillers > 0;
+        const decidedAtMs = this.decidedAtMs.get(link) ?? -Infinity;
+        if (
+            isBegun || this.serving.hasNews(link, nowMs)
+            || isHarmNews(link.pace, isOver, decidedAtMs, nowMs, this.rules)
+        ) {
+            this.decidedAtMs.set(link, nowMs);
+            this.updatePaces(link, nowMs);
+        }
+    }
+
+    private updatePaces(link: WorkerLink, nowMs: number): void {
+        const servers: Task[] = [];
+        const fillers: Task[] = [];
+        for (const task of link.tasks) {
+            if (isServing(task)) {
+                servers.push(task);
+            }
+            if (isFilling(task)) {
+                fillers.push(task);
+            }
+        }
         this.serving.takeFigures(link, servers, fillers, nowMs);
         const plan = planPace(
-            servers.map(task => this.describeServer(task, nowMs)),
-            fillers.map(task => this.describeFiller(task, servers, link)),
+            servers.map(task => this.describeServer(task, nowMs, fillers.length > 0)),
+            this.describeFillers(fillers, servers, link),
             link.pace,
             nowMs,
             { ...this.rules, riseWaitMs: chooseRiseWait(this.parts.getLoopDelay()) },
         );
         link.pace = plan.state;
         for (const task of fillers) {
-            const percent = plan.percents.get(formatTaskKey(task.ref)) ?? FULL_PERCENT;
+            const percent = plan.percents.get(task) ?? FULL_PERCENT;
             if (plan.mustStop && task.pace > 0) {
                 this.orders.sendStop(task, link, "harm");
             }
-            else if (task.pace !== percent && !this.underWay.has(task)) {
-                void this.sendPace(task, link, percent);
+            else {
+                this.applyPace(task, link, percent);
             }
         }
     }
 
-    private describeServer(task: Task, nowMs: number): ServerView {
+    private describeServer(task: Task, nowMs: number, isShared: boolean): ServerView {
         return {
             headroom: task.figure > 0 ? task.step.spec.tailTargetMs / task.figure : undefined,
-            aloneHeadroom: this.serving.estimateHeadroom(task, nowMs + this.rules.settleMs),
+            aloneHeadroom: isShared ? this.serving.estimateHeadroom(task, nowMs + this.rules.settleMs) : undefined,
         };
     }
 
-    private describeFiller(task: Task, servers: readonly Task[], link: WorkerLink): FillerView<string> {
-        const harms = servers.map(server =>
-            estimateTaken(this.estimator, server.step.spec.image, task.step.spec, link.entry.capacity.cpuMillis)
-        );
-        return { key: formatTaskKey(task.ref), harms, percent: task.pace, pacedAtMs: task.pacedAtMs };
+    private describeFillers(fillers: readonly Task[], servers: readonly Task[], link: WorkerLink): FillerView<Task>[] {
+        const known = new Map<StepRun, readonly number[]>();
+        return fillers.map(task => {
+            const harms = known.get(task.step)
+                ?? servers.map(server =>
+                    estimateTaken(this.estimator, server.step.spec.image, task.step.spec, link.entry.capacity.cpuMillis)
+                );
+            known.set(task.step, harms);
+            return { key: task, harms, percent: task.pace, pacedAtMs: task.pacedAtMs };
+        });
+    }
+
+    private applyPace(task: Task, link: WorkerLink, percent: number): void {
+        let decided = this.decided.get(task);
+        if (decided?.run !== task.run) {
+            decided = { run: task.run, isPaceKnown: isOrderedHere(task) };
+            this.decided.set(task, decided);
+        }
+        if (this.wanted.has(task)) {
+            this.wanted.set(task, percent);
+        }
+        else if (task.pace !== percent || (!decided.isPaceKnown && isSlow(task))) {
+            void this.sendPace(task, link, percent);
+        }
     }
 
     private async sendPace(task: Task, link: WorkerLink, percent: number): Promise<void> {
-        const { workers, term, metrics } = this.parts;
+        const { workers, term, metrics, clock } = this.parts;
         const { id, address } = link.entry;
         const { run } = task;
-        this.underWay.add(task);
+        this.wanted.set(task, percent);
         metrics.count("pace_orders_total", percent < task.pace ? "down" : "up");
         const outcome = await workers.pace({ id, address }, task.ref, run, percent, term);
-        this.underWay.delete(task);
-        if (outcome === OrderOutcome.Accepted && task.run === run) {
+        const wanted = this.wanted.get(task) ?? percent;
+        this.wanted.delete(task);
+        if (outcome === OrderOutcome.StaleFence) {
+            this.parts.onDeposed("pace:stale-fence");
+            return;
+        }
+        if (task.run !== run) {
+            return;
+        }
+        if (outcome === OrderOutcome.Accepted) {
             task.pace = percent;
-            task.pacedAtMs = this.parts.clock.getNow();
+            task.pacedAtMs = clock.getNow();
+            this.decided.set(task, { run, isPaceKnown: true });
         }
-        else if (outcome === OrderOutcome.StaleFence) {
-            this.parts.onDeposed("pace:stale-fence");
+        // What was decided meanwhile to spare serving tasks doesn't wait for the next figures.
+        if (wanted < percent && isFilling(task)) {
+            void this.sendPace(task, link, wanted);
         }
     }
 }
 
 function isServing(task: Task): boolean {
-    return task.step.spec.tailTargetMs > 0;
+    return task.step.spec.tailTargetMs > 0 && isAtWork(task);
+}
+
+function isFilling(task: Task): boolean {
+    return task.step.spec.fillsLeftover && isAtWork(task);
 }
 
 function isAtWork(task: Task): boolean {
     return task.phase === TaskPhase.Running
         || (task.phase === TaskPhase.Ordered && task.settledAtMs !== Infinity && task.step.spec.fillsLeftover);
 }
+
+/** Whether this coordinator has ordered the newest run; one that it found was first seen before or as it was noted. */
+function isOrderedHere(task: Task): boolean {
+    return task.orderedAtMs > 0 && (task.seenAtMs === 0 || task.orderedAtMs < task.seenAtMs);
+}
+
+function isSlow(task: Task): boolean {
+    return task.figure < task.step.spec.cpuMillis * SLOWED_SHARE;
+}
--- a/packages/plan-pace/src/index.ts
+++ b/packages/plan-pace/src/index.ts
@@ -1,4 +1,5 @@
 export type { FillerView } from "./fillerView.js";
+export { isHarmNews } from "./isHarmNews.js";
 export type { PacePlan } from "./pacePlan.js";
 export type { PaceRules } from "./paceRules.js";
 export type { PaceState } from "./paceState.js";
--- /dev/null
+++ b/packages/plan-pace/src/isHarmNews.test.ts
@@ -0,0 +1,37 @@
+import { describe, expect, it } from "@jest/globals";
+import { isHarmNews } from "./isHarmNews.js";
+
+const RULES = {
+    settleMs: 600,
+    haltAfterMs: 600,
+    haltAllAfterMs: 1600,
+    stopAfterMs: 2400,
+    leastRisePercent: 30,
+    riseWaitMs: 1200,
+};
+
+describe("isHarmNews", () => {
+    describe("while nothing changes", () => {
+        it("asks for no decision", () => {
+            expect(isHarmNews({ overSinceMs: undefined, heldUntilMs: 0 }, false, 0, 100, RULES)).toBe(false);
+            expect(isHarmNews({ overSinceMs: 1000, heldUntilMs: 0 }, true, 1100, 1200, RULES)).toBe(false);
+        });
+    });
+
+    describe("when a serving task comes over its target, or back under it", () => {
+        it("asks for one at once", () => {
+            expect(isHarmNews({ overSinceMs: undefined, heldUntilMs: 0 }, true, 0, 1, RULES)).toBe(true);
+            expect(isHarmNews({ overSinceMs: 1000, heldUntilMs: 0 }, false, 1100, 1101, RULES)).toBe(true);
+        });
+    });
+
+    describe("when a serving task has been over its target for as long as a measure waits", () => {
+        it.each([600, 1600, 2400])("asks for one, once (%d ms)", afterMs => {
+            const state = { overSinceMs: 1000, heldUntilMs: 0 };
+            const atMs = 1000 + afterMs;
+            expect(isHarmNews(state, true, atMs - 10, atMs - 1, RULES)).toBe(false);
+            expect(isHarmNews(state, true, atMs - 10, atMs, RULES)).toBe(true);
+            expect(isHarmNews(state, true, atMs, atMs + 10, RULES)).toBe(false);
+        });
+    });
+});
