--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -4,6 +4,7 @@
 import { join } from "node:path";
 import type { Figure } from "./figure.js";
 import type { Scenario } from "./scenario.js";
+import { coordinate } from "./scenarios/coordinate.js";
 import { decide } from "./scenarios/decide.js";
 import { path } from "./scenarios/path.js";
 import { retries } from "./scenarios/retries.js";
@@ -11,7 +12,7 @@
 import { takeover } from "./scenarios/takeover.js";
 
 const DEFAULT_SEED = 20261204;
-const scenarios: readonly Scenario[] = [decide, path, retries, slopes, takeover];
+const scenarios: readonly Scenario[] = [coordinate, decide, path, retries, slopes, takeover];
 
 interface BenchOptions {
     readonly list?: boolean;
