--- a/packages/coordinate-work/src/paceDesk.test.ts
+++ b/packages/coordinate-work/src/paceDesk.test.ts
@@ -4,12 +4,13 @@
 import type { StepSpec, TaskRef, WorkerEntry } from "@sardinestage/describe-work";
 import { createStep, VirtualClock } from "@sardinestage/emulate-platform";
 import { HeadroomEstimator } from "@sardinestage/learn-behaviour";
-import type { StepRun } from "@sardinestage/track-jobs";
-import { Task, TaskPhase } from "@sardinestage/track-jobs";
+import type { Task } from "@sardinestage/track-jobs";
+import { Job, openOccurrence, TaskPhase } from "@sardinestage/track-jobs";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import type { OrderDesk } from "./orderDesk.js";
 import { PaceDesk } from "./paceDesk.js";
 import { ServingBook } from "./servingBook.js";
+import { createQueue } from "./testing/createQueue.js";
 import { WorkerLink } from "./workerLink.js";
 
 const HARM_MS = 4500;
@@ -69,8 +70,14 @@
 
     /** Has a run at work that an earlier coordinator has ordered. */
     acceptTask(jobId: string, spec: StepSpec, figure: number): Task {
-        const occurrence = { job: { id: jobId }, number: 0 };
-        const task = new Task({ spec, tasks: [], occurrence, number: 0 } as unknown as StepRun, 0);
+        const job = new Job(
+            jobId,
+            { payload: "", steps: [spec], repeatCount: 0, firstRunMs: 0, intervalMs: 0 },
+            createQueue(),
+            0,
+        );
+        openOccurrence(job, 0);
+        const [task] = [...job.listTasks()];
         task.phase = TaskPhase.Running;
         task.run = 1;
         task.workerId = "w";
--- a/packages/coordinate-work/src/workRound.ts
+++ b/packages/coordinate-work/src/workRound.ts
@@ -108,7 +108,7 @@
         return isPartial ? clock.getWallTime() : nextDueMs;
     }
 
-    private buildDemand(step: StepRun, waiting: Task[]): StepDemand {
+    private buildDemand(step: StepRun, waiting: readonly Task[]): StepDemand {
         const { occurrence } = step;
         const { queue } = occurrence.job;
         const estimate = (spec: StepRun["spec"]) => this.round.durations.estimateDuration(queue.name, spec);
