Take the pace that is under way for a filling task's present one

What would have happened: since a task keeps its pace inside the dead band, a decision that was made while an order to work faster was under way kept the old pace, and sent it as a fall as soon as the order was answered. Seen in a test only (figures that wobble between 1.7 and 1.6 of headroom: orders 0, 40, 30 in place of 0, 40). Change: the pace that an order under way will set is the one that decisions start from. Halts and falls behind such an order go out as before.

--- a/packages/coordinate-work/src/paceDesk.test.ts
+++ b/packages/coordinate-work/src/paceDesk.test.ts
@@ -31,6 +31,7 @@
     readonly stops: { readonly atMs: number; readonly task: Task }[] = [];
     readonly link = new WorkerLink({ id: "w", capacity: { cpuMillis: 16_000 } } as unknown as WorkerEntry, 0);
     readonly estimator = new HeadroomEstimator();
+    readonly serving = new ServingBook(this.estimator);
     private readonly desk: PaceDesk;
     outcome = OrderOutcome.Accepted;
     answerMs = 0;
@@ -56,7 +57,7 @@
                 this.stops.push({ atMs: this.clock.getNow(), task });
             },
         } as unknown as OrderDesk;
-        this.desk = new PaceDesk(parts, orders, this.estimator, new ServingBook(this.estimator));
+        this.desk = new PaceDesk(parts, orders, this.estimator, this.serving);
     }
 
     /** Has a run at work that this coordinator has ordered. */
@@ -146,6 +147,25 @@
         });
     });
 
+    describe("when figures wobble while an order to work faster is under way", () => {
+        it("takes the new pace for the present one", async () => {
+            const bed = new DeskBed();
+            bed.startTask("server", SERVING, TARGET_MS / 1.5);
+            const filler = bed.startTask("filler", FILLING, 0);
+            // An image of which nothing is known takes 1.15 of headroom at full speed on half of a worker.
+            bed.serving.estimateHeadroom = () => 1.2;
+            await bed.runAnswers(4000, 400);
+            expect(filler.pace).toBe(0);
+            bed.answerMs = 700;
+            bed.serving.estimateHeadroom = () => 1.7;
+            await bed.runAnswers(400, 400);
+            bed.serving.estimateHeadroom = () => 1.6;
+            await bed.runAnswers(1200, 400);
+            expect(filler.pace).toBe(40);
+            expect(bed.paces.map(({ percent }) => percent)).toEqual([0, 40]);
+        });
+    });
+
     describe("when a filling task has just begun beside a serving one that has nothing left", () => {
         it("slows it at once, however new the last figures were", async () => {
             const bed = new DeskBed();
--- a/packages/coordinate-work/src/paceDesk.ts
+++ b/packages/coordinate-work/src/paceDesk.ts
@@ -131,7 +131,7 @@
                     estimateTaken(this.estimator, server.step.spec.image, task.step.spec, link.entry.capacity.cpuMillis)
                 );
             known.set(task.step, harms);
-            return { key: task, harms, percent: task.pace, pacedAtMs: task.pacedAtMs };
+            return { key: task, harms, percent: this.wanted.get(task) ?? task.pace, pacedAtMs: task.pacedAtMs };
         });
     }
 
