Tell what a place beside a swinging load is worth: half of what is above its lowest

What was seen: filling tasks are started and then told to stand still. Change: ServingBook.estimatePlaceHeadroom counts on half of what the load leaves above the lowest of its image. The round doesn't ask it yet.

--- a/packages/coordinate-work/src/servingBook.ts
+++ b/packages/coordinate-work/src/servingBook.ts
@@ -16,6 +16,8 @@
 const LACK_RATE = 0.25;
 /** More headroom than this says nothing more. */
 const MOST_HEADROOM = 6;
+/** Share of the headroom above an image's lowest that a load takes back while a filling task works. */
+const SWING_SHARE = 0.5;
 const FULL_PERCENT = 100;
 const MS_PER_SECOND = 1000;
 
@@ -57,6 +59,16 @@
         return expected === undefined ? undefined : Math.max(0, expected - (isHere ? look.lack : 0));
     }
 
+    /**
+     * The headroom that a place beside a serving task is judged by; undefined while unknown. What starts there works for
+     * longer than a load's swing takes, so that only part of what a low load leaves is counted on.
+     */
+    estimatePlaceHeadroom(task: Task, atMs: number): number | undefined {
+        const expected = this.estimateHeadroom(task, atMs);
+        const lowest = this.estimator.estimateLowest(task.step.spec.image);
+        return expected === undefined ? undefined : expected - Math.max(0, expected - lowest) * SWING_SHARE;
+    }
+
     private takeFigure(task: Task, neighbours: readonly WeightedNeighbour[], workerId: string, atMs: number): void {
         const { image, tailTargetMs } = task.step.spec;
         const headroom = Math.min(MOST_HEADROOM, tailTargetMs / task.figure);
