--- a/packages/coordinate-work/src/workRound.ts
+++ b/packages/coordinate-work/src/workRound.ts
@@ -86,7 +86,7 @@
         const rooms = buildRooms(
             this.round.fleet.links.values(),
             link => computeStartsLeft(link, nowMs),
-            task => this.round.serving.estimateHeadroom(task, nowMs + PLACING_AHEAD_MS),
+            task => this.round.serving.estimatePlaceHeadroom(task, nowMs + PLACING_AHEAD_MS),
         );
         const isBusy = computeReservedShare(rooms) >= BUSY_SHARE;
         const waiting = steps.map(({ step, waiting: tasks }) => this.buildDemand(step, tasks));
