Have a successor wait for starts that its predecessor hadn't recorded yet

Cause, by reading: while the store is away starts go on unrecorded. Once it is back the term's renewals and the records are written separately; a coordinator that dies between the first renewal and the records leaves a fresh renewal, by which its successor judges that nothing ran unrecorded. Change: each renewal says whether work was started that isn't recorded yet; a successor that reads so waits until all workers have been heard or have lapsed. Tests: 'has its successor wait for what may run unrecorded, which it would start twice' failed before; 'says that work went ahead unrecorded until its record is written'.

--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -187,6 +187,11 @@
         this.rounds.close();
     }
 
+    /** Whether work was started that isn't recorded yet. */
+    get hasUnrecordedStarts(): boolean {
+        return this.writer.hasUnrecordedStarts;
+    }
+
     /** Whether the takeover is complete, so that questions can be answered. */
     get isReady(): boolean {
         return this.isOpen && !this.isClosed;
--- a/packages/coordinate-work/src/progressWriter.test.ts
+++ b/packages/coordinate-work/src/progressWriter.test.ts
@@ -7,12 +7,14 @@
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import { ProgressWriter } from "./progressWriter.js";
 
-/** A writer whose store takes no progress, in a term that was renewed so long ago. */
+/** A writer whose store takes no progress until it is back, in a term that was renewed so long ago. */
 function createWriter(renewalAgeMs: number) {
     const clock = new VirtualClock();
+    let outcome = AppendOutcome.Refused;
     const store = {
-        append: () => Promise.resolve({ outcome: AppendOutcome.Refused, offset: 0, end: 0 }),
+        append: () => Promise.resolve({ outcome, offset: 0, end: 0 }),
     } as unknown as StorePort;
+    const restoreStore = () => outcome = AppendOutcome.Appended;
     const writer = new ProgressWriter({
         clock,
         store,
@@ -25,7 +27,7 @@
     let starts = 0;
     writer.note("job", () => Uint8Array.of(1));
     writer.waitRecorded(() => starts++, true);
-    return { clock, writer, getStarts: () => starts };
+    return { clock, writer, restoreStore, getStarts: () => starts };
 }
 
 describe("ProgressWriter", () => {
@@ -43,5 +45,16 @@
             expect(getStarts()).toBe(1);
             writer.close();
         });
+
+        it("says that work went ahead unrecorded until its record is written", async () => {
+            const { clock, writer, restoreStore } = createWriter(6000);
+            await clock.runFor(4000);
+            expect(writer.hasUnrecordedStarts).toBe(false);
+            await clock.runFor(2000);
+            expect(writer.hasUnrecordedStarts).toBe(true);
+            restoreStore();
+            await clock.runFor(1000);
+            expect(writer.hasUnrecordedStarts).toBe(false);
+        });
     });
 });
--- a/packages/coordinate-work/src/progressWriter.ts
+++ b/packages/coordinate-work/src/progressWriter.ts
@@ -30,6 +30,8 @@
     private isClosed = false;
     /** When a record was last written, or nothing was left to write, in steady milliseconds. */
     private writtenAtMs: number;
+    /** Whether something went ahead whose record isn't written yet. */
+    hasUnrecordedStarts = false;
 
     constructor(private readonly parts: CoordinatorParts) {
         this.writtenAtMs = parts.clock.getNow();
@@ -60,6 +62,7 @@
         }
         if (mayGoUnrecorded && this.isStoreAway) {
             this.parts.metrics.count("unrecorded_starts_total", "store-away");
+            this.hasUnrecordedStarts = true;
             run();
             return;
         }
@@ -106,6 +109,7 @@
             }
             this.writtenAtMs = clock.getNow();
             this.parts.metrics.recordDuration("progress_append", this.writtenAtMs - lastAtMs);
+            this.hasUnrecordedStarts &&= this.dirty.size > 0;
             waiters.forEach(waiter => waiter.run());
             await waitFor(clock, Math.max(0, limits.flushGapMs - (clock.getNow() - lastAtMs)));
         }
@@ -171,6 +175,7 @@
         for (const waiters of [underWay, this.waiters]) {
             const released = waiters.filter(waiter => waiter.mayGoUnrecorded);
             waiters.splice(0, waiters.length, ...waiters.filter(waiter => !waiter.mayGoUnrecorded));
+            this.hasUnrecordedStarts ||= released.length > 0;
             released.forEach(waiter => waiter.run());
             this.parts.metrics.count("unrecorded_starts_total", "store-away", released.length);
         }
--- a/packages/keep-term/src/termLog.test.ts
+++ b/packages/keep-term/src/termLog.test.ts
@@ -42,7 +42,7 @@
             const won = first.tryWin(0);
             await clock.runFor(50);
             const term = (await won)?.term ?? 0;
-            const renewed = first.renew(term, 0);
+            const renewed = first.renew(term, 0, false);
             await clock.runFor(50);
             expect(await renewed).toBe(RenewalOutcome.Renewed);
             const view = second.readTerm();
@@ -50,7 +50,7 @@
             const taken = second.tryWin((await view)?.end ?? 0);
             await clock.runFor(50);
             expect((await taken)?.term).toBeGreaterThan(term);
-            const late = first.renew(term, 0);
+            const late = first.renew(term, 0, false);
             await clock.runFor(50);
             expect(await late).toBe(RenewalOutcome.Deposed);
         });
@@ -61,11 +61,11 @@
             await clock.runFor(50);
             const term = (await won)?.term ?? 0;
             store.faults.lostShare = 1;
-            const lost = first.renew(term, 0);
+            const lost = first.renew(term, 0, false);
             await clock.runFor(1000);
             expect(await lost).toBe(RenewalOutcome.Failed);
             store.faults.lostShare = 0;
-            const next = first.renew(term, 0);
+            const next = first.renew(term, 0, false);
             await clock.runFor(50);
             expect(await next).toBe(RenewalOutcome.Renewed);
         });
--- a/packages/keep-term/src/termLog.ts
+++ b/packages/keep-term/src/termLog.ts
@@ -12,10 +12,10 @@
 
 const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
 /**
- * `[vm, incarnation, host, port, term, written at (Unix milliseconds), strength, VMs that follow]`; term 0 in the record
- * that wins it.
+ * `[vm, incarnation, host, port, term, written at (Unix milliseconds), strength, VMs that follow, whether work was
+ * started that isn't recorded]`; term 0 in the record that wins it.
  */
-type TermRow = [string, string, string, number, number, number, number, number];
+type TermRow = [string, string, string, number, number, number, number, number, boolean];
 
 /**
  * The topic that decides who coordinates. Every append names the offset at which it expects the topic to end, so that
@@ -38,10 +38,10 @@
         }
         const record = page.records.find(entry => entry.key === TERM_KEY);
         if (record?.value === undefined) {
-            return { holder: undefined, end: page.end, writtenAtMs: 0, followers: 0 };
+            return { holder: undefined, end: page.end, writtenAtMs: 0, followers: 0, hasUnrecordedStarts: false };
         }
         const row = encoder.decode(record.value) as TermRow;
-        const [vm, incarnation, host, port, term, writtenAtMs, strength, followers] = row;
+        const [vm, incarnation, host, port, term, writtenAtMs, strength, followers, hasUnrecordedStarts] = row;
         const holder: TermHolder = {
             term: term === 0 ? record.offset + 1 : term,
             vm,
@@ -50,7 +50,7 @@
             port,
             strength,
         };
-        return { holder, end: Math.max(page.end, record.offset + 1), writtenAtMs, followers };
+        return { holder, end: Math.max(page.end, record.offset + 1), writtenAtMs, followers, hasUnrecordedStarts };
     }
 
     /**
@@ -61,7 +61,7 @@
      *   an answer may still win: then the next `readTerm` names this process.
      */
     async tryWin(end: number): Promise<TermHolder | undefined> {
-        const answer = await this.append(end, 0, 0);
+        const answer = await this.append(end, 0, 0, false);
         if (answer.outcome !== AppendOutcome.Appended) {
             return undefined;
         }
@@ -74,9 +74,14 @@
         this.end = view.end;
     }
 
-    /** Says that the term's holder lives and how many VMs follow it; finds out when it no longer holds the term. */
-    async renew(term: number, followers: number): Promise<RenewalOutcome> {
-        const answer = await this.append(this.end, term, followers);
+    /**
+     * Says that the term's holder lives; finds out when it no longer holds the term.
+     *
+     * @param followers How many VMs follow it.
+     * @param hasUnrecordedStarts Whether it has started work that isn't recorded yet.
+     */
+    async renew(term: number, followers: number, hasUnrecordedStarts: boolean): Promise<RenewalOutcome> {
+        const answer = await this.append(this.end, term, followers, hasUnrecordedStarts);
         if (answer.outcome === AppendOutcome.Appended) {
             this.end = answer.offset + 1;
             return RenewalOutcome.Renewed;
@@ -96,9 +101,20 @@
         return RenewalOutcome.Renewed;
     }
 
-    private append(at: number, term: number, followers: number) {
+    private append(at: number, term: number, followers: number, hasUnrecordedStarts: boolean) {
         const { vm, incarnation, host, port, strength } = this.candidate;
-        const row: TermRow = [vm, incarnation, host, port, term, this.clock.getWallTime(), strength, followers];
+        const writtenAtMs = this.clock.getWallTime();
+        const row: TermRow = [
+            vm,
+            incarnation,
+            host,
+            port,
+            term,
+            writtenAtMs,
+            strength,
+            followers,
+            hasUnrecordedStarts,
+        ];
         const records = [{ key: TERM_KEY, value: encoder.encode(row) }];
         return this.store.append({ topic: Topic.Term, records, at, timeoutMs: APPEND_TIMEOUT_MS });
     }
--- a/packages/run-entry-vm/src/membership.test.ts
+++ b/packages/run-entry-vm/src/membership.test.ts
@@ -26,6 +26,10 @@
     readonly readDelayMs = new Map<string, number>();
     /** VMs that the store doesn't answer. */
     readonly withoutStore = new Set<string>();
+    /** VMs whose coordinator has started work that it couldn't record yet. */
+    readonly unrecorded = new Set<string>();
+    /** What each term was told about its predecessor's unrecorded starts. */
+    readonly hadUnrecordedStarts: boolean[] = [];
     /** VMs whose requests to others get no answer. */
     readonly unanswered = new Set<string>();
     private readonly members = new Map<string, Membership>();
@@ -48,8 +52,18 @@
             warn: () => undefined,
             error: () => undefined,
         };
-        const coordinator = { open: () => Promise.resolve(true), close: () => undefined } as unknown as Coordinator;
-        const createCoordinator = () => coordinator;
+        const { unrecorded } = this;
+        const coordinator = {
+            open: () => Promise.resolve(true),
+            close: () => undefined,
+            get hasUnrecordedStarts() {
+                return unrecorded.has(vm);
+            },
+        } as unknown as Coordinator;
+        const createCoordinator = (_term: number, hadUnrecordedStarts: boolean) => {
+            this.hadUnrecordedStarts.push(hadUnrecordedStarts);
+            return coordinator;
+        };
         const rules = defaultRules;
         const duty = new TermDuty({ termLog, store, clock, logger, rules, followers, createCoordinator });
         const membership = new Membership({
@@ -70,6 +84,14 @@
         return membership;
     }
 
+    /** Ends a VM's process without a word. */
+    stopVm(vm: string): void {
+        const duty = this.duties.get(vm);
+        this.members.get(vm)?.close();
+        this.members.delete(vm);
+        duty?.stop(duty.holder?.term ?? -1, "killed");
+    }
+
     /** The VM that coordinates. */
     get coordinator(): string | undefined {
         return [...this.duties].find(([, duty]) => duty.isActive)?.[0];
@@ -126,6 +148,35 @@
         });
     });
 
+    describe("when a coordinator dies that had the store back but hadn't recorded what it started without", () => {
+        it("has its successor wait for what may run unrecorded, which it would start twice", async () => {
+            const installation = new Installation();
+            installation.addVm("first", 1);
+            await installation.clock.runFor(1000);
+            ["a", "b"].forEach(vm => installation.addVm(vm, 1));
+            await installation.clock.runFor(2000);
+            installation.unrecorded.add("first");
+            await installation.clock.runFor(600);
+            installation.stopVm("first");
+            await installation.clock.runFor(6000);
+            expect(installation.hadUnrecordedStarts).toEqual([false, true]);
+        });
+
+        it("doesn't have it wait when all was recorded since", async () => {
+            const installation = new Installation();
+            installation.addVm("first", 1);
+            await installation.clock.runFor(1000);
+            ["a", "b"].forEach(vm => installation.addVm(vm, 1));
+            installation.unrecorded.add("first");
+            await installation.clock.runFor(2000);
+            installation.unrecorded.delete("first");
+            await installation.clock.runFor(600);
+            installation.stopVm("first");
+            await installation.clock.runFor(6000);
+            expect(installation.hadUnrecordedStarts).toEqual([false, false]);
+        });
+    });
+
     describe("when the coordinator is so busy that it reads the store's answers late", () => {
         it("isn't taken for one without the store", async () => {
             const installation = new Installation();
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -330,7 +330,7 @@
         if (!isOurs && view.holder?.term !== before.holder?.term) {
             return;
         }
-        const hadUnrecordedStarts = before.holder !== undefined && !this.term.isRecordedFresh(before);
+        const isRecorded = [before, view].every(read => this.term.isRecordedFresh(read));
         logger.info("term-candidacy", describeCandidacy(seen, before.holder?.term));
         const won = isOurs ? view.holder : await termLog.tryWin(view.end);
         if (won === undefined) {
@@ -340,6 +340,6 @@
             termLog.acceptTerm(view);
         }
         this.takeHolder(won);
-        await duty.start(won, hadUnrecordedStarts);
+        await duty.start(won, before.holder !== undefined && !isRecorded);
     }
 }
--- a/packages/run-entry-vm/src/termDuty.ts
+++ b/packages/run-entry-vm/src/termDuty.ts
@@ -76,6 +76,11 @@
         return this.holder === undefined ? 0 : Math.max(0, this.parts.clock.getNow() - this.failingSinceMs);
     }
 
+    /** Whether work was started here that isn't recorded yet. */
+    private get hasUnrecordedStarts(): boolean {
+        return this.coordinator?.hasUnrecordedStarts ?? false;
+    }
+
     /** Begins a term that was just won; returns once it has taken over or has given up. */
     async start(holder: TermHolder, hadUnrecordedStarts: boolean): Promise<void> {
         const { clock, logger } = this.parts;
@@ -157,7 +162,7 @@
                 return;
             }
             const sentAtMs = clock.getNow();
-            const outcome = await termLog.renew(term, followers.getFollowing(sentAtMs));
+            const outcome = await termLog.renew(term, followers.getFollowing(sentAtMs), this.hasUnrecordedStarts);
             if (outcome === RenewalOutcome.Deposed) {
                 this.stop(term, "another-won");
                 return;
--- a/packages/run-entry-vm/src/termObserver.test.ts
+++ b/packages/run-entry-vm/src/termObserver.test.ts
@@ -23,7 +23,7 @@
         return await reading;
     };
     const renew = async () => {
-        const renewing = holder.renew(term, 0);
+        const renewing = holder.renew(term, 0, false);
         await clock.runFor(50);
         await renewing;
     };
--- a/packages/run-entry-vm/src/termObserver.ts
+++ b/packages/run-entry-vm/src/termObserver.ts
@@ -66,7 +66,8 @@
     isRecordedFresh(view: TermView): boolean {
         const { clock, rules } = this;
         const writtenMs = Math.abs(clock.getWallTime() - view.writtenAtMs);
-        return clock.getNow() - this.storeSeenAtMs < rules.recordedWithinMs
+        const isFresh = clock.getNow() - this.storeSeenAtMs < rules.recordedWithinMs
             || writtenMs < rules.recordedWithinMs - rules.wallToleranceMs;
+        return isFresh && !view.hasUnrecordedStarts;
     }
 }
--- a/packages/watch-loop/src/scheduleTimeout.test.ts
+++ b/packages/watch-loop/src/scheduleTimeout.test.ts
@@ -42,7 +42,10 @@
             const cancelTimeout = scheduleTimeout(() => {
                 isRun = true;
             }, TIMEOUT_MS);
-            await new Promise<void>(resolve => setTimeout(resolve, TIMEOUT_MS));
+            const due = new Promise<void>(resolve => setTimeout(resolve, TIMEOUT_MS));
+            // Both timers are due by then, so that they fire in one turn, in their order.
+            stopLoop(TIMEOUT_MS + 5);
+            await due;
             cancelTimeout();
             await new Promise<void>(resolve => setTimeout(resolve, TIMEOUT_MS));
             expect(isRun).toBe(false);
