Halted tasks are remembered, not looked for among all tasks of all workers

Change: a task whose pace is set below full speed says so to its job's watcher; a round looks only at these (JobBook.takeSlowed), and forgets those that are at full speed again or no longer at work. Up to four are moved in a round as before; of more, those slowed longest go first, where it was the order of workers. Guarded by jobBook.test.ts.

--- /dev/null
+++ b/packages/coordinate-work/src/jobBook.test.ts
@@ -0,0 +1,49 @@
+import { describe, expect, it } from "@jest/globals";
+import { createStep } from "@sardinestage/emulate-platform";
+import type { Task } from "@sardinestage/track-jobs";
+import { applyRunLost, applyRunStart, encodeJobRecord, TaskPhase } from "@sardinestage/track-jobs";
+import { JobBook } from "./jobBook.js";
+import { createQueue } from "./testing/createQueue.js";
+
+/** A book with one job, and its tasks, all at work. */
+function createBook(): { book: JobBook; tasks: Task[] } {
+    const book = new JobBook();
+    const spec = { payload: "", steps: [createStep({ taskCount: 3 })], repeatCount: 0, firstRunMs: 0, intervalMs: 0 };
+    const value = encodeJobRecord({ spec, queue: createQueue(), acceptedAtMs: 0 });
+    const job = book.takeJob({ key: "job", value });
+    book.listReady(0);
+    const tasks = [...job?.listTasks() ?? []];
+    tasks.forEach(task => applyRunStart(task, "w", 1, 0));
+    return { book, tasks };
+}
+
+describe("JobBook", () => {
+    describe("when tasks are slowed", () => {
+        it("lists them, the one slowed longest first, whatever phase they come to at work", () => {
+            const { book, tasks } = createBook();
+            tasks[2].pace = 0;
+            tasks[0].pace = 20;
+            tasks[2].phase = TaskPhase.Running;
+            expect(book.takeSlowed()).toEqual([tasks[2], tasks[0]]);
+            expect(book.takeSlowed()).toEqual([tasks[2], tasks[0]]);
+        });
+
+        it("lists them no longer once they may go on at full speed, and again when they are slowed again", () => {
+            const { book, tasks } = createBook();
+            tasks[0].pace = 0;
+            tasks[0].pace = 100;
+            expect(book.takeSlowed()).toEqual([]);
+            tasks[0].pace = 50;
+            expect(book.takeSlowed()).toEqual([tasks[0]]);
+        });
+
+        it("lists them no longer once their run is gone, nor when the next one begins", () => {
+            const { book, tasks } = createBook();
+            tasks[0].pace = 0;
+            applyRunLost(tasks[0]);
+            expect(book.takeSlowed()).toEqual([]);
+            applyRunStart(tasks[0], "w", 2, 0);
+            expect(book.takeSlowed()).toEqual([]);
+        });
+    });
+});
--- a/packages/coordinate-work/src/jobBook.ts
+++ b/packages/coordinate-work/src/jobBook.ts
@@ -13,6 +13,8 @@
 import type { ReadyList } from "./readyList.js";
 import { ReadySteps } from "./readySteps.js";
 
+const FULL_PERCENT = 100;
+
 /** A job that has ended, of which only the end is kept. */
 interface FinishedJob {
     readonly state: JobState;
@@ -25,6 +27,8 @@
     readonly finished = new Map<string, FinishedJob>();
     /** Jobs that were cancelled before they were read. */
     private readonly cancelledEarly = new Set<string>();
+    /** Tasks that weren't allowed their full speed when their pace was last changed; some may be by now. */
+    private readonly slowed = new Set<Task>();
     private readonly ready = new ReadySteps();
 
     /** Takes a job's progress at a takeover; jobs that ended need nothing else. */
@@ -57,7 +61,7 @@
             applyProgress(job, progress);
         }
         this.live.set(job.id, job);
-        this.ready.addJob(job);
+        this.ready.addJob(job, task => this.slowed.add(task));
         return job;
     }
 
@@ -134,6 +138,16 @@
         return this.ready.updateList(wallNowMs);
     }
 
+    /** Lists the tasks at work that aren't allowed their full speed, the one slowed longest first, and forgets the others. */
+    takeSlowed(): Task[] {
+        for (const task of this.slowed) {
+            if (!task.isActive || task.pace >= FULL_PERCENT) {
+                this.slowed.delete(task);
+            }
+        }
+        return [...this.slowed];
+    }
+
     /** Reads the id of a cancellation's key; undefined for a job's key. */
     static parseCancelKey(key: string): string | undefined {
         return key.endsWith(CANCEL_SUFFIX) ? key.slice(0, -CANCEL_SUFFIX.length) : undefined;
--- a/packages/coordinate-work/src/readySteps.ts
+++ b/packages/coordinate-work/src/readySteps.ts
@@ -1,4 +1,4 @@
-import type { Job } from "@sardinestage/track-jobs";
+import type { Job, Task } from "@sardinestage/track-jobs";
 import { openDueOccurrences, TaskPhase } from "@sardinestage/track-jobs";
 import type { ReadyList } from "./readyList.js";
 
@@ -23,10 +23,10 @@
     private jobs = 0;
 
     /** Adds a job. */
-    addJob(job: Job): void {
+    addJob(job: Job, noteSlowed: (task: Task) => void): void {
         this.entries.set(job, { number: this.jobs++, steps: [], dueMs: Infinity });
         this.touched.add(job);
-        job.setWatcher(() => this.touched.add(job));
+        job.setWatcher({ noteTouched: () => this.touched.add(job), noteSlowed });
     }
 
     /** Removes a job. */
--- a/packages/coordinate-work/src/workRound.ts
+++ b/packages/coordinate-work/src/workRound.ts
@@ -195,12 +195,11 @@
     /** Filling tasks that stand still beside serving ones give their room back, and wait for a milder place. */
     private releaseHalted(nowMs: number): void {
         let moves = 0;
-        for (const link of this.round.fleet.links.values()) {
-            for (const task of link.tasks) {
-                if (moves < MOVES_A_ROUND && isMovable(task, nowMs)) {
-                    moves++;
-                    this.round.orders.sendStop(task, link, "moved");
-                }
+        for (const task of this.round.jobs.takeSlowed()) {
+            const link = this.round.fleet.links.get(task.workerId);
+            if (moves < MOVES_A_ROUND && isMovable(task, nowMs) && link?.tasks.has(task) === true) {
+                moves++;
+                this.round.orders.sendStop(task, link, "moved");
             }
         }
     }
--- a/packages/track-jobs/src/index.ts
+++ b/packages/track-jobs/src/index.ts
@@ -12,6 +12,7 @@
 export { encodeProgress } from "./encodeProgress.js";
 export { Job } from "./job.js";
 export type { JobRecord } from "./jobRecord.js";
+export type { JobWatcher } from "./jobWatcher.js";
 export type { Occurrence } from "./occurrence.js";
 export { openDueOccurrences } from "./openDueOccurrences.js";
 export { openOccurrence } from "./openOccurrence.js";
--- a/packages/track-jobs/src/job.ts
+++ b/packages/track-jobs/src/job.ts
@@ -1,5 +1,6 @@
 import type { JobSpec, QueueConfig } from "@sardinestage/describe-work";
 import { JobState } from "@sardinestage/describe-work";
+import type { JobWatcher } from "./jobWatcher.js";
 import type { Occurrence } from "./occurrence.js";
 import type { Task } from "./task.js";
 
@@ -9,8 +10,7 @@
     readonly open = new Map<number, Occurrence>();
     readonly doneOccurrences = new Set<number>();
     private currentState = JobState.Queued;
-    /** Called when what could start of it may have changed. */
-    private watcher: (() => void) | undefined;
+    private watcher: JobWatcher | undefined;
     /** When it came to its end, in Unix milliseconds; 0 before. */
     finishedAtMs = 0;
 
@@ -37,14 +37,19 @@
         this.noteTouched();
     }
 
-    /** Has somebody told whenever what could start of it may have changed; nobody with `undefined`. */
-    setWatcher(watcher: (() => void) | undefined): void {
+    /** Has somebody told of what happens to it; nobody with `undefined`. */
+    setWatcher(watcher: JobWatcher | undefined): void {
         this.watcher = watcher;
     }
 
     /** Tells whoever watches that what could start of it may have changed. */
     noteTouched(): void {
-        this.watcher?.();
+        this.watcher?.noteTouched();
+    }
+
+    /** Tells whoever watches that a task isn't allowed its full speed. */
+    noteSlowed(task: Task): void {
+        this.watcher?.noteSlowed(task);
     }
 
     /** Whether nothing of it will run any more. */
--- a/packages/track-jobs/src/task.ts
+++ b/packages/track-jobs/src/task.ts
@@ -2,6 +2,8 @@
 import type { StepRun } from "./stepRun.js";
 import { TaskPhase } from "./taskPhase.js";
 
+const FULL_PERCENT = 100;
+
 /** One task and its newest run. */
 export class Task {
     private currentPhase = TaskPhase.Waiting;
@@ -28,8 +30,7 @@
     isUncertain = false;
     /** Tail latency or processor in use, as last listed. */
     figure = 0;
-    /** The share of its speed that it was last allowed, in percent. */
-    pace = 100;
+    private currentPace = FULL_PERCENT;
     /** When that was last changed, in steady milliseconds. */
     pacedAtMs = 0;
 
@@ -61,6 +62,18 @@
         }
     }
 
+    /** The share of its speed that it was last allowed, in percent. */
+    get pace(): number {
+        return this.currentPace;
+    }
+
+    set pace(percent: number) {
+        this.currentPace = percent;
+        if (percent < FULL_PERCENT) {
+            this.step.occurrence.job.noteSlowed(this);
+        }
+    }
+
     /** The task's name. */
     get ref(): TaskRef {
         const { occurrence } = this.step;
