--- a/packages/coordinate-work/src/servingBook.test.ts
+++ b/packages/coordinate-work/src/servingBook.test.ts
@@ -2,9 +2,10 @@
 import type { WorkerEntry } from "@sardinestage/describe-work";
 import { createStep } from "@sardinestage/emulate-platform";
 import { HeadroomEstimator } from "@sardinestage/learn-behaviour";
-import type { StepRun } from "@sardinestage/track-jobs";
-import { Task, TaskPhase } from "@sardinestage/track-jobs";
+import type { Task } from "@sardinestage/track-jobs";
+import { Job, openOccurrence, TaskPhase } from "@sardinestage/track-jobs";
 import { ServingBook } from "./servingBook.js";
+import { createQueue } from "./testing/createQueue.js";
 import { WorkerLink } from "./workerLink.js";
 
 const TARGET_MS = 10_000;
@@ -28,7 +29,14 @@
 
 function createServer(): Task {
     const spec = createStep({ image: "serving", tailTargetMs: TARGET_MS, longRunning: true });
-    const task = new Task({ spec, tasks: [] } as unknown as StepRun, 0);
+    const job = new Job(
+        "job",
+        { payload: "", steps: [spec], repeatCount: 0, firstRunMs: 0, intervalMs: 0 },
+        createQueue(),
+        0,
+    );
+    openOccurrence(job, 0);
+    const [task] = [...job.listTasks()];
     task.phase = TaskPhase.Running;
     task.workerId = "w";
     task.percent = 100;
--- a/packages/coordinate-work/src/workRound.ts
+++ b/packages/coordinate-work/src/workRound.ts
@@ -10,7 +10,6 @@
     TaskPhase,
 } from "@sardinestage/track-jobs";
 import type { AdviceBook } from "./adviceBook.js";
-import { buildRooms } from "./buildRooms.js";
 import { computeStartsLeft } from "./computeStartsLeft.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import { DisplacementDesk } from "./displacementDesk.js";
@@ -22,6 +21,7 @@
 import type { PlaceJudge } from "./placeJudge.js";
 import type { ProgressWriter } from "./progressWriter.js";
 import { PromisedRooms } from "./promisedRooms.js";
+import { RoomBook } from "./roomBook.js";
 import { RoundScope } from "./roundScope.js";
 import type { RunBook } from "./runBook.js";
 import type { ServingBook } from "./servingBook.js";
@@ -64,6 +64,7 @@
     private readonly readyAtMs = new WeakMap<StepRun, number>();
     private readonly scope: RoundScope;
     private readonly waits: WaitReporter;
+    private readonly rooms = new RoomBook();
     private readonly promises = new PromisedRooms();
     private readonly displacements: DisplacementDesk;
 
@@ -83,8 +84,9 @@
         if (steps.length === 0) {
             return nextDueMs;
         }
-        const rooms = buildRooms(
+        const rooms = this.rooms.updateRooms(
             this.round.fleet.links.values(),
+            nowMs,
             link => computeStartsLeft(link, nowMs),
             task => this.round.serving.estimatePlaceHeadroom(task, nowMs + PLACING_AHEAD_MS),
         );
@@ -174,12 +176,11 @@
     /** Filling tasks that stand still beside serving ones give their room back, and wait for a milder place. */
     private releaseHalted(nowMs: number): void {
         let moves = 0;
-        for (const link of this.round.fleet.links.values()) {
-            for (const task of link.tasks) {
-                if (moves < MOVES_A_ROUND && isMovable(task, nowMs)) {
-                    moves++;
-                    this.round.orders.sendStop(task, link, "moved");
-                }
+        for (const task of this.round.jobs.takeSlowed()) {
+            const link = this.round.fleet.links.get(task.workerId);
+            if (moves < MOVES_A_ROUND && isMovable(task, nowMs) && link?.tasks.has(task) === true) {
+                moves++;
+                this.round.orders.sendStop(task, link, "moved");
             }
         }
     }
