Stop no filling task for work that lacks only processor

What callers saw: nothing yet; found by a review of the planner, by reading. Cause: what gives way was taken in the order of its cost until the demand was met. Filling tasks cost least and reserve no processor, so that they were stopped, and their work thrown away, for work that lacked only processor; the planner went on to those that reserve some. Change: a task is stopped only if it gives something that is still lacking. Test: 'stops no filling task, which has no processor to give, for work that lacks only processor' fails without it. The plain search of the comparison on random fleets follows the same rule; there the victims are still the same for all demands.

--- a/packages/plan-starts/src/displacementPlanner.ts
+++ b/packages/plan-starts/src/displacementPlanner.ts
@@ -1,5 +1,6 @@
 import type { StepSpec } from "@sardinestage/describe-work";
 import type { Task } from "@sardinestage/track-jobs";
+import { computeFreedCpu } from "./computeFreedCpu.js";
 import type { Displacement } from "./displacement.js";
 import { isAllowedOn } from "./isAllowedOn.js";
 import { RoomVictims } from "./roomVictims.js";
@@ -98,8 +99,14 @@
     const victims: Victim[] = [];
     for (const victim of roomVictims.listBelow(priority)) {
         const taken = victim.task.step.spec;
+        const freedCpu = computeFreedCpu(taken);
+        const isOfUse = (cpu > 0 && freedCpu > 0) || (memory > 0 && taken.memoryMb > 0)
+            || (accelerators > 0 && taken.accelerators > 0);
+        if (!isOfUse) {
+            continue;
+        }
         victims.push(victim);
-        cpu -= taken.fillsLeftover ? 0 : taken.cpuMillis;
+        cpu -= freedCpu;
         memory -= taken.memoryMb;
         accelerators -= taken.accelerators;
         if (isMet()) {
--- a/packages/plan-starts/src/planStarts.test.ts
+++ b/packages/plan-starts/src/planStarts.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from "@jest/globals";
 import type { JobSpec, QueueConfig, StepSpec } from "@sardinestage/describe-work";
 import { createStep } from "@sardinestage/emulate-platform";
-import { Job, openDueOccurrences } from "@sardinestage/track-jobs";
+import { Job, openDueOccurrences, TaskPhase } from "@sardinestage/track-jobs";
 import { DisplacementPlanner } from "./displacementPlanner.js";
 import { planStarts } from "./planStarts.js";
 import type { StepDemand } from "./stepDemand.js";
@@ -247,5 +247,16 @@
             const planner = new DisplacementPlanner(rooms, () => resident.waiting);
             expect(planner.plan(demand)).toBeUndefined();
         });
+
+        it("stops no filling task, which has no processor to give, for work that lacks only processor", () => {
+            const demand = createDemand({ cpuMillis: 4000 });
+            const filling = createDemand({ cpuMillis: 1000, fillsLeftover: true }, {}, { priority: 2 });
+            const reserving = createDemand({ cpuMillis: 4000 }, {}, { priority: 2 });
+            const residents = [...filling.waiting, ...reserving.waiting];
+            residents.forEach(task => task.phase = TaskPhase.Running);
+            reserving.waiting[0].percent = 50;
+            const planner = new DisplacementPlanner([createRoom("a", { freeCpuMillis: 0 })], () => residents);
+            expect(planner.plan(demand)?.victims).toEqual(reserving.waiting);
+        });
     });
 });
--- a/packages/plan-starts/src/roomVictims.ts
+++ b/packages/plan-starts/src/roomVictims.ts
@@ -1,6 +1,6 @@
-import type { StepSpec } from "@sardinestage/describe-work";
 import type { Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
+import { computeFreedCpu } from "./computeFreedCpu.js";
 import type { Victim } from "./victim.js";
 
 /** Work that is lost when a task without checkpoints is stopped, against one with them. */
@@ -56,11 +56,6 @@
     }
 }
 
-/** Filling tasks reserve no processor, so stopping them frees none. */
-function computeFreedCpu(spec: StepSpec): number {
-    return spec.fillsLeftover ? 0 : spec.cpuMillis;
-}
-
 function computeCost(task: Task): number {
     const { spec } = task.step;
     const done = (task.percent / 100) * Math.max(1, spec.estimateMs) * spec.cpuMillis;
--- a/packages/plan-starts/src/testing/planDisplacementPlainly.ts
+++ b/packages/plan-starts/src/testing/planDisplacementPlainly.ts
@@ -57,6 +57,11 @@
             break;
         }
         const taken = task.step.spec;
+        const isOfUse = (cpu > 0 && !taken.fillsLeftover) || (memory > 0 && taken.memoryMb > 0)
+            || (accelerators > 0 && taken.accelerators > 0);
+        if (!isOfUse) {
+            continue;
+        }
         victims.push(task);
         cpu -= taken.fillsLeftover ? 0 : taken.cpuMillis;
         memory -= taken.memoryMb;
