Let one that has waited long enough start although a fresh one of its kind rather waits

What callers saw: nothing yet; found by a review of the planner, by reading. Cause: within a round, a shape that found no room stands for all demands of the same shape. A filling task that rather waits than goes beside a strained serving task finds no room where one that has waited for longestWaitMs would go, but both had one key, so that the fresh one in front kept the old one waiting. Change: whether a demand rather waits (isPatient) is part of the key. Tests: the case of planStarts.test.ts, and on 300 random fleets 'has no room for any of them', which looks for a task left waiting that a room of the plan would take; both fail without it.

--- a/packages/plan-starts/src/planStarts.test.ts
+++ b/packages/plan-starts/src/planStarts.test.ts
@@ -215,6 +215,14 @@
             expect(planStarts([fresh], [createRoom("a")], strained).starts).toEqual([]);
             expect(planStarts([old], [createRoom("a")], strained).starts.length).toBe(1);
         });
+
+        it("doesn't let one that has waited long enough go without because a fresh one of its kind rather waits", () => {
+            const fresh = createDemand({ fillsLeftover: true }, { slackMs: 10, remainingMs: 1 });
+            const old = createDemand({ fillsLeftover: true }, { slackMs: 20, remainingMs: 1, waitedMs: 3000 });
+            const plan = planStarts([fresh, old], [createRoom("a")], strained);
+            expect(plan.starts.map(start => start.task)).toEqual(old.waiting);
+            expect(plan.unmet).toEqual([fresh]);
+        });
     });
 
     describe("when a task has failed on a worker", () => {
--- a/packages/plan-starts/src/planStarts.ts
+++ b/packages/plan-starts/src/planStarts.ts
@@ -25,7 +25,7 @@
 ): StartPlan {
     const starts: PlannedStart[] = [];
     const unmet: StepDemand[] = [];
-    const refused = new RefusedShapes();
+    const refused = new RefusedShapes(rules);
     const ledger = new RoomLedger(rooms);
     const rankings = new RankingBook(ledger, rules);
     for (const demand of [...demands].sort(compareDemands)) {
--- a/packages/plan-starts/src/planTasks.ts
+++ b/packages/plan-starts/src/planTasks.ts
@@ -1,4 +1,5 @@
 import type { Task } from "@sardinestage/track-jobs";
+import { isPatient } from "./isPatient.js";
 import { OpenRooms } from "./openRooms.js";
 import type { PlannedStart } from "./plannedStart.js";
 import type { RankingBook } from "./rankingBook.js";
@@ -23,9 +24,9 @@
     starts: PlannedStart[],
 ): boolean {
     const { step, waiting } = demand;
-    const { maxTasksPerWorker, fillsLeftover } = step.spec;
+    const { maxTasksPerWorker } = step.spec;
     const perWorker = countPerWorker(demand);
-    const ranking = rankings.resolve(step, fillsLeftover && demand.waitedMs < rules.longestWaitMs);
+    const ranking = rankings.resolve(step, isPatient(demand, rules));
     const open = new OpenRooms(ranking, ({ index }) => {
         const { workerId } = ledger.rooms[index];
         const isFull = maxTasksPerWorker > 0 && (perWorker.get(workerId) ?? 0) >= maxTasksPerWorker;
--- a/packages/plan-starts/src/randomFleet.test.ts
+++ b/packages/plan-starts/src/randomFleet.test.ts
@@ -2,13 +2,19 @@
 import { formatTaskKey } from "@sardinestage/describe-work";
 import { TaskPhase } from "@sardinestage/track-jobs";
 import { DisplacementPlanner } from "./displacementPlanner.js";
+import { hasRoom } from "./hasRoom.js";
+import { isAllowedOn } from "./isAllowedOn.js";
 import { planStarts } from "./planStarts.js";
 import type { StartPlan } from "./startPlan.js";
+import type { StartRules } from "./startRules.js";
+import type { StepDemand } from "./stepDemand.js";
 import { planDisplacementPlainly } from "./testing/planDisplacementPlainly.js";
 import { planStartsPlainly } from "./testing/planStartsPlainly.js";
 import { RandomFleet } from "./testing/randomFleet.js";
 import type { WorkerRoom } from "./workerRoom.js";
 
+/** Filling tasks that may wait go nowhere where serving tasks come closer to their targets than this. */
+const MOST_STRAIN = 0.88;
 const SEEDS = Array.from({ length: 300 }, (_unused, index) => 20261204 + index);
 const MAX_STARTS = [5, 60, 1000];
 const LONGEST_WAITS_MS = [2000, Infinity];
@@ -51,6 +57,44 @@
     });
 });
 
+/** Whether a task that the round left waiting could go to a room as the round left it. */
+function isOverlooked(demand: StepDemand, room: WorkerRoom, plan: StartPlan, fleet: RandomFleet, rules: StartRules) {
+    const { step } = demand;
+    const { maxTasksPerWorker } = step.spec;
+    const placed = new Set(plan.starts.filter(start => start.workerId === room.workerId).map(start => start.task));
+    const there = step.tasks.filter(task =>
+        placed.has(task) || (task.phase === TaskPhase.Running && task.workerId === room.workerId)
+    );
+    const isPatient = step.spec.fillsLeftover && demand.waitedMs < rules.longestWaitMs;
+    return isAllowedOn(step, room) && hasRoom(room, step.spec) && fleet.isAdvised(step.tasks[0], room.workerId)
+        && (maxTasksPerWorker === 0 || there.length < maxTasksPerWorker)
+        && !(isPatient && fleet.describePlace(room, step.spec).strain > MOST_STRAIN);
+}
+
+describe("planStarts on random fleets", () => {
+    describe("when tasks are left waiting though the round could start more", () => {
+        it("has no room for any of them", () => {
+            let waiting = 0;
+            for (const seed of SEEDS) {
+                const fleet = new RandomFleet(seed);
+                const rules = buildRules(fleet, seed);
+                const plan = planStarts(fleet.demands, fleet.rooms, rules);
+                for (const demand of plan.unmet.filter(({ step }) => !step.spec.gang)) {
+                    const overlooked = fleet.rooms.filter(room => isOverlooked(demand, room, plan, fleet, rules));
+                    const workers = overlooked.map(room => room.workerId);
+                    expect({ seed, job: demand.step.occurrence.job.id, workers }).toEqual({
+                        seed,
+                        job: demand.step.occurrence.job.id,
+                        workers: [],
+                    });
+                    waiting++;
+                }
+            }
+            expect(waiting).toBeGreaterThan(SEEDS.length);
+        });
+    });
+});
+
 describe("DisplacementPlanner on random fleets", () => {
     describe("when what could give way is summed up once a round", () => {
         it("chooses the same victims as looking at every task for every demand", () => {
--- a/packages/plan-starts/src/refusedShapes.ts
+++ b/packages/plan-starts/src/refusedShapes.ts
@@ -1,3 +1,5 @@
+import { isPatient } from "./isPatient.js";
+import type { StartRules } from "./startRules.js";
 import type { StepDemand } from "./stepDemand.js";
 
 /** The smallest size that found no room. */
@@ -13,10 +15,12 @@
 export class RefusedShapes {
     private readonly sizes = new Map<string, Size>();
 
+    constructor(private readonly rules: StartRules) {}
+
     /** Notes a demand that found no room; steps with conditions of their own say nothing about others. */
     add(demand: StepDemand): void {
         const { spec } = demand.step;
-        const key = createKey(demand);
+        const key = this.createKey(demand);
         const known = this.sizes.get(key);
         if (isPlain(demand) && (known === undefined || spec.cpuMillis <= known.cpuMillis)) {
             this.sizes.set(key, { cpuMillis: spec.cpuMillis, memoryMb: spec.memoryMb });
@@ -26,15 +30,18 @@
     /** Whether a demand of the same kind that needs no more has found no room. */
     has(demand: StepDemand): boolean {
         const { spec } = demand.step;
-        const known = this.sizes.get(createKey(demand));
+        const known = this.sizes.get(this.createKey(demand));
         return known !== undefined && isPlain(demand)
             && spec.cpuMillis >= known.cpuMillis && spec.memoryMb >= known.memoryMb;
     }
-}
 
-function createKey(demand: StepDemand): string {
-    const { spec, occurrence } = demand.step;
-    return `${occurrence.job.queue.service}|${spec.image}|${spec.fillsLeftover}|${spec.accelerators}`;
+    /** What rather waits finds less room than its like that has waited long enough. */
+    private createKey(demand: StepDemand): string {
+        const { spec, occurrence } = demand.step;
+        const { service } = occurrence.job.queue;
+        const mayWait = isPatient(demand, this.rules);
+        return `${service}|${spec.image}|${spec.fillsLeftover}|${mayWait}|${spec.accelerators}`;
+    }
 }
 
 function isPlain(demand: StepDemand): boolean {
--- a/packages/plan-starts/src/testing/planStartsPlainly.ts
+++ b/packages/plan-starts/src/testing/planStartsPlainly.ts
@@ -23,7 +23,7 @@
 ): StartPlan {
     const starts: PlannedStart[] = [];
     const unmet: StepDemand[] = [];
-    const refused = new RefusedShapes();
+    const refused = new RefusedShapes(rules);
     for (const demand of [...demands].sort(compareDemands)) {
         if (starts.length >= rules.maxStarts) {
             break;
--- a/packages/plan-starts/src/testing/randomFleet.ts
+++ b/packages/plan-starts/src/testing/randomFleet.ts
@@ -29,10 +29,13 @@
     readonly demands: readonly StepDemand[];
     private readonly generator: ReturnType<typeof xoroshiro128plus>;
     private readonly advised = new Set<string>();
+    /** What serving tasks suffer anywhere. */
+    private readonly strain: number;
     private jobs = 0;
 
     constructor(seed: number) {
         this.generator = xoroshiro128plus(seed);
+        this.strain = this.pick([0.3, 0.6, 0.8]);
         this.rooms = Array.from({ length: WORKERS }, (_unused, index) => this.createRoom(`w${index}`));
         this.demands = Array.from({ length: DEMANDS }, () => this.createDemand());
     }
@@ -49,7 +52,7 @@
         const harm = room.fillers.reduce((sum, filler) => sum + (filler.image === image ? 0.02 : 0.09), 0);
         const alike = room.servers.filter(server => server.step.spec.image === image).length;
         return {
-            strain: fillsLeftover && room.servers.length === 0 ? 0 : 0.3 + harm + room.servers.length * 0.05,
+            strain: this.strain + harm + room.servers.length * 0.05,
             isHarmful: fillsLeftover && image === "a",
             alikeShare: tailTargetMs === 0 || room.servers.length === 0 ? 1 : alike / room.servers.length,
         };
