Work out a room's filling tasks once; a benchmark's fleet keeps its tasks between rounds

No change of behaviour: PlaceJudge resolves the harm and the weight of each filling task once a room instead of once a serving task; HeadroomTable's entries have a type of their own; measureRounds makes the tasks once and the rooms anew each round, as a coordinator does. placeJudge.test.ts compares with the judge that remembers nothing, as before.

--- a/packages/coordinate-work/src/headroomTable.ts
+++ b/packages/coordinate-work/src/headroomTable.ts
@@ -1,25 +1,18 @@
 import type { HeadroomEstimator } from "@sardinestage/learn-behaviour";
+import type { ImageHarms } from "./imageHarms.js";
 
 /** Headroom of a serving task of which nothing is known. */
 const USUAL_HEADROOM = 2.5;
 /** A serving image from which some neighbour would take so much on a whole worker suffers easily. */
 const SENSITIVE = 3;
 
-/** What one image takes from others. */
-interface Harms {
-    /** The most that it takes from any serving image. */
-    readonly worst: number;
-    /** What it takes from each serving image, by the image's number; filled as it is asked for. */
-    readonly taken: (number | undefined)[];
-}
-
 /** What was learned of images as it stands at one time, each pair worked out once. Images go by numbers of its own. */
 export class HeadroomTable {
     private readonly numbers = new Map<string, number>();
     private readonly images: string[] = [];
     private readonly usual: number[] = [];
     private readonly sensitive: (boolean | undefined)[] = [];
-    private readonly harms = new Map<string, Harms>();
+    private readonly harms = new Map<string, ImageHarms>();
 
     constructor(private readonly estimator: HeadroomEstimator) {}
 
@@ -48,23 +41,23 @@
     }
 
     /** What an image takes from others; for `getHarm`. */
-    resolveHarms(image: string): Harms {
+    resolveHarms(image: string): ImageHarms {
         const known = this.harms.get(image);
         if (known !== undefined) {
             return known;
         }
-        const harms: Harms = { worst: this.estimator.estimateWorstHarm(image), taken: [] };
+        const harms: ImageHarms = { image, worst: this.estimator.estimateWorstHarm(image), taken: [] };
         this.harms.set(image, harms);
         return harms;
     }
 
     /** How much headroom an image takes from a serving one if it uses a whole worker's processor. */
-    getHarm(image: string, harms: Harms, serving: number): number {
+    getHarm(harms: ImageHarms, serving: number): number {
         const known = harms.taken[serving];
         if (known !== undefined) {
             return known;
         }
-        const harm = this.estimator.estimateHarm(this.images[serving], image);
+        const harm = this.estimator.estimateHarm(this.images[serving], harms.image);
         harms.taken[serving] = harm;
         return harm;
     }
--- a/packages/coordinate-work/src/placeJudge.ts
+++ b/packages/coordinate-work/src/placeJudge.ts
@@ -2,6 +2,7 @@
 import type { HeadroomEstimator } from "@sardinestage/learn-behaviour";
 import type { PlaceView, WorkerRoom } from "@sardinestage/plan-starts";
 import { HeadroomTable } from "./headroomTable.js";
+import type { ImageHarms } from "./imageHarms.js";
 
 /** A filling task that takes so much of any headroom needs a place of its own. */
 const HARMFUL = 0.3;
@@ -10,10 +11,17 @@
 /** A place that neither suffers nor does harm. */
 const NEUTRAL_PLACE: PlaceView = { strain: 0, isHarmful: false, alikeShare: 1 };
 
+/** A filling task of a room. */
+interface FillerThere {
+    readonly harms: ImageHarms;
+    /** Its processor as a share of the worker's. */
+    readonly weight: number;
+}
+
 /** What the serving tasks of a room have left beside the filling ones there. */
 interface RoomHeadroom {
-    /** How many filling tasks it was worked out with. */
-    fillers: number;
+    /** In the order of the room's filling tasks. */
+    readonly fillers: FillerThere[];
     /** The images of the room's serving tasks, in their order. */
     readonly images: number[];
     /** In the order of the room's serving tasks. */
@@ -46,21 +54,18 @@
     private describeFilling(room: WorkerRoom, spec: StepSpec): PlaceView {
         const { images, lefts } = this.getHeadroom(room);
         const harms = this.table.resolveHarms(spec.image);
-        const weight = spec.cpuMillis / Math.max(1, room.capacityCpuMillis);
+        const weight = computeWeight(room, spec);
         let worst = Infinity;
         for (let index = 0; index < lefts.length; index++) {
-            worst = Math.min(worst, lefts[index] - this.table.getHarm(spec.image, harms, images[index]) * weight);
+            worst = Math.min(worst, lefts[index] - this.table.getHarm(harms, images[index]) * weight);
         }
         return { strain: convertToStrain(worst), isHarmful: harms.worst * weight >= HARMFUL, alikeShare: 1 };
     }
 
     private describeServing(room: WorkerRoom, spec: StepSpec): PlaceView {
         const image = this.table.resolveImage(spec.image);
-        const { images } = this.getHeadroom(room);
-        let headroom = this.table.getUsual(image);
-        for (const filler of room.fillers) {
-            headroom -= this.computeTaken(room, filler, image);
-        }
+        const { images, fillers } = this.getHeadroom(room);
+        const headroom = this.computeLeft(this.table.getUsual(image), image, fillers);
         let alike = 0;
         for (const other of images) {
             alike += this.isAlike(other, image) ? 1 : 0;
@@ -72,33 +77,34 @@
     /** A round adds to rooms as it goes; only what was added is worked out. */
     private getHeadroom(room: WorkerRoom): RoomHeadroom {
         const known = this.headrooms.get(room);
-        const headroom: RoomHeadroom = known ?? { fillers: 0, images: [], lefts: [] };
+        const headroom: RoomHeadroom = known ?? { fillers: [], images: [], lefts: [] };
         if (known === undefined) {
             this.headrooms.set(room, headroom);
         }
-        const { images, lefts } = headroom;
-        for (; headroom.fillers < room.fillers.length; headroom.fillers++) {
-            for (let index = 0; index < lefts.length; index++) {
-                lefts[index] -= this.computeTaken(room, room.fillers[headroom.fillers], images[index]);
+        const { fillers, images, lefts } = headroom;
+        for (let index = fillers.length; index < room.fillers.length; index++) {
+            const spec = room.fillers[index];
+            const filler = { harms: this.table.resolveHarms(spec.image), weight: computeWeight(room, spec) };
+            fillers.push(filler);
+            for (let server = 0; server < lefts.length; server++) {
+                lefts[server] -= this.table.getHarm(filler.harms, images[server]) * filler.weight;
             }
         }
         for (let index = images.length; index < room.servers.length; index++) {
             const server = room.servers[index];
             const image = this.table.resolveImage(server.step.spec.image);
-            let left = server.headroom ?? this.table.getUsual(image);
-            for (const filler of room.fillers) {
-                left -= this.computeTaken(room, filler, image);
-            }
             images.push(image);
-            lefts.push(left);
+            lefts.push(this.computeLeft(server.headroom ?? this.table.getUsual(image), image, fillers));
         }
         return headroom;
     }
 
-    private computeTaken(room: WorkerRoom, filler: StepSpec, serving: number): number {
-        const harms = this.table.resolveHarms(filler.image);
-        return this.table.getHarm(filler.image, harms, serving) * filler.cpuMillis
-            / Math.max(1, room.capacityCpuMillis);
+    private computeLeft(headroom: number, serving: number, fillers: readonly FillerThere[]): number {
+        let left = headroom;
+        for (const { harms, weight } of fillers) {
+            left -= this.table.getHarm(harms, serving) * weight;
+        }
+        return left;
     }
 
     /** Whether two serving images are the same, or are both known to suffer or both known not to. */
@@ -108,6 +114,10 @@
     }
 }
 
+function computeWeight(room: WorkerRoom, spec: StepSpec): number {
+    return spec.cpuMillis / Math.max(1, room.capacityCpuMillis);
+}
+
 function convertToStrain(headroom: number): number {
     return 1 / Math.max(LEAST_HEADROOM, headroom);
 }
--- a/packages/coordinate-work/src/testing/measureRounds.ts
+++ b/packages/coordinate-work/src/testing/measureRounds.ts
@@ -30,10 +30,11 @@
 function runMeasurement(): void {
     for (const workers of FLEETS) {
         const estimator = createEstimator();
+        const tasks = createTasks(workers);
         const times = { starts: [] as number[], displacement: [] as number[] };
         let counts = "";
         for (let round = 0; round < ROUNDS; round++) {
-            const { rooms, tasks } = createFleet(workers);
+            const rooms = [...tasks].map(([id, residents], index) => createRoom(id, index, residents));
             const demands = Array.from({ length: WAITING_STEPS }, createDemand);
             const judge = new PlaceJudge(estimator);
             const startedAtMs = performance.now();
@@ -75,31 +76,33 @@
     return estimator;
 }
 
-function createFleet(workers: number): { rooms: WorkerRoom[]; tasks: Map<string, readonly Task[]> } {
-    const tasks = new Map<string, readonly Task[]>();
-    const rooms = Array.from({ length: workers }, (_unused, index): WorkerRoom => {
-        const room: WorkerRoom = {
-            workerId: `w${index}`,
-            service: "service",
-            rack: `rack${Math.floor(index / WORKERS_A_RACK)}`,
-            labels: ["kind", `rack${Math.floor(index / WORKERS_A_RACK)}`],
-            capacityCpuMillis: CAPACITY_CPU_MILLIS,
-            freeCpuMillis: CAPACITY_CPU_MILLIS,
-            endingCpuMillis: 0,
-            freeMemoryMb: 64_000,
-            freeAccelerators: 0,
-            fillCpuMillis: 0,
-            servers: [],
-            fillers: [],
-            startsLeft: 1000,
-        };
+function createTasks(workers: number): Map<string, readonly Task[]> {
+    return new Map(Array.from({ length: workers }, (_unused, index) => {
         const residents = Array.from({ length: TASKS_A_WORKER }, (_none, place) => createResident(place % 2 === 0));
-        residents.forEach(task => takeRoom(room, task.step, 3));
-        room.startsLeft = 1000;
-        tasks.set(room.workerId, residents);
-        return room;
-    });
-    return { rooms, tasks };
+        return [`w${index}`, residents];
+    }));
+}
+
+function createRoom(workerId: string, index: number, residents: readonly Task[]): WorkerRoom {
+    const rack = `rack${Math.floor(index / WORKERS_A_RACK)}`;
+    const room: WorkerRoom = {
+        workerId,
+        service: "service",
+        rack,
+        labels: ["kind", rack],
+        capacityCpuMillis: CAPACITY_CPU_MILLIS,
+        freeCpuMillis: CAPACITY_CPU_MILLIS,
+        endingCpuMillis: 0,
+        freeMemoryMb: 64_000,
+        freeAccelerators: 0,
+        fillCpuMillis: 0,
+        servers: [],
+        fillers: [],
+        startsLeft: 1000,
+    };
+    residents.forEach(task => takeRoom(room, task.step, 3));
+    room.startsLeft = 1000;
+    return room;
 }
 
 function createResident(isServing: boolean): Task {
