--- a/packages/coordinate-work/src/roomBook.fuzz.test.ts
+++ b/packages/coordinate-work/src/roomBook.fuzz.test.ts
@@ -1,5 +1,4 @@
 import { describe, expect, it } from "@jest/globals";
-import { WorkerState } from "@sardinestage/describe-work";
 import { createStep } from "@sardinestage/emulate-platform";
 import type { WorkerRoom } from "@sardinestage/plan-starts";
 import { takeRoom } from "@sardinestage/plan-starts";
@@ -8,30 +7,17 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { buildRooms } from "./buildRooms.js";
 import { RoomBook } from "./roomBook.js";
+import { createLink } from "./testing/createLink.js";
 import { createQueue } from "./testing/createQueue.js";
-import { WorkerLink } from "./workerLink.js";
+import type { WorkerLink } from "./workerLink.js";
 
 const SEEDS = Array.from({ length: 8 }, (_unused, index) => 20261204 + index);
 const EVENTS = 1000;
 const WORKERS = 6;
+const CAPACITY = { cpuMillis: 16_000, memoryMb: 64_000, accelerators: 1 };
 /** Figures may be this old, in milliseconds. */
 const LONGEST_KEPT_MS = 200;
 
-function createLink(id: string): WorkerLink {
-    return new WorkerLink({
-        id,
-        bornMs: 1,
-        service: "service",
-        address: id,
-        domain: "here",
-        state: WorkerState.Ready,
-        capacity: { cpuMillis: 16_000, memoryMb: 64_000, accelerators: 1 },
-        labels: [],
-        rack: "",
-        remainingMs: 0,
-    }, 0);
-}
-
 function createTasks(): Task[] {
     const steps = [
         createStep({ taskCount: 10 }),
@@ -56,7 +42,7 @@
         it("lists what building all rooms anew does", () => {
             const generator = xoroshiro128plus(seed);
             const pick = (limit: number) => (generator.next() >>> 0) % limit;
-            const links = Array.from({ length: WORKERS }, (_unused, index) => createLink(`w${index}`));
+            const links = Array.from({ length: WORKERS }, (_unused, index) => createLink(`w${index}`, CAPACITY));
             const startsLeft = new Map(links.map(link => [link, 1000]));
             const tasks = createTasks();
             const book = new RoomBook();
@@ -96,7 +82,7 @@
 
     describe("when only what is expected of serving tasks has changed", () => {
         it("tells it once its figures are too old", () => {
-            const link = createLink("w");
+            const link = createLink("w", CAPACITY);
             createTasks().slice(-1).forEach(task => link.tasks.add(task));
             const book = new RoomBook();
             const readHeadroom = (nowMs: number, headroom: number) =>
--- a/packages/coordinate-work/src/testing/createLink.ts
+++ b/packages/coordinate-work/src/testing/createLink.ts
@@ -1,8 +1,11 @@
+import type { Capacity } from "@sardinestage/describe-work";
 import { WorkerState } from "@sardinestage/describe-work";
 import { WorkerLink } from "../workerLink.js";
 
+const SMALL_CAPACITY: Capacity = { cpuMillis: 1000, memoryMb: 1000, accelerators: 0 };
+
 /** A worker that is listed and hasn't answered yet. */
-export function createLink(id: string): WorkerLink {
+export function createLink(id: string, capacity: Capacity = SMALL_CAPACITY): WorkerLink {
     return new WorkerLink({
         id,
         bornMs: 1,
@@ -10,7 +13,7 @@
         address: id,
         domain: "here",
         state: WorkerState.Ready,
-        capacity: { cpuMillis: 1000, memoryMb: 1000, accelerators: 0 },
+        capacity,
         labels: [],
         rack: "",
         remainingMs: 0,
