Keep a run above all that is recorded instead of stopping it as a stray

Cause: a run that is recorded fails while the store is away; after 5 s its successor, run 2, is started unrecorded. The next coordinator reads that run 1 is at work at its worker. If it hears the worker of run 2 first, run 2 is a stray to it and is told to stop; the end of run 1 is heard later, the task waits again, and is started as run 2, whether or not the first run 2 has stopped. Change: a listed run with a higher number than is known is taken over, and the older one given up: coordinators start a run only after the one before is over. Ends of such runs count too. Test: 'keeps the second run though its worker is heard before that of the first' failed before (stop-order, stray).

--- a/packages/coordinate-work/src/compareRuns.ts
+++ b/packages/coordinate-work/src/compareRuns.ts
@@ -32,7 +32,7 @@
             listed.add(task);
             matched.push({ task, row });
         }
-        else if (task !== undefined && task.phase === TaskPhase.Waiting && row.run >= task.run) {
+        else if (task !== undefined && isNewest(task, row.run)) {
             adopted.push({ task, row });
         }
         else {
@@ -51,3 +51,8 @@
         uncertain: missing.filter(task => task.isUncertain && task.settledAtMs >= sentAtMs),
     };
 }
+
+/** A run above all that is known was started after they were over, by an earlier coordinator that couldn't record it. */
+function isNewest(task: Task, run: number): boolean {
+    return run > task.run || (task.phase === TaskPhase.Waiting && run === task.run);
+}
--- /dev/null
+++ b/packages/coordinate-work/src/coordinator.unrecorded.test.ts
@@ -0,0 +1,53 @@
+import { describe, expect, it } from "@jest/globals";
+import type { JobSpec } from "@sardinestage/describe-work";
+import { JobState } from "@sardinestage/describe-work";
+import { createStep } from "@sardinestage/emulate-platform";
+import { CoordinatorBed } from "./testing/coordinatorBed.js";
+import { createQueue } from "./testing/createQueue.js";
+
+const ALWAYS = () => 0.5;
+
+function createSpec(steps = [createStep()]): JobSpec {
+    return { payload: "payload", steps, repeatCount: 0, firstRunMs: 0, intervalMs: 0 };
+}
+
+describe("Coordinator after one that worked unrecorded", () => {
+    describe("when a task failed and was started again while nothing could be recorded", () => {
+        /** Its first run, which is recorded, fails in the outage; the second is at work when the next term begins. */
+        async function createOutage(secondMs: number) {
+            const bed = new CoordinatorBed(ALWAYS, (_task, run) => run === 1 ? -1500 : run === 2 ? secondMs : 1500);
+            void bed.addWorker("w0");
+            void bed.addWorker("w1");
+            await bed.clock.runFor(20);
+            bed.startTerm(false);
+            await bed.clock.runFor(500);
+            void bed.submit("job", createSpec(), createQueue({ maxAttempts: 9 }));
+            await bed.clock.runFor(200);
+            bed.store.faults.isDown = true;
+            const isRestarted = () => bed.events.filter(event => event.includes("run-order")).length === 2;
+            while (!isRestarted() || bed.witness.countAtWork() === 0) {
+                await bed.clock.runFor(10);
+            }
+            const orders = bed.events.filter(event => event.includes("run-order"));
+            const findWorker = (run: number) => bed.fleet.workers.get(orders[run - 1].includes("\"w0\"") ? "w0" : "w1");
+            const [first, second] = [findWorker(1), findWorker(2)];
+            expect(first).not.toBe(second);
+            bed.coordinator?.close();
+            bed.store.faults.isDown = false;
+            return { bed, first, second };
+        }
+
+        it("keeps the second run though its worker is heard before that of the first", async () => {
+            const { bed, first } = await createOutage(2000);
+            if (first !== undefined) {
+                first.isCut = true;
+                bed.clock.schedule(700, () => first.isCut = false);
+            }
+            bed.startTerm(true);
+            await bed.clock.runFor(9000);
+            expect(bed.events.filter(event => event.includes("stray"))).toEqual([]);
+            expect(bed.witness.faults).toEqual([]);
+            expect(await bed.coordinator?.getState("job")).toBe(JobState.Completed);
+        });
+    });
+});
--- a/packages/coordinate-work/src/runBook.ts
+++ b/packages/coordinate-work/src/runBook.ts
@@ -125,7 +125,7 @@
         this.learnSoundness(link, task, row);
         const activeBefore = this.listActive(task, row.end);
         const isHere = link.tasks.has(task) && row.run === task.run;
-        const isElsewhere = task.isActive && !isHere;
+        const isElsewhere = task.isActive && !isHere && row.run <= task.run;
         if (isElsewhere && row.end !== RunEnd.Done && row.end !== RunEnd.Failed) {
             return;
         }
@@ -199,7 +199,8 @@
     private acceptRun(task: Task, row: RunningRow, link: WorkerLink, nowMs: number): void {
         const { job } = task.step.occurrence;
         const fields = { task: formatTaskKey(row.task), run: row.run, worker: link.entry.id };
-        this.parts.logger.info("run-adopted", fields);
+        this.parts.logger.info("run-adopted", { ...fields, instead: task.isActive ? task.run : undefined });
+        this.book.findLink(task.workerId)?.tasks.delete(task);
         applyRunStart(task, link.entry.id, row.run, nowMs);
         link.tasks.add(task);
         this.updateTask(task, row, nowMs);
