Have an end that another worker lists free the worker where the task was believed

Cause: where the end of an unrecorded run came from another worker than the one that is recorded, the task stayed among the tasks of that one. When its leases had run out the task's newest run, at work elsewhere by then, was taken for lost, and would have been started once more. Change: the believed worker's link loses the task too. Test: 'doesn't take the third for lost when the worker of the first has lapsed' failed before (run-lost, run 3, by the worker of run 1).

--- a/packages/coordinate-work/src/coordinator.unrecorded.test.ts
+++ b/packages/coordinate-work/src/coordinator.unrecorded.test.ts
@@ -49,5 +49,17 @@
             expect(bed.witness.faults).toEqual([]);
             expect(await bed.coordinator?.getState("job")).toBe(JobState.Completed);
         });
+
+        it("doesn't take the third for lost when the worker of the first has lapsed", async () => {
+            const { bed, first } = await createOutage(-600);
+            await bed.clock.runFor(1000);
+            bed.fleet.workers.delete(first?.id ?? "");
+            void bed.removeWorker(first?.id ?? "");
+            await bed.clock.runFor(100);
+            bed.startTerm(true);
+            await bed.clock.runFor(12_000);
+            expect(bed.events.filter(event => event.includes("run-lost"))).toEqual([]);
+            expect(bed.witness.faults).toEqual([]);
+        });
     });
 });
--- a/packages/coordinate-work/src/runBook.ts
+++ b/packages/coordinate-work/src/runBook.ts
@@ -129,9 +129,11 @@
         if (isElsewhere && row.end !== RunEnd.Done && row.end !== RunEnd.Failed) {
             return;
         }
+        const believed = this.book.findLink(task.workerId);
         applyRunEnd(task, row, this.parts.clock.getWallTime());
         if (!task.isActive) {
             link.tasks.delete(task);
+            believed?.tasks.delete(task);
         }
         this.releaseFinished(activeBefore, row);
         this.book.noteChanged(job);
