Have each term pass on that unrecorded work may be about until that is recorded

Cause: a successor that knew of unrecorded starts didn't say so itself. When it died before it had heard all workers, the next one saw a fresh sign of a coordinator with all recorded, and started at once what was at work at a worker that it hadn't heard. The same after an append that won and got no answer: the VM took its own record for a sign of its predecessor's. Change: the record that wins a term says that unrecorded work may be about; renewals say so until starts may begin and what was found is recorded (PastStarts). Tests: 'has the next one wait as well', 'doesn't take its own record for a sign of its predecessor's', 'says so until it has heard all workers and recorded what they run', 'says that unrecorded work may be about until the first renewal says otherwise'.

--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -20,6 +20,7 @@
 import { limits } from "./limits.js";
 import { OrderDesk } from "./orderDesk.js";
 import { PaceDesk } from "./paceDesk.js";
+import { PastStarts } from "./pastStarts.js";
 import { PlaceJudge } from "./placeJudge.js";
 import { ProgressWriter } from "./progressWriter.js";
 import { RoundTimer } from "./roundTimer.js";
@@ -56,6 +57,7 @@
     private readonly ends: JobEnds;
     private readonly janitor: Janitor;
     private readonly intake: JobIntake;
+    private readonly past: PastStarts;
     private starts: StartGate | undefined;
     private isClosed = false;
     private isOpen = false;
@@ -66,6 +68,7 @@
         this.openedAtMs = parts.clock.getNow();
         this.rounds = new RoundTimer(parts.clock, () => parts.meter.measure(WorkKind.Rounds, () => this.runRound()));
         this.writer = new ProgressWriter(parts);
+        this.past = new PastStarts(parts.hadUnrecordedStarts, this.writer);
         this.janitor = new Janitor(parts, this.jobs, this.writer);
         this.advice = new AdviceBook(parts, () => this.scheduleRound(limits.roundDelayMs));
         this.orders = new OrderDesk(parts, {
@@ -167,10 +170,10 @@
         void this.workersFollower.run();
         const links = [...this.fleet.links.values()];
         this.starts = new StartGate(links, {
+            ...this.parts,
             ...this.parts.rules,
             listLinks: () => this.fleet.links.values(),
             openedAtMs: this.openedAtMs,
-            hadUnrecordedStarts: this.parts.hadUnrecordedStarts,
         });
         applyInTurns(clock, links, link => this.startHolding(link));
         this.scheduleRound(limits.roundDelayMs);
@@ -187,9 +190,9 @@
         this.rounds.close();
     }
 
-    /** Whether work was started that isn't recorded yet. */
+    /** Whether work may be about that isn't recorded yet, started here or by an earlier coordinator. */
     get hasUnrecordedStarts(): boolean {
-        return this.writer.hasUnrecordedStarts;
+        return this.writer.hasUnrecordedStarts || !this.past.areRecorded;
     }
 
     /** Whether the takeover is complete, so that questions can be answered. */
@@ -255,11 +258,10 @@
         if (!this.isOpen || link.entry.address === "") {
             return;
         }
-        const { meter } = this.parts;
         const loop = new HoldLoop(this.parts, link, {
             hasAllJobs: answer => this.hasAllJobs(answer),
             takeAnswer: (held, answer, sentAtMs) =>
-                meter.measure(WorkKind.Answers, () => this.handleAnswer(held, answer, sentAtMs)),
+                this.parts.meter.measure(WorkKind.Answers, () => this.handleAnswer(held, answer, sentAtMs)),
             isOver: held => this.isClosed || this.fleet.links.get(held.entry.id) !== held,
         });
         void loop.run();
@@ -309,6 +311,7 @@
         this.expireLeases(startedAtMs);
         let nextDueMs: number | undefined;
         if (this.starts?.tryOpening(startedAtMs) === true) {
+            this.past.noteHeard();
             nextDueMs = this.round.run();
         }
         metrics.recordDuration("planning_round", clock.getNow() - startedAtMs);
@@ -332,8 +335,7 @@
             if (this.isClosed) {
                 return;
             }
-            const links = [...this.fleet.links.values()];
-            logger.info("fleet-summary", describeFleet(this.jobs, links, clock.getWallTime()));
+            logger.info("fleet-summary", describeFleet(this.jobs, [...this.fleet.links.values()], clock.getWallTime()));
             this.writer.note(Learned.KEY, () => this.learned.encodeState());
             void this.janitor.dropNeedless().finally(() => this.scheduleUpkeep());
         });
--- a/packages/coordinate-work/src/coordinator.unrecorded.test.ts
+++ b/packages/coordinate-work/src/coordinator.unrecorded.test.ts
@@ -62,4 +62,25 @@
             expect(bed.witness.faults).toEqual([]);
         });
     });
+
+    describe("when it takes over where work may have gone unrecorded", () => {
+        it("says so until it has heard all workers and recorded what they run, so that the next one waits too", async () => {
+            const bed = new CoordinatorBed(ALWAYS, () => 9000);
+            void bed.addWorker("w0");
+            void bed.addWorker("w1");
+            await bed.clock.runFor(20);
+            bed.startTerm(false);
+            await bed.clock.runFor(500);
+            expect(bed.coordinator?.hasUnrecordedStarts).toBe(false);
+            void bed.submit("job", createSpec([createStep({ taskCount: 2 })]), createQueue());
+            await bed.clock.runFor(200);
+            bed.coordinator?.close();
+            bed.startTerm(true);
+            expect(bed.coordinator?.hasUnrecordedStarts).toBe(true);
+            await bed.clock.runFor(1900);
+            expect(bed.coordinator?.hasUnrecordedStarts).toBe(true);
+            await bed.clock.runFor(600);
+            expect(bed.coordinator?.hasUnrecordedStarts).toBe(false);
+        });
+    });
 });
--- a/packages/keep-term/src/termLog.test.ts
+++ b/packages/keep-term/src/termLog.test.ts
@@ -36,6 +36,23 @@
         });
     });
 
+    describe("when a term was only just won", () => {
+        it("says that unrecorded work may be about until the first renewal says otherwise", async () => {
+            const { clock, first, second } = createLogs();
+            const won = first.tryWin(0);
+            await clock.runFor(50);
+            const before = second.readTerm();
+            await clock.runFor(50);
+            expect((await before)?.hasUnrecordedStarts).toBe(true);
+            const renewed = first.renew((await won)?.term ?? 0, 0, false);
+            await clock.runFor(50);
+            await renewed;
+            const after = second.readTerm();
+            await clock.runFor(50);
+            expect((await after)?.hasUnrecordedStarts).toBe(false);
+        });
+    });
+
     describe("when a holder renews", () => {
         it("finds out that somebody else has won", async () => {
             const { clock, first, second } = createLogs();
--- a/packages/keep-term/src/termLog.ts
+++ b/packages/keep-term/src/termLog.ts
@@ -12,8 +12,8 @@
 
 const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
 /**
- * `[vm, incarnation, host, port, term, written at (Unix milliseconds), strength, VMs that follow, whether work was
- * started that isn't recorded]`; term 0 in the record that wins it.
+ * `[vm, incarnation, host, port, term, written at (Unix milliseconds), strength, VMs that follow, whether work may be
+ * about that isn't recorded]`; term 0 in the record that wins it.
  */
 type TermRow = [string, string, string, number, number, number, number, number, boolean];
 
@@ -54,14 +54,15 @@
     }
 
     /**
-     * Tries to win the next term.
+     * Tries to win the next term. The record says that unrecorded work may be about: until the first renewal nobody can
+     * tell what its holder knows, and an append without an answer may win long after it was sent.
      *
      * @param end Where the topic ended when it was read.
      * @returns The own term; or undefined when somebody else was faster or the store didn't take it. An append without
      *   an answer may still win: then the next `readTerm` names this process.
      */
     async tryWin(end: number): Promise<TermHolder | undefined> {
-        const answer = await this.append(end, 0, 0, false);
+        const answer = await this.append(end, 0, 0, true);
         if (answer.outcome !== AppendOutcome.Appended) {
             return undefined;
         }
@@ -78,7 +79,7 @@
      * Says that the term's holder lives; finds out when it no longer holds the term.
      *
      * @param followers How many VMs follow it.
-     * @param hasUnrecordedStarts Whether it has started work that isn't recorded yet.
+     * @param hasUnrecordedStarts Whether work may be about that isn't recorded yet.
      */
     async renew(term: number, followers: number, hasUnrecordedStarts: boolean): Promise<RenewalOutcome> {
         const answer = await this.append(this.end, term, followers, hasUnrecordedStarts);
--- a/packages/keep-term/src/termView.ts
+++ b/packages/keep-term/src/termView.ts
@@ -8,7 +8,7 @@
     readonly end: number;
     /** When its newest record was written by its writer's time of day, in Unix milliseconds; 0 for no record. */
     readonly writtenAtMs: number;
-    /** Whether the holder had started work then that wasn't recorded yet. */
+    /** Whether work might be about then that wasn't recorded yet, started by the holder or before its term. */
     readonly hasUnrecordedStarts: boolean;
     /** How many VMs followed the holder then. */
     readonly followers: number;
--- a/packages/run-entry-vm/src/membership.test.ts
+++ b/packages/run-entry-vm/src/membership.test.ts
@@ -4,7 +4,7 @@
 import { AppendOutcome, waitFor } from "@sardinestage/describe-ports";
 import { MemoryStore, VirtualClock } from "@sardinestage/emulate-platform";
 import { FrameKind } from "@sardinestage/exchange-frames";
-import type { Candidate } from "@sardinestage/keep-term";
+import type { Candidate, TermView } from "@sardinestage/keep-term";
 import { TermLog } from "@sardinestage/keep-term";
 import type { EventLogger } from "@sardinestage/log-events";
 import { LoopWatch } from "@sardinestage/watch-loop";
@@ -24,6 +24,8 @@
     readonly candidacies: string[] = [];
     /** How late a VM reads what the store has answered, in milliseconds. */
     readonly readDelayMs = new Map<string, number>();
+    /** VMs whose appends are done and not answered. */
+    readonly unheard = new Set<string>();
     /** VMs that the store doesn't answer. */
     readonly withoutStore = new Set<string>();
     /** VMs whose coordinator has started work that it couldn't record yet. */
@@ -84,6 +86,14 @@
         return membership;
     }
 
+    /** Reads the newest record of the term. */
+    async readTerm(): Promise<TermView | undefined> {
+        const self: Candidate = { vm: "reader", incarnation: "reader", host: "reader", port: 1, strength: 1 };
+        const reading = new TermLog(this.store, self, this.clock).readTerm();
+        await this.clock.runFor(20);
+        return await reading;
+    }
+
     /** Ends a VM's process without a word. */
     stopVm(vm: string): void {
         const duty = this.duties.get(vm);
@@ -111,6 +121,10 @@
                     return { outcome: AppendOutcome.Unknown, offset: 0, end: 0 };
                 }
                 const answer = await store.append(call);
+                if (this.unheard.has(vm)) {
+                    await waitFor(clock, call.timeoutMs);
+                    return { outcome: AppendOutcome.Unknown, offset: 0, end: 0 };
+                }
                 await waitFor(clock, this.readDelayMs.get(vm) ?? 0);
                 return answer;
             },
@@ -177,6 +191,46 @@
         });
     });
 
+    describe("when a coordinator dies before it has learned what its predecessor started unrecorded", () => {
+        it("has the next one wait as well", async () => {
+            const installation = new Installation();
+            installation.addVm("first", 1);
+            await installation.clock.runFor(1000);
+            installation.addVm("second", 1);
+            await installation.clock.runFor(2000);
+            installation.unrecorded.add("first");
+            await installation.clock.runFor(600);
+            installation.stopVm("first");
+            while (installation.coordinator === undefined) {
+                await installation.clock.runFor(10);
+            }
+            installation.stopVm("second");
+            installation.addVm("third", 1);
+            await installation.clock.runFor(6000);
+            expect(installation.hadUnrecordedStarts).toEqual([false, true, true]);
+        });
+    });
+
+    describe("when the answer to the append that won was lost", () => {
+        it("doesn't take its own record for a sign of its predecessor's", async () => {
+            const installation = new Installation();
+            installation.addVm("first", 1);
+            await installation.clock.runFor(1000);
+            installation.addVm("second", 1);
+            await installation.clock.runFor(2000);
+            installation.unrecorded.add("first");
+            await installation.clock.runFor(600);
+            installation.stopVm("first");
+            installation.unheard.add("second");
+            while ((await installation.readTerm())?.holder?.vm === "first") {
+                await installation.clock.runFor(10);
+            }
+            installation.unheard.clear();
+            await installation.clock.runFor(3000);
+            expect(installation.hadUnrecordedStarts).toEqual([false, true]);
+        });
+    });
+
     describe("when the coordinator is so busy that it reads the store's answers late", () => {
         it("isn't taken for one without the store", async () => {
             const installation = new Installation();
--- a/packages/run-entry-vm/src/termDuty.ts
+++ b/packages/run-entry-vm/src/termDuty.ts
@@ -76,7 +76,7 @@
         return this.holder === undefined ? 0 : Math.max(0, this.parts.clock.getNow() - this.failingSinceMs);
     }
 
-    /** Whether work was started here that isn't recorded yet. */
+    /** Whether work may be about that isn't recorded yet. */
     private get hasUnrecordedStarts(): boolean {
         return this.coordinator?.hasUnrecordedStarts ?? false;
     }
