Don't take a renewal that is carried out late for a sign that all is recorded

Cause: a renewal without an answer may be carried out seconds after it was sent. It says what was so then, and a VM that watches the term takes the time that it saw it for the time of the sign, though its coordinator has begun to start work unrecorded meanwhile. The same holds of a VM that was suspended: its steady clock stood still. Tests: 'doesn't take it for a sign that the coordinator had the store then', 'doesn't say that all is recorded by a renewal that may be carried out after starts went on unrecorded'.

--- a/packages/run-entry-vm/src/entryVmRules.ts
+++ b/packages/run-entry-vm/src/entryVmRules.ts
@@ -4,9 +4,14 @@
 export interface EntryVmRules extends CandidacyRules {
     /**
      * A successor that sees the coordinator's last sign in the store no older than this knows that no work was started
-     * unrecorded, in milliseconds: shorter than the time after which a coordinator does so.
+     * unrecorded, in milliseconds: shorter than the time after which a coordinator does so, less `renewalDoubtMs`.
      */
     readonly recordedWithinMs: number;
+    /**
+     * A renewal that is sent so long after the last one that succeeded doesn't say that all is recorded, in milliseconds:
+     * more than `renewMs`, and the less it is the longer before unrecorded work a renewal was sent that says so.
+     */
+    readonly renewalDoubtMs: number;
     /** The times of day of two VMs may differ by this, in milliseconds. */
     readonly wallToleranceMs: number;
     /** A VM that has the store back waits so long before it takes the term from a coordinator without, in milliseconds. */
--- a/packages/run-entry-vm/src/membership.test.ts
+++ b/packages/run-entry-vm/src/membership.test.ts
@@ -231,6 +231,22 @@
         });
     });
 
+    describe("when the term couldn't be renewed for a while", () => {
+        it("doesn't say that all is recorded by a renewal that may be carried out after starts went on unrecorded", async () => {
+            const installation = new Installation();
+            installation.addVm("first", 1);
+            await installation.clock.runFor(2000);
+            expect((await installation.readTerm())?.hasUnrecordedStarts).toBe(false);
+            installation.withoutStore.add("first");
+            await installation.clock.runFor(1000);
+            installation.withoutStore.delete("first");
+            await installation.clock.runFor(600);
+            expect((await installation.readTerm())?.hasUnrecordedStarts).toBe(true);
+            await installation.clock.runFor(600);
+            expect((await installation.readTerm())?.hasUnrecordedStarts).toBe(false);
+        });
+    });
+
     describe("when the coordinator is so busy that it reads the store's answers late", () => {
         it("isn't taken for one without the store", async () => {
             const installation = new Installation();
--- a/packages/run-entry-vm/src/termDuty.ts
+++ b/packages/run-entry-vm/src/termDuty.ts
@@ -76,9 +76,12 @@
         return this.holder === undefined ? 0 : Math.max(0, this.parts.clock.getNow() - this.failingSinceMs);
     }
 
-    /** Whether work may be about that isn't recorded yet. */
+    /**
+     * Whether work may be about that isn't recorded yet, or may be by the time that a renewal is carried out which is sent
+     * now.
+     */
     private get hasUnrecordedStarts(): boolean {
-        return this.coordinator?.hasUnrecordedStarts ?? false;
+        return this.renewalAgeMs >= this.parts.rules.renewalDoubtMs || (this.coordinator?.hasUnrecordedStarts ?? false);
     }
 
     /** Begins a term that was just won; returns once it has taken over or has given up. */
--- a/packages/run-entry-vm/src/termObserver.test.ts
+++ b/packages/run-entry-vm/src/termObserver.test.ts
@@ -27,7 +27,12 @@
         await clock.runFor(50);
         await renewing;
     };
-    return { clock, observer, read, renew };
+    const renewLate = (lateMs: number) => {
+        store.faults.lostShare = 1;
+        store.faults.lateMs = lateMs;
+        void holder.renew(term, 0, false);
+    };
+    return { clock, observer, read, renew, renewLate };
 }
 
 describe("TermObserver", () => {
@@ -60,4 +65,28 @@
             expect(observer.renewalAgeMs).toBeGreaterThan(5000);
         });
     });
+
+    describe("when a renewal is carried out long after it was sent", () => {
+        it("doesn't take it for a sign that the coordinator had the store then, and has recorded its starts", async () => {
+            const { clock, observer, read, renewLate } = await createObserved();
+            await read();
+            renewLate(4600);
+            await clock.runFor(4300);
+            await read();
+            await clock.runFor(400);
+            const view = await read();
+            expect(view?.end).toBe(2);
+            expect(view !== undefined && observer.isRecordedFresh(view)).toBe(false);
+        });
+
+        it("takes it for one when it was carried out soon", async () => {
+            const { clock, observer, read, renewLate } = await createObserved();
+            await read();
+            renewLate(300);
+            await clock.runFor(500);
+            const view = await read();
+            expect(view?.end).toBe(2);
+            expect(view !== undefined && observer.isRecordedFresh(view)).toBe(true);
+        });
+    });
 });
--- a/packages/run-entry-vm/src/termObserver.ts
+++ b/packages/run-entry-vm/src/termObserver.ts
@@ -62,12 +62,16 @@
         this.storeSeenAtMs = Math.max(this.storeSeenAtMs, atMs);
     }
 
-    /** Whether the last coordinator was seen to reach the store so lately that it can't have worked without it. */
+    /**
+     * Whether the last coordinator was seen to reach the store so lately that it can't have worked without it. A renewal
+     * may be carried out long after it was sent, so when it was written counts as well as when it was seen; nor does a
+     * steady clock count while a machine is suspended.
+     */
     isRecordedFresh(view: TermView): boolean {
         const { clock, rules } = this;
         const writtenMs = Math.abs(clock.getWallTime() - view.writtenAtMs);
-        const isFresh = clock.getNow() - this.storeSeenAtMs < rules.recordedWithinMs
-            || writtenMs < rules.recordedWithinMs - rules.wallToleranceMs;
-        return isFresh && !view.hasUnrecordedStarts;
+        const isSeen = clock.getNow() - this.storeSeenAtMs < rules.recordedWithinMs;
+        const withinMs = isSeen ? rules.recordedWithinMs : rules.recordedWithinMs - rules.wallToleranceMs;
+        return !view.hasUnrecordedStarts && writtenMs < withinMs;
     }
 }
