Wait for workers whose entries are gone, and for a list that was read late enough

Cause: after unrecorded work starts begin once each listed worker has been heard. (1) A worker whose entry is gone was passed over, though it may only be cut off from the platform, and run on until its leases have run out. (2) The list counted as complete 2 s after the term began, though it is read every 400 ms: an entry that was back could be unread. Change: an unheard worker without an entry is waited for like one with an entry; the list has to be read after the 2 s, or everything has lapsed. Workers that neither the list nor a record names are still not known of. Tests: 'waits for the leases of a worker whose entry is gone', 'doesn't take a list for complete that was read before the entries were back', 'waits no longer for the list than anything can still be at work'; the case 'waits until the list is complete' reads the list now, and is as strict.

--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -173,7 +173,9 @@
             ...this.parts,
             ...this.parts.rules,
             listLinks: () => this.fleet.links.values(),
+            getListReadAt: () => this.workersFollower.freshAtMs ?? -Infinity,
             openedAtMs: this.openedAtMs,
+            lapsedAtMs: this.fleet.lapsedAtMs,
         });
         applyInTurns(clock, links, link => this.startHolding(link));
         this.scheduleRound(limits.roundDelayMs);
--- a/packages/coordinate-work/src/fleet.ts
+++ b/packages/coordinate-work/src/fleet.ts
@@ -27,6 +27,11 @@
         this.openedAtMs = parts.clock.getNow();
     }
 
+    /** When everything that an earlier coordinator let run has lapsed, wherever nobody could be asked, in steady milliseconds. */
+    get lapsedAtMs(): number {
+        return this.openedAtMs + PREDECESSOR_NOTICE_MS + this.parts.rules.maxLeaseMs / limits.slowestClock;
+    }
+
     /** Takes a record of the workers' list. */
     takeRecord(record: KeyedRecord): void {
         if (record.value === undefined) {
@@ -60,7 +65,7 @@
     private takeEntry(entry: WorkerEntry): void {
         const known = this.links.get(entry.id);
         if (known === undefined) {
-            const link = new WorkerLink(entry, this.computeFallbackLapse());
+            const link = new WorkerLink(entry, this.lapsedAtMs);
             this.links.set(entry.id, link);
             this.parts.logger.info("worker-listed", { worker: entry.id, domain: entry.domain, bornMs: entry.bornMs });
             this.handlers.noteWorker(link);
@@ -96,7 +101,7 @@
             rack: "",
             remainingMs: 0,
         };
-        const link = new WorkerLink(entry, this.computeFallbackLapse());
+        const link = new WorkerLink(entry, this.lapsedAtMs);
         link.isGone = true;
         this.links.set(workerId, link);
         this.parts.logger.warn("worker-unlisted", { worker: workerId });
@@ -110,9 +115,4 @@
             this.parts.logger.info("worker-unlisted", { worker: id, tasks: link.tasks.size });
         }
     }
-
-    /** Everything that an earlier coordinator let run has lapsed by then, wherever nobody could be asked. */
-    private computeFallbackLapse(): number {
-        return this.openedAtMs + PREDECESSOR_NOTICE_MS + this.parts.rules.maxLeaseMs / limits.slowestClock;
-    }
 }
--- a/packages/coordinate-work/src/startGate.test.ts
+++ b/packages/coordinate-work/src/startGate.test.ts
@@ -7,12 +7,16 @@
 const LEASE_MS = 4500;
 const ENTRY_RETURN_MS = 2000;
 
-function createGate(links: readonly WorkerLink[], hadUnrecordedStarts = false): StartGate {
+const LAPSED_AT_MS = 8000;
+
+function createGate(links: readonly WorkerLink[], hadUnrecordedStarts = false, list = { readAtMs: 0 }): StartGate {
     return new StartGate(links, {
         listLinks: () => links,
         openedAtMs: OPENED_AT_MS,
         leaseMs: LEASE_MS,
         entryReturnMs: ENTRY_RETURN_MS,
+        getListReadAt: () => list.readAtMs,
+        lapsedAtMs: LAPSED_AT_MS,
         hadUnrecordedStarts,
     });
 }
@@ -50,13 +54,40 @@
     });
 
     describe("when an earlier coordinator may have started work unrecorded", () => {
+        function createHeard(): WorkerLink {
+            const link = createLink("heard");
+            link.isLeaseExtended = true;
+            link.isHeld = true;
+            return link;
+        }
+
         it("waits until the list is complete and each worker has said what it runs", () => {
-            const links = [createLink("heard")];
-            const gate = createGate(links, true);
-            links[0].isLeaseExtended = true;
-            links[0].isHeld = true;
+            const list = { readAtMs: OPENED_AT_MS + ENTRY_RETURN_MS - 1 };
+            const gate = createGate([createHeard()], true, list);
             expect(gate.tryOpening(OPENED_AT_MS + ENTRY_RETURN_MS - 1)).toBe(false);
+            list.readAtMs++;
             expect(gate.tryOpening(OPENED_AT_MS + ENTRY_RETURN_MS)).toBe(true);
         });
+
+        it("doesn't take a list for complete that was read before the entries were back", () => {
+            const list = { readAtMs: OPENED_AT_MS + ENTRY_RETURN_MS - 1 };
+            const gate = createGate([createHeard()], true, list);
+            expect(gate.tryOpening(OPENED_AT_MS + ENTRY_RETURN_MS + 300)).toBe(false);
+        });
+
+        it("waits no longer for the list than anything can still be at work", () => {
+            const gate = createGate([createHeard()], true);
+            expect(gate.tryOpening(LAPSED_AT_MS)).toBe(false);
+            expect(gate.tryOpening(LAPSED_AT_MS + 1)).toBe(true);
+        });
+
+        it("waits for the leases of a worker whose entry is gone: it may be cut off and run on", () => {
+            const gone = createLink("gone");
+            gone.isGone = true;
+            gone.lapsedAtMs = LAPSED_AT_MS;
+            const gate = createGate([createHeard(), gone], true, { readAtMs: LAPSED_AT_MS });
+            expect(gate.tryOpening(LAPSED_AT_MS)).toBe(false);
+            expect(gate.tryOpening(LAPSED_AT_MS + 1)).toBe(true);
+        });
     });
 });
--- a/packages/coordinate-work/src/startGate.ts
+++ b/packages/coordinate-work/src/startGate.ts
@@ -10,6 +10,10 @@
     readonly leaseMs: number;
     /** An entry that vanished while the store was away is back within this, in milliseconds. */
     readonly entryReturnMs: number;
+    /** When the list was last read, in steady milliseconds. */
+    readonly getListReadAt: () => number;
+    /** When everything that earlier coordinators let run has lapsed, in steady milliseconds. */
+    readonly lapsedAtMs: number;
     /** Whether an earlier coordinator may have started work without recording it. */
     readonly hadUnrecordedStarts: boolean;
 }
@@ -37,10 +41,11 @@
     }
 
     private isAllHeard(nowMs: number): boolean {
-        const { listLinks, openedAtMs, entryReturnMs } = this.parts;
-        const unheard = [...listLinks()].filter(link => !link.isHeld && !link.isGone);
-        // Workers that the list has lost may run something too; they are listed again by then.
-        const isListComplete = nowMs - openedAtMs >= entryReturnMs;
+        const { listLinks, getListReadAt, openedAtMs, entryReturnMs, lapsedAtMs } = this.parts;
+        // Workers that the list has lost may run something too; a list that is read after this names them again.
+        const isListComplete = getListReadAt() - openedAtMs >= entryReturnMs || nowMs > lapsedAtMs;
+        // One whose entry is gone may only be cut off from the platform, and run on until its leases have run out.
+        const unheard = [...listLinks()].filter(link => !link.isHeld);
         return isListComplete && unheard.every(link => nowMs > link.getLapseTime());
     }
 }
