Fuzz takeovers in a row around an outage of the store, with whole VMs

TakeoverBed runs real elections, terms and coordinators over the emulated store, with lost and late appends, vanished entries, cut workers and failing runs; up to three coordinators are killed in a row around the end of an outage in which work was started unrecorded, against the witness.

--- a/packages/coordinate-work/src/coordinator.fuzz.test.ts
+++ b/packages/coordinate-work/src/coordinator.fuzz.test.ts
@@ -1,8 +1,7 @@
 import { describe, expect, it } from "@jest/globals";
 import type { JobSpec } from "@sardinestage/describe-work";
 import { JobState } from "@sardinestage/describe-work";
-import { createStep } from "@sardinestage/emulate-platform";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { createRandom, createStep } from "@sardinestage/emulate-platform";
 import { CoordinatorBed } from "./testing/coordinatorBed.js";
 import { createQueue } from "./testing/createQueue.js";
 
@@ -12,14 +11,8 @@
 const STEPS = 45;
 /** Longer than every lease, probation and return of an entry. */
 const CALM_MS = 45_000;
-const TWO_TO_THE_32 = 2 ** 32;
 const RECORDED_WITHIN_MS = 4500;
 
-function createRandom(seed: number): () => number {
-    const generator = xoroshiro128plus(seed);
-    return () => (generator.next() >>> 0) / TWO_TO_THE_32;
-}
-
 function createSpec(random: () => number): JobSpec {
     const width = () => 1 + Math.floor(random() * 4);
     const steps = [createStep({ taskCount: width() }), createStep({ taskCount: width(), dependsOn: [0] })];
--- a/packages/emulate-platform/src/index.ts
+++ b/packages/emulate-platform/src/index.ts
@@ -1,4 +1,5 @@
 export { BusyWorkerPort } from "./busyWorkerPort.js";
+export { createRandom } from "./createRandom.js";
 export { createStep } from "./createStep.js";
 export { EmulatedFleet } from "./emulatedFleet.js";
 export { EmulatedWorker } from "./emulatedWorker.js";
--- /dev/null
+++ b/packages/run-entry-vm/src/testing/takeoverBed.ts
@@ -0,0 +1,226 @@
+import { Coordinator } from "@sardinestage/coordinate-work";
+import { Metrics } from "@sardinestage/count-metrics";
+import type { KeyedRecord, RecordCodec, StorePort } from "@sardinestage/describe-ports";
+import { AppendOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
+import type { JobSpec, QueueConfig, TaskRef, WorkerEntry } from "@sardinestage/describe-work";
+import { formatTaskKey } from "@sardinestage/describe-work";
+import { EmulatedFleet, EmulatedWorker, MemoryStore, RunWitness, VirtualClock } from "@sardinestage/emulate-platform";
+import { FrameKind } from "@sardinestage/exchange-frames";
+import type { Candidate } from "@sardinestage/keep-term";
+import { TermLog } from "@sardinestage/keep-term";
+import type { EventLogger } from "@sardinestage/log-events";
+import { encodeJobRecord } from "@sardinestage/track-jobs";
+import { LoopWatch, WorkMeter } from "@sardinestage/watch-loop";
+import type { ConfigKeeper } from "../configKeeper.js";
+import { defaultRules } from "../defaultRules.js";
+import { Followers } from "../followers.js";
+import type { FollowRequest } from "../followRequest.js";
+import { Membership } from "../membership.js";
+import type { Peers } from "../peers.js";
+import { TermDuty } from "../termDuty.js";
+
+const APPEND_TIMEOUT_MS = 1000;
+/** One way between two VMs, in milliseconds. */
+const WAY_MS = 1;
+const coordinatorRules = {
+    leaseMs: 4500,
+    maxLeaseMs: 6000,
+    keepFinishedMs: 120_000,
+    harmMs: 4000,
+    paceMs: 100,
+    entryReturnMs: 2000,
+};
+/** Nothing by chance: a course is the same for the same seed. */
+const rules = { ...defaultRules, standJitterMs: 0 };
+
+/** One life of a VM's process. */
+interface VmLife {
+    readonly membership: Membership;
+    readonly duty: TermDuty;
+}
+
+/** Whole VMs (election, terms, coordinators) over one emulated store and emulated workers, on a clock of their own. */
+export class TakeoverBed {
+    readonly clock = new VirtualClock();
+    readonly store: MemoryStore;
+    readonly fleet: EmulatedFleet;
+    readonly witness: RunWitness;
+    readonly events: string[] = [];
+    readonly specs = new Map<string, JobSpec>();
+    /** Share of the VMs' appends that get no answer, and how much later these are carried out, in milliseconds. */
+    readonly lost = { share: 0, lateMs: 0 };
+    private readonly lives = new Map<string, VmLife>();
+    private incarnations = 0;
+
+    /**
+     * @param random Numbers from 0 to 1, from the test's seed.
+     * @param getDuration How long a run takes, in milliseconds; negative for one that fails after that time.
+     */
+    constructor(
+        private readonly random: () => number,
+        private readonly getDuration: (task: TaskRef, run: number) => number,
+    ) {
+        this.store = new MemoryStore(this.clock, random);
+        this.fleet = new EmulatedFleet(this.clock, random);
+        this.witness = new RunWitness(() => this.clock.getNow(), task => this.listEarlier(task));
+    }
+
+    /** The VMs that run. */
+    get vms(): readonly string[] {
+        return [...this.lives.keys()];
+    }
+
+    /** The VM that coordinates; of several that believe it the one with the newest term. */
+    get coordinator(): string | undefined {
+        const active = [...this.lives].filter(([, { duty }]) => duty.isActive);
+        return active.sort((left, right) => (right[1].duty.holder?.term ?? 0) - (left[1].duty.holder?.term ?? 0))
+            .at(0)?.[0];
+    }
+
+    /** Starts a VM's process. */
+    startVm(vm: string): void {
+        const { clock } = this;
+        this.incarnations++;
+        const self: Candidate = { vm, incarnation: `${vm}#${this.incarnations}`, host: vm, port: 1, strength: 1 };
+        const store = this.createStore();
+        const termLog = new TermLog(store, self, clock);
+        const followers = new Followers();
+        const watch = new LoopWatch(clock);
+        watch.start();
+        const logger = this.createLogger(vm);
+        const duty = new TermDuty({
+            termLog,
+            store,
+            clock,
+            logger,
+            rules,
+            followers,
+            createCoordinator: (term, hadUnrecordedStarts, getRenewalAge, onDeposed) =>
+                new Coordinator({
+                    store,
+                    workers: this.fleet,
+                    advice: { requestTickets: () => Promise.resolve({ tickets: undefined, validMs: 0 }) },
+                    vms: {
+                        list: () => Promise.resolve(undefined),
+                        startUpkeep: () => Promise.reject(new Error("unused")),
+                    },
+                    codec: bedCodec,
+                    clock,
+                    logger,
+                    metrics: new Metrics(),
+                    rules: coordinatorRules,
+                    term,
+                    hadUnrecordedStarts,
+                    getRenewalAge,
+                    getLoopDelay: () => 0,
+                    meter: new WorkMeter(clock),
+                    onDeposed,
+                }),
+        });
+        const membership = new Membership({
+            self,
+            termLog,
+            duty,
+            peers: { request: this.request.bind(this) } as unknown as Peers,
+            followers,
+            config: { version: 1 } as ConfigKeeper,
+            clock,
+            logger,
+            rules,
+            watch,
+        });
+        this.lives.set(vm, { membership, duty });
+        void membership.run();
+    }
+
+    /** Ends a VM's process without a word; its address refuses connections from then on. */
+    stopVm(vm: string): void {
+        const life = this.lives.get(vm);
+        this.lives.delete(vm);
+        life?.membership.close();
+        life?.duty.stop(life.duty.holder?.term ?? -1, "killed");
+    }
+
+    /** Adds a worker, and lists it. */
+    addWorker(id: string): void {
+        this.fleet.workers.set(id, new EmulatedWorker(id, this.clock, this.witness, this.getDuration));
+        this.listWorker(id);
+    }
+
+    /** Puts a worker's entry into the list. */
+    listWorker(id: string): void {
+        const entry = this.fleet.workers.get(id)?.describeEntry();
+        void this.appendSurely(Topic.Workers, { key: id, value: Buffer.from(JSON.stringify(entry)) });
+    }
+
+    /** Takes a worker's entry out of the list, though it runs on. */
+    removeWorker(id: string): void {
+        void this.appendSurely(Topic.Workers, { key: id, value: undefined });
+    }
+
+    /** Accepts a job as an entry VM would. */
+    submit(id: string, spec: JobSpec, queue: QueueConfig): void {
+        this.specs.set(id, spec);
+        const value = encodeJobRecord({ spec, queue, acceptedAtMs: this.clock.getWallTime() });
+        void this.appendSurely(Topic.Jobs, { key: id, value });
+    }
+
+    /** Repeats until it is certainly there, as callers and the platform do. */
+    private async appendSurely(topic: Topic, record: KeyedRecord): Promise<void> {
+        const answer = await this.store.append({ topic, records: [record], timeoutMs: APPEND_TIMEOUT_MS });
+        if (answer.outcome !== AppendOutcome.Appended) {
+            await this.appendSurely(topic, record);
+        }
+    }
+
+    private createLogger(vm: string): EventLogger {
+        const write = (event: string, fields: object | undefined) => {
+            this.events.push(`${Math.round(this.clock.getNow())} ${vm} ${event} ${JSON.stringify(fields)}`);
+        };
+        return { info: write, warn: write, error: write };
+    }
+
+    private createStore(): StorePort {
+        const { store, clock } = this;
+        return {
+            append: async call => {
+                if (this.random() < this.lost.share) {
+                    clock.schedule(this.lost.lateMs, () => void store.append(call));
+                    await waitFor(clock, call.timeoutMs);
+                    return { outcome: AppendOutcome.Unknown, offset: 0, end: 0 };
+                }
+                return store.append(call);
+            },
+            read: (topic, from, waitMs) => store.read(topic, from, waitMs),
+            readNewest: (topic, afterKey) => store.readNewest(topic, afterKey),
+        };
+    }
+
+    private async request(peer: Candidate, kind: FrameKind, body: unknown) {
+        await waitFor(this.clock, WAY_MS * 2);
+        const member = this.lives.get(peer.vm)?.membership;
+        if (member === undefined) {
+            return { body: undefined, isRefused: true, hasAnswered: false };
+        }
+        const isFollowing = kind === FrameKind.FollowCoordinator;
+        const answer = isFollowing ? member.answerFollow(body as FollowRequest) : member.answerPeer();
+        return { body: answer, isRefused: false, hasAnswered: true };
+    }
+
+    private listEarlier(task: TaskRef): string[] {
+        const steps = this.specs.get(task.jobId)?.steps ?? [];
+        return (steps.at(task.step)?.dependsOn ?? []).flatMap(step =>
+            Array.from(
+                { length: steps[step].taskCount },
+                (_unused, index) => formatTaskKey({ ...task, step, index }),
+            )
+        );
+    }
+}
+
+const bedCodec: RecordCodec = {
+    decodeWorker: record =>
+        record.value === undefined ? undefined : JSON.parse(Buffer.from(record.value).toString()) as WorkerEntry,
+    decodeOperator: () => undefined,
+    encodeWaveStatus: wave => ({ key: String(wave.number), value: undefined }),
+};
