Keep and make no room where a task may not go

What callers would see: LOST, and work thrown away: a task of a step that limits its tasks on one worker (anti_affinity) waits on while its room is kept where its like runs already, and others are stopped there for nothing. Cause: reserveRooms and DisplacementPlanner looked at service, label and room, but neither at the limit on one worker nor at advice, which planTasks goes by. The workers with the most room are just those where the limit is reached; their rooms were kept each round, from everybody, and never used. What advice hadn't been taken for had others stopped. Change: both pass over such workers, and the planner counts what it has made room for in the round and what was promised before. A step with conditions of its own says nothing about others that look for room like it. Tests: 'keeps no room where its step has as many tasks as it may have, but one where it may go' and 'stops nobody where the step has as many tasks as it may have, nor where advice is against it' fail without it. The plain planners of the comparison on random fleets follow the same rule.

--- a/packages/coordinate-work/src/displacementDesk.ts
+++ b/packages/coordinate-work/src/displacementDesk.ts
@@ -2,6 +2,7 @@
 import { DisplacementPlanner, isInterrupted } from "@sardinestage/plan-starts";
 import type { StepRun } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
+import type { AdviceBook } from "./adviceBook.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import { FairTurns } from "./fairTurns.js";
 import type { Fleet } from "./fleet.js";
@@ -18,6 +19,7 @@
     readonly fleet: Fleet;
     readonly orders: OrderDesk;
     readonly promises: PromisedRooms;
+    readonly advice: AdviceBook;
     /** How long a round may take, in milliseconds. */
     readonly longestMs: number;
 }
@@ -37,7 +39,11 @@
      */
     stopOthers(unmet: readonly StepDemand[], rooms: readonly WorkerRoom[], nowMs: number): void {
         const bySteps = new Map(unmet.map(demand => [demand.step, demand]));
-        const planner = new DisplacementPlanner(rooms, id => this.desk.fleet.links.get(id)?.tasks ?? []);
+        const planner = new DisplacementPlanner(
+            rooms,
+            id => this.desk.fleet.links.get(id)?.tasks ?? [],
+            (task, workerId) => this.desk.advice.isAdvised(task, workerId),
+        );
         const left: StepRun[] = [];
         let displacements = 0;
         let tries = 0;
--- a/packages/coordinate-work/src/testing/measureRounds.ts
+++ b/packages/coordinate-work/src/testing/measureRounds.ts
@@ -45,7 +45,7 @@
                 describePlace: (room, spec) => judge.describePlace(room, spec),
             });
             const plannedAtMs = performance.now();
-            const planner = new DisplacementPlanner(rooms, id => tasks.get(id) ?? []);
+            const planner = new DisplacementPlanner(rooms, id => tasks.get(id) ?? [], () => true);
             const found = plan.unmet.filter(demand => planner.plan(demand) !== undefined);
             times.displacement.push(performance.now() - plannedAtMs);
             times.starts.push(plannedAtMs - startedAtMs);
--- a/packages/plan-starts/src/displacementPlanner.ts
+++ b/packages/plan-starts/src/displacementPlanner.ts
@@ -1,8 +1,10 @@
 import type { StepSpec } from "@sardinestage/describe-work";
-import type { Task } from "@sardinestage/track-jobs";
+import type { StepRun, Task } from "@sardinestage/track-jobs";
 import { computeFreedCpu } from "./computeFreedCpu.js";
+import { countPerWorker } from "./countPerWorker.js";
 import type { Displacement } from "./displacement.js";
 import { isAllowedOn } from "./isAllowedOn.js";
+import { isStepFull } from "./isStepFull.js";
 import { RoomVictims } from "./roomVictims.js";
 import type { StepDemand } from "./stepDemand.js";
 import type { Victim } from "./victim.js";
@@ -15,15 +17,19 @@
  */
 export class DisplacementPlanner {
     private readonly victims = new Map<string, RoomVictims>();
-    private readonly hopeless = new Set<string>();
+    private readonly hopeless = new Set<string | StepRun>();
+    /** The workers on which room is made for a step, one entry a task. */
+    private readonly planned = new Map<StepRun, string[]>();
 
     /**
      * @param rooms What the workers have left.
      * @param listTasks The tasks that run on a worker.
+     * @param isAdvised Whether the advice service, where the queue has one, lets the task run there.
      */
     constructor(
         private readonly rooms: readonly WorkerRoom[],
         private readonly listTasks: (workerId: string) => Iterable<Task>,
+        private readonly isAdvised: (task: Task, workerId: string) => boolean,
     ) {}
 
     /**
@@ -40,16 +46,23 @@
         if (found === undefined) {
             this.hopeless.add(key);
         }
+        else {
+            this.planned.set(demand.step, [...this.planned.get(demand.step) ?? [], found.workerId]);
+        }
         return found;
     }
 
     private findCheapest(demand: StepDemand): Displacement | undefined {
         const { spec, occurrence } = demand.step;
         const { priority } = occurrence.job.queue;
+        const coming = [...demand.promised ?? [], ...this.planned.get(demand.step) ?? []];
+        const perWorker = countPerWorker(demand.step, coming);
         let best: Displacement | undefined;
         let bestCost = Infinity;
         for (const room of this.rooms) {
-            if (!isAllowedOn(demand.step, room) || room.startsLeft <= 0) {
+            const isOpen = isAllowedOn(demand.step, room) && !isStepFull(spec, perWorker.get(room.workerId))
+                && this.isAdvised(demand.step.tasks[0], room.workerId);
+            if (!isOpen || room.startsLeft <= 0) {
                 continue;
             }
             const chosen = chooseVictims(room, spec, priority, this.resolveVictims(room));
@@ -73,10 +86,13 @@
     }
 }
 
-/** Names all that decides who may give way to a demand. */
-function createKey(demand: StepDemand): string {
+/** Names all that decides who may give way to a demand; a step with conditions of its own stands for itself. */
+function createKey(demand: StepDemand): string | StepRun {
     const { spec, occurrence } = demand.step;
-    const { service, priority } = occurrence.job.queue;
+    const { service, priority, advice } = occurrence.job.queue;
+    if (spec.maxTasksPerWorker > 0 || advice !== undefined) {
+        return demand.step;
+    }
     const cpuMillis = spec.fillsLeftover ? "fills" : spec.cpuMillis;
     return [service, priority, spec.requiredLabel, cpuMillis, spec.memoryMb, spec.accelerators].join("|");
 }
--- a/packages/plan-starts/src/planStarts.test.ts
+++ b/packages/plan-starts/src/planStarts.test.ts
@@ -140,6 +140,25 @@
         });
     });
 
+    describe("when an interrupted long-running task may not go to every worker", () => {
+        it("keeps no room where its step has as many tasks as it may have, but one where it may go", () => {
+            const interrupted = createDemand({
+                taskCount: 2,
+                longRunning: true,
+                cpuMillis: 3000,
+                maxTasksPerWorker: 1,
+            });
+            const [there, waiting] = interrupted.step.tasks;
+            Object.assign(there, { phase: TaskPhase.Running, workerId: "full" });
+            waiting.run = 1;
+            const small = createDemand({ taskCount: 9, cpuMillis: 1000 });
+            const room = { freeCpuMillis: 2000, endingCpuMillis: 6000 };
+            const rooms = [createRoom("full", { ...room, freeCpuMillis: 4000 }), createRoom("open", room)];
+            const plan = planStarts([small, { ...interrupted, waiting: [waiting] }], rooms, rules);
+            expect(new Set(plan.starts.map(start => start.workerId))).toEqual(new Set(["full"]));
+        });
+    });
+
     describe("when work was stopped to make room for a larger task", () => {
         it("doesn't give the room back to what was stopped, piece by piece", () => {
             const large = createDemand({ memoryMb: 8000 }, { promised: ["w"] });
@@ -252,10 +271,25 @@
             const demand = createDemand({ cpuMillis: 4000 }, {}, { priority: 1 });
             const resident = createDemand({ cpuMillis: 16_000 }, {}, { priority: 1 });
             const rooms = [createRoom("a", { freeCpuMillis: 0 })];
-            const planner = new DisplacementPlanner(rooms, () => resident.waiting);
+            const planner = new DisplacementPlanner(rooms, () => resident.waiting, rules.isAdvised);
             expect(planner.plan(demand)).toBeUndefined();
         });
 
+        it("stops nobody where the step has as many tasks as it may have, nor where advice is against it", () => {
+            const demand = createDemand({ taskCount: 2, cpuMillis: 4000, maxTasksPerWorker: 1 });
+            const [there, waiting] = demand.step.tasks;
+            Object.assign(there, { phase: TaskPhase.Running, workerId: "full" });
+            const residents = ["full", "advised against", "open"].map(() =>
+                createDemand({}, {}, { priority: 2 }).waiting
+            );
+            residents.flat().forEach(task => task.phase = TaskPhase.Running);
+            const rooms = ["full", "advised against", "open"].map(id => createRoom(id, { freeCpuMillis: 3000 }));
+            const listTasks = (id: string) => residents[rooms.findIndex(room => room.workerId === id)];
+            const planner = new DisplacementPlanner(rooms, listTasks, (_task, id) => id !== "advised against");
+            expect(planner.plan({ ...demand, waiting: [waiting] })?.workerId).toBe("open");
+            expect(planner.plan({ ...demand, waiting: [waiting] })).toBeUndefined();
+        });
+
         it("stops no filling task, which has no processor to give, for work that lacks only processor", () => {
             const demand = createDemand({ cpuMillis: 4000 });
             const filling = createDemand({ cpuMillis: 1000, fillsLeftover: true }, {}, { priority: 2 });
@@ -263,7 +297,11 @@
             const residents = [...filling.waiting, ...reserving.waiting];
             residents.forEach(task => task.phase = TaskPhase.Running);
             reserving.waiting[0].percent = 50;
-            const planner = new DisplacementPlanner([createRoom("a", { freeCpuMillis: 0 })], () => residents);
+            const planner = new DisplacementPlanner(
+                [createRoom("a", { freeCpuMillis: 0 })],
+                () => residents,
+                rules.isAdvised,
+            );
             expect(planner.plan(demand)?.victims).toEqual(reserving.waiting);
         });
     });
--- a/packages/plan-starts/src/planStarts.ts
+++ b/packages/plan-starts/src/planStarts.ts
@@ -38,7 +38,7 @@
         if (!isMet) {
             refused.add(demand);
             unmet.push(demand);
-            reserveRooms(demand, demand.waiting.length - (starts.length - before), ledger);
+            reserveRooms(demand, starts.slice(before), ledger, rules);
         }
     }
     return { starts, unmet };
--- a/packages/plan-starts/src/planTasks.ts
+++ b/packages/plan-starts/src/planTasks.ts
@@ -1,5 +1,7 @@
 import type { Task } from "@sardinestage/track-jobs";
+import { countPerWorker } from "./countPerWorker.js";
 import { isPatient } from "./isPatient.js";
+import { isStepFull } from "./isStepFull.js";
 import { OpenRooms } from "./openRooms.js";
 import type { PlannedStart } from "./plannedStart.js";
 import type { RankingBook } from "./rankingBook.js";
@@ -24,13 +26,11 @@
     starts: PlannedStart[],
 ): boolean {
     const { step, waiting } = demand;
-    const { maxTasksPerWorker } = step.spec;
-    const perWorker = countPerWorker(demand);
+    const perWorker = countPerWorker(step);
     const ranking = rankings.resolve(step, isPatient(demand, rules));
     const open = new OpenRooms(ranking, ({ index }) => {
         const { workerId } = ledger.rooms[index];
-        const isFull = maxTasksPerWorker > 0 && (perWorker.get(workerId) ?? 0) >= maxTasksPerWorker;
-        return !isFull && rules.isAdvised(waiting[0], workerId);
+        return !isStepFull(step.spec, perWorker.get(workerId)) && rules.isAdvised(waiting[0], workerId);
     });
     const startable = waiting.slice(0, rules.maxStarts - starts.length);
     const isMet = startable.every(task => {
@@ -48,18 +48,6 @@
     return isMet;
 }
 
-function countPerWorker(demand: StepDemand): Map<string, number> {
-    const counts = new Map<string, number>();
-    if (demand.step.spec.maxTasksPerWorker > 0) {
-        for (const task of demand.step.tasks) {
-            if (task.isActive) {
-                counts.set(task.workerId, (counts.get(task.workerId) ?? 0) + 1);
-            }
-        }
-    }
-    return counts;
-}
-
 /** A task that failed on a worker gets its next chance elsewhere: the worker may be at fault. */
 function takeBest(task: Task, ledger: RoomLedger, open: OpenRooms): number | undefined {
     const best = open.removeBest();
--- a/packages/plan-starts/src/randomFleet.test.ts
+++ b/packages/plan-starts/src/randomFleet.test.ts
@@ -103,9 +103,14 @@
                 const fleet = new RandomFleet(seed);
                 const { unmet } = planStarts(fleet.demands, fleet.rooms, buildRules(fleet, seed));
                 const listTasks = (workerId: string) => fleet.tasks.get(workerId) ?? [];
-                const planner = new DisplacementPlanner(fleet.rooms, listTasks);
-                for (const demand of unmet) {
-                    const expected = planDisplacementPlainly(demand, fleet.rooms, listTasks);
+                const isAdvised = fleet.isAdvised.bind(fleet);
+                const promised = new Map<StepDemand, readonly string[]>();
+                const planner = new DisplacementPlanner(fleet.rooms, listTasks, isAdvised);
+                // Room is made for two tasks of each, as for steps that were interrupted.
+                for (const demand of unmet.flatMap(each => [each, each])) {
+                    const made = promised.get(demand) ?? demand.promised ?? [];
+                    const asked = { ...demand, promised: made };
+                    const expected = planDisplacementPlainly(asked, fleet.rooms, listTasks, isAdvised);
                     const displacement = planner.plan(demand);
                     expect({ seed, workerId: displacement?.workerId }).toEqual({ seed, workerId: expected?.workerId });
                     expect(displacement?.victims.map(task => task.ref)).toEqual(
@@ -113,6 +118,7 @@
                     );
                     found += displacement === undefined ? 0 : 1;
                     displacement?.victims.forEach(task => task.phase = TaskPhase.Stopping);
+                    promised.set(demand, displacement === undefined ? made : [...made, displacement.workerId]);
                 }
             }
             expect(found).toBeGreaterThan(SEEDS.length);
--- a/packages/plan-starts/src/reserveRooms.ts
+++ b/packages/plan-starts/src/reserveRooms.ts
@@ -1,7 +1,11 @@
 import type { StepRun } from "@sardinestage/track-jobs";
+import { countPerWorker } from "./countPerWorker.js";
 import { isAllowedOn } from "./isAllowedOn.js";
 import { isInterrupted } from "./isInterrupted.js";
+import { isStepFull } from "./isStepFull.js";
+import type { PlannedStart } from "./plannedStart.js";
 import type { RoomLedger } from "./roomLedger.js";
+import type { StartRules } from "./startRules.js";
 import type { StepDemand } from "./stepDemand.js";
 import type { WorkerRoom } from "./workerRoom.js";
 
@@ -12,17 +16,29 @@
  * so that a larger one never finds enough in one place.
  *
  * @param demand Whose tasks wait.
- * @param count How many of its tasks wait.
+ * @param placed What the round starts of its tasks; the others still wait.
  * @param ledger What the workers have left; those that are kept get no further start.
+ * @param rules Limits of the round.
  */
-export function reserveRooms(demand: StepDemand, count: number, ledger: RoomLedger): void {
+export function reserveRooms(
+    demand: StepDemand,
+    placed: readonly PlannedStart[],
+    ledger: RoomLedger,
+    rules: StartRules,
+): void {
     const { rooms } = ledger;
-    const open = rooms.map((_room, index) => index).filter(index => rooms[index].startsLeft > 0);
+    const { step, waiting } = demand;
+    const count = waiting.length - placed.length;
+    const perWorker = countPerWorker(step, placed.map(start => start.workerId));
+    const open = rooms.map((_room, index) => index).filter(index =>
+        rooms[index].startsLeft > 0 && !isStepFull(step.spec, perWorker.get(rooms[index].workerId))
+    );
     const promised = new Set(demand.promised);
     const kept = open.filter(index => promised.has(rooms[index].workerId)).slice(0, count);
     if (isInterrupted(demand)) {
         const others = open.filter(index => !promised.has(rooms[index].workerId))
-            .filter(index => isPromising(demand.step, rooms[index]))
+            .filter(index => isPromising(step, rooms[index]))
+            .filter(index => rules.isAdvised(step.tasks[0], rooms[index].workerId))
             .sort((left, right) => rooms[right].freeCpuMillis - rooms[left].freeCpuMillis);
         kept.push(...others.slice(0, count - kept.length));
     }
--- a/packages/plan-starts/src/testing/planDisplacementPlainly.ts
+++ b/packages/plan-starts/src/testing/planDisplacementPlainly.ts
@@ -19,13 +19,16 @@
     demand: StepDemand,
     rooms: readonly WorkerRoom[],
     listTasks: (workerId: string) => Iterable<Task>,
+    isAdvised: (task: Task, workerId: string) => boolean,
 ): Displacement | undefined {
     const { spec, occurrence } = demand.step;
     const { priority } = occurrence.job.queue;
     let best: Displacement | undefined;
     let bestCost = Infinity;
     for (const room of rooms) {
-        if (!isAllowedOn(demand.step, room) || room.startsLeft <= 0) {
+        const isOpen = isAllowedOn(demand.step, room) && room.startsLeft > 0
+            && isAdvised(demand.step.tasks[0], room.workerId);
+        if (!isOpen || isLimitReached(demand, room.workerId)) {
             continue;
         }
         const victims = chooseVictims(room, spec, priority, listTasks(room.workerId));
@@ -38,6 +41,14 @@
     return best;
 }
 
+/** Whether as many tasks of the step as may be there are at work on a worker, or have room made for them there. */
+function isLimitReached(demand: StepDemand, workerId: string): boolean {
+    const { maxTasksPerWorker } = demand.step.spec;
+    const there = demand.step.tasks.filter(task => task.isActive && task.workerId === workerId).length;
+    const coming = (demand.promised ?? []).filter(promised => promised === workerId).length;
+    return maxTasksPerWorker > 0 && there + coming >= maxTasksPerWorker;
+}
+
 function chooseVictims(
     room: WorkerRoom,
     spec: StepSpec,
--- a/packages/plan-starts/src/testing/planStartsPlainly.ts
+++ b/packages/plan-starts/src/testing/planStartsPlainly.ts
@@ -34,20 +34,34 @@
             refused.add(demand);
             unmet.push(demand);
             let left = demand.waiting.length - (starts.length - before);
-            for (const room of rooms) {
+            const open = listOpen(demand, rooms, starts.slice(before));
+            for (const room of open) {
                 if (left > 0 && room.startsLeft > 0 && demand.promised?.includes(room.workerId) === true) {
                     room.startsLeft = 0;
                     left--;
                 }
             }
+            const advised = open.filter(room => rules.isAdvised(demand.step.tasks[0], room.workerId));
             for (; left > 0 && isInterrupted(demand); left--) {
-                reserveRoom(demand, rooms);
+                reserveRoom(demand, advised);
             }
         }
     }
     return { starts, unmet };
 }
 
+/** The workers that may still get a task of a step that limits its tasks on one worker. */
+function listOpen(
+    demand: StepDemand,
+    rooms: readonly WorkerRoom[],
+    placed: readonly PlannedStart[],
+): WorkerRoom[] {
+    const { maxTasksPerWorker } = demand.step.spec;
+    const perWorker = countPerWorker(demand);
+    placed.forEach(({ workerId }) => perWorker.set(workerId, (perWorker.get(workerId) ?? 0) + 1));
+    return rooms.filter(room => maxTasksPerWorker === 0 || (perWorker.get(room.workerId) ?? 0) < maxTasksPerWorker);
+}
+
 /** Keeps the room with most processor among those where such a task fits once what ends there has ended. */
 function reserveRoom(demand: StepDemand, rooms: readonly WorkerRoom[]): void {
     const { spec } = demand.step;
