Count room that is made for several tasks on one worker

What callers would see: work thrown away, and room made for a long-running task that goes to others. Cause: PromisedRooms kept one promise a worker and step. Room for eight tasks, made on one worker in one round, counted as room for one: the next rounds stopped others for the seven, and the first start there ended the promise for all, so that the rest of the room went back to what had been stopped. The plain planner counts in the same way.

--- a/packages/coordinate-work/src/promisedRooms.test.ts
+++ b/packages/coordinate-work/src/promisedRooms.test.ts
@@ -23,6 +23,15 @@
             expect(promises.list(step, 1)).toEqual(["b"]);
         });
 
+        it("keeps it for as many tasks as it is made for on one worker", () => {
+            const promises = new PromisedRooms();
+            const step = createStepRun();
+            promises.note(step, "a", 0);
+            promises.note(step, "a", 0);
+            promises.noteStart(step.tasks[0], "a");
+            expect(promises.list(step, 1)).toEqual(["a"]);
+        });
+
         it("doesn't keep it for longer than stops take", () => {
             const promises = new PromisedRooms();
             const step = createStepRun();
--- a/packages/plan-starts/src/reserveRooms.ts
+++ b/packages/plan-starts/src/reserveRooms.ts
@@ -35,12 +35,14 @@
     );
     const promised = new Set(demand.promised);
     const kept = open.filter(index => promised.has(rooms[index].workerId)).slice(0, count);
+    const keptIds = new Set(kept.map(index => rooms[index].workerId));
+    const provided = (demand.promised ?? []).filter(workerId => keptIds.has(workerId)).length;
     if (isInterrupted(demand)) {
         const others = open.filter(index => !promised.has(rooms[index].workerId))
             .filter(index => isPromising(step, rooms[index]))
             .filter(index => rules.isAdvised(step.tasks[0], rooms[index].workerId))
             .sort((left, right) => rooms[right].freeCpuMillis - rooms[left].freeCpuMillis);
-        kept.push(...others.slice(0, count - kept.length));
+        kept.push(...others.slice(0, Math.max(0, count - provided)));
     }
     kept.forEach(index => ledger.reserve(index));
 }
--- a/packages/plan-starts/src/stepDemand.ts
+++ b/packages/plan-starts/src/stepDemand.ts
@@ -6,7 +6,7 @@
     readonly waiting: readonly Task[];
     /** Whether any task of its occurrence has run. */
     readonly isStarted: boolean;
-    /** Workers on which other work was stopped to make room for one task each. */
+    /** Workers on which other work was stopped to make room for tasks of the step, one entry a task. */
     readonly promised?: readonly string[];
     /** The longest chain of work that is left, in milliseconds. */
     readonly remainingMs: number;
--- a/packages/plan-starts/src/testing/planStartsPlainly.ts
+++ b/packages/plan-starts/src/testing/planStartsPlainly.ts
@@ -35,10 +35,13 @@
             unmet.push(demand);
             let left = demand.waiting.length - (starts.length - before);
             const open = listOpen(demand, rooms, starts.slice(before));
+            let most = left;
             for (const room of open) {
-                if (left > 0 && room.startsLeft > 0 && demand.promised?.includes(room.workerId) === true) {
+                const there = demand.promised?.filter(workerId => workerId === room.workerId).length ?? 0;
+                if (most > 0 && room.startsLeft > 0 && there > 0) {
                     room.startsLeft = 0;
-                    left--;
+                    left -= there;
+                    most--;
                 }
             }
             const advised = open.filter(room => rules.isAdvised(demand.step.tasks[0], room.workerId));
