--- a/packages/coordinate-work/src/roundScope.test.ts
+++ b/packages/coordinate-work/src/roundScope.test.ts
@@ -3,15 +3,17 @@
 import { createStep } from "@sardinestage/emulate-platform";
 import type { StepDemand } from "@sardinestage/plan-starts";
 import { Job, openOccurrence } from "@sardinestage/track-jobs";
+import { limits } from "./limits.js";
 import { RoundScope } from "./roundScope.js";
 import { createQueue } from "./testing/createQueue.js";
 
 const LONGEST_MS = 30;
 const STEP_MS = 1;
 const spec: JobSpec = { payload: "", steps: [createStep()], repeatCount: 0, firstRunMs: 0, intervalMs: 0 };
+const lasting: JobSpec = { ...spec, steps: [createStep({ longRunning: true })] };
 
-function createDemand(id: string, priority: number): StepDemand {
-    const job = new Job(id, spec, createQueue({ priority }), 0);
+function createDemand(id: string, priority: number, of = spec): StepDemand {
+    const job = new Job(id, of, createQueue({ priority }), 0);
     openOccurrence(job, 0);
     const step = [...job.open.values()][0].steps[0];
     const times = { remainingMs: 0, waitedMs: 0, slackMs: 0, lateSlackMs: 0 };
@@ -60,6 +62,35 @@
         });
     });
 
+    describe("when long-running tasks were interrupted while a flood waits", () => {
+        const interrupted = Array.from({ length: 40 }, (_unused, index) => {
+            const demand = createDemand(`interrupted${index}`, 1, lasting);
+            demand.step.tasks[0].run = 1;
+            return demand;
+        });
+
+        it("looks at each of them within 1 s, although none finds room", () => {
+            const scope = new RoundScope(LONGEST_MS);
+            runRounds(scope, flood, 10);
+            const rounds = Math.floor(1000 * limits.roundShare / LONGEST_MS);
+            const seen = new Set(runRounds(scope, [...flood, ...interrupted], rounds).flat());
+            expect(interrupted.filter(demand => !seen.has(demand))).toEqual([]);
+        });
+
+        it("still looks at everything else within a few rounds", () => {
+            const seen = new Set(runRounds(new RoundScope(LONGEST_MS), [...flood, ...interrupted], 160).flat());
+            expect(flood.filter(demand => !seen.has(demand))).toEqual([]);
+        });
+
+        it("looks at a step for which room was made in each round, so that its room is kept", () => {
+            const scope = new RoundScope(LONGEST_MS);
+            runRounds(scope, flood, 10);
+            const promised = { ...createDemand("promised", 2), promised: ["w"] };
+            const rounds = runRounds(scope, [...flood, promised], 10);
+            expect(rounds.filter(looked => !looked.includes(promised))).toEqual([]);
+        });
+    });
+
     describe("when there is time for all", () => {
         it("comes to look at everything in each round", () => {
             const scope = new RoundScope(LONGEST_MS);
