Count on leases as long as ours, not as the longest, where nobody can be asked

What callers would see: LOST: long-running tasks of a worker that dies together with the coordinator are away for over 9 s (6 s from the last run, and 3 s). Cause: a successor took the runs of a worker that doesn't answer it for lapsed only 7.2 s after its term began (1 s, and the 6 s that workers grant at most, on a slow clock), though no coordinator asks for more than 4.5 s. With the 1.8 to 2.5 s until the term is won that is 9 s and more. The start gate waits as long for a silent worker where unrecorded work may be about, with all starts. Change: leases are counted as long as coordinators ask for them: 5.6 s. The wait for a predecessor that hasn't noticed yet and for slow clocks stays. Bound to know: two versions that coordinate in turn may not ask for leases of different length; CoordinatorRules says so.

--- a/packages/coordinate-work/src/coordinatorRules.ts
+++ b/packages/coordinate-work/src/coordinatorRules.ts
@@ -1,6 +1,9 @@
 /** Times and limits of a coordinator. */
 export interface CoordinatorRules {
-    /** How long a worker may run on without hearing from a coordinator, in milliseconds. */
+    /**
+     * How long a worker may run on without hearing from a coordinator, in milliseconds. Successors wait as long for workers
+     * that don't answer them, so that no two VMs that coordinate in turn may have different ones.
+     */
     readonly leaseMs: number;
     /** The longest lease that a worker grants, in milliseconds; an earlier coordinator may have given it. */
     readonly maxLeaseMs: number;
--- a/packages/coordinate-work/src/fleet.ts
+++ b/packages/coordinate-work/src/fleet.ts
@@ -111,8 +111,11 @@
         }
     }
 
-    /** Everything that an earlier coordinator let run has lapsed by then, wherever nobody could be asked. */
+    /**
+     * Everything that an earlier coordinator let run has lapsed by then, wherever nobody could be asked: it asked for
+     * leases as long as ours, which workers would grant for longer.
+     */
     private computeFallbackLapse(): number {
-        return this.openedAtMs + PREDECESSOR_NOTICE_MS + this.parts.rules.maxLeaseMs / limits.slowestClock;
+        return this.openedAtMs + PREDECESSOR_NOTICE_MS + this.parts.rules.leaseMs / limits.slowestClock;
     }
 }
