Extend leases while a takeover still reads where everything stands

What callers would see: LOST after a takeover on a slow store or a weak link: leases run out before the new coordinator has read all jobs and their progress. Cause: workers were held only once all three topics were read, though a lease depends on none of what the jobs' topics say. Change: holding begins as soon as the workers' list is read; what workers list waits in TakeoverGate until the takeover is complete, and leases are extended every third of a lease meanwhile. A takeover that ends sooner makes as many calls as before. The time that a list has waited no longer counts as time that its worker's clock stood still (receivedAtMs), which made the next lease shorter by as much.

--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -22,10 +22,12 @@
 import { PaceDesk } from "./paceDesk.js";
 import { PlaceJudge } from "./placeJudge.js";
 import { ProgressWriter } from "./progressWriter.js";
+import { restoreLearned } from "./restoreLearned.js";
 import { RoundTimer } from "./roundTimer.js";
 import { RunBook } from "./runBook.js";
 import { ServingBook } from "./servingBook.js";
 import { StartGate } from "./startGate.js";
+import { TakeoverGate } from "./takeoverGate.js";
 import type { WorkerLink } from "./workerLink.js";
 import { WorkerWatch } from "./workerWatch.js";
 import { WorkRound } from "./workRound.js";
@@ -39,6 +41,9 @@
 /** Time between two clean-ups of what has ended, in milliseconds. */
 const UPKEEP_MS = 2000;
 
+/** Share of a lease after which it is extended while a takeover goes on: one call may fail before it runs out. */
+const EXTENDING_SHARE = 1 / 3;
+
 /** Holds all workers for one term and gets the accepted jobs done. */
 export class Coordinator {
     private readonly jobs = new JobBook();
@@ -59,11 +64,14 @@
     private starts: StartGate | undefined;
     private isClosed = false;
     private isOpen = false;
+    private isHolding = false;
+    private readonly gate: TakeoverGate;
     private readonly openedAtMs: number;
     private readonly rounds: RoundTimer;
 
     constructor(private readonly parts: CoordinatorParts) {
         this.openedAtMs = parts.clock.getNow();
+        this.gate = new TakeoverGate(parts.clock, parts.rules.leaseMs * EXTENDING_SHARE);
         this.rounds = new RoundTimer(parts.clock, () => parts.meter.measure(WorkKind.Rounds, () => this.runRound()));
         this.writer = new ProgressWriter(parts);
         this.janitor = new Janitor(parts, this.jobs, this.writer);
@@ -125,8 +133,8 @@
     }
 
     /**
-     * Takes over from earlier coordinators: shuts them out of the store, reads where everything stands and begins to
-     * hold the workers.
+     * Takes over from earlier coordinators: shuts them out of the store, begins to hold the workers and reads where
+     * everything stands.
      *
      * @returns False when the store didn't let it; then it may be tried again.
      */
@@ -135,7 +143,7 @@
         const pending = new Map<string, Uint8Array>();
         const progress = this.createFollower(Topic.Progress, "progress", 0, 0, record => {
             if (record.key === Learned.KEY) {
-                this.restoreLearned(record.value);
+                restoreLearned(this.parts, this.learned, record.value);
             }
             else {
                 this.jobs.takeProgress(record, pending);
@@ -144,7 +152,7 @@
         const isWriter = await this.writer.open();
         const writableAtMs = clock.getNow();
         const loads = isWriter
-            ? await Promise.all([progress.load(), this.jobsFollower.load(), this.workersFollower.load()])
+            ? await Promise.all([progress.load(), this.jobsFollower.load(), this.loadWorkers()])
             : [false];
         if (loads.includes(false) || this.isClosed) {
             const tookMs = Math.round(clock.getNow() - this.openedAtMs);
@@ -165,19 +173,28 @@
         });
         void this.jobsFollower.run();
         void this.workersFollower.run();
-        const links = [...this.fleet.links.values()];
-        this.starts = new StartGate(links, {
+        this.starts = new StartGate([...this.fleet.links.values()], {
             ...this.parts.rules,
             listLinks: () => this.fleet.links.values(),
             openedAtMs: this.openedAtMs,
             hadUnrecordedStarts: this.parts.hadUnrecordedStarts,
         });
-        applyInTurns(clock, links, link => this.startHolding(link));
+        this.gate.open();
         this.scheduleRound(limits.roundDelayMs);
         this.scheduleUpkeep();
         return true;
     }
 
+    /** Leases don't wait until all else is read. */
+    private async loadWorkers(): Promise<boolean> {
+        const isLoaded = await this.workersFollower.load();
+        if (isLoaded) {
+            this.isHolding = true;
+            applyInTurns(this.parts.clock, [...this.fleet.links.values()], link => this.startHolding(link));
+        }
+        return isLoaded;
+    }
+
     /** Ends this term here: no further order is sent. */
     close(): void {
         this.isClosed = true;
@@ -226,20 +243,6 @@
         this.handleChange(job);
     }
 
-    /** What an earlier coordinator learned helps, but a takeover doesn't depend on it. */
-    private restoreLearned(record: Uint8Array | undefined): void {
-        if (record === undefined) {
-            return;
-        }
-        try {
-            this.learned.restoreState(record);
-        }
-        catch (failure) {
-            this.parts.metrics.count("records_unreadable_total", "learned");
-            this.parts.logger.warn("learned-unreadable", { bytes: record.length, problem: String(failure) });
-        }
-    }
-
     private createFollower(
         topic: Topic,
         name: string,
@@ -252,14 +255,15 @@
     }
 
     private startHolding(link: WorkerLink): void {
-        if (!this.isOpen || link.entry.address === "") {
+        if (!this.isHolding || link.entry.address === "") {
             return;
         }
         const { meter } = this.parts;
         const loop = new HoldLoop(this.parts, link, {
+            waitUntilOpen: () => this.gate.waitUntilOpen(),
             hasAllJobs: answer => this.hasAllJobs(answer),
-            takeAnswer: (held, answer, sentAtMs) =>
-                meter.measure(WorkKind.Answers, () => this.handleAnswer(held, answer, sentAtMs)),
+            takeAnswer: (held, answer, ...times) =>
+                meter.measure(WorkKind.Answers, () => this.handleAnswer(held, answer, ...times)),
             isOver: held => this.isClosed || this.fleet.links.get(held.entry.id) !== held,
         });
         void loop.run();
@@ -271,8 +275,8 @@
         return isUnread ? this.jobsFollower.refresh() : true;
     }
 
-    private handleAnswer(link: WorkerLink, answer: HoldAnswer, sentAtMs: number): void {
-        this.runs.takeAnswer(link, answer, sentAtMs);
+    private handleAnswer(link: WorkerLink, answer: HoldAnswer, sentAtMs: number, receivedAtMs: number): void {
+        this.runs.takeAnswer(link, answer, sentAtMs, receivedAtMs);
         this.watch.stopUnwanted(link);
         this.parts.meter.measure(WorkKind.Pace, () => this.pace.handleFigures(link));
         this.watch.watchProgress(link);
--- /dev/null
+++ b/packages/coordinate-work/src/coordinatorTakeover.test.ts
@@ -0,0 +1,40 @@
+import { describe, expect, it } from "@jest/globals";
+import type { JobSpec } from "@sardinestage/describe-work";
+import { createStep } from "@sardinestage/emulate-platform";
+import { CoordinatorBed } from "./testing/coordinatorBed.js";
+import { createQueue } from "./testing/createQueue.js";
+
+const ALWAYS = () => 0.5;
+
+function createSpec(steps = [createStep()]): JobSpec {
+    return { payload: "payload", steps, repeatCount: 0, firstRunMs: 0, intervalMs: 0 };
+}
+
+describe("Coordinator", () => {
+    describe("when reading where everything stands takes longer than a lease", () => {
+        it("extends the leases meanwhile", async () => {
+            const bed = new CoordinatorBed(ALWAYS, () => 60_000);
+            ["w0", "w1", "w2", "w3"].forEach(id => void bed.addWorker(id));
+            await bed.clock.runFor(20);
+            bed.startTerm(false);
+            void bed.submit("lasting", createSpec([createStep({ taskCount: 32, longRunning: true })]), createQueue());
+            await bed.clock.runFor(1000);
+            expect(bed.witness.countAtWork()).toBe(32);
+            const large = createSpec([createStep({ cpuMillis: 20_000 })]);
+            for (let job = 0; job < 600; job++) {
+                void bed.submit(`large${job}`, large, createQueue({ priority: 1 }));
+            }
+            await bed.clock.runFor(1000);
+            bed.coordinator?.close();
+            await bed.clock.runFor(1500);
+            bed.store.faults.answerMs = 400;
+            bed.startTerm(false);
+            await bed.clock.runFor(8000);
+            expect(bed.coordinator?.isReady).toBe(true);
+            expect(bed.terms).toBe(2);
+            expect(bed.events.filter(event => event.includes("Lapsed"))).toEqual([]);
+            expect(bed.witness.faults).toEqual([]);
+            expect(bed.witness.countAtWork()).toBe(32);
+        });
+    });
+});
--- a/packages/coordinate-work/src/holdLoop.test.ts
+++ b/packages/coordinate-work/src/holdLoop.test.ts
@@ -34,6 +34,7 @@
             let taken = 0;
             let asked = 0;
             const loop = new HoldLoop(createParts(clock), createLink("w"), {
+                waitUntilOpen: () => true,
                 hasAllJobs: () => {
                     asked++;
                     return Promise.resolve(isRead);
--- a/packages/coordinate-work/src/holdLoop.ts
+++ b/packages/coordinate-work/src/holdLoop.ts
@@ -8,10 +8,12 @@
 
 /** What a hold loop tells the coordinator. */
 interface HoldHandlers {
+    /** Waits until lists can be dealt with; false when the lease is to be extended before that. */
+    readonly waitUntilOpen: () => boolean | Promise<boolean>;
     /** Whether all that a worker listed can be understood; false while the store doesn't tell of a job that it names. */
     readonly hasAllJobs: (answer: HoldAnswer) => boolean | Promise<boolean>;
-    /** Takes what a worker listed. */
-    readonly takeAnswer: (link: WorkerLink, answer: HoldAnswer, sentAtMs: number) => void;
+    /** Takes what a worker listed when it was asked at `sentAtMs`; that came at `receivedAtMs`. */
+    readonly takeAnswer: (link: WorkerLink, answer: HoldAnswer, sentAtMs: number, receivedAtMs: number) => void;
     /** Whether the worker need not be asked any more. */
     readonly isOver: (link: WorkerLink) => boolean;
 }
@@ -43,8 +45,11 @@
                     continue;
                 }
                 this.link.isLeaseExtended = true;
-                this.isListOwed = false;
-                await this.takeAnswer(answer, sentAtMs);
+                const receivedAtMs = this.parts.clock.getNow();
+                if (await this.handlers.waitUntilOpen()) {
+                    this.isListOwed = false;
+                    await this.takeAnswer(answer, sentAtMs, receivedAtMs);
+                }
             }
             else if (answer.outcome === OrderOutcome.StaleFence) {
                 this.parts.onDeposed("hold:stale-fence");
@@ -72,7 +77,7 @@
     }
 
     /** An end of a job that wasn't read yet must not be acknowledged unseen, so the job is read first. */
-    private async takeAnswer(answer: HoldAnswer, sentAtMs: number): Promise<void> {
+    private async takeAnswer(answer: HoldAnswer, sentAtMs: number, receivedAtMs: number): Promise<void> {
         const isComplete = await this.handlers.hasAllJobs(answer);
         if (this.handlers.isOver(this.link)) {
             return;
@@ -82,7 +87,7 @@
             await waitFor(this.parts.clock, limits.holdRetryMs);
             return;
         }
-        this.handlers.takeAnswer(this.link, answer, sentAtMs);
+        this.handlers.takeAnswer(this.link, answer, sentAtMs, receivedAtMs);
         await this.waitForRecord();
         const pauseMs = chooseHoldPause(this.parts.getLoopDelay());
         if (pauseMs > 0) {
--- /dev/null
+++ b/packages/coordinate-work/src/restoreLearned.ts
@@ -0,0 +1,20 @@
+import type { CoordinatorParts } from "./coordinatorParts.js";
+import type { Learned } from "./learned.js";
+
+/** Goes on from what an earlier coordinator learned: that helps, but a takeover doesn't depend on it. */
+export function restoreLearned(
+    { metrics, logger }: Pick<CoordinatorParts, "metrics" | "logger">,
+    learned: Learned,
+    record: Uint8Array | undefined,
+): void {
+    if (record === undefined) {
+        return;
+    }
+    try {
+        learned.restoreState(record);
+    }
+    catch (failure) {
+        metrics.count("records_unreadable_total", "learned");
+        logger.warn("learned-unreadable", { bytes: record.length, problem: String(failure) });
+    }
+}
--- a/packages/coordinate-work/src/runBook.ts
+++ b/packages/coordinate-work/src/runBook.ts
@@ -27,13 +27,13 @@
 export class RunBook {
     constructor(private readonly parts: CoordinatorParts, private readonly book: RunBookParts) {}
 
-    /** Takes a worker's answer to a hold that was sent at `sentAtMs`. */
-    takeAnswer(link: WorkerLink, answer: HoldAnswer, sentAtMs: number): void {
+    /** Takes a worker's answer to a hold that was sent at `sentAtMs`; it came at `receivedAtMs`. */
+    takeAnswer(link: WorkerLink, answer: HoldAnswer, sentAtMs: number, receivedAtMs: number): void {
         const nowMs = this.parts.clock.getNow();
         this.noteLife(link, answer);
         this.reportLapses(link, answer.ended, nowMs);
         link.clockMs = answer.clockMs;
-        link.clockAtMs = nowMs;
+        link.clockAtMs = receivedAtMs;
         [...answer.ended, ...answer.running].forEach(row => this.book.jobs.openListed(row.task));
         this.takeEnds(link, answer.ended);
         const difference = compareRuns(link.tasks, answer, sentAtMs, row => this.book.jobs.findTask(row.task));
