Have emulated runs get on between two looks a second apart

An emulated run's percent went round in just 1,000 ms, the time that a hold waits at an idle worker: long-running tasks of the coordinator's tests were taken for stalled, stopped and started again every few seconds. 100 percent take 1,300 ms now.

--- a/packages/emulate-platform/src/emulatedWorker.ts
+++ b/packages/emulate-platform/src/emulatedWorker.ts
@@ -8,6 +8,8 @@
 const MAX_LEASE_MS = 6000;
 /** How long a run takes to stop, in milliseconds. */
 const STOP_MS = 300;
+/** Time in which a run gets on by a percent, in milliseconds; 100 of these are no usual time between two looks. */
+const PERCENT_MS = 13;
 const CPU_MILLIS = 16_000;
 const MEMORY_MB = 64_000;
 
@@ -154,7 +156,7 @@
             task,
             run,
             checkpoint,
-            percent: Math.floor(this.clock.getNow() / 10) % 100,
+            percent: Math.floor(this.clock.getNow() / PERCENT_MS) % 100,
             figure: 0,
         }));
         return { outcome, clockMs: this.getClock(), bornMs: this.bornMs, running, ended: [...this.ended] };
