--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -1,5 +1,4 @@
 import type { HoldAnswer, KeyedRecord, OrderOutcome } from "@sardinestage/describe-ports";
-import { Topic } from "@sardinestage/describe-ports";
 import { JobState, WorkerState } from "@sardinestage/describe-work";
 import { TopicFollower } from "@sardinestage/follow-topic";
 import type { Job, Task } from "@sardinestage/track-jobs";
@@ -11,6 +10,7 @@
 import { countPending } from "./countPending.js";
 import { describeFleet } from "./describeFleet.js";
 import { Fleet } from "./fleet.js";
+import { followedTopics } from "./followedTopics.js";
 import { HoldLoop } from "./holdLoop.js";
 import { Janitor } from "./janitor.js";
 import { JobBook } from "./jobBook.js";
@@ -23,23 +23,22 @@
 import { PastStarts } from "./pastStarts.js";
 import { PlaceJudge } from "./placeJudge.js";
 import { ProgressWriter } from "./progressWriter.js";
+import { restoreLearned } from "./restoreLearned.js";
 import { RoundTimer } from "./roundTimer.js";
 import { RunBook } from "./runBook.js";
 import { ServingBook } from "./servingBook.js";
 import { StartGate } from "./startGate.js";
+import { TakeoverGate } from "./takeoverGate.js";
 import type { WorkerLink } from "./workerLink.js";
 import { WorkerWatch } from "./workerWatch.js";
 import { WorkRound } from "./workRound.js";
 
-/** How long a read of accepted jobs waits, in milliseconds: a connection that went silent shows only after that. */
-const JOBS_WAIT_MS = 2000;
-/** Pause between two reads of accepted jobs, in milliseconds: a burst comes in few reads. */
-const JOBS_PAUSE_MS = 10;
-/** Pause between two reads of the workers' list, in milliseconds. */
-const WORKERS_PAUSE_MS = 400;
 /** Time between two clean-ups of what has ended, in milliseconds. */
 const UPKEEP_MS = 2000;
 
+/** Share of a lease after which it is extended while a takeover goes on: one call may fail before it runs out. */
+const EXTENDING_SHARE = 1 / 3;
+
 /** Holds all workers for one term and gets the accepted jobs done. */
 export class Coordinator {
     private readonly jobs = new JobBook();
@@ -61,11 +60,14 @@
     private starts: StartGate | undefined;
     private isClosed = false;
     private isOpen = false;
+    private isHolding = false;
+    private readonly gate: TakeoverGate;
     private readonly openedAtMs: number;
     private readonly rounds: RoundTimer;
 
     constructor(private readonly parts: CoordinatorParts) {
         this.openedAtMs = parts.clock.getNow();
+        this.gate = new TakeoverGate(parts.clock, parts.rules.leaseMs * EXTENDING_SHARE);
         this.rounds = new RoundTimer(parts.clock, () => parts.meter.measure(WorkKind.Rounds, () => this.runRound()));
         this.writer = new ProgressWriter(parts);
         this.past = new PastStarts(parts.hadUnrecordedStarts, this.writer);
@@ -119,35 +121,36 @@
             serving,
             durations: this.learned.durations,
         });
-        this.jobsFollower = this.createFollower(Topic.Jobs, "jobs", JOBS_WAIT_MS, JOBS_PAUSE_MS, record => {
-            this.intake.takeRecord(record);
+        this.jobsFollower = new TopicFollower({
+            ...parts,
+            ...followedTopics.jobs,
+            takeRecord: record => this.intake.takeRecord(record),
         });
-        this.workersFollower = this.createFollower(Topic.Workers, "workers", 0, WORKERS_PAUSE_MS, record => {
-            this.fleet.takeRecord(record);
+        this.workersFollower = new TopicFollower({
+            ...parts,
+            ...followedTopics.workers,
+            takeRecord: record => this.fleet.takeRecord(record),
         });
     }
 
     /**
-     * Takes over from earlier coordinators: shuts them out of the store, reads where everything stands and begins to
-     * hold the workers.
+     * Takes over from earlier coordinators: shuts them out of the store, begins to hold the workers and reads where
+     * everything stands.
      *
      * @returns False when the store didn't let it; then it may be tried again.
      */
     async open(): Promise<boolean> {
         const { clock, logger, term } = this.parts;
         const pending = new Map<string, Uint8Array>();
-        const progress = this.createFollower(Topic.Progress, "progress", 0, 0, record => {
-            if (record.key === Learned.KEY) {
-                this.restoreLearned(record.value);
-            }
-            else {
-                this.jobs.takeProgress(record, pending);
-            }
+        const progress = new TopicFollower({
+            ...this.parts,
+            ...followedTopics.progress,
+            takeRecord: record => this.takeProgress(record, pending),
         });
         const isWriter = await this.writer.open();
         const writableAtMs = clock.getNow();
         const loads = isWriter
-            ? await Promise.all([progress.load(), this.jobsFollower.load(), this.workersFollower.load()])
+            ? await Promise.all([progress.load(), this.jobsFollower.load(), this.loadWorkers()])
             : [false];
         if (loads.includes(false) || this.isClosed) {
             const tookMs = Math.round(clock.getNow() - this.openedAtMs);
@@ -168,8 +171,7 @@
         });
         void this.jobsFollower.run();
         void this.workersFollower.run();
-        const links = [...this.fleet.links.values()];
-        this.starts = new StartGate(links, {
+        this.starts = new StartGate([...this.fleet.links.values()], {
             ...this.parts,
             ...this.parts.rules,
             listLinks: () => this.fleet.links.values(),
@@ -177,12 +179,31 @@
             openedAtMs: this.openedAtMs,
             lapsedAtMs: this.fleet.lapsedAtMs,
         });
-        applyInTurns(clock, links, link => this.startHolding(link));
+        this.gate.openSoon(() => this.starts?.isSettled() === true);
         this.scheduleRound(limits.roundDelayMs);
         this.scheduleUpkeep();
         return true;
     }
 
+    /** Leases don't wait until all else is read. */
+    private async loadWorkers(): Promise<boolean> {
+        const isLoaded = await this.workersFollower.load();
+        if (isLoaded) {
+            this.isHolding = true;
+            applyInTurns(this.parts.clock, [...this.fleet.links.values()], link => this.startHolding(link));
+        }
+        return isLoaded;
+    }
+
+    private takeProgress(record: KeyedRecord, pending: Map<string, Uint8Array>): void {
+        if (record.key === Learned.KEY) {
+            restoreLearned(this.parts, this.learned, record.value);
+        }
+        else {
+            this.jobs.takeProgress(record, pending);
+        }
+    }
+
     /** Ends this term here: no further order is sent. */
     close(): void {
         this.isClosed = true;
@@ -231,39 +252,15 @@
         this.handleChange(job);
     }
 
-    /** What an earlier coordinator learned helps, but a takeover doesn't depend on it. */
-    private restoreLearned(record: Uint8Array | undefined): void {
-        if (record === undefined) {
-            return;
-        }
-        try {
-            this.learned.restoreState(record);
-        }
-        catch (failure) {
-            this.parts.metrics.count("records_unreadable_total", "learned");
-            this.parts.logger.warn("learned-unreadable", { bytes: record.length, problem: String(failure) });
-        }
-    }
-
-    private createFollower(
-        topic: Topic,
-        name: string,
-        waitMs: number,
-        pauseMs: number,
-        takeRecord: (record: KeyedRecord) => void,
-    ): TopicFollower {
-        const { store, clock, logger } = this.parts;
-        return new TopicFollower({ store, clock, logger, topic, name, waitMs, pauseMs, takeRecord });
-    }
-
     private startHolding(link: WorkerLink): void {
-        if (!this.isOpen || link.entry.address === "") {
+        if (!this.isHolding || link.entry.address === "") {
             return;
         }
         const loop = new HoldLoop(this.parts, link, {
+            waitUntilOpen: () => this.gate.waitUntilOpen(),
             hasAllJobs: answer => this.hasAllJobs(answer),
-            takeAnswer: (held, answer, sentAtMs) =>
-                this.parts.meter.measure(WorkKind.Answers, () => this.handleAnswer(held, answer, sentAtMs)),
+            takeAnswer: (held, answer, ...times) =>
+                this.parts.meter.measure(WorkKind.Answers, () => this.handleAnswer(held, answer, ...times)),
             isOver: held => this.isClosed || this.fleet.links.get(held.entry.id) !== held,
         });
         void loop.run();
@@ -275,8 +272,8 @@
         return isUnread ? this.jobsFollower.refresh() : true;
     }
 
-    private handleAnswer(link: WorkerLink, answer: HoldAnswer, sentAtMs: number): void {
-        this.runs.takeAnswer(link, answer, sentAtMs);
+    private handleAnswer(link: WorkerLink, answer: HoldAnswer, sentAtMs: number, receivedAtMs: number): void {
+        this.runs.takeAnswer(link, answer, sentAtMs, receivedAtMs);
         this.watch.stopUnwanted(link);
         this.parts.meter.measure(WorkKind.Pace, () => this.pace.handleFigures(link));
         this.watch.watchProgress(link);
--- a/packages/coordinate-work/src/fleet.ts
+++ b/packages/coordinate-work/src/fleet.ts
@@ -27,9 +27,12 @@
         this.openedAtMs = parts.clock.getNow();
     }
 
-    /** When everything that an earlier coordinator let run has lapsed, wherever nobody could be asked, in steady milliseconds. */
+    /**
+     * When everything that an earlier coordinator let run has lapsed, wherever nobody could be asked, in steady milliseconds.
+     * It asked for leases as long as ours, which workers would grant for longer.
+     */
     get lapsedAtMs(): number {
-        return this.openedAtMs + PREDECESSOR_NOTICE_MS + this.parts.rules.maxLeaseMs / limits.slowestClock;
+        return this.openedAtMs + PREDECESSOR_NOTICE_MS + this.parts.rules.leaseMs / limits.slowestClock;
     }
 
     /** Takes a record of the workers' list. */
--- a/packages/coordinate-work/src/holdLoop.ts
+++ b/packages/coordinate-work/src/holdLoop.ts
@@ -8,16 +8,21 @@
 
 /** What a hold loop tells the coordinator. */
 interface HoldHandlers {
+    /** Waits until lists can be dealt with; false when the lease is to be extended before that. */
+    readonly waitUntilOpen: () => boolean | Promise<boolean>;
     /** Whether all that a worker listed can be understood; false while the store doesn't tell of a job that it names. */
     readonly hasAllJobs: (answer: HoldAnswer) => boolean | Promise<boolean>;
-    /** Takes what a worker listed. */
-    readonly takeAnswer: (link: WorkerLink, answer: HoldAnswer, sentAtMs: number) => void;
+    /** Takes what a worker listed when it was asked at `sentAtMs`; that came at `receivedAtMs`. */
+    readonly takeAnswer: (link: WorkerLink, answer: HoldAnswer, sentAtMs: number, receivedAtMs: number) => void;
     /** Whether the worker need not be asked any more. */
     readonly isOver: (link: WorkerLink) => boolean;
 }
 
 /** Keeps one worker held: extends its lease, acknowledges recorded ends and learns of new ones as they come. */
 export class HoldLoop {
+    /** Whether the last answer only told the clock, so that its list is still to come. */
+    private isListOwed = false;
+
     constructor(
         private readonly parts: CoordinatorParts,
         private readonly link: WorkerLink,
@@ -28,18 +33,23 @@
     async run(): Promise<void> {
         while (!this.handlers.isOver(this.link)) {
             const sentAtMs = this.parts.clock.getNow();
-            const answer = await this.sendHold(sentAtMs);
+            const hasLease = this.link.clockAtMs > 0 && this.link.missedHolds < limits.holdsBeforeLapse;
+            const answer = await this.sendHold(sentAtMs, hasLease);
             if (this.handlers.isOver(this.link)) {
                 return;
             }
             if (answer.outcome === OrderOutcome.Accepted) {
                 this.link.missedHolds = 0;
-                if (this.link.clockAtMs === 0) {
+                if (!hasLease) {
                     this.noteClock(answer);
                     continue;
                 }
                 this.link.isLeaseExtended = true;
-                await this.takeAnswer(answer, sentAtMs);
+                const receivedAtMs = this.parts.clock.getNow();
+                if (await this.handlers.waitUntilOpen()) {
+                    this.isListOwed = false;
+                    await this.takeAnswer(answer, sentAtMs, receivedAtMs);
+                }
             }
             else if (answer.outcome === OrderOutcome.StaleFence) {
                 this.parts.onDeposed("hold:stale-fence");
@@ -53,18 +63,21 @@
     }
 
     /**
-     * A lease can be asked for only on the worker's own clock. It goes out before anything is done with what the worker
-     * lists: reading that may take longer than what an earlier coordinator let it have.
+     * A lease can be asked for only on the worker's own clock, and isn't while the worker is silent. It goes out before
+     * anything is done with what the worker lists: that may take longer than what is left of the lease before it.
      */
     private noteClock(answer: HoldAnswer): void {
         const { link, parts } = this;
         link.clockMs = answer.clockMs;
         link.clockAtMs = parts.clock.getNow();
-        link.leaseUntilMs = answer.clockMs + parts.rules.maxLeaseMs;
+        if (link.bornMs !== answer.bornMs) {
+            link.leaseUntilMs = answer.clockMs + parts.rules.maxLeaseMs;
+        }
+        this.isListOwed = true;
     }
 
     /** An end of a job that wasn't read yet must not be acknowledged unseen, so the job is read first. */
-    private async takeAnswer(answer: HoldAnswer, sentAtMs: number): Promise<void> {
+    private async takeAnswer(answer: HoldAnswer, sentAtMs: number, receivedAtMs: number): Promise<void> {
         const isComplete = await this.handlers.hasAllJobs(answer);
         if (this.handlers.isOver(this.link)) {
             return;
@@ -74,7 +87,7 @@
             await waitFor(this.parts.clock, limits.holdRetryMs);
             return;
         }
-        this.handlers.takeAnswer(this.link, answer, sentAtMs);
+        this.handlers.takeAnswer(this.link, answer, sentAtMs, receivedAtMs);
         await this.waitForRecord();
         const pauseMs = chooseHoldPause(this.parts.getLoopDelay());
         if (pauseMs > 0) {
@@ -82,16 +95,16 @@
         }
     }
 
-    private sendHold(nowMs: number): Promise<HoldAnswer> {
+    private sendHold(nowMs: number, hasLease: boolean): Promise<HoldAnswer> {
         const { link, parts } = this;
         const { id, address } = link.entry;
         let leaseUntilMs: number | undefined;
-        if (link.clockAtMs > 0 && link.missedHolds < limits.holdsBeforeLapse) {
+        if (hasLease) {
             leaseUntilMs = Math.floor(link.getClock(nowMs) + parts.rules.leaseMs);
             link.leaseUntilMs = Math.max(link.leaseUntilMs, leaseUntilMs);
         }
         const longestMs = chooseHoldWait(link.isShared, parts.getLoopDelay());
-        const waitMs = link.isHeld && link.clockAtMs > 0 && link.missedHolds === 0 ? longestMs : 0;
+        const waitMs = link.isHeld && !this.isListOwed && link.missedHolds === 0 ? longestMs : 0;
         const order = { fence: parts.term, lastSeen: link.recordedEnd, leaseUntilMs, waitMs };
         return parts.workers.hold({ id, address }, order);
     }
