Send start orders a few in each turn of the loop

Cause: a round orders up to 200 starts, and once they were recorded all were sent in one turn. A call is charged about 0.5 ms there (a trial, both ends of a kept call: 1.0 to 1.3 ms; of a new connection 2.3 to 3.3 ms), so that a process with 0.12 of a core stood still for 0.6 to 1.4 s (process-load's loopDelayMs, from 3.5 s to the end), and renewals of leases and of the term waited behind it. A worker that is asked with a wait of 1 to 1.4 s has 3 s left for the next renewal: 313 runs lapsed. At 33.7 s a renewal of the term failed in the same way, and two takeovers followed. Ruled out: log lines (0.008 to 0.014 ms each, a trial), planning and pacing (rounds take 12 to 40 ms of processor in 2 s). Change: StartPacer sends for 20 ms at most, then leaves the loop to others for as long as that took. A round orders no more than 200 less what waits to be sent. Where sending costs next to nothing all is sent in one turn as before.

--- a/packages/coordinate-work/src/limits.ts
+++ b/packages/coordinate-work/src/limits.ts
@@ -23,6 +23,10 @@
     endRecordWaitMs: 400,
     /** How many starts are under way at one worker at once. */
     startsAtOnce: 6,
+    /** Sending start orders takes no longer at once, in milliseconds: far less than what a lease leaves to its renewal. */
+    startTurnMs: 20,
+    /** Sending start orders takes at most this share of the loop while some wait. */
+    startShare: 0.5,
     /** Shortest time between two appends of progress, in milliseconds: bounds the calls to the store. */
     flushGapMs: 20,
     /** How long an append of progress may take at least and at most before it is repeated, in milliseconds. */
@@ -42,6 +46,6 @@
     roundShare: 0.25,
     /** A planning round takes no longer than this share of a lease, so that none runs out meanwhile. */
     roundLeaseShare: 0.01,
-    /** Starts in one round. */
+    /** Starts in one round, together with those that wait to be sent: what is ordered too early is decided on too little. */
     startsARound: 200,
 } as const;
--- a/packages/coordinate-work/src/orderDesk.ts
+++ b/packages/coordinate-work/src/orderDesk.ts
@@ -5,6 +5,7 @@
 import { TaskPhase } from "@sardinestage/track-jobs";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import { limits } from "./limits.js";
+import { StartPacer } from "./startPacer.js";
 import type { WorkerLink } from "./workerLink.js";
 
 /** No starts for so long at a worker that refused one for want of room, in milliseconds. */
@@ -27,16 +28,27 @@
 
 /** Sends orders to workers and settles what became of them. */
 export class OrderDesk {
-    constructor(private readonly parts: CoordinatorParts, private readonly handlers: OrderHandlers) {}
+    private readonly pacer: StartPacer;
 
-    /** Sends the start of a task's newest run, at most a few at once to one worker. */
+    constructor(private readonly parts: CoordinatorParts, private readonly handlers: OrderHandlers) {
+        this.pacer = new StartPacer(parts.clock);
+    }
+
+    /** How many starts wait to be sent. */
+    get startsWaiting(): number {
+        return this.pacer.waitingCount;
+    }
+
+    /** Sends the start of a task's newest run in its turn, at most a few at once to one worker. */
     sendStart(task: Task, link: WorkerLink): void {
         const { run } = task;
         const send = () => {
             link.startsUnderWay++;
-            void this.runStart(task, run, link).finally(() => {
-                link.startsUnderWay--;
-                link.waitingStarts.shift()?.();
+            this.pacer.add(() => {
+                void this.runStart(task, run, link).finally(() => {
+                    link.startsUnderWay--;
+                    link.waitingStarts.shift()?.();
+                });
             });
         };
         if (link.startsUnderWay < limits.startsAtOnce) {
--- /dev/null
+++ b/packages/coordinate-work/src/startPacer.test.ts
@@ -0,0 +1,61 @@
+import { describe, expect, it } from "@jest/globals";
+import { limits } from "./limits.js";
+import { StartPacer } from "./startPacer.js";
+import { BusyLoop } from "./testing/busyLoop.js";
+
+const SENDING_MS = 5;
+const ORDERS = 200;
+
+function sendMany(loop: BusyLoop, sent: number[]): StartPacer {
+    const pacer = new StartPacer(loop);
+    for (let order = 0; order < ORDERS; order++) {
+        pacer.add(() => {
+            loop.run(SENDING_MS);
+            sent.push(order);
+        });
+    }
+    return pacer;
+}
+
+describe("StartPacer", () => {
+    describe("when sending what a round has ordered takes a second", () => {
+        it("keeps a renewal waiting for a few of them only", () => {
+            const loop = new BusyLoop();
+            sendMany(loop, []);
+            const renewedAtMs: number[] = [];
+            const renew = () => {
+                renewedAtMs.push(loop.getNow());
+                loop.schedule(100, renew);
+            };
+            loop.schedule(100, renew);
+            loop.runUntil(1000);
+            const latest = renewedAtMs.map((atMs, index) => atMs - (renewedAtMs[index - 1] ?? 0) - 100);
+            expect(Math.max(...latest)).toBeLessThanOrEqual(limits.startTurnMs + SENDING_MS);
+        });
+
+        it("sends all of them, in their order, and keeps to its share of the loop", () => {
+            const loop = new BusyLoop();
+            const sent: number[] = [];
+            const pacer = sendMany(loop, sent);
+            loop.runUntil(ORDERS * SENDING_MS / limits.startShare / 2);
+            expect(sent.length).toBeGreaterThan(ORDERS * 0.4);
+            expect(pacer.waitingCount).toBeGreaterThan(ORDERS * 0.4);
+            loop.runUntil(ORDERS * SENDING_MS / limits.startShare);
+            expect(sent).toEqual(Array.from({ length: ORDERS }, (_unused, order) => order));
+            expect(pacer.waitingCount).toBe(0);
+        });
+    });
+
+    describe("when sending takes next to nothing", () => {
+        it("sends all of them at once", () => {
+            const loop = new BusyLoop();
+            const sent: number[] = [];
+            const pacer = new StartPacer(loop);
+            for (let order = 0; order < ORDERS; order++) {
+                pacer.add(() => sent.push(order));
+            }
+            loop.runUntil(1);
+            expect(sent.length).toBe(ORDERS);
+        });
+    });
+});
--- a/packages/coordinate-work/src/testing/coordinatorBed.ts
+++ b/packages/coordinate-work/src/testing/coordinatorBed.ts
@@ -38,6 +38,8 @@
     coordinator: Coordinator | undefined;
     /** What each call to a worker, and each answer, takes of the coordinator's one thread, in milliseconds. */
     callMs = 0;
+    /** What sending a start takes of the thread at once, in milliseconds. */
+    sendMs = 0;
     private term = 0;
 
     /**
@@ -109,7 +111,7 @@
         const { term } = this;
         const coordinator = new Coordinator({
             store: this.store,
-            workers: new BusyWorkerPort(this.fleet, this.clock, this.callMs),
+            workers: new BusyWorkerPort(this.fleet, this.clock, this.callMs, () => this.clock.run(this.sendMs)),
             advice: { requestTickets: () => Promise.resolve({ tickets: undefined, validMs: 0 }) },
             vms: { list: () => Promise.resolve(undefined), startUpkeep: () => Promise.reject(new Error("unused")) },
             codec: bedCodec,
--- a/packages/coordinate-work/src/workRound.ts
+++ b/packages/coordinate-work/src/workRound.ts
@@ -81,7 +81,8 @@
         const nowMs = clock.getNow();
         const { steps, nextDueMs } = this.round.jobs.listReady(clock.getWallTime());
         this.releaseHalted(nowMs);
-        if (steps.length === 0) {
+        const maxStarts = limits.startsARound - this.round.orders.startsWaiting;
+        if (steps.length === 0 || maxStarts <= 0) {
             return nextDueMs;
         }
         const rooms = this.rooms.updateRooms(
@@ -96,7 +97,7 @@
         this.round.places.startRound();
         const plannedFromMs = clock.getNow();
         const plan = planStarts(demands, rooms, {
-            maxStarts: limits.startsARound,
+            maxStarts,
             longestWaitMs: isBusy ? Infinity : LONGEST_WAIT_MS,
             isAdvised: (task, workerId) => this.round.advice.isAdvised(task, workerId),
             describePlace: (room, spec) => this.round.places.describePlace(room, spec),
--- a/packages/emulate-platform/src/busyWorkerPort.ts
+++ b/packages/emulate-platform/src/busyWorkerPort.ts
@@ -21,15 +21,18 @@
      * @param workers Where the calls go.
      * @param clock Of the test.
      * @param callMs What a call or an answer takes of the thread, in milliseconds.
+     * @param send Called as a start is sent: may keep the thread for as long as that takes.
      */
     constructor(
         private readonly workers: WorkerPort,
         private readonly clock: Clock,
         private readonly callMs: number,
+        private readonly send: () => void = () => undefined,
     ) {}
 
     /** Starts a run. */
     start(worker: WorkerAddress, order: StartOrder): Promise<OrderOutcome> {
+        this.send();
         return this.forward(() => this.workers.start(worker, order));
     }
 
--- a/packages/emulate-platform/src/virtualClock.ts
+++ b/packages/emulate-platform/src/virtualClock.ts
@@ -31,6 +31,11 @@
         return () => this.waiting.delete(order);
     }
 
+    /** Takes time of the one thread: what falls due meanwhile is late. */
+    run(tookMs: number): void {
+        this.nowMs += tookMs;
+    }
+
     /** Lets time pass, and everything that was scheduled in it happen. */
     async runFor(lengthMs: number): Promise<void> {
         const untilMs = this.nowMs + lengthMs;
@@ -39,12 +44,12 @@
         while (next !== undefined) {
             this.timers.removeFirst();
             this.waiting.delete(next.order);
-            this.nowMs = next.atMs;
+            this.nowMs = Math.max(this.nowMs, next.atMs);
             next.run();
             await flushPromises();
             next = this.findNext(untilMs);
         }
-        this.nowMs = untilMs;
+        this.nowMs = Math.max(this.nowMs, untilMs);
     }
 
     private findNext(untilMs: number): Timer | undefined {
