--- a/packages/accept-jobs/src/keyReader.ts
+++ b/packages/accept-jobs/src/keyReader.ts
@@ -1,7 +1,8 @@
 import type { Clock, NewestAnswer, StoredRecord, StorePort, Topic } from "@sardinestage/describe-ports";
 import type { EventLogger } from "@sardinestage/log-events";
+import { PageTimes } from "./pageTimes.js";
 
-/** Pages asked for at once: a second one, so that a lost answer doesn't hold up all questions. */
+/** Pages asked for at once: a second one when the first is late, so that a lost answer doesn't hold up all questions. */
 const MOST_PAGES = 2;
 /** Shortest time between two pages, in milliseconds: questions that come together share a page. */
 const LEAST_PAUSE_MS = 25;
@@ -11,7 +12,7 @@
 const BYTES_IN_PAGE = 4 / 3;
 /** Bytes of a record in a page beside its key and value. */
 const RECORD_BYTES = 40;
-/** Pages on end without an answer after which questions are refused at once. */
+/** Pages on end without an answer after which questions are refused at once; pages that were under way together count once. */
 const FAILURES_TO_DOUBT = 2;
 /** Pause between two looks whether a store that failed answers again, in milliseconds. */
 const LOOK_PAUSE_MS = 250;
@@ -38,24 +39,32 @@
 
 /**
  * Reads the newest records of single keys. The store only has pages, which may be large, so questions that wait share
- * them, pages go round the keys in order, and each is followed by a pause in proportion to its size. A question is answered
- * from pages asked for after it came: what they don't have, the store didn't have then.
+ * them, pages go round the keys in order, one after another, since two at once would share the link and have the same keys
+ * mostly, and each is followed by a pause in proportion to its size. A question is answered from pages asked for after it came: what they don't have, the store didn't have then.
  */
 export class KeyReader {
     private readonly waiting = new Set<Question>();
     private pagesUnderWay = 0;
+    private sentAtMs = -Infinity;
+    private readonly times = new PageTimes();
     private nextAtMs = -Infinity;
     private cancelNext: (() => void) | undefined;
     private cursor = "";
     private failures = 0;
+    private failedAtMs = -Infinity;
 
     constructor(private readonly parts: KeyReaderParts) {}
 
+    /** Whether the store has failed so often that questions aren't kept waiting for it. */
+    get isDoubted(): boolean {
+        return this.failures >= FAILURES_TO_DOUBT;
+    }
+
     /**
      * Reads the record of a key, and those whose keys continue it after a slash.
      *
      * @param untilMs When to give up, in steady milliseconds.
-     * @returns The records, none if there are none for certain; undefined when the store didn't tell in time.
+     * @returns The records, none if there are none for certain; undefined when the store didn't tell in time, or a page was lost.
      */
     read(key: string, untilMs: number): Promise<readonly StoredRecord[] | undefined> {
         const { clock } = this.parts;
@@ -76,23 +85,17 @@
         });
     }
 
-    /** Whether the store has failed so often that questions aren't kept waiting for it. */
-    private get isDoubted(): boolean {
-        return this.failures >= FAILURES_TO_DOUBT;
-    }
-
     private startPage(): void {
         const { clock } = this.parts;
         const open = [...this.waiting].filter(question => !question.isAsked);
         if (open.length === 0 || this.pagesUnderWay >= MOST_PAGES) {
             return;
         }
-        const pauseMs = this.nextAtMs - clock.getNow();
+        const lateAtMs = this.pagesUnderWay > 0 ? this.sentAtMs + this.times.lateAfterMs : -Infinity;
+        const pauseMs = Math.max(this.nextAtMs, lateAtMs) - clock.getNow();
+        this.cancelNext?.();
         if (pauseMs > 0) {
-            this.cancelNext ??= clock.schedule(pauseMs, () => {
-                this.cancelNext = undefined;
-                this.startPage();
-            });
+            this.cancelNext = clock.schedule(pauseMs, () => this.startPage());
             return;
         }
         const keys = open.map(question => question.key).sort();
@@ -106,12 +109,14 @@
         asked.forEach(question => question.isAsked = true);
         this.pagesUnderWay++;
         const sentAtMs = clock.getNow();
+        this.sentAtMs = sentAtMs;
         this.nextAtMs = sentAtMs + LEAST_PAUSE_MS;
         const page = await store.readNewest(topic, computeKeyBefore(first));
         this.pagesUnderWay--;
         asked.forEach(question => question.isAsked = false);
-        this.noteOutcome(page.succeeded);
+        this.noteOutcome(page.succeeded, sentAtMs);
         if (page.succeeded) {
+            this.times.notePage(clock.getNow() - sentAtMs);
             this.nextAtMs = Math.max(this.nextAtMs, sentAtMs + computePause(page));
             this.answerQuestions(page, first, asked);
         }
@@ -135,10 +140,16 @@
         }
     }
 
-    private noteOutcome(succeeded: boolean): void {
-        const { logger, name } = this.parts;
+    private noteOutcome(succeeded: boolean, sentAtMs: number): void {
+        const { clock, logger, name } = this.parts;
         const wasDoubted = this.isDoubted;
-        this.failures = succeeded ? 0 : this.failures + 1;
+        if (succeeded) {
+            this.failures = 0;
+        }
+        else if (sentAtMs >= this.failedAtMs) {
+            this.failures++;
+            this.failedAtMs = clock.getNow();
+        }
         if (this.isDoubted && !wasDoubted) {
             logger.warn("store-reads-lost", { topic: name });
         }
