--- a/packages/coordinate-work/src/coordinatorTakeover.test.ts
+++ b/packages/coordinate-work/src/coordinatorTakeover.test.ts
@@ -58,4 +58,22 @@
             expect(bed.witness.countAtWork()).toBe(700);
         });
     });
+
+    describe("when an earlier coordinator may have started work unrecorded", () => {
+        it("says so to its successor until it has heard all workers and recorded what they run", async () => {
+            const bed = new CoordinatorBed(ALWAYS, () => 60_000);
+            void bed.addWorker("heard");
+            void bed.addWorker("silent");
+            await bed.clock.runFor(50);
+            const silent = bed.fleet.workers.get("silent");
+            Object.assign(silent ?? {}, { isCut: true });
+            bed.startTerm(true);
+            expect(bed.coordinator?.hasUnrecordedStarts).toBe(true);
+            await bed.clock.runFor(3000);
+            expect(bed.coordinator?.hasUnrecordedStarts).toBe(true);
+            Object.assign(silent ?? {}, { isCut: false });
+            await bed.clock.runFor(2000);
+            expect(bed.coordinator?.hasUnrecordedStarts).toBe(false);
+        });
+    });
 });
