Read a job's state again when one read of the store is lost

What callers would have seen: where the coordinator doesn't answer, one lost or refused read of the store refused every question that waited for it (503), with most of the callers' time left. Cause: KeyReader settles the questions of a lost page as unanswered, and StateReader took that for the last word. Two pages that were under way together, lost by one reset, also counted as two failures on end, after which the rest is refused at once. Change: StateReader reads again while there is time and the store isn't in doubt; pages that were under way together are one failure.

--- a/packages/accept-jobs/src/keyReader.ts
+++ b/packages/accept-jobs/src/keyReader.ts
@@ -11,7 +11,7 @@
 const BYTES_IN_PAGE = 4 / 3;
 /** Bytes of a record in a page beside its key and value. */
 const RECORD_BYTES = 40;
-/** Pages on end without an answer after which questions are refused at once. */
+/** Pages on end without an answer after which questions are refused at once; pages that were under way together count once. */
 const FAILURES_TO_DOUBT = 2;
 /** Pause between two looks whether a store that failed answers again, in milliseconds. */
 const LOOK_PAUSE_MS = 250;
@@ -48,14 +48,20 @@
     private cancelNext: (() => void) | undefined;
     private cursor = "";
     private failures = 0;
+    private failedAtMs = -Infinity;
 
     constructor(private readonly parts: KeyReaderParts) {}
 
+    /** Whether the store has failed so often that questions aren't kept waiting for it. */
+    get isDoubted(): boolean {
+        return this.failures >= FAILURES_TO_DOUBT;
+    }
+
     /**
      * Reads the record of a key, and those whose keys continue it after a slash.
      *
      * @param untilMs When to give up, in steady milliseconds.
-     * @returns The records, none if there are none for certain; undefined when the store didn't tell in time.
+     * @returns The records, none if there are none for certain; undefined when the store didn't tell in time, or a page was lost.
      */
     read(key: string, untilMs: number): Promise<readonly StoredRecord[] | undefined> {
         const { clock } = this.parts;
@@ -76,11 +82,6 @@
         });
     }
 
-    /** Whether the store has failed so often that questions aren't kept waiting for it. */
-    private get isDoubted(): boolean {
-        return this.failures >= FAILURES_TO_DOUBT;
-    }
-
     private startPage(): void {
         const { clock } = this.parts;
         const open = [...this.waiting].filter(question => !question.isAsked);
@@ -110,7 +111,7 @@
         const page = await store.readNewest(topic, computeKeyBefore(first));
         this.pagesUnderWay--;
         asked.forEach(question => question.isAsked = false);
-        this.noteOutcome(page.succeeded);
+        this.noteOutcome(page.succeeded, sentAtMs);
         if (page.succeeded) {
             this.nextAtMs = Math.max(this.nextAtMs, sentAtMs + computePause(page));
             this.answerQuestions(page, first, asked);
@@ -135,10 +136,16 @@
         }
     }
 
-    private noteOutcome(succeeded: boolean): void {
-        const { logger, name } = this.parts;
+    private noteOutcome(succeeded: boolean, sentAtMs: number): void {
+        const { clock, logger, name } = this.parts;
         const wasDoubted = this.isDoubted;
-        this.failures = succeeded ? 0 : this.failures + 1;
+        if (succeeded) {
+            this.failures = 0;
+        }
+        else if (sentAtMs >= this.failedAtMs) {
+            this.failures++;
+            this.failedAtMs = clock.getNow();
+        }
         if (this.isDoubted && !wasDoubted) {
             logger.warn("store-reads-lost", { topic: name });
         }
--- a/packages/accept-jobs/src/stateReader.ts
+++ b/packages/accept-jobs/src/stateReader.ts
@@ -51,23 +51,36 @@
      * @returns Undefined when the store didn't tell in time.
      */
     async read(id: string, untilMs: number): Promise<StateAnswer | undefined> {
-        const early = await this.progress.read(id, untilMs);
+        const early = await this.readAgain(this.progress, id, untilMs);
         if (early === undefined || early.length > 0) {
             return this.describeProgress(id, early?.at(0));
         }
         if (!this.parts.ledger.isAccepted(id)) {
-            const records = await this.jobs.read(id, untilMs);
+            const records = await this.readAgain(this.jobs, id, untilMs);
             if (records === undefined) {
                 return undefined;
             }
             if (!records.some(({ key }) => key === id)) {
-                const late = await this.progress.read(id, untilMs);
+                const late = await this.readAgain(this.progress, id, untilMs);
                 return late?.length === 0 ? { isAbsent: true } : this.describeProgress(id, late?.at(0));
             }
         }
         return { state: this.parts.ledger.isCancelled(id) ? JobState.Cancelled : JobState.Queued };
     }
 
+    /** Reads a key again after a lost page while there is time: one lost page would refuse all questions that shared it. */
+    private async readAgain(
+        reader: KeyReader,
+        key: string,
+        untilMs: number,
+    ): Promise<readonly StoredRecord[] | undefined> {
+        let records = await reader.read(key, untilMs);
+        while (records === undefined && !reader.isDoubted && this.parts.clock.getNow() < untilMs) {
+            records = await reader.read(key, untilMs);
+        }
+        return records;
+    }
+
     private describeProgress(id: string, record: StoredRecord | undefined): StateAnswer | undefined {
         if (record?.value === undefined) {
             return undefined;
