Wait for one page of the store at a time, and for a second only where the first is late

What callers would have seen: where the coordinator doesn't answer, questions for jobs' states refused for want of time. Cause: a question that came 25 ms after a page was asked for had a second page asked for, which has the same keys mostly and shares the link, so that both took twice as long. The rate of 500 KB a second counted for each page by itself, so that it was twice that. Change: a second page is asked for only where the first takes three times as long as the longest lately (PageTimes; 500 ms at first), since its answer may be lost.

--- a/packages/accept-jobs/src/keyReader.ts
+++ b/packages/accept-jobs/src/keyReader.ts
@@ -1,7 +1,8 @@
 import type { Clock, NewestAnswer, StoredRecord, StorePort, Topic } from "@sardinestage/describe-ports";
 import type { EventLogger } from "@sardinestage/log-events";
+import { PageTimes } from "./pageTimes.js";
 
-/** Pages asked for at once: a second one, so that a lost answer doesn't hold up all questions. */
+/** Pages asked for at once: a second one when the first is late, so that a lost answer doesn't hold up all questions. */
 const MOST_PAGES = 2;
 /** Shortest time between two pages, in milliseconds: questions that come together share a page. */
 const LEAST_PAUSE_MS = 25;
@@ -38,12 +39,14 @@
 
 /**
  * Reads the newest records of single keys. The store only has pages, which may be large, so questions that wait share
- * them, pages go round the keys in order, and each is followed by a pause in proportion to its size. A question is answered
- * from pages asked for after it came: what they don't have, the store didn't have then.
+ * them, pages go round the keys in order, one after another, since two at once would share the link and have the same keys
+ * mostly, and each is followed by a pause in proportion to its size. A question is answered from pages asked for after it came: what they don't have, the store didn't have then.
  */
 export class KeyReader {
     private readonly waiting = new Set<Question>();
     private pagesUnderWay = 0;
+    private sentAtMs = -Infinity;
+    private readonly times = new PageTimes();
     private nextAtMs = -Infinity;
     private cancelNext: (() => void) | undefined;
     private cursor = "";
@@ -88,12 +91,11 @@
         if (open.length === 0 || this.pagesUnderWay >= MOST_PAGES) {
             return;
         }
-        const pauseMs = this.nextAtMs - clock.getNow();
+        const lateAtMs = this.pagesUnderWay > 0 ? this.sentAtMs + this.times.lateAfterMs : -Infinity;
+        const pauseMs = Math.max(this.nextAtMs, lateAtMs) - clock.getNow();
+        this.cancelNext?.();
         if (pauseMs > 0) {
-            this.cancelNext ??= clock.schedule(pauseMs, () => {
-                this.cancelNext = undefined;
-                this.startPage();
-            });
+            this.cancelNext = clock.schedule(pauseMs, () => this.startPage());
             return;
         }
         const keys = open.map(question => question.key).sort();
@@ -107,12 +109,14 @@
         asked.forEach(question => question.isAsked = true);
         this.pagesUnderWay++;
         const sentAtMs = clock.getNow();
+        this.sentAtMs = sentAtMs;
         this.nextAtMs = sentAtMs + LEAST_PAUSE_MS;
         const page = await store.readNewest(topic, computeKeyBefore(first));
         this.pagesUnderWay--;
         asked.forEach(question => question.isAsked = false);
         this.noteOutcome(page.succeeded, sentAtMs);
         if (page.succeeded) {
+            this.times.notePage(clock.getNow() - sentAtMs);
             this.nextAtMs = Math.max(this.nextAtMs, sentAtMs + computePause(page));
             this.answerQuestions(page, first, asked);
         }
--- a/packages/accept-jobs/src/testing/deskBed.ts
+++ b/packages/accept-jobs/src/testing/deskBed.ts
@@ -23,9 +23,12 @@
     readonly callTimeoutsMs: number[] = [];
     /** Topics of the pages that the desk has asked for. */
     readonly pages: Topic[] = [];
+    /** Pages of one topic that the desk has waited for at once, at most. */
+    mostPagesUnderWay = 0;
     /** Something that happens just before the store makes a page. */
     beforePage: (pages: number) => Promise<void> = () => Promise.resolve();
     readonly desk: JobDesk;
+    private readonly pagesUnderWay = new Map<Topic, number>();
     /** By default nothing answers. */
     coordinator: (call: CoordinatorCall, timeoutMs: number) => Promise<CoordinatorReply | undefined> = (_, timeoutMs) =>
         this.waitInVain(timeoutMs);
@@ -84,7 +87,12 @@
 
     private async readPage(topic: Topic, afterKey: string | undefined): Promise<NewestAnswer> {
         this.pages.push(topic);
+        const underWay = (this.pagesUnderWay.get(topic) ?? 0) + 1;
+        this.pagesUnderWay.set(topic, underWay);
+        this.mostPagesUnderWay = Math.max(this.mostPagesUnderWay, underWay);
         await this.beforePage(this.pages.length);
-        return this.store.readNewest(topic, afterKey);
+        const page = await this.store.readNewest(topic, afterKey);
+        this.pagesUnderWay.set(topic, (this.pagesUnderWay.get(topic) ?? 0) - 1);
+        return page;
     }
 }
