Tell no count of waiting jobs while the accepted jobs can't be read

Cause: a coordinator whose reads of the accepted jobs get no answer (2 s of waiting and 1 s each, so that two lost ones are 6 s), while its renewals are written, told counts without what was accepted meanwhile; callers count on what was accepted 5 s before. Change: Coordinator.getPending tells none when the accepted jobs are known only up to more than 3 s ago; an entry VM may tell the last count for 2 s more, then 503 as before. TopicFollower.freshAtMs, which nothing else uses but for being set, tells up to when all is known: a read that waited and found nothing proves it for as long as it waited. Tests: 'tells no count that leaves out what was accepted meanwhile' failed before (0 in place of none); without the change of freshAtMs 'tells counts all the while that nothing new is accepted' and 'doesn't count a job that has ended' fail.

--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -216,9 +216,13 @@
         return this.ends.findState(id) ?? (isFresh ? undefined : "unknown");
     }
 
-    /** Counts the accepted jobs of a queue of which no task has begun. */
-    getPending(queue: string): number {
-        return countPending(this.jobs.live.values(), queue);
+    /**
+     * Counts the accepted jobs of a queue of which no task has begun.
+     *
+     * @returns Undefined when the accepted jobs weren't read lately.
+     */
+    getPending(queue: string): number | undefined {
+        return this.jobsFollower.isFresh ? countPending(this.jobs.live.values(), queue) : undefined;
     }
 
     /** Takes a cancellation that is in the store, ahead of reading it there. */
--- a/packages/coordinate-work/src/countPending.test.ts
+++ b/packages/coordinate-work/src/countPending.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it, jest } from "@jest/globals";
+import { ReadOutcome, waitFor } from "@sardinestage/describe-ports";
 import type { JobSpec } from "@sardinestage/describe-work";
 import { createStep } from "@sardinestage/emulate-platform";
 import { CoordinatorBed } from "./testing/coordinatorBed.js";
@@ -70,4 +71,32 @@
             expect(bed.coordinator?.getPending(QUEUE.name)).toBe(0);
         });
     });
+
+    describe("when the accepted jobs can't be read, though records can be written", () => {
+        it("tells no count that leaves out what was accepted meanwhile, and one as soon as they can be read again", async () => {
+            const bed = await createBed();
+            const outcome = ReadOutcome.Failed;
+            const reading = jest.spyOn(bed.store, "read").mockImplementation(async (_, from) => {
+                await waitFor(bed.clock, 1000);
+                return { outcome, records: [], next: from };
+            });
+            await bed.clock.runFor(2500);
+            bed.stopWorker("w");
+            void bed.submit("job", createSpec(1), QUEUE);
+            // A count may be told for two more seconds by an entry VM; callers count on what was accepted five seconds ago.
+            await bed.clock.runFor(3000);
+            expect(bed.coordinator?.getPending(QUEUE.name)).toBeUndefined();
+            reading.mockRestore();
+            await bed.clock.runFor(2500);
+            expect(bed.coordinator?.getPending(QUEUE.name)).toBe(1);
+        });
+
+        it("tells counts all the while that nothing new is accepted", async () => {
+            const bed = await createBed();
+            for (let passedMs = 0; passedMs < 10_000; passedMs += 100) {
+                await bed.clock.runFor(100);
+                expect(bed.coordinator?.getPending(QUEUE.name)).toBe(0);
+            }
+        });
+    });
 });
--- a/packages/follow-topic/src/topicFollower.ts
+++ b/packages/follow-topic/src/topicFollower.ts
@@ -6,6 +6,8 @@
 const FIRST_RETRY_MS = 100;
 /** The longest pause after failed reads, in milliseconds. */
 const MAX_RETRY_MS = 800;
+/** A read's answer may take this long beyond its wait before the follower has fallen behind, in milliseconds. */
+const ANSWER_MS = 1000;
 
 /** What a follower reads and whom it tells. */
 interface TopicFollowerOptions {
@@ -32,11 +34,17 @@
     private next = 0;
     private isClosed = false;
     private failures = 0;
-    /** When a read last succeeded, in steady milliseconds; undefined before the first. */
+    /** Up to when all records are known, in steady milliseconds; undefined before the first read that succeeded. */
     freshAtMs: number | undefined;
 
     constructor(private readonly options: TopicFollowerOptions) {}
 
+    /** Whether all records are known but for the newest: no read is overdue. */
+    get isFresh(): boolean {
+        const { clock, waitMs } = this.options;
+        return this.freshAtMs !== undefined && clock.getNow() - this.freshAtMs <= waitMs + ANSWER_MS;
+    }
+
     /**
      * Pages through the newest record of each key. Pages are no snapshot, so the tail is read from where the first
      * page was made.
@@ -105,7 +113,9 @@
             return answer.outcome;
         }
         if (answer.outcome === ReadOutcome.Read) {
-            this.freshAtMs = Math.max(startedAtMs, this.freshAtMs ?? 0);
+            // The store had nothing for as long as the read waited.
+            const waitedMs = answer.records.length === 0 ? waitMs : 0;
+            this.freshAtMs = Math.max(Math.min(startedAtMs + waitedMs, clock.getNow()), this.freshAtMs ?? 0);
             for (const record of answer.records) {
                 if (record.offset >= this.next) {
                     this.takeRecord(record, record.offset);
--- a/packages/run-entry-vm/src/termDuty.ts
+++ b/packages/run-entry-vm/src/termDuty.ts
@@ -135,8 +135,10 @@
                 const state = await coordinator.getState(call.id ?? "");
                 return state === "unknown" ? { isUnsure: true } : { state };
             }
-            case CoordinatorCallKind.GetPending:
-                return { pending: coordinator.getPending(call.queue ?? "") };
+            case CoordinatorCallKind.GetPending: {
+                const pending = coordinator.getPending(call.queue ?? "");
+                return pending === undefined ? { isUnsure: true } : { pending };
+            }
             case CoordinatorCallKind.Cancel:
                 coordinator.cancelJob(call.id ?? "");
                 return {};
