Don't start again what may have ended unheard on a worker that lives

Cause: a configuration of 1,566 queues and 13 more of that size within 4 s are read by each VM from the store, and sent to those that stay behind (peers-sent of the coordinator 1.7 MB in 2 s), and the link between the regions is full. 68 times a worker of the other region was silent from 30 s on, for over 5 s; at 35 to 37 s its leases were past, and 390 runs were given up and started elsewhere. But the worker lived, was listed all the while, and most of its runs had ended well before: a lease that is past says that nothing is at work, not that nothing has ended. Change: on a listed worker that is silent past its lease, tasks that end are given up only 6 s later, or when its entry is gone, which a dead worker's is within 3.3 s. Tasks that stay never end well, and are started again at once as before. Test: 'doesn't have the task started again, since its end is only unheard' fails without it. Not mended: that configurations fill the link.

--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -18,6 +18,7 @@
 import { JobIntake } from "./jobIntake.js";
 import { Learned } from "./learned.js";
 import { limits } from "./limits.js";
+import { listLapsed } from "./listLapsed.js";
 import { OrderDesk } from "./orderDesk.js";
 import { PaceDesk } from "./paceDesk.js";
 import { PastStarts } from "./pastStarts.js";
@@ -324,10 +325,7 @@
 
     private expireLeases(nowMs: number): void {
         for (const link of this.fleet.links.values()) {
-            const isAnswering = link.isHeld && link.missedHolds === 0;
-            if (link.tasks.size > 0 && !isAnswering && nowMs > link.getLapseTime()) {
-                this.runs.dropRuns(link, "lease-lapsed");
-            }
+            listLapsed(link, nowMs).forEach(task => this.runs.dropRun(task, link, "lease-lapsed"));
         }
         this.fleet.dropGone(nowMs);
     }
--- a/packages/coordinate-work/src/runBook.ts
+++ b/packages/coordinate-work/src/runBook.ts
@@ -45,13 +45,6 @@
         link.isHeld = true;
     }
 
-    /** Gives up the runs of a worker whose lease has certainly run out. */
-    dropRuns(link: WorkerLink, reason: string): void {
-        for (const task of [...link.tasks]) {
-            this.dropRun(task, link, reason);
-        }
-    }
-
     /** Notes that a task's newest run isn't at work and left no end. */
     dropRun(task: Task, link: WorkerLink, reason: string): void {
         link.tasks.delete(task);
