--- a/packages/accept-jobs/src/stateReader.test.ts
+++ b/packages/accept-jobs/src/stateReader.test.ts
@@ -1,39 +1,12 @@
 import { describe, expect, it } from "@jest/globals";
-import type { KeyedRecord } from "@sardinestage/describe-ports";
 import { Topic } from "@sardinestage/describe-ports";
-import type { QueueConfig } from "@sardinestage/describe-work";
 import { JobState } from "@sardinestage/describe-work";
-import { encodeJobRecord, encodeProgress, Job } from "@sardinestage/track-jobs";
 import { DeskBed } from "./testing/deskBed.js";
+import { jobFixture } from "./testing/jobFixture.js";
 
 const PATIENCE_MS = 3000;
 const ID = "5c0e7a21d94b36f8";
-const spec = { payload: "p", steps: [], repeatCount: 0, firstRunMs: 0, intervalMs: 0 };
-const queue: QueueConfig = {
-    name: "queue",
-    host: "host",
-    pathPrefix: "/",
-    service: "service",
-    priority: 0,
-    maxAttempts: 2,
-    stretch: 2,
-    targetLatencyMs: 500,
-};
-
-function createJobRecord(id: string): KeyedRecord {
-    return { key: id, value: encodeJobRecord({ spec, queue, acceptedAtMs: 0 }) };
-}
-
-function createProgress(id: string, state: JobState): KeyedRecord {
-    const job = new Job(id, spec, queue, 0);
-    job.state = state;
-    job.finishedAtMs = 1;
-    return { key: id, value: encodeProgress(job) };
-}
-
-function createId(index: number): string {
-    return index.toString(16).padStart(16, "0");
-}
+const { createId, createJobRecord, createProgress } = jobFixture;
 
 describe("StateReader", () => {
     describe("when the store loses a read, and the coordinator doesn't answer", () => {
