Keep start orders to half of the loop only where the loop stands still

Cause: leaves the loop free for as long as it has sent start orders. A coordinator at 342 workers uses all of its processor in bursts, but its loop turns (late by 50 to 140 ms at most), and starts came late for nothing. Change: chooseStartPause: none up to the lateness at which a loop counts as fully busy (100 ms on average), as long as sending took from twice that on. A turn of sending still takes 20 ms at most. Tests: chooseStartPause.test.ts; 'sends all of them, in their order, and takes $share of a loop that $loop' has the case that it had, for a loop that stands still, and one for a loop that turns, which fails without the change.

--- a/packages/coordinate-work/src/limits.ts
+++ b/packages/coordinate-work/src/limits.ts
@@ -25,8 +25,6 @@
     startsAtOnce: 6,
     /** Sending start orders takes no longer at once, in milliseconds: far less than what a lease leaves to its renewal. */
     startTurnMs: 20,
-    /** Sending start orders takes at most this share of the loop while some wait. */
-    startShare: 0.5,
     /** Shortest time between two appends of progress, in milliseconds: bounds the calls to the store. */
     flushGapMs: 20,
     /** How long an append of progress may take at least and at most before it is repeated, in milliseconds. */
--- a/packages/coordinate-work/src/orderDesk.ts
+++ b/packages/coordinate-work/src/orderDesk.ts
@@ -31,7 +31,7 @@
     private readonly pacer: StartPacer;
 
     constructor(private readonly parts: CoordinatorParts, private readonly handlers: OrderHandlers) {
-        this.pacer = new StartPacer(parts.clock);
+        this.pacer = new StartPacer(parts.clock, parts.getLoopDelay);
     }
 
     /** How many starts wait to be sent. */
--- a/packages/coordinate-work/src/startPacer.ts
+++ b/packages/coordinate-work/src/startPacer.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@sardinestage/describe-ports";
+import { chooseStartPause } from "./chooseStartPause.js";
 import { limits } from "./limits.js";
 
 /**
@@ -9,7 +10,11 @@
     private waiting: (() => void)[] = [];
     private isScheduled = false;
 
-    constructor(private readonly clock: Clock) {}
+    /**
+     * @param clock Steady time.
+     * @param getLoopDelay How late the loop usually is, in milliseconds.
+     */
+    constructor(private readonly clock: Clock, private readonly getLoopDelay: () => number) {}
 
     /** How many orders wait for their turn. */
     get waitingCount(): number {
@@ -22,6 +27,7 @@
         this.scheduleTurn(0);
     }
 
+    /** Whatever else the loop has to do comes before the next turn. */
     private scheduleTurn(delayMs: number): void {
         if (!this.isScheduled) {
             this.isScheduled = true;
@@ -42,7 +48,7 @@
         this.waiting = orders.slice(sent);
         this.isScheduled = false;
         if (this.waiting.length > 0) {
-            this.scheduleTurn(tookMs * (1 - limits.startShare) / limits.startShare);
+            this.scheduleTurn(chooseStartPause(tookMs, this.getLoopDelay()));
         }
     }
 }
