--- a/packages/accept-jobs/src/keyReader.ts
+++ b/packages/accept-jobs/src/keyReader.ts
@@ -39,8 +39,9 @@
 
 /**
  * Reads the newest records of single keys. The store only has pages, which may be large, so questions that wait share
- * them, pages go round the keys in order, one after another, since two at once would share the link and have the same keys
- * mostly, and each is followed by a pause in proportion to its size. A question is answered from pages asked for after it came: what they don't have, the store didn't have then.
+ * them, and pages go round the keys in order, one after another: two at once would share the link and have mostly the same
+ * keys. Each is followed by a pause in proportion to its size. A question is answered from pages asked for after it came:
+ * what they don't have, the store didn't have then.
  */
 export class KeyReader {
     private readonly waiting = new Set<Question>();
--- a/packages/accept-jobs/src/pageTimes.ts
+++ b/packages/accept-jobs/src/pageTimes.ts
@@ -1,4 +1,4 @@
-/** After what time a page is late at least and at most, in milliseconds: some round trips; half of the time of a caller who waits a second. */
+/** Bounds of the time after which a page is late, in milliseconds: some round trips, and half of a hurried caller's time. */
 const LATE_AFTER = { leastMs: 100, mostMs: 500 };
 /** A page is late when it takes so many times as long as the longest lately. */
 const LATE_FACTOR = 3;
