Don't look for rooms to keep where nothing is kept

Found by reading the whole change. reserveRooms went through all rooms for each demand that found none, although it keeps some only for what was interrupted or has room promised; for all others the outcome was always none.

--- a/packages/plan-starts/src/reserveRooms.ts
+++ b/packages/plan-starts/src/reserveRooms.ts
@@ -26,6 +26,10 @@
     ledger: RoomLedger,
     rules: StartRules,
 ): void {
+    const promised = new Set(demand.promised);
+    if (promised.size === 0 && !isInterrupted(demand)) {
+        return;
+    }
     const { rooms } = ledger;
     const { step, waiting } = demand;
     const count = waiting.length - placed.length;
@@ -33,7 +37,6 @@
     const open = rooms.map((_room, index) => index).filter(index =>
         rooms[index].startsLeft > 0 && !isStepFull(step.spec, perWorker.get(rooms[index].workerId))
     );
-    const promised = new Set(demand.promised);
     const kept = open.filter(index => promised.has(rooms[index].workerId)).slice(0, count);
     const keptIds = new Set(kept.map(index => rooms[index].workerId));
     const provided = (demand.promised ?? []).filter(workerId => keptIds.has(workerId)).length;
