One codec, one list of earlier tasks and one set-up for tests of takeovers

Found by reading the whole change; test support only, no assertion changed. takeoverBed, coordinatorBed and the bench's load had the same codec, the beds the same list of what has to be done before a task, and seven tests of membership the same five lines of set-up.

--- a/packages/bench/src/coordinatorLoad.ts
+++ b/packages/bench/src/coordinatorLoad.ts
@@ -1,10 +1,11 @@
 import { Coordinator } from "@sardinestage/coordinate-work";
 import { Metrics } from "@sardinestage/count-metrics";
-import type { HoldAnswer, RecordCodec, RunningRow, WorkerPort } from "@sardinestage/describe-ports";
+import type { HoldAnswer, RunningRow, WorkerPort } from "@sardinestage/describe-ports";
 import { OrderOutcome, Topic } from "@sardinestage/describe-ports";
-import type { QueueConfig, StepSpec, WorkerEntry } from "@sardinestage/describe-work";
+import type { QueueConfig, StepSpec } from "@sardinestage/describe-work";
 import {
     createStep,
+    emulatedCodec,
     EmulatedFleet,
     EmulatedWorker,
     MemoryStore,
@@ -71,13 +72,6 @@
     },
 ];
 
-const codec: RecordCodec = {
-    decodeWorker: record =>
-        record.value === undefined ? undefined : JSON.parse(Buffer.from(record.value).toString()) as WorkerEntry,
-    decodeOperator: () => undefined,
-    encodeWaveStatus: wave => ({ key: String(wave.number), value: undefined }),
-};
-
 /** A coordinator over emulated workers under the load of a busy day, as much for each worker whatever their number. */
 export class CoordinatorLoad {
     readonly clock = new VirtualClock();
@@ -136,7 +130,7 @@
             workers: this.createWorkerPort(),
             advice: { requestTickets: () => Promise.resolve({ tickets: undefined, validMs: 0 }) },
             vms: { list: () => Promise.resolve(undefined), startUpkeep: () => Promise.reject(new Error("unused")) },
-            codec,
+            codec: emulatedCodec,
             clock: new MeasuredClock(this.clock),
             logger: silentLogger,
             metrics: this.metrics,
--- a/packages/coordinate-work/src/testing/coordinatorBed.ts
+++ b/packages/coordinate-work/src/testing/coordinatorBed.ts
@@ -1,12 +1,13 @@
 import { Metrics } from "@sardinestage/count-metrics";
-import type { KeyedRecord, RecordCodec } from "@sardinestage/describe-ports";
+import type { KeyedRecord } from "@sardinestage/describe-ports";
 import { Topic } from "@sardinestage/describe-ports";
-import type { JobSpec, QueueConfig, TaskRef, WorkerEntry } from "@sardinestage/describe-work";
-import { formatTaskKey } from "@sardinestage/describe-work";
+import type { JobSpec, QueueConfig, TaskRef } from "@sardinestage/describe-work";
 import {
     BusyWorkerPort,
+    emulatedCodec,
     EmulatedFleet,
     EmulatedWorker,
+    listEarlierTasks,
     MemoryStore,
     RunWitness,
     VirtualClock,
@@ -49,7 +50,10 @@
     constructor(random: () => number, private readonly getDuration: (task: TaskRef, run: number) => number) {
         this.store = new MemoryStore(this.clock, random);
         this.fleet = new EmulatedFleet(this.clock, random);
-        this.witness = new RunWitness(() => this.clock.getNow(), task => this.listEarlier(task));
+        this.witness = new RunWitness(
+            () => this.clock.getNow(),
+            task => listEarlierTasks(this.specs.get(task.jobId), task),
+        );
     }
 
     /** How many terms have begun. */
@@ -114,7 +118,7 @@
             workers: new BusyWorkerPort(this.fleet, this.clock, this.callMs, () => this.clock.run(this.sendMs)),
             advice: { requestTickets: () => Promise.resolve({ tickets: undefined, validMs: 0 }) },
             vms: { list: () => Promise.resolve(undefined), startUpkeep: () => Promise.reject(new Error("unused")) },
-            codec: bedCodec,
+            codec: emulatedCodec,
             clock: this.clock,
             logger: {
                 info: (event, fields) => this.recordEvent(term, event, fields),
@@ -153,16 +157,6 @@
         this.events.push(`${Math.round(this.clock.getNow())} term ${term} ${event} ${JSON.stringify(fields)}`);
     }
 
-    private listEarlier(task: TaskRef): string[] {
-        const steps = this.specs.get(task.jobId)?.steps ?? [];
-        return (steps.at(task.step)?.dependsOn ?? []).flatMap(step =>
-            Array.from(
-                { length: steps[step].taskCount },
-                (_unused, index) => formatTaskKey({ ...task, step, index }),
-            )
-        );
-    }
-
     /** Repeats until it is certainly there, as callers do. */
     async appendSurely(topic: Topic, record: KeyedRecord): Promise<void> {
         const answer = await this.store.append({ topic, records: [record], timeoutMs: APPEND_TIMEOUT_MS });
@@ -171,10 +165,3 @@
         }
     }
 }
-
-const bedCodec: RecordCodec = {
-    decodeWorker: record =>
-        record.value === undefined ? undefined : JSON.parse(Buffer.from(record.value).toString()) as WorkerEntry,
-    decodeOperator: () => undefined,
-    encodeWaveStatus: wave => ({ key: String(wave.number), value: undefined }),
-};
--- a/packages/emulate-platform/src/index.ts
+++ b/packages/emulate-platform/src/index.ts
@@ -1,8 +1,10 @@
 export { BusyWorkerPort } from "./busyWorkerPort.js";
 export { createRandom } from "./createRandom.js";
 export { createStep } from "./createStep.js";
+export { emulatedCodec } from "./emulatedCodec.js";
 export { EmulatedFleet } from "./emulatedFleet.js";
 export { EmulatedWorker } from "./emulatedWorker.js";
+export { listEarlierTasks } from "./listEarlierTasks.js";
 export { MemoryStore } from "./memoryStore.js";
 export { RunWitness } from "./runWitness.js";
 export { stopLoop } from "./stopLoop.js";
--- /dev/null
+++ b/packages/emulate-platform/src/listEarlierTasks.ts
@@ -0,0 +1,13 @@
+import type { JobSpec, TaskRef } from "@sardinestage/describe-work";
+import { formatTaskKey } from "@sardinestage/describe-work";
+
+/** Names the tasks that have to be done before a task of a job may start. */
+export function listEarlierTasks(spec: JobSpec | undefined, task: TaskRef): string[] {
+    const steps = spec?.steps ?? [];
+    return (steps.at(task.step)?.dependsOn ?? []).flatMap(step =>
+        Array.from(
+            { length: steps[step].taskCount },
+            (_unused, index) => formatTaskKey({ ...task, step, index }),
+        )
+    );
+}
--- a/packages/run-entry-vm/src/membership.test.ts
+++ b/packages/run-entry-vm/src/membership.test.ts
@@ -146,6 +146,16 @@
     }
 }
 
+/** An installation in which the first VM coordinates and others have come to follow it. */
+async function createInstallation(others: readonly string[]): Promise<Installation> {
+    const installation = new Installation();
+    installation.addVm("first", 1);
+    await installation.clock.runFor(1000);
+    others.forEach(vm => installation.addVm(vm, 1));
+    await installation.clock.runFor(2000);
+    return installation;
+}
+
 describe("Membership", () => {
     describe("when the coordinator is busy and answers in 700 ms", () => {
         it("goes on following it instead of timing out again and again", async () => {
@@ -164,11 +174,7 @@
 
     describe("when a coordinator dies that had the store back but hadn't recorded what it started without", () => {
         it("has its successor wait for what may run unrecorded, which it would start twice", async () => {
-            const installation = new Installation();
-            installation.addVm("first", 1);
-            await installation.clock.runFor(1000);
-            ["a", "b"].forEach(vm => installation.addVm(vm, 1));
-            await installation.clock.runFor(2000);
+            const installation = await createInstallation(["a", "b"]);
             installation.unrecorded.add("first");
             await installation.clock.runFor(600);
             installation.stopVm("first");
@@ -193,11 +199,7 @@
 
     describe("when a coordinator dies before it has learned what its predecessor started unrecorded", () => {
         it("has the next one wait as well", async () => {
-            const installation = new Installation();
-            installation.addVm("first", 1);
-            await installation.clock.runFor(1000);
-            installation.addVm("second", 1);
-            await installation.clock.runFor(2000);
+            const installation = await createInstallation(["second"]);
             installation.unrecorded.add("first");
             await installation.clock.runFor(600);
             installation.stopVm("first");
@@ -213,11 +215,7 @@
 
     describe("when the answer to the append that won was lost", () => {
         it("doesn't take its own record for a sign of its predecessor's", async () => {
-            const installation = new Installation();
-            installation.addVm("first", 1);
-            await installation.clock.runFor(1000);
-            installation.addVm("second", 1);
-            await installation.clock.runFor(2000);
+            const installation = await createInstallation(["second"]);
             installation.unrecorded.add("first");
             await installation.clock.runFor(600);
             installation.stopVm("first");
@@ -249,11 +247,7 @@
 
     describe("when the coordinator is so busy that it reads the store's answers late", () => {
         it("isn't taken for one without the store", async () => {
-            const installation = new Installation();
-            installation.addVm("first", 1);
-            await installation.clock.runFor(1000);
-            ["a", "b", "c"].forEach(vm => installation.addVm(vm, 1));
-            await installation.clock.runFor(2000);
+            const installation = await createInstallation(["a", "b", "c"]);
             installation.readDelayMs.set("first", 1600);
             await installation.clock.runFor(20_000);
             expect(installation.candidacies).toEqual(["first"]);
@@ -262,12 +256,8 @@
 
     describe("when the store doesn't answer the coordinator", () => {
         it("is replaced within 3 s", async () => {
-            const installation = new Installation();
-            installation.addVm("first", 1);
-            await installation.clock.runFor(1000);
             const others = ["a", "b", "c"];
-            others.forEach(vm => installation.addVm(vm, 1));
-            await installation.clock.runFor(2000);
+            const installation = await createInstallation(others);
             installation.withoutStore.add("first");
             await installation.clock.runFor(3000);
             expect(others).toContain(installation.coordinators.at(-1));
@@ -276,11 +266,7 @@
 
     describe("when one VM can't reach the coordinator that the others follow", () => {
         it("doesn't depose it, however long that lasts", async () => {
-            const installation = new Installation();
-            installation.addVm("first", 1);
-            await installation.clock.runFor(1000);
-            ["a", "b", "c"].forEach(vm => installation.addVm(vm, 1));
-            await installation.clock.runFor(2000);
+            const installation = await createInstallation(["a", "b", "c"]);
             installation.unanswered.add("late");
             installation.addVm("late", 1);
             await installation.clock.runFor(30_000);
@@ -290,12 +276,8 @@
 
     describe("when nobody reaches a coordinator that renews", () => {
         it("is replaced after a while", async () => {
-            const installation = new Installation();
-            installation.addVm("first", 1);
-            await installation.clock.runFor(1000);
             const others = ["a", "b", "c"];
-            others.forEach(vm => installation.addVm(vm, 1));
-            await installation.clock.runFor(2000);
+            const installation = await createInstallation(others);
             installation.answerMs.set("first", 60_000);
             await installation.clock.runFor(20_000);
             expect(others).toContain(installation.coordinator);
--- a/packages/run-entry-vm/src/testing/takeoverBed.ts
+++ b/packages/run-entry-vm/src/testing/takeoverBed.ts
@@ -1,10 +1,17 @@
 import { Coordinator } from "@sardinestage/coordinate-work";
 import { Metrics } from "@sardinestage/count-metrics";
-import type { KeyedRecord, RecordCodec, StorePort } from "@sardinestage/describe-ports";
+import type { KeyedRecord, StorePort } from "@sardinestage/describe-ports";
 import { AppendOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
-import type { JobSpec, QueueConfig, TaskRef, WorkerEntry } from "@sardinestage/describe-work";
-import { formatTaskKey } from "@sardinestage/describe-work";
-import { EmulatedFleet, EmulatedWorker, MemoryStore, RunWitness, VirtualClock } from "@sardinestage/emulate-platform";
+import type { JobSpec, QueueConfig, TaskRef } from "@sardinestage/describe-work";
+import {
+    emulatedCodec,
+    EmulatedFleet,
+    EmulatedWorker,
+    listEarlierTasks,
+    MemoryStore,
+    RunWitness,
+    VirtualClock,
+} from "@sardinestage/emulate-platform";
 import { FrameKind } from "@sardinestage/exchange-frames";
 import type { Candidate } from "@sardinestage/keep-term";
 import { TermLog } from "@sardinestage/keep-term";
@@ -62,7 +69,10 @@
     ) {
         this.store = new MemoryStore(this.clock, random);
         this.fleet = new EmulatedFleet(this.clock, random);
-        this.witness = new RunWitness(() => this.clock.getNow(), task => this.listEarlier(task));
+        this.witness = new RunWitness(
+            () => this.clock.getNow(),
+            task => listEarlierTasks(this.specs.get(task.jobId), task),
+        );
     }
 
     /** The VMs that run. */
@@ -104,7 +114,7 @@
                         list: () => Promise.resolve(undefined),
                         startUpkeep: () => Promise.reject(new Error("unused")),
                     },
-                    codec: bedCodec,
+                    codec: emulatedCodec,
                     clock,
                     logger,
                     metrics: new Metrics(),
@@ -206,21 +216,4 @@
         const answer = isFollowing ? member.answerFollow(body as FollowRequest) : member.answerPeer();
         return { body: answer, isRefused: false, hasAnswered: true };
     }
-
-    private listEarlier(task: TaskRef): string[] {
-        const steps = this.specs.get(task.jobId)?.steps ?? [];
-        return (steps.at(task.step)?.dependsOn ?? []).flatMap(step =>
-            Array.from(
-                { length: steps[step].taskCount },
-                (_unused, index) => formatTaskKey({ ...task, step, index }),
-            )
-        );
-    }
 }
-
-const bedCodec: RecordCodec = {
-    decodeWorker: record =>
-        record.value === undefined ? undefined : JSON.parse(Buffer.from(record.value).toString()) as WorkerEntry,
-    decodeOperator: () => undefined,
-    encodeWaveStatus: wave => ({ key: String(wave.number), value: undefined }),
-};
