--- a/packages/coordinate-work/src/fleet.ts
+++ b/packages/coordinate-work/src/fleet.ts
@@ -10,6 +10,9 @@
 /** An unlisted worker without tasks is removed after this silence, in milliseconds. */
 const REMOVE_AFTER_SILENCE_MS = 10_000;
 
+/** Unreadable entries that are logged; further ones are only counted. */
+const MAX_UNREADABLE_KEYS = 100;
+
 /** Callbacks of a fleet. */
 interface FleetHandlers {
     /** Called for a newly listed worker, whose lease has to be renewed. */
@@ -22,6 +25,8 @@
 export class Fleet {
     readonly workers = new Map<string, TrackedWorker>();
     private readonly openedAtMs: number;
+    /** Keys of the unreadable entries that were logged. */
+    private readonly unreadableKeys = new Set<string>();
 
     constructor(private readonly parts: CoordinatorParts, private readonly handlers: FleetHandlers) {
         this.openedAtMs = parts.clock.getNow();
@@ -44,7 +49,7 @@
         const entry = this.parts.codec.decodeWorker(record);
         if (entry === undefined) {
             // An unreadable entry, from another writer, neither adds a worker nor removes one.
-            this.parts.metrics.count("worker_entries_skipped_total", "unreadable");
+            this.noteUnreadable(record.key);
             return;
         }
         this.applyEntry(entry);
@@ -111,6 +116,15 @@
         return worker;
     }
 
+    /** Logs an unreadable entry once: its writer may repeat it with each heartbeat. */
+    private noteUnreadable(key: string): void {
+        this.parts.metrics.count("worker_entries_skipped_total", "unreadable");
+        if (!this.unreadableKeys.has(key) && this.unreadableKeys.size < MAX_UNREADABLE_KEYS) {
+            this.unreadableKeys.add(key);
+            this.parts.logger.warn("worker-entry-unreadable", { worker: key });
+        }
+    }
+
     private noteUnlisted(id: string): void {
         const worker = this.workers.get(id);
         if (worker !== undefined && !worker.isUnlisted) {
