Keep a process running after an unexpected error

Report of other operators: one malformed message or unexpected error took a whole process down. It could here: nothing handled an error thrown by a record's handler, by applying a worker's report, by a planning round or in a timer. The first two ended the process by an unhandled rejection, the third left a coordinator that never planned again.

--- /dev/null
+++ b/packages/coordinate-work/src/cleanupTimer.ts
@@ -0,0 +1,48 @@
+import type { CoordinatorParts } from "./coordinatorParts.js";
+import { describeFleet } from "./describeFleet.js";
+import type { Fleet } from "./fleet.js";
+import type { JobRegistry } from "./jobRegistry.js";
+import { LearnedEstimates } from "./learnedEstimates.js";
+import type { ProgressWriter } from "./progressWriter.js";
+import type { RecordCleaner } from "./recordCleaner.js";
+
+/** Interval between two clean-ups of the records of ended jobs, in milliseconds. */
+const CLEANUP_INTERVAL_MS = 2000;
+
+/** Dependencies of a cleanup timer. */
+interface CleanupTimerParts {
+    readonly jobs: JobRegistry;
+    readonly fleet: Fleet;
+    readonly writer: ProgressWriter;
+    readonly learned: LearnedEstimates;
+    readonly recordCleaner: RecordCleaner;
+}
+
+/** Logs a summary of the fleet, records what was learned and drops obsolete records, again and again until closed. */
+export class CleanupTimer {
+    private cancel: (() => void) | undefined;
+    private isClosed = false;
+
+    constructor(private readonly parts: CoordinatorParts, private readonly collaborators: CleanupTimerParts) {}
+
+    /** Schedules the next clean-up, and those after it. */
+    start(): void {
+        if (!this.isClosed) {
+            this.cancel = this.parts.clock.schedule(CLEANUP_INTERVAL_MS, () => this.run());
+        }
+    }
+
+    /** Stops all clean-ups. */
+    close(): void {
+        this.isClosed = true;
+        this.cancel?.();
+    }
+
+    private run(): void {
+        const { jobs, fleet, writer, learned, recordCleaner } = this.collaborators;
+        const { logger, clock } = this.parts;
+        logger.info("fleet-summary", describeFleet(jobs, [...fleet.workers.values()], clock.getWallTime()));
+        writer.schedule(LearnedEstimates.KEY, () => learned.encodeState());
+        void recordCleaner.dropObsolete().finally(() => this.start());
+    }
+}
--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -6,9 +6,10 @@
 import { MeteredWork } from "@sardinestage/watch-loop";
 import { AdviceCache } from "./adviceCache.js";
 import { applyInBatches } from "./applyInBatches.js";
+import { CleanupTimer } from "./cleanupTimer.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import { countPending } from "./countPending.js";
-import { describeFleet } from "./describeFleet.js";
+import { describeProblem } from "./describeProblem.js";
 import { EarlierStarts } from "./earlierStarts.js";
 import { Fleet } from "./fleet.js";
 import { followedTopics } from "./followedTopics.js";
@@ -34,9 +35,6 @@
 import type { TrackedWorker } from "./trackedWorker.js";
 import { WorkerMonitor } from "./workerMonitor.js";
 
-/** Interval between two clean-ups of the records of ended jobs, in milliseconds. */
-const CLEANUP_INTERVAL_MS = 2000;
-
 /**
  * During a takeover, each lease is renewed after this share of its length. At a third, one renewal may fail before the
  * lease expires.
@@ -58,7 +56,7 @@
     private readonly jobsFollower: TopicFollower;
     private readonly workersFollower: TopicFollower;
     private readonly finisher: JobFinisher;
-    private readonly recordCleaner: RecordCleaner;
+    private readonly cleanup: CleanupTimer;
     private readonly intake: JobIntake;
     private readonly earlierStarts: EarlierStarts;
     private startGate: StartGate | undefined;
@@ -72,10 +70,14 @@
     constructor(private readonly parts: CoordinatorParts) {
         this.openedAtMs = parts.clock.getNow();
         this.takeoverGate = new TakeoverGate(parts.clock, parts.rules.leaseMs * TAKEOVER_RENEWAL_SHARE);
-        this.timer = new RoundTimer(parts.clock, () => parts.meter.measure(MeteredWork.Rounds, () => this.runRound()));
+        this.timer = new RoundTimer(
+            parts.clock,
+            () => parts.meter.measure(MeteredWork.Rounds, () => this.runRound()),
+            failure => parts.logger.error("round-failed", { problem: describeProblem(failure) }),
+        );
         this.writer = new ProgressWriter(parts);
         this.earlierStarts = new EarlierStarts(parts.hadUnrecordedStarts, this.writer);
-        this.recordCleaner = new RecordCleaner(parts, this.jobs, this.writer);
+        const recordCleaner = new RecordCleaner(parts, this.jobs, this.writer);
         this.advice = new AdviceCache(parts, () => this.scheduleRound(limits.roundDelayMs));
         this.orders = new OrderSender(parts, {
             handleNotStarted: (task, worker, outcome) => this.handleNotStarted(task, worker, outcome),
@@ -91,7 +93,7 @@
         this.intake = new JobIntake(parts, {
             jobs: this.jobs,
             fleet: this.fleet,
-            recordCleaner: this.recordCleaner,
+            recordCleaner,
             cancelJob: id => this.cancelJob(id),
             noteAdded: () => this.scheduleRound(limits.roundDelayMs),
         });
@@ -103,6 +105,13 @@
             findWorker: workerId => this.fleet.workers.get(workerId),
             noteChanged: job => this.handleChange(job),
         });
+        this.cleanup = new CleanupTimer(parts, {
+            jobs: this.jobs,
+            fleet: this.fleet,
+            writer: this.writer,
+            learned: this.learned,
+            recordCleaner,
+        });
         const { headroom } = this.learned;
         const headroomTracker = new HeadroomTracker(headroom);
         this.finisher = new JobFinisher(parts, {
@@ -111,7 +120,7 @@
             writer: this.writer,
             orders: this.orders,
             advice: this.advice,
-            recordCleaner: this.recordCleaner,
+            recordCleaner,
         });
         this.pace = new PaceController(parts, this.orders, headroom, headroomTracker);
         this.planningRound = new PlanningRound(parts, {
@@ -185,7 +194,7 @@
         });
         this.takeoverGate.openWhenSettled(() => this.startGate?.isSettled() === true);
         this.scheduleRound(limits.roundDelayMs);
-        this.scheduleCleanup();
+        this.cleanup.start();
         return true;
     }
 
@@ -215,6 +224,7 @@
         this.jobsFollower.close();
         this.workersFollower.close();
         this.timer.close();
+        this.cleanup.close();
     }
 
     /** Whether runs may exist that aren't recorded yet, started by this coordinator or by an earlier one. */
@@ -336,19 +346,4 @@
         }
         this.fleet.removeUnlisted(nowMs);
     }
-
-    private scheduleCleanup(): void {
-        const { clock, logger } = this.parts;
-        clock.schedule(CLEANUP_INTERVAL_MS, () => {
-            if (this.isClosed) {
-                return;
-            }
-            logger.info(
-                "fleet-summary",
-                describeFleet(this.jobs, [...this.fleet.workers.values()], clock.getWallTime()),
-            );
-            this.writer.schedule(LearnedEstimates.KEY, () => this.learned.encodeState());
-            void this.recordCleaner.dropObsolete().finally(() => this.scheduleCleanup());
-        });
-    }
 }
--- a/packages/coordinate-work/src/leaseRenewalLoop.test.ts
+++ b/packages/coordinate-work/src/leaseRenewalLoop.test.ts
@@ -53,4 +53,32 @@
             expect(applied).toBe(3);
         });
     });
+
+    describe("when applying a report fails unexpectedly", () => {
+        it("logs the error and renews the lease again", async () => {
+            const clock = new VirtualClock();
+            const logged: string[] = [];
+            const logger = { error: (event: string) => logged.push(event) };
+            let applied = 0;
+            const loop = new LeaseRenewalLoop(
+                { ...createParts(clock), logger } as unknown as CoordinatorParts,
+                createTrackedWorker("w"),
+                {
+                    waitUntilOpen: () => true,
+                    hasAllJobs: () => true,
+                    applyReport: () => {
+                        applied++;
+                        if (applied === 1) {
+                            throw new Error("The report is malformed.");
+                        }
+                    },
+                    isOver: () => applied >= 3,
+                },
+            );
+            void loop.run();
+            await clock.runFor(3000);
+            expect(applied).toBe(3);
+            expect(logged).toEqual(["renewal-failed"]);
+        });
+    });
 });
--- a/packages/coordinate-work/src/leaseRenewalLoop.ts
+++ b/packages/coordinate-work/src/leaseRenewalLoop.ts
@@ -3,6 +3,7 @@
 import { chooseLongPollTimeout } from "./chooseLongPollTimeout.js";
 import { chooseRenewalPause } from "./chooseRenewalPause.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
+import { describeProblem } from "./describeProblem.js";
 import { limits } from "./limits.js";
 import type { TrackedWorker } from "./trackedWorker.js";
 
@@ -32,8 +33,25 @@
         private readonly handlers: LeaseRenewalHandlers,
     ) {}
 
-    /** Runs until the worker is removed, this coordinator is closed, or a later term is reported. */
+    /**
+     * Runs until the worker is removed, this coordinator is closed, or a later term is reported. An unexpected error is
+     * logged and the loop goes on: without renewals, everything on the worker would be stopped.
+     */
     async run(): Promise<void> {
+        while (!this.handlers.isOver(this.worker)) {
+            try {
+                await this.renewUntilOver();
+                return;
+            }
+            catch (failure) {
+                const fields = { worker: this.worker.entry.id, problem: describeProblem(failure) };
+                this.parts.logger.error("renewal-failed", fields);
+                await waitFor(this.parts.clock, limits.renewalRetryMs);
+            }
+        }
+    }
+
+    private async renewUntilOver(): Promise<void> {
         while (!this.handlers.isOver(this.worker)) {
             const sentAtMs = this.parts.clock.getNow();
             const hasLease = this.worker.answeredAtMs > 0 && this.worker.missedRenewals < limits.maxMissedRenewals;
@@ -102,7 +120,6 @@
 
     private sendRenewal(nowMs: number, hasLease: boolean): Promise<LeaseReport> {
         const { worker, parts } = this;
-        const { id, address } = worker.entry;
         let leaseUntilMs: number | undefined;
         if (hasLease) {
             leaseUntilMs = Math.floor(worker.estimateClock(nowMs) + parts.rules.leaseMs);
@@ -111,7 +128,7 @@
         const longPollMs = chooseLongPollTimeout(worker.hasMixedTasks, parts.getLoopDelay());
         const waitMs = worker.hasReported && !this.isReportDue && worker.missedRenewals === 0 ? longPollMs : 0;
         const order = { fence: parts.term, lastRecordedEnd: worker.recordedEndNumber, leaseUntilMs, waitMs };
-        return parts.workers.renewLease({ id, address }, order);
+        return parts.workers.renewLease(worker.entry, order);
     }
 
     private noteMissedRenewal(outcome: OrderOutcome): void {
--- a/packages/coordinate-work/src/roundTimer.test.ts
+++ b/packages/coordinate-work/src/roundTimer.test.ts
@@ -108,4 +108,27 @@
             expect(rounds).toBe(1);
         });
     });
+
+    describe("when a round throws", () => {
+        it("reports the error, and the next round begins all the same", () => {
+            const loop = new SingleThreadClock();
+            const failures: unknown[] = [];
+            let rounds = 0;
+            const timer = new RoundTimer(
+                loop,
+                () => {
+                    rounds++;
+                    if (rounds === 1) {
+                        throw new Error("The round failed.");
+                    }
+                    return limits.idleRoundMs;
+                },
+                failure => failures.push(failure),
+            );
+            timer.schedule(0);
+            loop.runUntil(limits.idleRoundMs * 3);
+            expect(rounds).toBeGreaterThan(2);
+            expect(failures).toHaveLength(1);
+        });
+    });
 });
--- a/packages/coordinate-work/src/roundTimer.ts
+++ b/packages/coordinate-work/src/roundTimer.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@sardinestage/describe-ports";
 import { chooseRoundTime } from "./chooseRoundTime.js";
+import { limits } from "./limits.js";
 
 /** Runs planning rounds on request, and limits their share of the event loop so that more urgent work isn't delayed. */
 export class RoundTimer {
@@ -11,8 +12,13 @@
     /**
      * @param clock Schedules rounds and measures how long they take.
      * @param runRound Runs a round; returns the time until the next one without a request, in milliseconds.
+     * @param noteFailure Called with the error of a round that throws; the next round begins as after any other.
      */
-    constructor(private readonly clock: Clock, private readonly runRound: () => number) {}
+    constructor(
+        private readonly clock: Clock,
+        private readonly runRound: () => number,
+        private readonly noteFailure: (failure: unknown) => void = () => undefined,
+    ) {}
 
     /**
      * Requests a round after a delay, in milliseconds; an earlier round that is already scheduled serves this request
@@ -35,10 +41,20 @@
         this.cancelTimer?.();
     }
 
+    private tryRound(): number {
+        try {
+            return this.runRound();
+        }
+        catch (failure) {
+            this.noteFailure(failure);
+            return limits.idleRoundMs;
+        }
+    }
+
     private run(): void {
         const startedAtMs = this.clock.getNow();
         this.nextAtMs = Infinity;
-        const delayMs = this.runRound();
+        const delayMs = this.tryRound();
         const endedAtMs = this.clock.getNow();
         this.lastRound = { endedAtMs, tookMs: endedAtMs - startedAtMs };
         const requestedAtMs = this.nextAtMs;
--- a/packages/follow-topic/src/topicFollower.ts
+++ b/packages/follow-topic/src/topicFollower.ts
@@ -21,7 +21,10 @@
     readonly waitMs: number;
     /** Pause between two reads, in milliseconds. Records that arrive during the pause come in one answer. */
     readonly pauseMs: number;
-    /** Called with each record, possibly more than once. A record without a value says that its key was removed. */
+    /**
+     * Called with each record, possibly more than once. A record without a value says that its key was removed. If it
+     * throws, the record is skipped.
+     */
     readonly takeRecord: (record: KeyedRecord, offset: number) => void;
 }
 
@@ -161,7 +164,18 @@
         else {
             this.knownKeys.add(record.key);
         }
-        this.options.takeRecord(record, offset);
+        try {
+            this.options.takeRecord(record, offset);
+        }
+        catch (failure) {
+            // A record that can't be handled must neither hide the later ones nor end the process.
+            this.options.logger.error("record-failed", {
+                topic: this.options.name,
+                key: record.key,
+                offset,
+                problem: String(failure),
+            });
+        }
     }
 
     private removeMissingKeys(listedKeys: ReadonlySet<string>): void {
