Have entry VMs make the coordinator's calls to workers

Change: relay-orders. The relay decides nothing. Each call carries the term and the end of the lease; a relay serves only the latest term and drops requests that were over 1 s late, by the wall clock, so that a paused relay acts on nothing that was given up. A relay that falls silent (1 s), stops, or whose event loop is late is given up: calls that may have been made are unknown as for any lost answer, those that certainly weren't are made directly.

--- a/packages/coordinate-work/src/orderSender.ts
+++ b/packages/coordinate-work/src/orderSender.ts
@@ -86,8 +86,7 @@
             worker: worker.entry.id,
             reason: "stray",
         });
-        const { id, address } = worker.entry;
-        void this.parts.workers.stop({ id, address }, ref, run, this.parts.term);
+        void this.parts.workers.stop(worker.entry, ref, run, this.parts.term);
     }
 
     /** Cancels a start that got no answer, so that the worker can't carry it out late. */
@@ -107,15 +106,14 @@
         const sentAtMs = clock.getNow();
         const leaseUntilMs = Math.floor(worker.estimateClock(sentAtMs) + rules.leaseMs);
         worker.leaseUntilMs = Math.max(worker.leaseUntilMs, leaseUntilMs);
-        const { id, address } = worker.entry;
-        const outcome = await workers.start({ id, address }, {
+        const outcome = await workers.start(worker.entry, {
             task: task.ref,
             run,
             payload: task.step.occurrence.job.spec.payload,
             leaseUntilMs,
             fence: term,
             checkpoint: task.checkpoint,
-            ticket: this.handlers.getTicket(task, id),
+            ticket: this.handlers.getTicket(task, worker.entry.id),
         });
         metrics.recordDuration("start_call", clock.getNow() - sentAtMs);
         metrics.count("starts_total", OrderOutcome[outcome]);
@@ -156,8 +154,7 @@
     ): Promise<boolean> {
         const { workers, term, clock } = this.parts;
         while (isWanted() && !this.handlers.isClosed()) {
-            const { id, address } = worker.entry;
-            const outcome = await workers.stop({ id, address }, ref, run, term);
+            const outcome = await workers.stop(worker.entry, ref, run, term);
             if (outcome === OrderOutcome.StaleFence) {
                 this.parts.onTermLost("stop:stale-fence");
                 return false;
--- a/packages/coordinate-work/src/paceController.ts
+++ b/packages/coordinate-work/src/paceController.ts
@@ -173,11 +173,10 @@
 
     private async sendPace(task: Task, worker: TrackedWorker, percent: number): Promise<void> {
         const { workers, term, metrics, clock } = this.parts;
-        const { id, address } = worker.entry;
         const { run } = task;
         this.requestedPercents.set(task, percent);
         metrics.count("pace_orders_total", percent < task.pace ? "down" : "up");
-        const outcome = await workers.pace({ id, address }, task.ref, run, percent, term);
+        const outcome = await workers.pace(worker.entry, task.ref, run, percent, term);
         const requestedPercent = this.requestedPercents.get(task) ?? percent;
         this.requestedPercents.delete(task);
         if (outcome === OrderOutcome.StaleFence) {
--- a/packages/describe-ports/src/workerAddress.ts
+++ b/packages/describe-ports/src/workerAddress.ts
@@ -3,4 +3,6 @@
     readonly id: string;
     /** `host:port`. */
     readonly address: string;
+    /** The worker's failure domain. */
+    readonly domain: string;
 }
--- a/packages/exchange-frames/src/frameKind.ts
+++ b/packages/exchange-frames/src/frameKind.ts
@@ -24,4 +24,6 @@
     AskPeer = 21,
     /** Calls an operation of the coordinator. */
     CallCoordinator = 22,
+    /** The coordinator has an entry VM make calls to workers. */
+    RelayOrders = 23,
 }
--- /dev/null
+++ b/packages/relay-orders/src/orderRelay.ts
@@ -0,0 +1,104 @@
+import type { Clock, WorkerPort } from "@sardinestage/describe-ports";
+import type { EventLogger } from "@sardinestage/log-events";
+import { CallCodec } from "./callCodec.js";
+import type { RelayedCall } from "./relayedCall.js";
+import { RelayedCallKind } from "./relayedCallKind.js";
+import { RelayOutcome } from "./relayOutcome.js";
+import type { RelayReply } from "./relayReply.js";
+import type { RelayRequest } from "./relayRequest.js";
+import { ServedSession } from "./servedSession.js";
+
+/**
+ * A request that took this much longer than the one that opened its session isn't carried out, in milliseconds. This
+ * process or the network may have held it up for long, and the coordinator has given up on its calls.
+ */
+const MAX_REQUEST_DELAY_MS = 1000;
+
+/** Dependencies of an order relay. */
+interface OrderRelayParts {
+    readonly workers: WorkerPort;
+    readonly clock: Clock;
+    readonly logger: EventLogger;
+    /** The usual delay of this process's event loop, in milliseconds. */
+    readonly getLoopDelay: () => number;
+}
+
+/**
+ * Makes calls to workers for the coordinator. Only the session opened last is served: after a coordinator of a later
+ * term has opened one, requests of the earlier one are refused.
+ */
+export class OrderRelay {
+    private session: ServedSession | undefined;
+
+    constructor(private readonly parts: OrderRelayParts) {}
+
+    /**
+     * Makes the calls of a request. Replies once answers to calls of the session are there, a later request of the
+     * session has arrived, or after a while without answers.
+     *
+     * @throws {TypeError} If the request is malformed; then no call is made.
+     */
+    async handleRequest(request: RelayRequest): Promise<RelayReply> {
+        if (request.term < (this.session?.term ?? 0)) {
+            return this.buildReply(RelayOutcome.StaleTerm, []);
+        }
+        if (request.calls.length === 0 && request.session !== this.session?.id) {
+            this.openSession(request);
+            return this.buildReply(RelayOutcome.Accepted, []);
+        }
+        const { session } = this;
+        if (session === undefined || session.id !== request.session || this.isLate(request, session)) {
+            return this.buildReply(RelayOutcome.Expired, []);
+        }
+        const calls = request.calls.map(row => CallCodec.decodeCall(row, request.term, request.payloads));
+        calls.sort((left, right) => left.call.kind - right.call.kind);
+        for (const { id, call } of calls) {
+            void this.callWorker(session, id, call);
+        }
+        return this.buildReply(RelayOutcome.Accepted, await session.takeAnswers(request.gatherMs));
+    }
+
+    private openSession(request: RelayRequest): void {
+        const { clock, logger } = this.parts;
+        this.session?.close();
+        this.session = new ServedSession(request.session, request.term, this.computeDelay(request), clock);
+        logger.info("relay-session-opened", { term: request.term, session: request.session });
+    }
+
+    /** Whether a request was under way for much longer than the one that opened the session. */
+    private isLate(request: RelayRequest, session: ServedSession): boolean {
+        const lateMs = this.computeDelay(request) - session.openingDelayMs;
+        if (lateMs <= MAX_REQUEST_DELAY_MS) {
+            return false;
+        }
+        this.parts.logger.warn("relay-request-late", { term: request.term, lateMs: Math.round(lateMs) });
+        return true;
+    }
+
+    /** Time since the request was sent, in milliseconds, plus the difference between the two VMs' wall clocks. */
+    private computeDelay(request: RelayRequest): number {
+        return this.parts.clock.getWallTime() - request.sentAtMs;
+    }
+
+    private async callWorker(session: ServedSession, id: number, call: RelayedCall): Promise<void> {
+        const { workers } = this.parts;
+        switch (call.kind) {
+            case RelayedCallKind.RenewLease:
+                return session.addReport(id, call.worker.id, await workers.renewLease(call.worker, call.order));
+            case RelayedCallKind.Stop: {
+                const { worker, task, run, fence } = call;
+                return session.addOutcome(id, await workers.stop(worker, task, run, fence));
+            }
+            case RelayedCallKind.Pace: {
+                const { worker, task, run, percent, fence } = call;
+                return session.addOutcome(id, await workers.pace(worker, task, run, percent, fence));
+            }
+            case RelayedCallKind.Start:
+                return session.addOutcome(id, await workers.start(call.worker, call.order));
+        }
+    }
+
+    private buildReply(outcome: RelayOutcome, answers: readonly unknown[]): RelayReply {
+        return { outcome, loopDelayMs: this.parts.getLoopDelay(), answers };
+    }
+}
--- /dev/null
+++ b/packages/relay-orders/src/relayRequest.ts
@@ -0,0 +1,15 @@
+/** A request of the coordinator to a relay: calls to make, and a wait for answers to earlier calls. */
+export interface RelayRequest {
+    /** The coordinator's term: the fencing token of all calls in the request. */
+    readonly term: number;
+    /** Identifies the coordinator's session with the relay. A request without calls opens the session. */
+    readonly session: string;
+    /** When the coordinator sent the request, by its wall clock, in Unix milliseconds. */
+    readonly sentAtMs: number;
+    /** How long the relay gathers answers before it replies, in milliseconds. */
+    readonly gatherMs: number;
+    /** The payloads of the jobs whose tasks are started; the calls refer to them by index. */
+    readonly payloads: readonly string[];
+    /** The calls, as `encodeCall` encodes them. */
+    readonly calls: readonly unknown[];
+}
--- /dev/null
+++ b/packages/relay-orders/src/relayedWorkerPort.test.ts
@@ -0,0 +1,169 @@
+import { describe, expect, it } from "@jest/globals";
+import type { StartOrder } from "@sardinestage/describe-ports";
+import { OrderOutcome } from "@sardinestage/describe-ports";
+import type { RelayRequest } from "./relayRequest.js";
+import { RelayHarness } from "./testing/relayHarness.js";
+
+const WORKERS = 20;
+
+function createStart(fence: number): StartOrder {
+    const task = { jobId: "job", occurrence: 0, step: 0, index: 0 };
+    return { task, run: 1, payload: "payload", leaseUntilMs: 30_000, fence, checkpoint: "", ticket: "" };
+}
+
+const worker = { id: "w0", address: "w0", domain: "here" };
+
+describe("RelayedWorkerPort", () => {
+    describe("for a small fleet", () => {
+        it("calls all workers directly", async () => {
+            const harness = new RelayHarness(WORKERS);
+            harness.addRelay("relay");
+            const port = harness.createCoordinatorPort(1, WORKERS);
+            await harness.renewAll(port, 1);
+            await harness.renewAll(port, 1);
+            expect(harness.calls.direct.length).toBe(2 * WORKERS);
+            expect(harness.requests).toBe(0);
+        });
+    });
+
+    describe("for a large fleet", () => {
+        it("has a relay make the calls, many in one request", async () => {
+            const harness = new RelayHarness(WORKERS);
+            harness.addRelay("relay");
+            const port = harness.createCoordinatorPort(1, 0);
+            await harness.renewAll(port, 1);
+            const requests = harness.requests;
+            const outcomes = await harness.renewAll(port, 1);
+            expect(outcomes).toEqual(Array.from({ length: WORKERS }, () => OrderOutcome.Accepted));
+            expect(harness.calls.relayed.length).toBe(WORKERS);
+            expect(harness.requests - requests).toBeLessThan(WORKERS / 4);
+        });
+
+        it("prefers the strongest VM of the worker's failure domain", async () => {
+            const harness = new RelayHarness(WORKERS);
+            harness.addRelay("elsewhere", 4, "elsewhere");
+            harness.addRelay("weak", 1);
+            harness.addRelay("strong", 2);
+            const port = harness.createCoordinatorPort(1, 0);
+            await harness.renewAll(port, 1);
+            await harness.renewAll(port, 1);
+            expect(harness.events.filter(event => event.startsWith("relay-opened"))).toEqual([
+                "relay-opened {\"vm\":\"strong\",\"domain\":\"here\"}",
+            ]);
+        });
+
+        it("gives back what a worker reports, report after report", async () => {
+            const harness = new RelayHarness(WORKERS);
+            harness.addRelay("relay");
+            const port = harness.createCoordinatorPort(1, 0);
+            await harness.renewAll(port, 1);
+            const outcome = port.start(worker, createStart(1));
+            await harness.clock.runFor(100);
+            expect(await outcome).toBe(OrderOutcome.Accepted);
+            for (let renewal = 0; renewal < 3; renewal++) {
+                const order = { fence: 1, lastRecordedEnd: 0, leaseUntilMs: undefined, waitMs: 100 };
+                const report = port.renewLease(worker, order);
+                await harness.clock.runFor(500);
+                expect((await report).running.map(({ task, run }) => ({ ...task, run }))).toEqual([
+                    { jobId: "job", occurrence: 0, step: 0, index: 0, run: 1 },
+                ]);
+            }
+            expect(harness.calls.direct.length).toBe(WORKERS);
+        });
+    });
+
+    describe("when the relay falls silent", () => {
+        it("says that its calls may have been made, and makes the next ones directly", async () => {
+            const harness = new RelayHarness(WORKERS);
+            const relay = harness.addRelay("relay");
+            const port = harness.createCoordinatorPort(1, 0);
+            await harness.renewAll(port, 1);
+            relay.isSilent = true;
+            const outcomes = await harness.renewAll(port, 1);
+            expect(new Set(outcomes)).toEqual(new Set([OrderOutcome.Unknown]));
+            const directCalls = harness.calls.direct.length;
+            const next = await harness.renewAll(port, 1);
+            expect(new Set(next)).toEqual(new Set([OrderOutcome.Accepted]));
+            expect(harness.calls.direct.length - directCalls).toBe(WORKERS);
+        });
+    });
+
+    describe("when the relay was paused", () => {
+        it("carries out no order that the coordinator gave up meanwhile", async () => {
+            const harness = new RelayHarness(WORKERS);
+            const relay = harness.addRelay("relay");
+            const port = harness.createCoordinatorPort(1, 0);
+            await harness.renewAll(port, 1);
+            relay.lateMs = 3000;
+            const outcome = port.start(worker, createStart(1));
+            await harness.clock.runFor(5000);
+            expect(await outcome).toBe(OrderOutcome.Unknown);
+            expect(harness.calls.relayed).toEqual([]);
+            expect(harness.events.some(event => event.startsWith("relay-request-late"))).toBe(true);
+        });
+    });
+
+    describe("when the relay's event loop is late", () => {
+        it("sends it no further calls, but waits for the answers that it owes", async () => {
+            const harness = new RelayHarness(WORKERS);
+            const relay = harness.addRelay("relay");
+            const port = harness.createCoordinatorPort(1, 0);
+            await harness.renewAll(port, 1);
+            relay.loopDelayMs = 500;
+            const order = { fence: 1, lastRecordedEnd: 0, leaseUntilMs: undefined, waitMs: 0 };
+            const report = port.renewLease(worker, order);
+            await harness.clock.runFor(100);
+            expect((await report).outcome).toBe(OrderOutcome.Accepted);
+            const relayedCalls = harness.calls.relayed.length;
+            await harness.renewAll(port, 1);
+            expect(harness.calls.relayed.length).toBe(relayedCalls);
+        });
+    });
+
+    describe("when a coordinator of a later term uses the relay", () => {
+        it("reports the earlier coordinator's calls as fenced off, without making them", async () => {
+            const harness = new RelayHarness(WORKERS);
+            harness.addRelay("relay");
+            const earlier = harness.createCoordinatorPort(1, 0);
+            await harness.renewAll(earlier, 1);
+            const later = harness.createCoordinatorPort(2, 0);
+            void later.renewLease({ ...worker, id: "unknown" }, {
+                fence: 2,
+                lastRecordedEnd: 0,
+                leaseUntilMs: undefined,
+                waitMs: 0,
+            });
+            await harness.clock.runFor(100);
+            const relayedCalls = harness.calls.relayed.length;
+            const outcome = earlier.start(worker, createStart(1));
+            await harness.clock.runFor(100);
+            expect(await outcome).toBe(OrderOutcome.StaleFence);
+            expect(harness.calls.relayed.length).toBe(relayedCalls);
+        });
+    });
+});
+
+describe("OrderRelay", () => {
+    describe("when a request is malformed", () => {
+        it.each([
+            ["calls that aren't lists", [1, 2]],
+            ["an unknown kind of call", [[1, 99, "w0", "w0", "job", 0, 0, 0, 1]]],
+        ])("refuses %s as a whole and makes no call", async (_name, calls) => {
+            const harness = new RelayHarness(WORKERS);
+            const { relay } = harness.addRelay("relay");
+            const request: RelayRequest = {
+                term: 1,
+                session: "session",
+                sentAtMs: harness.clock.getWallTime(),
+                gatherMs: 2,
+                payloads: [],
+                calls: [],
+            };
+            await relay.handleRequest(request);
+            const renewal = [1, 0, "w0", "w0", 0, 0, 4500];
+            await expect(relay.handleRequest({ ...request, calls: [renewal, ...calls] })).rejects.toThrow(TypeError);
+            await harness.clock.runFor(100);
+            expect(harness.calls.relayed).toEqual([]);
+        });
+    });
+});
--- a/packages/run-entry-vm/src/createEntryVm.ts
+++ b/packages/run-entry-vm/src/createEntryVm.ts
@@ -1,8 +1,13 @@
 import { JobService, JobStateCache, JobStateReader, RecordAppender } from "@sardinestage/accept-jobs";
 import { Coordinator } from "@sardinestage/coordinate-work";
+import { FrameKind } from "@sardinestage/exchange-frames";
 import { TermLog } from "@sardinestage/keep-term";
+import type { RelayReply } from "@sardinestage/relay-orders";
+import { OrderRelay, RelayedWorkerPort } from "@sardinestage/relay-orders";
 import { EventLoopMonitor, WorkMeter } from "@sardinestage/watch-loop";
+import type { ResolutionContext } from "inversify";
 import { Container } from "inversify";
+import { chooseGatherTime } from "./chooseGatherTime.js";
 import { ConfigKeeper } from "./configKeeper.js";
 import { EntryVm } from "./entryVm.js";
 import type { EntryVmParts } from "./entryVmParts.js";
@@ -29,6 +34,7 @@
             createCoordinator: (term, hadUnrecordedStarts, getTermRenewalAge, onTermLost) =>
                 new Coordinator({
                     ...parts,
+                    workers: createWorkerPort(parts, context, term),
                     rules: parts.coordinatorRules,
                     term,
                     hadUnrecordedStarts,
@@ -50,6 +56,9 @@
             loopMonitor: context.get(EventLoopMonitor),
         })
     ).inSingletonScope();
+    container.bind(OrderRelay).toDynamicValue(context =>
+        new OrderRelay({ ...parts, getLoopDelay: () => context.get(EventLoopMonitor).averageDelayMs })
+    ).inSingletonScope();
     container.bind(LoadReporter).toDynamicValue(context =>
         new LoadReporter({
             ...parts,
@@ -84,7 +93,25 @@
         config: container.get(ConfigKeeper),
         peers: container.get(Peers),
         jobService: container.get(JobService),
+        orderRelay: container.get(OrderRelay),
         loopMonitor: container.get(EventLoopMonitor),
         loadReporter: container.get(LoadReporter),
     });
 }
+
+/** Creates the port through which the coordinator of a term calls workers. */
+function createWorkerPort(parts: EntryVmParts, context: ResolutionContext, term: number): RelayedWorkerPort {
+    return new RelayedWorkerPort({
+        ...parts,
+        direct: parts.workers,
+        term,
+        incarnation: parts.self.incarnation,
+        listRelays: () => context.get(Membership).relays,
+        sendRequest: async (relay, request, timeoutMs) => {
+            const answer = await context.get(Peers).request(relay, FrameKind.RelayOrders, request, timeoutMs);
+            return answer.hasAnswered ? answer.body as RelayReply : undefined;
+        },
+        getGatherMs: () => chooseGatherTime(context.get(EventLoopMonitor).averageDelayMs),
+        isTermHeld: () => context.get(LocalCoordinator).holder?.term === term,
+    });
+}
--- a/packages/run-entry-vm/src/entryVm.ts
+++ b/packages/run-entry-vm/src/entryVm.ts
@@ -7,6 +7,7 @@
 import { FrameKind, PeerServer } from "@sardinestage/exchange-frames";
 import type { Candidate } from "@sardinestage/keep-term";
 import type { EventLogger } from "@sardinestage/log-events";
+import type { OrderRelay, RelayRequest } from "@sardinestage/relay-orders";
 import type { EventLoopMonitor } from "@sardinestage/watch-loop";
 import type { ConfigKeeper } from "./configKeeper.js";
 import type { FollowRequest } from "./followRequest.js";
@@ -31,6 +32,7 @@
     readonly config: ConfigKeeper;
     readonly peers: Peers;
     readonly jobService: JobService;
+    readonly orderRelay: OrderRelay;
     readonly loopMonitor: EventLoopMonitor;
     readonly loadReporter: LoadReporter;
     readonly clock: Clock;
@@ -43,13 +45,14 @@
     private readonly server: PeerServer;
 
     constructor(private readonly components: EntryVmComponents) {
-        const { membership } = components;
+        const { membership, orderRelay } = components;
         const handlers = new Map<FrameKind, FrameHandler>([
             [
                 FrameKind.FollowCoordinator,
                 body => Promise.resolve(membership.answerFollowRequest(body as FollowRequest)),
             ],
             [FrameKind.AskPeer, () => Promise.resolve(membership.answerPeerQuery())],
+            [FrameKind.RelayOrders, body => orderRelay.handleRequest(body as RelayRequest)],
             [
                 FrameKind.CallCoordinator,
                 body => membership.answerCall(body as CoordinatorCall, FORWARDED_CALL_TIMEOUT_MS),
--- a/packages/run-entry-vm/src/followRequest.ts
+++ b/packages/run-entry-vm/src/followRequest.ts
@@ -3,6 +3,8 @@
 /** Periodic request of a VM to the coordinator: registers the VM as a follower and asks for the coordinator's state. */
 export interface FollowRequest {
     readonly candidate: Candidate;
+    /** Whether the VM is about to stop, so that it shouldn't relay calls any more. */
+    readonly isDraining?: boolean;
     /** Version of the list of followers that this VM has; empty at first. */
     readonly membersVersion: string;
     /** Whether the reply should contain the configuration. */
--- a/packages/run-entry-vm/src/followers.ts
+++ b/packages/run-entry-vm/src/followers.ts
@@ -12,6 +12,8 @@
     readonly followingSinceMs: number;
     /** When it sent its last request. */
     readonly atMs: number;
+    /** Whether the VM is about to stop. */
+    readonly isDraining: boolean;
 }
 
 /** The VMs that follow this process. */
@@ -21,13 +23,14 @@
     version = 0;
 
     /** Notes a follow request. A VM whose process has restarted counts as a new follower. */
-    noteFollower(candidate: Candidate, nowMs: number): void {
+    noteFollower(candidate: Candidate, nowMs: number, isDraining = false): void {
         const known = this.followers.get(candidate.vm);
         const isKnown = known?.candidate.incarnation === candidate.incarnation;
         this.version += isKnown ? 0 : 1;
         this.followers.set(candidate.vm, {
             candidate,
             atMs: nowMs,
+            isDraining,
             followingSinceMs: isKnown ? known.followingSinceMs : nowMs,
         });
     }
@@ -47,6 +50,11 @@
         return [...this.followers.values()].map(({ candidate }) => candidate);
     }
 
+    /** Lists the followers that aren't about to stop. */
+    listStaying(): readonly Candidate[] {
+        return [...this.followers.values()].filter(({ isDraining }) => !isDraining).map(({ candidate }) => candidate);
+    }
+
     /** Counts the active followers. */
     countActive(nowMs: number): number {
         return this.listActiveFor(nowMs, 0).length;
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -9,8 +9,8 @@
 import type { EventLogger } from "@sardinestage/log-events";
 import type { EventLoopMonitor } from "@sardinestage/watch-loop";
 import { computeWeakness } from "./computeWeakness.js";
+import { ConfigExchange } from "./configExchange.js";
 import type { ConfigKeeper } from "./configKeeper.js";
-import { ConfigLag } from "./configLag.js";
 import { describeCandidacy } from "./describeCandidacy.js";
 import type { EntryVmRules } from "./entryVmRules.js";
 import type { Followers } from "./followers.js";
@@ -75,16 +75,14 @@
     private membersVersion = "";
     private readonly term: TermObserver;
     private readonly followTimeout: AdaptiveTimeout;
-    /** Whether this process lags behind the coordinator's configuration. */
-    private readonly ownConfigLag = new ConfigLag();
-    /** Whether the coordinator lags behind this process's configuration. */
-    private readonly coordinatorConfigLag = new ConfigLag();
+    private readonly configExchange: ConfigExchange;
     private isClosed = false;
     private isDraining = false;
 
     constructor(private readonly parts: MembershipParts) {
         this.lastAnswerAtMs = parts.loopMonitor.getResponsiveTime();
         this.followTimeout = new AdaptiveTimeout({ leastMs: parts.rules.silenceMs / 2, mostMs: MAX_FOLLOW_TIMEOUT_MS });
+        this.configExchange = new ConfigExchange(parts.config, parts.clock);
         this.term = new TermObserver(parts.termLog, parts.clock, parts.rules);
     }
 
@@ -119,6 +117,13 @@
         return this.parts.localCoordinator.isActive;
     }
 
+    /** The VMs that follow this coordinator or, if none does yet, those that followed the last one. */
+    get relays(): readonly Candidate[] {
+        const { followers, self } = this.parts;
+        const staying = followers.listStaying();
+        return staying.length > 0 ? staying : this.members.filter(member => member.vm !== self.vm);
+    }
+
     /** Calls the coordinator, which may be this process, or a peer that forwards the call if there is a relay. */
     async call(call: CoordinatorCall, timeoutMs: number): Promise<CoordinatorReply | undefined> {
         if (this.parts.localCoordinator.isActive) {
@@ -149,7 +154,7 @@
     /** Answers a follow request and registers its sender as a follower. */
     answerFollowRequest(request: FollowRequest): FollowReply {
         const { self, localCoordinator, config, clock, followers } = this.parts;
-        followers.noteFollower(request.candidate, clock.getNow());
+        followers.noteFollower(request.candidate, clock.getNow(), request.isDraining);
         followers.dropSilent(clock.getNow());
         if (request.config !== undefined) {
             config.applyConfig(request.config as OperatorConfig, "follower");
@@ -226,18 +231,17 @@
     }
 
     private buildFollowRequest(): FollowRequest {
-        const { self, config, clock } = this.parts;
-        const nowMs = clock.getNow();
         return {
-            candidate: self,
+            candidate: this.parts.self,
+            isDraining: this.isDraining,
             membersVersion: this.membersVersion,
-            needsConfig: config.version < 0 || this.ownConfigLag.isStale(nowMs),
-            config: this.coordinatorConfigLag.isStale(nowMs) ? config.config : undefined,
+            needsConfig: this.configExchange.needsConfig,
+            config: this.configExchange.missingConfig,
         };
     }
 
     private applyFollowReply(reply: FollowReply, asked: TermHolder, sentAtMs: number): boolean {
-        this.applyConfigVersions(reply);
+        this.configExchange.applyReply(reply);
         this.updateHolder(reply.holder);
         // Another incarnation answers at the address, so the process that held the term has ended.
         this.isRefused = reply.incarnation !== asked.incarnation && this.holder?.term === asked.term;
@@ -254,15 +258,6 @@
         return !reply.isLeaving && reply.storeLostMs < this.parts.rules.storeSilenceMs;
     }
 
-    private applyConfigVersions(reply: FollowReply): void {
-        const { config, clock } = this.parts;
-        if (reply.config !== undefined) {
-            config.applyConfig(reply.config as OperatorConfig, "coordinator");
-        }
-        this.ownConfigLag.noteVersions(config.version, reply.configVersion, clock.getNow());
-        this.coordinatorConfigLag.noteVersions(reply.configVersion, config.version, clock.getNow());
-    }
-
     private updateHolder(holder: TermHolder | undefined): void {
         if (holder === undefined || holder.term <= (this.holder?.term ?? -1)) {
             return;
--- a/packages/run-entry-vm/src/takeovers.fuzz.test.ts
+++ b/packages/run-entry-vm/src/takeovers.fuzz.test.ts
@@ -19,6 +19,9 @@
 const ENTRY_RETURN_MS = 2000;
 /** Share of runs that fail; they are started again, also during an outage. */
 const FAILED_SHARE = 0.25;
+/** Share of the requests to relays that arrive late, and how late these are at the most, in milliseconds. */
+const LATE_REQUEST_SHARE = 0.02;
+const MAX_REQUEST_LATENESS_MS = 4000;
 const queue: QueueConfig = {
     name: "queue",
     host: "host",
@@ -35,11 +38,12 @@
     readonly harness: TakeoverHarness;
     private jobs = 0;
 
-    constructor(private readonly random: () => number) {
-        this.harness = new TakeoverHarness(random, () => {
+    constructor(private readonly random: () => number, usesRelays: boolean) {
+        const getDuration = () => {
             const duration = 300 + random() * 3700;
             return random() < FAILED_SHARE ? -duration : duration;
-        });
+        };
+        this.harness = new TakeoverHarness(random, getDuration, usesRelays);
     }
 
     async run(): Promise<void> {
@@ -123,6 +127,12 @@
     }
 }
 
+function checkTasks(harness: TakeoverHarness): void {
+    expect(harness.runChecker.violations).toEqual([]);
+    const tasks = [...harness.specs.values()].flatMap(spec => spec.steps.map(step => step.taskCount));
+    expect(harness.runChecker.completedTasks.size).toBe(tasks.reduce((sum, count) => sum + count, 0));
+}
+
 describe("Several takeovers around an outage of the store", () => {
     let random: () => number;
 
@@ -137,12 +147,19 @@
     describe.each(SEEDS)("with seed %d", seed => {
         it("don't run a task twice that was started unrecorded, and finish all jobs", async () => {
             random = createRandom(seed);
-            const scenario = new OutageScenario(random);
+            const scenario = new OutageScenario(random, false);
+            await scenario.run();
+            checkTasks(scenario.harness);
+        });
+
+        it("keep that when VMs relay the calls to workers, also late ones", async () => {
+            random = createRandom(seed);
+            const scenario = new OutageScenario(random, true);
+            scenario.harness.relayFaults.lateShare = LATE_REQUEST_SHARE;
+            scenario.harness.relayFaults.maxLateMs = MAX_REQUEST_LATENESS_MS;
             await scenario.run();
-            const { harness } = scenario;
-            expect(harness.runChecker.violations).toEqual([]);
-            const tasks = [...harness.specs.values()].flatMap(spec => spec.steps.map(step => step.taskCount));
-            expect(harness.runChecker.completedTasks.size).toBe(tasks.reduce((sum, count) => sum + count, 0));
+            expect(scenario.harness.events.some(event => event.includes("relay-opened"))).toBe(true);
+            checkTasks(scenario.harness);
         });
     });
 });
--- a/packages/run-entry-vm/src/testing/takeoverHarness.ts
+++ b/packages/run-entry-vm/src/testing/takeoverHarness.ts
@@ -16,6 +16,8 @@
 import type { Candidate } from "@sardinestage/keep-term";
 import { TermLog } from "@sardinestage/keep-term";
 import type { EventLogger } from "@sardinestage/log-events";
+import type { RelayReply, RelayRequest } from "@sardinestage/relay-orders";
+import { OrderRelay, RelayedWorkerPort } from "@sardinestage/relay-orders";
 import { encodeJobRecord } from "@sardinestage/track-jobs";
 import { EventLoopMonitor, WorkMeter } from "@sardinestage/watch-loop";
 import type { ConfigKeeper } from "../configKeeper.js";
@@ -44,6 +46,7 @@
 interface VmProcess {
     readonly membership: Membership;
     readonly localCoordinator: LocalCoordinator;
+    readonly orderRelay: OrderRelay;
 }
 
 /** Complete VMs (election, terms, coordinators) with one emulated store and emulated workers, on a virtual clock. */
@@ -57,6 +60,8 @@
     readonly specs = new Map<string, JobSpec>();
     /** Share of the VMs' appends that get no answer, and how late the store carries these out, in milliseconds. */
     readonly lost = { share: 0, lateMs: 0 };
+    /** Share of the requests to relays that arrive late, and how late these are at the most, in milliseconds. */
+    readonly relayFaults = { lateShare: 0, maxLateMs: 0 };
     private readonly processes = new Map<string, VmProcess>();
     /** Counts the started processes, for their incarnations. */
     private startCount = 0;
@@ -64,10 +69,12 @@
     /**
      * @param random Returns numbers from 0 to 1, from the test's seed.
      * @param getDuration Returns how long a run takes, in milliseconds; negative for a run that fails after this time.
+     * @param usesRelays Whether VMs relay the coordinator's calls to workers.
      */
     constructor(
         private readonly random: () => number,
         private readonly getDuration: (task: TaskRef, run: number) => number,
+        private readonly usesRelays = false,
     ) {
         this.store = new MemoryStore(this.clock, random);
         this.fleet = new EmulatedFleet(this.clock, random);
@@ -95,7 +102,8 @@
     startVm(vm: string): void {
         const { clock } = this;
         this.startCount++;
-        const self: Candidate = { vm, incarnation: `${vm}#${this.startCount}`, host: vm, port: 1, strength: 1 };
+        const incarnation = `${vm}#${this.startCount}`;
+        const self: Candidate = { vm, incarnation, host: vm, port: 1, strength: 1, domain: "here" };
         const store = this.createStore();
         const termLog = new TermLog(store, self, clock);
         const followers = new Followers();
@@ -112,7 +120,7 @@
             createCoordinator: (term, hadUnrecordedStarts, getTermRenewalAge, onTermLost) =>
                 new Coordinator({
                     store,
-                    workers: this.fleet,
+                    workers: this.usesRelays ? this.createWorkerPort(self, term) : this.fleet,
                     advice: { requestTickets: () => Promise.resolve({ tickets: undefined, validMs: 0 }) },
                     vms: {
                         list: () => Promise.resolve(undefined),
@@ -143,7 +151,8 @@
             rules,
             loopMonitor,
         });
-        this.processes.set(vm, { membership, localCoordinator });
+        const orderRelay = new OrderRelay({ workers: this.fleet, clock, logger, getLoopDelay: () => 0 });
+        this.processes.set(vm, { membership, localCoordinator, orderRelay });
         void membership.run();
     }
 
@@ -210,6 +219,40 @@
         };
     }
 
+    private createWorkerPort(self: Candidate, term: number): RelayedWorkerPort {
+        const getProcess = () => this.processes.get(self.vm);
+        return new RelayedWorkerPort({
+            direct: this.fleet,
+            term,
+            incarnation: self.incarnation,
+            clock: this.clock,
+            logger: this.createLogger(self.vm),
+            maxDirectWorkers: 0,
+            listRelays: () => getProcess()?.membership.relays ?? [],
+            sendRequest: (relay, request, timeoutMs) => this.sendRelayRequest(relay.vm, request, timeoutMs),
+            getGatherMs: () => 2,
+            isTermHeld: () => getProcess()?.localCoordinator.holder?.term === term,
+        });
+    }
+
+    private async sendRelayRequest(
+        vm: string,
+        request: RelayRequest,
+        timeoutMs: number,
+    ): Promise<RelayReply | undefined> {
+        const { clock, relayFaults } = this;
+        const isLate = this.random() < relayFaults.lateShare;
+        const delayMs = ONE_WAY_DELAY_MS + (isLate ? this.random() * relayFaults.maxLateMs : 0);
+        const reply = waitFor(clock, delayMs)
+            .then(() => this.processes.get(vm)?.orderRelay.handleRequest(request))
+            .then(async answer => {
+                await waitFor(clock, ONE_WAY_DELAY_MS);
+                // A killed process sends no reply.
+                return this.processes.has(vm) ? answer : undefined;
+            });
+        return Promise.race([reply, waitFor(clock, timeoutMs).then(() => undefined)]);
+    }
+
     private async request(peer: Candidate, kind: FrameKind, body: unknown) {
         await waitFor(this.clock, ONE_WAY_DELAY_MS * 2);
         const member = this.processes.get(peer.vm)?.membership;
