--- a/packages/relay-orders/src/relayPool.ts
+++ b/packages/relay-orders/src/relayPool.ts
@@ -138,7 +138,7 @@
         this.sessions.set(relay.vm, session);
         void session.open().then(() => {
             if (session.state === SessionState.Open) {
-                logger.info("relay-opened", { vm: relay.vm, domain: relay.domain });
+                logger.info("relay-opened", { vm: relay.vm, workersIn: relay.domain });
             }
         });
         return session;
--- a/packages/relay-orders/src/relayedWorkerPort.test.ts
+++ b/packages/relay-orders/src/relayedWorkerPort.test.ts
@@ -48,7 +48,7 @@
             await harness.renewAll(port, 1);
             await harness.renewAll(port, 1);
             expect(harness.events.filter(event => event.startsWith("relay-opened"))).toEqual([
-                "relay-opened {\"vm\":\"strong\",\"domain\":\"here\"}",
+                "relay-opened {\"vm\":\"strong\",\"workersIn\":\"here\"}",
             ]);
         });
 
