--- a/packages/coordinate-work/src/compareRuns.ts
+++ b/packages/coordinate-work/src/compareRuns.ts
@@ -39,10 +39,8 @@
             unneeded.push(row);
         }
     }
-    const ended = new Set(report.ended.map(row => `${formatTaskKey(row.task)}#${row.run}`));
-    const missing = report.ended.length >= MAX_REPORTED_ENDS
-        ? []
-        : [...expected].filter(task => !listed.has(task) && !ended.has(`${formatTaskKey(task.ref)}#${task.run}`));
+    const isComplete = report.ended.length < MAX_REPORTED_ENDS;
+    const missing = isComplete && listed.size < expected.size ? listMissing(expected, listed, report) : [];
     return {
         adopted,
         unneeded,
@@ -52,6 +50,12 @@
     };
 }
 
+/** Lists the expected tasks whose runs are reported neither as active nor as ended. */
+function listMissing(expected: ReadonlySet<Task>, listed: ReadonlySet<Task>, report: LeaseReport): Task[] {
+    const ended = new Set(report.ended.map(row => `${formatTaskKey(row.task)}#${row.run}`));
+    return [...expected].filter(task => !listed.has(task) && !ended.has(`${formatTaskKey(task.ref)}#${task.run}`));
+}
+
 /**
  * Whether a reported run is newer than the newest known run of its task. An earlier coordinator started such a run
  * after the known ones had ended, and couldn't record it. A run with the same number counts as newer too if the task
--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -232,6 +232,11 @@
         return this.writer.hasUnrecordedStarts || !this.earlierStarts.areRecorded;
     }
 
+    /** Number of workers that are listed or may still run tasks. */
+    get workerCount(): number {
+        return this.fleet.workers.size;
+    }
+
     /** Whether the takeover is complete, so that queries about jobs can be answered. */
     get isReady(): boolean {
         return this.isOpen && !this.isClosed;
--- a/packages/coordinate-work/src/limits.ts
+++ b/packages/coordinate-work/src/limits.ts
@@ -27,6 +27,8 @@
     startBatchMs: 20,
     /** Minimum interval between two appends of progress, in milliseconds; bounds the rate of calls to the store. */
     flushIntervalMs: 20,
+    /** The same while this process is short of processor. */
+    busyFlushIntervalMs: 100,
     /** Lower bound of the timeout after which an append of progress is repeated, in milliseconds. */
     minFlushTimeoutMs: 120,
     /** Upper bound of the same timeout, in milliseconds. */
--- a/packages/coordinate-work/src/progressWriter.test.ts
+++ b/packages/coordinate-work/src/progressWriter.test.ts
@@ -24,6 +24,7 @@
         store,
         term: 1,
         getTermRenewalAge: () => renewalAgeMs,
+        getLoopDelay: () => 0,
         onTermLost: () => undefined,
         logger: silentLogger,
         metrics: new Metrics(),
--- a/packages/coordinate-work/src/progressWriter.ts
+++ b/packages/coordinate-work/src/progressWriter.ts
@@ -1,6 +1,7 @@
 import type { AppendAnswer, KeyedRecord } from "@sardinestage/describe-ports";
 import { AppendOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
 import { AdaptiveTimeout } from "@sardinestage/learn-behaviour";
+import { chooseFlushInterval } from "./chooseFlushInterval.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import { limits } from "./limits.js";
 
@@ -119,7 +120,8 @@
             this.parts.metrics.recordDuration("progress_append", this.lastWrittenAtMs - startedAtMs);
             this.hasUnrecordedStarts &&= this.dirty.size > 0;
             waiters.forEach(waiter => waiter.run());
-            await waitFor(clock, Math.max(0, limits.flushIntervalMs - (clock.getNow() - startedAtMs)));
+            const intervalMs = chooseFlushInterval(this.parts.getLoopDelay());
+            await waitFor(clock, Math.max(0, intervalMs - (clock.getNow() - startedAtMs)));
         }
         this.isFlushing = false;
         const waiters = this.waiters;
--- a/packages/relay-orders/src/relayPool.ts
+++ b/packages/relay-orders/src/relayPool.ts
@@ -23,6 +23,8 @@
     readonly listRelays: () => readonly RelayVm[];
     /** Up to this number of workers, all of them are called directly. */
     readonly maxDirectWorkers: number;
+    /** Number of workers that the coordinator knows, most of which it may not have called yet. */
+    readonly getWorkerCount: () => number;
     /** Creates a session with a relay; `onUnusable` is called when it takes no further calls. */
     readonly createSession: (relay: RelayVm, onUnusable: (reason: string) => void) => RelaySession;
 }
@@ -48,12 +50,27 @@
 
     constructor(private readonly parts: RelayPoolParts) {}
 
+    /**
+     * Opens a session with the strongest relay of each failure domain, so that the first calls of a takeover don't have
+     * to be made directly.
+     */
+    openSessions(): void {
+        this.refreshLists(this.parts.clock.getNow());
+        for (const domain of new Set(this.relays.map(relay => relay.domain))) {
+            const strongest = this.relays.find(relay => relay.domain === domain);
+            if (domain !== undefined && strongest !== undefined) {
+                this.openSession(strongest);
+            }
+        }
+    }
+
     /** Finds the session for a call to a worker; undefined if the worker has to be called directly. */
     findSession(address: WorkerAddress): RelaySession | undefined {
         const nowMs = this.parts.clock.getNow();
         this.refreshLists(nowMs);
         const worker = this.noteCalled(address.id, nowMs);
-        if (this.workers.size <= this.parts.maxDirectWorkers || nowMs < worker.directUntilMs) {
+        const workerCount = Math.max(this.workers.size, this.parts.getWorkerCount());
+        if (workerCount <= this.parts.maxDirectWorkers || nowMs < worker.directUntilMs) {
             return undefined;
         }
         if (worker.session?.state !== SessionState.Open) {
--- a/packages/relay-orders/src/relayedWorkerPort.test.ts
+++ b/packages/relay-orders/src/relayedWorkerPort.test.ts
@@ -39,6 +39,17 @@
             expect(harness.requests - requests).toBeLessThan(WORKERS / 4);
         });
 
+        it("needs no direct call once its sessions were opened ahead", async () => {
+            const harness = new RelayHarness(WORKERS);
+            harness.addRelay("relay");
+            const port = harness.createCoordinatorPort(1, 0);
+            port.openSessions();
+            await harness.clock.runFor(50);
+            await harness.renewAll(port, 1);
+            expect(harness.calls.direct).toEqual([]);
+            expect(harness.calls.relayed.length).toBe(WORKERS);
+        });
+
         it("prefers the strongest VM of the worker's failure domain", async () => {
             const harness = new RelayHarness(WORKERS);
             harness.addRelay("elsewhere", 4, "elsewhere");
--- a/packages/relay-orders/src/relayedWorkerPort.ts
+++ b/packages/relay-orders/src/relayedWorkerPort.ts
@@ -33,6 +33,8 @@
     readonly logger: EventLogger;
     /** Lists the VMs that can relay now. */
     readonly listRelays: () => readonly RelayVm[];
+    /** Number of workers that the coordinator knows. */
+    readonly getWorkerCount: () => number;
     /** Up to this number of workers, all of them are called directly; by default 64. */
     readonly maxDirectWorkers?: number;
     /** Sends a request to a relay; returns undefined if no reply comes within the timeout. */
@@ -72,6 +74,11 @@
         });
     }
 
+    /** Opens sessions with relays ahead of the first calls. */
+    openSessions(): void {
+        this.pool.openSessions();
+    }
+
     /** Starts a run. */
     async start(worker: WorkerAddress, order: StartOrder): Promise<OrderOutcome> {
         const call: RelayedCall = { kind: RelayedCallKind.Start, worker, order };
--- a/packages/relay-orders/src/testing/relayHarness.ts
+++ b/packages/relay-orders/src/testing/relayHarness.ts
@@ -75,6 +75,7 @@
             clock: this.clock,
             logger: this.createLogger(),
             maxDirectWorkers,
+            getWorkerCount: () => 0,
             listRelays: () =>
                 [...this.relays].map(([vm, { strength, domain }]) => ({
                     vm,
--- a/packages/run-entry-vm/src/createEntryVm.ts
+++ b/packages/run-entry-vm/src/createEntryVm.ts
@@ -101,7 +101,7 @@
 
 /** Creates the port through which the coordinator of a term calls workers. */
 function createWorkerPort(parts: EntryVmParts, context: ResolutionContext, term: number): RelayedWorkerPort {
-    return new RelayedWorkerPort({
+    const port = new RelayedWorkerPort({
         ...parts,
         direct: parts.workers,
         term,
@@ -113,5 +113,8 @@
         },
         getGatherMs: () => chooseGatherTime(context.get(EventLoopMonitor).averageDelayMs),
         isTermHeld: () => context.get(LocalCoordinator).holder?.term === term,
+        getWorkerCount: () => context.get(LocalCoordinator).workerCount,
     });
+    port.openSessions();
+    return port;
 }
--- a/packages/run-entry-vm/src/localCoordinator.ts
+++ b/packages/run-entry-vm/src/localCoordinator.ts
@@ -62,6 +62,11 @@
         return this.holder === undefined ? 0 : this.parts.clock.getNow() - this.termWonAtMs;
     }
 
+    /** Number of workers that the coordinator in this process knows; 0 if there is none. */
+    get workerCount(): number {
+        return this.coordinator?.workerCount ?? 0;
+    }
+
     /** Time since the last confirmed renewal was sent, in milliseconds. */
     get renewalAgeMs(): number {
         return this.parts.clock.getNow() - this.lastRenewedAtMs;
--- a/packages/run-entry-vm/src/testing/takeoverHarness.ts
+++ b/packages/run-entry-vm/src/testing/takeoverHarness.ts
@@ -221,18 +221,21 @@
 
     private createWorkerPort(self: Candidate, term: number): RelayedWorkerPort {
         const getProcess = () => this.processes.get(self.vm);
-        return new RelayedWorkerPort({
+        const port = new RelayedWorkerPort({
             direct: this.fleet,
             term,
             incarnation: self.incarnation,
             clock: this.clock,
             logger: this.createLogger(self.vm),
             maxDirectWorkers: 0,
+            getWorkerCount: () => 0,
             listRelays: () => getProcess()?.membership.relays ?? [],
             sendRequest: (relay, request, timeoutMs) => this.sendRelayRequest(relay.vm, request, timeoutMs),
             getGatherMs: () => 2,
             isTermHeld: () => getProcess()?.localCoordinator.holder?.term === term,
         });
+        port.openSessions();
+        return port;
     }
 
     private async sendRelayRequest(
