Say why waiting tasks find no worker

fleet-summary says how many tasks wait and how much processor stands free, but not what the waiting ones lack. Change: once a second the round explains its most urgent 24 unmet steps by the first condition that no worker meets (label, usable, accelerators, memory, processor, step limit, advice, headroom, gang), as a log line and a counter. A follower's report of a key that was withdrawn while the store forgot its history has its test.

--- a/packages/coordinate-work/src/planningRound.ts
+++ b/packages/coordinate-work/src/planningRound.ts
@@ -1,5 +1,5 @@
 import { formatTaskKey } from "@sardinestage/describe-work";
-import type { StepDemand, WorkerCapacity } from "@sardinestage/plan-starts";
+import type { StartRules, StepDemand, WorkerCapacity } from "@sardinestage/plan-starts";
 import { planStarts } from "@sardinestage/plan-starts";
 import type { StepRun, Task } from "@sardinestage/track-jobs";
 import {
@@ -26,6 +26,7 @@
 import type { ProgressWriter } from "./progressWriter.js";
 import type { RunTracker } from "./runTracker.js";
 import { WaitReporter } from "./waitReporter.js";
+import { WaitSummary } from "./waitSummary.js";
 
 /** A job's result is worth nothing once the job takes longer than this many times its allowed duration. */
 const USELESS_AFTER_FACTOR = 3;
@@ -68,12 +69,14 @@
     private readonly readyAtMs = new WeakMap<StepRun, number>();
     private readonly demandSelector: DemandSelector;
     private readonly waitReporter: WaitReporter;
+    private readonly waitSummary: WaitSummary;
     private readonly capacityTable = new CapacityTable();
     private readonly reservations = new CapacityReservations();
     private readonly preemption: PreemptionController;
 
     constructor(private readonly parts: CoordinatorParts, private readonly collaborators: PlanningRoundParts) {
         this.waitReporter = new WaitReporter(parts.logger);
+        this.waitSummary = new WaitSummary(parts);
         const maxRoundMs = parts.rules.leaseMs * limits.maxRoundLeaseShare;
         this.demandSelector = new DemandSelector(maxRoundMs);
         this.preemption = new PreemptionController(parts, {
@@ -109,13 +112,15 @@
         const demands = this.demandSelector.pickDemands(waiting);
         this.collaborators.placementScorer.startRound();
         const planningStartedAtMs = clock.getNow();
-        const plan = planStarts(demands, capacities, {
+        const rules: StartRules = {
             maxStarts,
             maxBestEffortWaitMs: isBusy ? Infinity : MAX_BEST_EFFORT_WAIT_MS,
             isAdvised: (task, workerId) => this.collaborators.advice.isAdvised(task, workerId),
             describePlacement: (capacity, spec) => this.collaborators.placementScorer.describePlacement(capacity, spec),
-        });
+        };
+        const plan = planStarts(demands, capacities, rules);
         this.waitReporter.reportUnmet(plan.unmet, capacities, nowMs);
+        this.waitSummary.reportUnmet(plan.unmet, waiting.length - demands.length, capacities, rules, nowMs);
         plan.starts.forEach(({ task, workerId }) => this.startTask(task, workerId, nowMs));
         this.demandSelector.recordRound(demands.length, clock.getNow() - planningStartedAtMs);
         plan.unmet.forEach(demand => this.requestAdvice(demand, capacities));
--- a/packages/follow-topic/src/topicFollower.test.ts
+++ b/packages/follow-topic/src/topicFollower.test.ts
@@ -1,6 +1,8 @@
 import { describe, expect, it } from "@jest/globals";
-import { Topic } from "@sardinestage/describe-ports";
+import type { StorePort } from "@sardinestage/describe-ports";
+import { ReadOutcome, Topic } from "@sardinestage/describe-ports";
 import { createRandom, MemoryStore, VirtualClock } from "@sardinestage/emulate-platform";
+import { silentLogger } from "@sardinestage/log-events";
 import { TopicFollower } from "./topicFollower.js";
 
 describe("TopicFollower", () => {
@@ -41,4 +43,45 @@
             expect(logged).toEqual(["record-failed", "record-failed"]);
         });
     });
+
+    describe("when the store has forgotten the records between two reads", () => {
+        it("reports the key that was withdrawn meanwhile as removed", async () => {
+            const clock = new VirtualClock();
+            const newest = new Map([["kept", 0], ["withdrawn", 1]]);
+            let isForgotten = false;
+            const store: StorePort = {
+                append: () => Promise.reject(new Error("unused")),
+                read: (_topic, from) => {
+                    const outcome = isForgotten ? ReadOutcome.Expired : ReadOutcome.Read;
+                    return Promise.resolve({ outcome, records: [], next: from });
+                },
+                readNewest: () =>
+                    Promise.resolve({
+                        succeeded: true,
+                        records: [...newest].map(([key, offset]) => ({ key, value: Buffer.from([1]), offset })),
+                        hasMore: false,
+                        end: 2,
+                    }),
+            };
+            const known = new Set<string>();
+            const follower = new TopicFollower({
+                store,
+                topic: Topic.Workers,
+                name: "workers",
+                clock,
+                logger: silentLogger,
+                waitMs: 100,
+                pauseMs: 10,
+                takeRecord: ({ key, value }) => value === undefined ? known.delete(key) : known.add(key),
+            });
+            void follower.run();
+            await clock.runFor(50);
+            expect([...known]).toEqual(["kept", "withdrawn"]);
+            newest.delete("withdrawn");
+            isForgotten = true;
+            await clock.runFor(50);
+            follower.close();
+            expect([...known]).toEqual(["kept"]);
+        });
+    });
 });
--- /dev/null
+++ b/packages/plan-starts/src/explainWait.ts
@@ -0,0 +1,57 @@
+import { countTasksPerWorker } from "./countTasksPerWorker.js";
+import { isAllowedOn } from "./isAllowedOn.js";
+import { isDeferrable } from "./isDeferrable.js";
+import { isStepLimitReached } from "./isStepLimitReached.js";
+import { MAX_LATENCY_RATIO } from "./maxLatencyRatio.js";
+import type { StartRules } from "./startRules.js";
+import type { StepDemand } from "./stepDemand.js";
+import { WaitReason } from "./waitReason.js";
+import type { WorkerCapacity } from "./workerCapacity.js";
+
+/** A condition that a worker has to meet, and the reason to wait if no worker does. */
+type Condition = readonly [reason: WaitReason, isMet: (worker: WorkerCapacity) => boolean];
+
+/**
+ * Explains why a demand's tasks wait after a round.
+ *
+ * @param demand A demand that the round couldn't place as a whole.
+ * @param workers The free capacity of the workers after the round.
+ * @param rules The round's rules.
+ */
+export function explainWait(
+    demand: StepDemand,
+    workers: readonly WorkerCapacity[],
+    rules: Pick<StartRules, "maxBestEffortWaitMs" | "isAdvised" | "describePlacement">,
+): WaitReason {
+    let candidates = workers;
+    for (const [reason, isMet] of listConditions(demand, rules)) {
+        candidates = candidates.filter(isMet);
+        if (candidates.length === 0) {
+            return reason;
+        }
+    }
+    return demand.step.spec.gang ? WaitReason.Gang : WaitReason.NextRound;
+}
+
+function listConditions(
+    demand: StepDemand,
+    rules: Pick<StartRules, "maxBestEffortWaitMs" | "isAdvised" | "describePlacement">,
+): readonly Condition[] {
+    const { step, waiting } = demand;
+    const { spec } = step;
+    const perWorker = countTasksPerWorker(step);
+    const canWait = isDeferrable(demand, rules);
+    return [
+        [WaitReason.NotAllowed, worker => isAllowedOn(step, worker)],
+        [WaitReason.WorkersUnusable, worker => worker.startsLeft > 0],
+        [WaitReason.Accelerators, worker => worker.freeAccelerators >= spec.accelerators],
+        [WaitReason.Memory, worker => worker.freeMemoryMb >= spec.memoryMb],
+        [WaitReason.Processor, worker => spec.isBestEffort || worker.freeCpuMillis >= spec.cpuMillis],
+        [WaitReason.StepLimit, worker => !isStepLimitReached(spec, perWorker.get(worker.workerId))],
+        [WaitReason.Advice, worker => rules.isAdvised(waiting[0], worker.workerId)],
+        [
+            WaitReason.Headroom,
+            worker => !canWait || rules.describePlacement(worker, spec).latencyRatio <= MAX_LATENCY_RATIO,
+        ],
+    ];
+}
--- a/packages/plan-starts/src/index.ts
+++ b/packages/plan-starts/src/index.ts
@@ -1,5 +1,6 @@
 export { allocateCapacity } from "./allocateCapacity.js";
 export { compareDemands } from "./compareDemands.js";
+export { explainWait } from "./explainWait.js";
 export { isAllowedOn } from "./isAllowedOn.js";
 export { isInterrupted } from "./isInterrupted.js";
 export type { PlacementView } from "./placementView.js";
@@ -9,5 +10,7 @@
 export { PreemptionPlanner } from "./preemptionPlanner.js";
 export type { ServingPlacement } from "./servingPlacement.js";
 export type { StartPlan } from "./startPlan.js";
+export type { StartRules } from "./startRules.js";
 export type { StepDemand } from "./stepDemand.js";
+export { WaitReason } from "./waitReason.js";
 export type { WorkerCapacity } from "./workerCapacity.js";
--- a/packages/plan-starts/src/rankingCache.ts
+++ b/packages/plan-starts/src/rankingCache.ts
@@ -3,13 +3,11 @@
 import { computePlacementScore } from "./computePlacementScore.js";
 import { hasCapacity } from "./hasCapacity.js";
 import { isAllowedOn } from "./isAllowedOn.js";
+import { MAX_LATENCY_RATIO } from "./maxLatencyRatio.js";
 import type { StartRules } from "./startRules.js";
 import type { WorkerCapacity } from "./workerCapacity.js";
 import { WorkerRanking } from "./workerRanking.js";
 
-/** Expected tail latency, as a share of its target, above which a deferrable best-effort task isn't placed. */
-const MAX_LATENCY_RATIO = 0.88;
-
 /** The worker rankings of a planning round. Steps whose tasks score equally share one ranking. */
 export class RankingCache {
     private readonly rankings = new Map<string, WorkerRanking>();
