--- a/packages/relay-orders/src/relaySession.ts
+++ b/packages/relay-orders/src/relaySession.ts
@@ -14,12 +14,10 @@
 
 /** Timeout of a request to a relay, in milliseconds: several times the delay after which it replies in any case. */
 const REQUEST_TIMEOUT_MS = 1000;
-/** A relay that takes longer to open a session isn't used, in milliseconds. */
-const MAX_OPENING_MS = 300;
 /** A relay whose event loop is usually later than this takes no further calls, in milliseconds. */
 const MAX_LOOP_DELAY_MS = 100;
 /** Time beyond a call's own wait after which its answer is given up, in milliseconds. */
-const ANSWER_TIMEOUT_MS = 2000;
+const ANSWER_TIMEOUT_MS = 4000;
 
 /** Dependencies of a session. */
 interface RelaySessionParts {
@@ -74,7 +72,7 @@
 
     /** Opens the session; on success it takes calls. */
     async open(): Promise<void> {
-        const reply = await this.sendRequest([], MAX_OPENING_MS);
+        const reply = await this.sendRequest([]);
         if (reply?.outcome !== RelayOutcome.Accepted) {
             this.close(reply === undefined ? "unreachable" : `opening-${RelayOutcome[reply.outcome]}`);
         }
@@ -133,7 +131,7 @@
         }
         const ids = calls.map((_call, index) => firstId + index);
         this.requestsUnderWay++;
-        const reply = await this.sendRequest(ids, REQUEST_TIMEOUT_MS);
+        const reply = await this.sendRequest(ids);
         this.requestsUnderWay--;
         this.handleReply(reply, ids);
         if (this.requestsUnderWay === 0 && this.pending.size > 0 && !this.isFlushScheduled) {
@@ -141,7 +139,7 @@
         }
     }
 
-    private sendRequest(ids: readonly number[], timeoutMs: number): Promise<RelayReply | undefined> {
+    private sendRequest(ids: readonly number[]): Promise<RelayReply | undefined> {
         const { relay, term, id, clock, getGatherMs } = this.parts;
         const payloads = new Map<string, number>();
         const addPayload = (payload: string) => {
@@ -161,7 +159,7 @@
             payloads: [...payloads.keys()],
             calls,
         };
-        return this.parts.sendRequest(relay, request, timeoutMs);
+        return this.parts.sendRequest(relay, request, REQUEST_TIMEOUT_MS);
     }
 
     private handleReply(reply: RelayReply | undefined, ids: readonly number[]): void {
--- a/packages/run-entry-vm/src/createEntryVm.ts
+++ b/packages/run-entry-vm/src/createEntryVm.ts
@@ -31,6 +31,7 @@
             ...parts,
             termLog: context.get(TermLog),
             followers: context.get(Followers),
+            getResponsiveTime: () => context.get(EventLoopMonitor).getResponsiveTime(),
             createCoordinator: (term, hadUnrecordedStarts, getTermRenewalAge, onTermLost) =>
                 new Coordinator({
                     ...parts,
--- /dev/null
+++ b/packages/run-entry-vm/src/localCoordinator.test.ts
@@ -0,0 +1,55 @@
+import { describe, expect, it } from "@jest/globals";
+import type { Coordinator } from "@sardinestage/coordinate-work";
+import type { StorePort } from "@sardinestage/describe-ports";
+import { waitFor } from "@sardinestage/describe-ports";
+import { VirtualClock } from "@sardinestage/emulate-platform";
+import type { TermLog } from "@sardinestage/keep-term";
+import { RenewalOutcome } from "@sardinestage/keep-term";
+import { silentLogger } from "@sardinestage/log-events";
+import { defaultRules } from "./defaultRules.js";
+import { Followers } from "./followers.js";
+import { LocalCoordinator } from "./localCoordinator.js";
+
+const RENEWAL_TIMEOUT_MS = 600;
+const FAILING_MS = 1500;
+const holder = { term: 7, vm: "vm", incarnation: "vm", host: "host", port: 1, strength: 1 };
+
+/**
+ * Lets the renewals of a term fail by timeouts for a while.
+ *
+ * @param responsiveShare Share of the time in which the process's event loop isn't stalled.
+ * @returns How long the store counts as lost after that, in milliseconds.
+ */
+async function measureStoreLost(responsiveShare: number): Promise<number> {
+    const clock = new VirtualClock();
+    const coordinator = { open: () => Promise.resolve(true), close: () => undefined, hasUnrecordedStarts: false };
+    const local = new LocalCoordinator({
+        termLog: {
+            renew: () => waitFor(clock, RENEWAL_TIMEOUT_MS).then(() => RenewalOutcome.Failed),
+        } as unknown as TermLog,
+        store: {} as StorePort,
+        clock,
+        logger: silentLogger,
+        rules: defaultRules,
+        followers: new Followers(),
+        getResponsiveTime: () => clock.getNow() * responsiveShare,
+        createCoordinator: () => coordinator as unknown as Coordinator,
+    });
+    await local.start(holder, false);
+    await clock.runFor(defaultRules.renewMs + FAILING_MS);
+    const { storeLostMs } = local;
+    local.stop(holder.term, "end of test");
+    return storeLostMs;
+}
+
+describe("LocalCoordinator", () => {
+    describe("when its renewals get no answer in time", () => {
+        it("counts the store as lost, so that a VM that has the store takes over", async () => {
+            expect(await measureStoreLost(1)).toBeGreaterThan(defaultRules.storeSilenceMs);
+        });
+
+        it("doesn't while its own event loop is stalled most of the time", async () => {
+            expect(await measureStoreLost(0.3)).toBeLessThan(defaultRules.storeSilenceMs);
+        });
+    });
+});
--- a/packages/run-entry-vm/src/localCoordinator.ts
+++ b/packages/run-entry-vm/src/localCoordinator.ts
@@ -26,6 +26,8 @@
     readonly logger: EventLogger;
     readonly rules: EntryVmRules;
     readonly followers: Followers;
+    /** Monotonic time without the stalls of this process's event loop, in milliseconds. */
+    readonly getResponsiveTime: () => number;
     /**
      * Creates the coordinator of a term. `hadUnrecordedStarts` says whether an earlier coordinator may have started
      * tasks that the store has no record of.
@@ -42,7 +44,10 @@
 export class LocalCoordinator {
     private coordinator: Coordinator | undefined;
     private lastRenewedAtMs = 0;
-    /** When the first of the current series of failed renewals was sent; Infinity while renewals succeed. */
+    /**
+     * When the first of the current series of failed renewals was sent, in responsive time; Infinity while renewals
+     * succeed.
+     */
     private renewalsFailingSinceMs = Infinity;
     private termWonAtMs = 0;
     /** The term that this process holds, or undefined. */
@@ -79,10 +84,13 @@
 
     /**
      * How long renewals have failed, in milliseconds. Unlike `storeSilentMs` this leaves out answers that are only read
-     * late. A process that is short of processor time reads late, which doesn't show that the store is unavailable.
+     * late, and the stalls of this process's event loop: a process that is short of processor time reads late, also
+     * after a renewal's timeout, which doesn't show that the store is unavailable.
      */
     get storeLostMs(): number {
-        return this.holder === undefined ? 0 : Math.max(0, this.parts.clock.getNow() - this.renewalsFailingSinceMs);
+        return this.holder === undefined
+            ? 0
+            : Math.max(0, this.parts.getResponsiveTime() - this.renewalsFailingSinceMs);
     }
 
     /**
@@ -180,6 +188,7 @@
                 return;
             }
             const sentAtMs = clock.getNow();
+            const sentAtResponsiveMs = this.parts.getResponsiveTime();
             const outcome = await termLog.renew(term, followers.countActive(sentAtMs), this.hasUnrecordedStarts);
             if (outcome === RenewalOutcome.TermLost) {
                 this.stop(term, "another-won");
@@ -187,7 +196,7 @@
             }
             if (hasFailed !== (outcome === RenewalOutcome.Failed)) {
                 hasFailed = !hasFailed;
-                this.renewalsFailingSinceMs = hasFailed ? sentAtMs : Infinity;
+                this.renewalsFailingSinceMs = hasFailed ? sentAtResponsiveMs : Infinity;
                 logger.warn(hasFailed ? "store-lost" : "store-regained", { term });
             }
             if (!hasFailed) {
--- a/packages/run-entry-vm/src/membership.test.ts
+++ b/packages/run-entry-vm/src/membership.test.ts
@@ -76,6 +76,7 @@
             logger,
             rules,
             followers,
+            getResponsiveTime: () => loopMonitor.getResponsiveTime(),
             createCoordinator,
         });
         const membership = new Membership({
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -16,6 +16,7 @@
 import type { Followers } from "./followers.js";
 import type { FollowReply } from "./followReply.js";
 import type { FollowRequest } from "./followRequest.js";
+import { listRelayVms } from "./listRelayVms.js";
 import type { LocalCoordinator } from "./localCoordinator.js";
 import type { PeerReport } from "./peerReport.js";
 import type { Peers } from "./peers.js";
@@ -117,11 +118,9 @@
         return this.parts.localCoordinator.isActive;
     }
 
-    /** The VMs that follow this coordinator or, if none does yet, those that followed the last one. */
+    /** The VMs that may relay calls for this coordinator. */
     get relays(): readonly Candidate[] {
-        const { followers, self } = this.parts;
-        const staying = followers.listStaying();
-        return staying.length > 0 ? staying : this.members.filter(member => member.vm !== self.vm);
+        return listRelayVms(this.parts, this.members);
     }
 
     /** Calls the coordinator, which may be this process, or a peer that forwards the call if there is a relay. */
--- a/packages/run-entry-vm/src/testing/takeoverHarness.ts
+++ b/packages/run-entry-vm/src/testing/takeoverHarness.ts
@@ -117,6 +117,7 @@
             logger,
             rules,
             followers,
+            getResponsiveTime: () => loopMonitor.getResponsiveTime(),
             createCoordinator: (term, hadUnrecordedStarts, getTermRenewalAge, onTermLost) =>
                 new Coordinator({
                     store,
