Don't start a job anew whose recorded progress can't be read

Change: such a record is kept for addJob, which fails on it, so that the job alone is left out (job-unreadable). Result: the new test failed before (the job was taken and no job-unreadable logged) and passes now; the other takeover, registry and relay tests pass.

--- a/packages/coordinate-work/src/coordinatorTakeover.test.ts
+++ b/packages/coordinate-work/src/coordinatorTakeover.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from "@jest/globals";
+import { Topic } from "@sardinestage/describe-ports";
 import type { JobSpec } from "@sardinestage/describe-work";
 import { createStep } from "@sardinestage/emulate-platform";
 import { CoordinatorHarness } from "./testing/coordinatorHarness.js";
@@ -80,4 +81,20 @@
             expect(harness.coordinator?.hasUnrecordedStarts).toBe(false);
         });
     });
+
+    describe("when the recorded progress of a job can't be read", () => {
+        it("starts none of the job's tasks, which may have run, and serves the other jobs", async () => {
+            const harness = new CoordinatorHarness(FIXED_RANDOM, () => 300);
+            void harness.addWorker("w");
+            void harness.submit("unreadable", createSpec(), createQueue());
+            void harness.submit("other", createSpec(), createQueue());
+            void harness.appendUntilConfirmed(Topic.Progress, { key: "unreadable", value: Buffer.from([0xff, 0x00]) });
+            await harness.clock.runFor(50);
+            harness.startTerm(false);
+            await harness.clock.runFor(3000);
+            expect(harness.events.some(event => event.includes("job-unreadable"))).toBe(true);
+            expect([...harness.runChecker.completedTasks].filter(key => key.startsWith("unreadable"))).toEqual([]);
+            expect([...harness.runChecker.completedTasks].filter(key => key.startsWith("other"))).toHaveLength(1);
+        });
+    });
 });
--- a/packages/coordinate-work/src/jobRegistry.ts
+++ b/packages/coordinate-work/src/jobRegistry.ts
@@ -31,12 +31,15 @@
     private readonly throttled = new Set<Task>();
     private readonly ready = new ReadySteps();
 
-    /** Loads a progress record at a takeover: ended jobs are complete with it, the others are added to `pending`. */
+    /**
+     * Loads a progress record at a takeover: ended jobs are complete with it, the others are added to `pending`. So is
+     * a record that can't be read: `addJob` then fails on it too, rather than treat the job as one that never ran.
+     */
     loadProgress(record: KeyedRecord, pending: Map<string, Uint8Array>): void {
         if (record.value === undefined) {
             return;
         }
-        const finished = decodeFinishedJob(record.value);
+        const finished = tryDecodingEnd(record.value);
         if (finished === undefined) {
             pending.set(record.key, record.value);
         }
@@ -144,3 +147,12 @@
         return key.endsWith(CANCEL_SUFFIX) ? key.slice(0, -CANCEL_SUFFIX.length) : undefined;
     }
 }
+
+function tryDecodingEnd(progress: Uint8Array): FinishedJob | undefined {
+    try {
+        return decodeFinishedJob(progress);
+    }
+    catch {
+        return undefined;
+    }
+}
