Open a session with a relay by a flag, and go on to the next relay when one fails

Change: isOpening; a worker is called directly for a while only if it doesn't answer a relay that lives.

--- a/packages/relay-orders/src/orderRelay.ts
+++ b/packages/relay-orders/src/orderRelay.ts
@@ -42,7 +42,7 @@
         if (request.term < (this.session?.term ?? 0)) {
             return this.buildReply(RelayOutcome.StaleTerm, []);
         }
-        if (request.calls.length === 0 && request.session !== this.session?.id) {
+        if (request.isOpening) {
             this.openSession(request);
             return this.buildReply(RelayOutcome.Accepted, []);
         }
--- a/packages/relay-orders/src/relayRequest.ts
+++ b/packages/relay-orders/src/relayRequest.ts
@@ -2,8 +2,10 @@
 export interface RelayRequest {
     /** The coordinator's term: the fencing token of all calls in the request. */
     readonly term: number;
-    /** Identifies the coordinator's session with the relay. A request without calls opens the session. */
+    /** Identifies the coordinator's session with the relay. */
     readonly session: string;
+    /** Whether the request opens the session, which ends any other; such a request carries no calls. */
+    readonly isOpening: boolean;
     /** When the coordinator sent the request, by its wall clock, in Unix milliseconds. */
     readonly sentAtMs: number;
     /** How long the relay gathers answers before it replies, in milliseconds. */
--- a/packages/relay-orders/src/relaySession.ts
+++ b/packages/relay-orders/src/relaySession.ts
@@ -72,7 +72,7 @@
 
     /** Opens the session; on success it takes calls. */
     async open(): Promise<void> {
-        const reply = await this.sendRequest([]);
+        const reply = await this.sendRequest([], true);
         if (reply?.outcome !== RelayOutcome.Accepted) {
             this.close(reply === undefined ? "unreachable" : `opening-${RelayOutcome[reply.outcome]}`);
         }
@@ -131,7 +131,7 @@
         }
         const ids = calls.map((_call, index) => firstId + index);
         this.requestsUnderWay++;
-        const reply = await this.sendRequest(ids);
+        const reply = await this.sendRequest(ids, false);
         this.requestsUnderWay--;
         this.handleReply(reply, ids);
         if (this.requestsUnderWay === 0 && this.pending.size > 0 && !this.isFlushScheduled) {
@@ -139,7 +139,7 @@
         }
     }
 
-    private sendRequest(ids: readonly number[]): Promise<RelayReply | undefined> {
+    private sendRequest(ids: readonly number[], isOpening: boolean): Promise<RelayReply | undefined> {
         const { relay, term, id, clock, getGatherMs } = this.parts;
         const payloads = new Map<string, number>();
         const addPayload = (payload: string) => {
@@ -154,6 +154,7 @@
         const request: RelayRequest = {
             term,
             session: id,
+            isOpening,
             sentAtMs: clock.getWallTime(),
             gatherMs: getGatherMs(),
             payloads: [...payloads.keys()],
--- a/packages/relay-orders/src/relayedWorkerPort.test.ts
+++ b/packages/relay-orders/src/relayedWorkerPort.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from "@jest/globals";
 import type { StartOrder } from "@sardinestage/describe-ports";
 import { OrderOutcome } from "@sardinestage/describe-ports";
+import { RelayOutcome } from "./relayOutcome.js";
 import type { RelayRequest } from "./relayRequest.js";
 import { RelayHarness } from "./testing/relayHarness.js";
 
@@ -99,6 +100,26 @@
         });
     });
 
+    describe("when the relay fails and another VM of the failure domain can relay", () => {
+        it("has that one make the calls, and calls directly only until it has answered", async () => {
+            const harness = new RelayHarness(WORKERS);
+            const strong = harness.addRelay("strong", 2);
+            harness.addRelay("weak", 1);
+            const port = harness.createCoordinatorPort(1, 0);
+            await harness.renewAll(port, 1);
+            strong.isSilent = true;
+            await harness.renewAll(port, 1);
+            const order = { fence: 1, lastRecordedEnd: 0, leaseUntilMs: undefined, waitMs: 0 };
+            strong.isSilent = false;
+            void port.renewLease(worker, order);
+            await harness.clock.runFor(50);
+            const directCalls = harness.calls.direct.length;
+            void port.renewLease(worker, order);
+            await harness.clock.runFor(50);
+            expect(harness.calls.direct.length).toBe(directCalls);
+        });
+    });
+
     describe("when the relay was paused", () => {
         it("carries out no order that the coordinator gave up meanwhile", async () => {
             const harness = new RelayHarness(WORKERS);
@@ -155,6 +176,29 @@
 });
 
 describe("OrderRelay", () => {
+    describe("when a session asks for answers that a later one of the same term has replaced", () => {
+        it("refuses it, and goes on serving the later one", async () => {
+            const harness = new RelayHarness(WORKERS);
+            const { relay } = harness.addRelay("relay");
+            const request: RelayRequest = {
+                term: 1,
+                session: "earlier",
+                isOpening: true,
+                sentAtMs: harness.clock.getWallTime(),
+                gatherMs: 2,
+                payloads: [],
+                calls: [],
+            };
+            await relay.handleRequest(request);
+            await relay.handleRequest({ ...request, session: "later" });
+            const refused = await relay.handleRequest({ ...request, isOpening: false });
+            expect(refused.outcome).toBe(RelayOutcome.Expired);
+            const reply = relay.handleRequest({ ...request, session: "later", isOpening: false });
+            await harness.clock.runFor(500);
+            expect((await reply).outcome).toBe(RelayOutcome.Accepted);
+        });
+    });
+
     describe("when a request is malformed", () => {
         it.each([
             ["calls that aren't lists", [1, 2]],
@@ -165,6 +209,7 @@
             const request: RelayRequest = {
                 term: 1,
                 session: "session",
+                isOpening: true,
                 sentAtMs: harness.clock.getWallTime(),
                 gatherMs: 2,
                 payloads: [],
@@ -172,7 +217,8 @@
             };
             await relay.handleRequest(request);
             const renewal = [1, 0, "w0", "w0", 0, 0, 4500];
-            await expect(relay.handleRequest({ ...request, calls: [renewal, ...calls] })).rejects.toThrow(TypeError);
+            await expect(relay.handleRequest({ ...request, isOpening: false, calls: [renewal, ...calls] })).rejects
+                .toThrow(TypeError);
             await harness.clock.runFor(100);
             expect(harness.calls.relayed).toEqual([]);
         });
--- a/packages/relay-orders/src/relayedWorkerPort.ts
+++ b/packages/relay-orders/src/relayedWorkerPort.ts
@@ -17,6 +17,7 @@
 import type { RelayRequest } from "./relayRequest.js";
 import { RelaySession } from "./relaySession.js";
 import type { RelayVm } from "./relayVm.js";
+import { SessionState } from "./sessionState.js";
 
 /** Up to this number of workers, the coordinator calls all of them directly: relays would save little. */
 const MAX_DIRECT_WORKERS = 64;
@@ -123,8 +124,10 @@
 
     /** Has a relay make a call; returns undefined if none does. */
     private async forwardCall(call: RelayedCall): Promise<RelayAnswer | undefined> {
-        const answer = await this.pool.findSession(call.worker)?.forwardCall(call);
-        if (answer?.outcome === OrderOutcome.Unknown) {
+        const session = this.pool.findSession(call.worker);
+        const answer = await session?.forwardCall(call);
+        const isRelayAlive = session !== undefined && session.state !== SessionState.Closed;
+        if (answer?.outcome === OrderOutcome.Unknown && isRelayAlive) {
             this.pool.noteUnanswered(call.worker.id);
         }
         return answer;
