--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -5,19 +5,23 @@
 const HOUR_MS = 3_600_000;
 const DAY_MS = 24 * HOUR_MS;
 const SCHEDULE_PATH = "/queue0/00000000000000a1";
-const LATER_PATH = "/queue0/00000000000000b1";
+const EARLIER_ID = "00000000000000b1";
+const EARLIER_TASKS = 4;
 /** A process that ends is started again after a short delay. */
 const RESTART_AFTER_MS = 1000;
-/** Time from the schedule to the next job, in milliseconds. */
-const LATER_MS = 10_000;
+const FIRST_STEP_MS = 4000;
 /** `finish_s` of the pages, and the 3 s for which a job may have nothing running. */
 const FINISH_MS = 14_000;
 const IDLE_MS = 3000;
 const SUPERVISE_MS = 110_000;
 
-const LATER_JOB = {
-    spec: JSON.stringify({ ms: 500, cpu: 500 }),
-    steps: [{ count: 4, cpu: 500, mem_mb: 128, estimate_ms: 500 }],
+/** A job of two steps, of which the second begins when the first is done. */
+const EARLIER_JOB = {
+    spec: JSON.stringify({ ms: FIRST_STEP_MS, cpu: 500 }),
+    steps: [
+        { count: EARLIER_TASKS, cpu: 500, mem_mb: 128, estimate_ms: FIRST_STEP_MS },
+        { count: EARLIER_TASKS, cpu: 500, mem_mb: 128, estimate_ms: FIRST_STEP_MS, depends_on: [0] },
+    ],
 };
 
 /** A schedule of one run each five minutes for a year, which began some time ago. */
@@ -31,16 +35,18 @@
     };
 }
 
-/** Hands in a schedule that began long ago, then a small job, and asks for that job's state. */
+/** Hands in a small job, and a schedule that began long ago while the job's first step runs. */
 async function play(installation, hasTrouble) {
     const { recorder, vms } = installation;
     await installation.start({
         vms: Array.from({ length: VMS }, (_unused, index) => ({ name: `front-${index + 1}`, zone: "gent-haven" })),
         workers: Array.from({ length: WORKERS }, (_unused, index) => ({ id: `i-${index + 1}`, zone: "gent-haven" })),
     });
+    const earlier = await installation.send(vms[0], "POST", `/queue0/${EARLIER_ID}`, EARLIER_JOB);
+    const hasBegun = await waitUntil(() => recorder.list("run-start").length >= EARLIER_TASKS, 10_000);
     const schedule = createSchedule(hasTrouble ? 365 * DAY_MS : HOUR_MS);
     const accepted = await installation.send(vms[0], "POST", SCHEDULE_PATH, schedule);
-    if (accepted.status !== 200) {
+    if (earlier.status !== 200 || !hasBegun || accepted.status !== 200) {
         return COULD_NOT_RUN;
     }
     let isOver = false;
@@ -57,37 +63,16 @@
             50,
         );
     const supervising = vms.map(supervise);
-    await wait(LATER_MS);
-    let later = { status: 0 };
-    await waitUntil(
-        async () => {
-            for (const vm of vms.filter(each => each.isAlive)) {
-                later = later.status === 200 ? later : await installation.send(vm, "POST", LATER_PATH, LATER_JOB);
-            }
-            return later.status === 200;
-        },
-        FINISH_MS,
-        500,
-    );
-    if (later.status !== 200) {
-        return COULD_NOT_RUN;
-    }
-    let state;
-    const isCompleted = await waitUntil(
-        async () => {
-            const answers = await Promise.all(vms.map(vm => installation.send(vm, "GET", LATER_PATH)));
-            state = answers.map(answer => answer.body?.state).find(found => found !== undefined) ?? state;
-            return state === "completed";
-        },
-        FINISH_MS + IDLE_MS,
-        1000,
-    );
+    const countEnds = step =>
+        recorder.list("run-end").filter(({ task, how }) => how === "done" && task.startsWith(`${EARLIER_ID}.0.${step}.`))
+            .length;
+    const isCompleted = await waitUntil(() => countEnds(1) === EARLIER_TASKS, FIRST_STEP_MS + FINISH_MS + IDLE_MS, 100);
     isOver = true;
     await Promise.all(supervising);
     const ends = recorder.list("process-ended").length;
-    recorder.note("later-job", { state, isCompleted, processEnds: ends });
+    recorder.note("earlier-job", { firstStepDone: countEnds(0), secondStepDone: countEnds(1), processEnds: ends });
     if (!isCompleted) {
-        recorder.note("BROKEN-LOST", { job: LATER_PATH, state, processEnds: ends });
+        recorder.note("BROKEN-LOST", { job: EARLIER_ID, processEnds: ends });
         return BROKEN;
     }
     return HELD;
