--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -64,7 +64,9 @@
         );
     const supervising = vms.map(supervise);
     const countEnds = step =>
-        recorder.list("run-end").filter(({ task, how }) => how === "done" && task.startsWith(`${EARLIER_ID}.0.${step}.`))
+        recorder.list("run-end").filter(({ task, how }) =>
+            how === "done" && task.startsWith(`${EARLIER_ID}.0.${step}.`)
+        )
             .length;
     const isCompleted = await waitUntil(() => countEnds(1) === EARLIER_TASKS, FIRST_STEP_MS + FINISH_MS + IDLE_MS, 100);
     isOver = true;
--- a/review/lib/entryVm.mjs
+++ b/review/lib/entryVm.mjs
@@ -70,6 +70,7 @@
             stdio: ["ignore", "pipe", "pipe"],
         });
         this.child = child;
+        process.once("exit", () => child.kill("SIGKILL"));
         const log = createWriteStream(join(directory, `${name}.log`), { flags: "a" });
         child.stderr.pipe(log);
         child.stdout.on("data", chunk => {
--- a/review/lib/installation.mjs
+++ b/review/lib/installation.mjs
@@ -133,7 +133,7 @@
     /** Sends a client's request to a VM and records the request and its answer. */
     async send(vm, method, path, body) {
         const { recorder } = this;
-        recorder.note("request", { vm: vm.name, method, path });
+        recorder.note("request", { vm: vm.name, method, path, body: body === undefined ? "" : JSON.stringify(body) });
         const answer = await sendRequest({ port: vm.callerPort, method, path, host: HOST, body });
         const state = answer.body?.state;
         recorder.note("answer", { vm: vm.name, method, path, status: answer.status, state });
@@ -179,6 +179,10 @@
     const hasTrouble = process.env.TROUBLE !== "0";
     installation.recorder.note("case-begins", { trouble: hasTrouble });
     let code = COULD_NOT_RUN;
+    process.setMaxListeners(100);
+    for (const signal of ["SIGINT", "SIGTERM"]) {
+        process.once(signal, () => process.exit(COULD_NOT_RUN));
+    }
     const timeout = new Promise((_resolve, reject) => {
         setTimeout(() => reject(new Error("The case took too long.")), CASE_TIMEOUT_MS).unref();
     });
