Keep of a job in memory what can run, not what its caller wrote

Cause: openDueOccurrences opened every due occurrence and walked all of them at each change; each task was an object from the start; done occurrences were a set of numbers in one record.

Change: StepRun has objects only for tasks that a round considers, that run or that ran in vain; done tasks of large jobs and done occurrences are ranges.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -6,13 +6,14 @@
 import type { Scenario } from "./scenario.js";
 import { coordinate } from "./scenarios/coordinate.js";
 import { decide } from "./scenarios/decide.js";
+import { jobMemory } from "./scenarios/jobMemory.js";
 import { path } from "./scenarios/path.js";
 import { retries } from "./scenarios/retries.js";
 import { slopes } from "./scenarios/slopes.js";
 import { takeover } from "./scenarios/takeover.js";
 
 const DEFAULT_SEED = 20261204;
-const scenarios: readonly Scenario[] = [coordinate, decide, path, retries, slopes, takeover];
+const scenarios: readonly Scenario[] = [coordinate, decide, jobMemory, path, retries, slopes, takeover];
 
 interface BenchOptions {
     readonly list?: boolean;
--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -1,4 +1,4 @@
-import type { KeyedRecord, LeaseReport, OrderOutcome } from "@sardinestage/describe-ports";
+import type { LeaseReport, OrderOutcome } from "@sardinestage/describe-ports";
 import { JobState, WorkerState } from "@sardinestage/describe-work";
 import { TopicFollower } from "@sardinestage/follow-topic";
 import type { Job, Task } from "@sardinestage/track-jobs";
@@ -16,21 +16,23 @@
 import { HeadroomTracker } from "./headroomTracker.js";
 import { JobFinisher } from "./jobFinisher.js";
 import { JobIntake } from "./jobIntake.js";
+import { JobRecorder } from "./jobRecorder.js";
 import { JobRegistry } from "./jobRegistry.js";
 import { LearnedEstimates } from "./learnedEstimates.js";
 import { LeaseRenewalLoop } from "./leaseRenewalLoop.js";
 import { limits } from "./limits.js";
 import { listExpiredTasks } from "./listExpiredTasks.js";
+import { loadProgress } from "./loadProgress.js";
 import { OrderSender } from "./orderSender.js";
 import { PaceController } from "./paceController.js";
 import { PlacementScorer } from "./placementScorer.js";
 import { PlanningRound } from "./planningRound.js";
 import { ProgressWriter } from "./progressWriter.js";
 import { RecordCleaner } from "./recordCleaner.js";
-import { restoreEstimates } from "./restoreEstimates.js";
 import { RoundTimer } from "./roundTimer.js";
 import { RunTracker } from "./runTracker.js";
 import { StartGate } from "./startGate.js";
+import type { StoredProgress } from "./storedProgress.js";
 import { TakeoverGate } from "./takeoverGate.js";
 import type { TrackedWorker } from "./trackedWorker.js";
 import { WorkerMonitor } from "./workerMonitor.js";
@@ -78,6 +80,7 @@
         this.writer = new ProgressWriter(parts);
         this.earlierStarts = new EarlierStarts(parts.hadUnrecordedStarts, this.writer);
         const recordCleaner = new RecordCleaner(parts, this.jobs, this.writer);
+        const recorder = new JobRecorder(parts, this.writer);
         this.advice = new AdviceCache(parts, () => this.scheduleRound(limits.roundDelayMs));
         this.orders = new OrderSender(parts, {
             handleNotStarted: (task, worker, outcome) => this.handleNotStarted(task, worker, outcome),
@@ -94,6 +97,7 @@
             jobs: this.jobs,
             fleet: this.fleet,
             recordCleaner,
+            recorder,
             cancelJob: id => this.cancelJob(id),
             noteAdded: () => this.scheduleRound(limits.roundDelayMs),
         });
@@ -118,6 +122,7 @@
             jobs: this.jobs,
             fleet: this.fleet,
             writer: this.writer,
+            recorder,
             orders: this.orders,
             advice: this.advice,
             recordCleaner,
@@ -127,6 +132,7 @@
             jobs: this.jobs,
             fleet: this.fleet,
             writer: this.writer,
+            recorder,
             orders: this.orders,
             runs: this.runs,
             advice: this.advice,
@@ -154,11 +160,11 @@
      */
     async open(): Promise<boolean> {
         const { clock, logger, term } = this.parts;
-        const pending = new Map<string, Uint8Array>();
+        const pending = new Map<string, StoredProgress>();
         const progress = new TopicFollower({
             ...this.parts,
             ...followedTopics.progress,
-            takeRecord: record => this.loadProgress(record, pending),
+            takeRecord: record => loadProgress(this.parts, this.learned, this.jobs, pending, record),
         });
         const isWriter = await this.writer.open();
         const writableAtMs = clock.getNow();
@@ -208,15 +214,6 @@
         return isLoaded;
     }
 
-    private loadProgress(record: KeyedRecord, pending: Map<string, Uint8Array>): void {
-        if (record.key === LearnedEstimates.KEY) {
-            restoreEstimates(this.parts, this.learned, record.value);
-        }
-        else {
-            this.jobs.loadProgress(record, pending);
-        }
-    }
-
     /** Ends the term in this process: no further order is sent. */
     close(): void {
         this.isClosed = true;
--- a/packages/coordinate-work/src/coordinatorRules.ts
+++ b/packages/coordinate-work/src/coordinatorRules.ts
@@ -1,3 +1,5 @@
+import type { StoreLimits } from "@sardinestage/describe-ports";
+
 /** Times and limits of a coordinator. */
 export interface CoordinatorRules {
     /**
@@ -16,4 +18,5 @@
     readonly paceMs: number;
     /** An entry that disappeared while the store was unavailable is listed again within this time, in milliseconds. */
     readonly entryReturnMs: number;
+    readonly storeLimits: StoreLimits;
 }
--- a/packages/coordinate-work/src/countPending.ts
+++ b/packages/coordinate-work/src/countPending.ts
@@ -22,7 +22,7 @@
     if (job.doneOccurrences.size > 0) {
         return true;
     }
-    for (const task of job.listTasks()) {
+    for (const task of job.listKnownTasks()) {
         if (hasTaskStarted(task)) {
             return true;
         }
--- a/packages/coordinate-work/src/jobFinisher.ts
+++ b/packages/coordinate-work/src/jobFinisher.ts
@@ -4,6 +4,7 @@
 import type { AdviceCache } from "./adviceCache.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import type { Fleet } from "./fleet.js";
+import type { JobRecorder } from "./jobRecorder.js";
 import type { JobRegistry } from "./jobRegistry.js";
 import type { OrderSender } from "./orderSender.js";
 import type { ProgressWriter } from "./progressWriter.js";
@@ -14,6 +15,7 @@
     readonly jobs: JobRegistry;
     readonly fleet: Fleet;
     readonly writer: ProgressWriter;
+    readonly recorder: JobRecorder;
     readonly orders: OrderSender;
     readonly advice: AdviceCache;
     readonly recordCleaner: RecordCleaner;
@@ -45,7 +47,7 @@
      * Schedules the write of a job's progress. If the job has ended, stops its runs and closes the job once recorded.
      */
     handleChange(job: Job): void {
-        this.collaborators.writer.schedule(job.id, () => encodeProgress(job));
+        this.collaborators.recorder.recordJob(job);
         if (job.isFinished) {
             this.stopTasks(job);
             this.collaborators.writer.runWhenRecorded(() => this.closeJob(job), false);
@@ -53,7 +55,7 @@
     }
 
     private stopTasks(job: Job): void {
-        for (const task of job.listTasks()) {
+        for (const task of job.listKnownTasks()) {
             const worker = this.collaborators.fleet.workers.get(task.workerId);
             if (worker !== undefined && task.isActive) {
                 this.collaborators.orders.sendStop(task, worker, "job-ended");
@@ -69,8 +71,7 @@
             this.parts.metrics.count("jobs_ended_total", job.state);
             this.parts.logger.info("job-ended", { job: job.id, state: job.state, queue: job.queue.name, tookMs });
         }
-        const hasNoActiveRun = [...job.listTasks()].every(task => !task.isActive);
-        if (hasNoActiveRun && jobs.live.has(job.id)) {
+        if (!job.hasActiveTask && jobs.live.has(job.id)) {
             jobs.finishJob(job);
             advice.dropJob(job.id);
             recordCleaner.noteObsolete(job.id);
--- a/packages/coordinate-work/src/jobIntake.ts
+++ b/packages/coordinate-work/src/jobIntake.ts
@@ -2,14 +2,17 @@
 import type { Job } from "@sardinestage/track-jobs";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import type { Fleet } from "./fleet.js";
+import type { JobRecorder } from "./jobRecorder.js";
 import { JobRegistry } from "./jobRegistry.js";
 import type { RecordCleaner } from "./recordCleaner.js";
+import type { StoredProgress } from "./storedProgress.js";
 
 /** Dependencies of a job intake. */
 interface JobIntakeParts {
     readonly jobs: JobRegistry;
     readonly fleet: Fleet;
     readonly recordCleaner: RecordCleaner;
+    readonly recorder: JobRecorder;
     readonly cancelJob: (id: string) => void;
     /** Called for each job that was added. */
     readonly noteAdded: (job: Job) => void;
@@ -37,13 +40,19 @@
      *
      * @param progress The recorded progress of jobs that haven't ended, by job id.
      */
-    applyDeferred(progress: ReadonlyMap<string, Uint8Array>): void {
+    applyDeferred(progress: ReadonlyMap<string, StoredProgress>): void {
         const records = this.deferred ?? [];
         this.deferred = undefined;
         records.forEach(record => this.applyRecord(record, progress.get(record.key)));
+        for (const [id, { parts }] of progress) {
+            if (this.collaborators.jobs.finished.has(id)) {
+                // The coordinator that recorded the job's end ended itself before it dropped them.
+                this.collaborators.recorder.dropParts(parts.map(part => part.key));
+            }
+        }
     }
 
-    private applyRecord(record: KeyedRecord, progress: Uint8Array | undefined): void {
+    private applyRecord(record: KeyedRecord, progress: StoredProgress | undefined): void {
         const cancelled = JobRegistry.parseCancelKey(record.key);
         if (cancelled !== undefined) {
             if (record.value !== undefined) {
@@ -51,18 +60,23 @@
             }
             return;
         }
+        const { recorder } = this.collaborators;
         const job = this.tryAdding(record, progress);
         if (job === undefined) {
             return;
         }
         this.bindActiveTasks(job);
+        if (progress !== undefined && job.isPartitioned) {
+            // An earlier version, or a coordinator that ended between two appends, may have left records to write anew.
+            recorder.recordJob(job);
+        }
         if (this.collaborators.jobs.isCancelledBeforeRead(job.id)) {
             this.collaborators.cancelJob(job.id);
         }
         this.collaborators.noteAdded(job);
     }
 
-    private tryAdding(record: KeyedRecord, progress: Uint8Array | undefined): Job | undefined {
+    private tryAdding(record: KeyedRecord, progress: StoredProgress | undefined): Job | undefined {
         const { jobs, recordCleaner } = this.collaborators;
         try {
             const job = jobs.addJob(record, progress);
@@ -87,7 +101,7 @@
      * Assigns runs that are recorded as active to their workers, also to unlisted ones: these runs may still be active.
      */
     private bindActiveTasks(job: Job): void {
-        for (const task of job.listTasks()) {
+        for (const task of job.listKnownTasks()) {
             if (task.isActive) {
                 this.collaborators.fleet.getOrAddWorker(task.workerId).tasks.add(task);
             }
--- a/packages/coordinate-work/src/jobRegistry.ts
+++ b/packages/coordinate-work/src/jobRegistry.ts
@@ -4,14 +4,17 @@
 import type { Task } from "@sardinestage/track-jobs";
 import {
     applyProgress,
+    applyProgressPart,
     CANCEL_SUFFIX,
     decodeFinishedJob,
     decodeJobRecord,
     Job,
     openOccurrence,
+    PartKey,
 } from "@sardinestage/track-jobs";
 import type { ReadyList } from "./readyList.js";
 import { ReadySteps } from "./readySteps.js";
+import { StoredProgress } from "./storedProgress.js";
 
 const FULL_PACE_PERCENT = 100;
 
@@ -35,15 +38,21 @@
      * Loads a progress record at a takeover: ended jobs are complete with it, the others are added to `pending`. So is
      * a record that can't be read: `addJob` then fails on it too, rather than treat the job as one that never ran.
      */
-    loadProgress(record: KeyedRecord, pending: Map<string, Uint8Array>): void {
+    loadProgress(record: KeyedRecord, pending: Map<string, StoredProgress>): void {
         if (record.value === undefined) {
             return;
         }
-        const finished = tryDecodingEnd(record.value);
-        if (finished === undefined) {
-            pending.set(record.key, record.value);
+        const partKey = PartKey.parse(record.key);
+        const jobId = partKey?.jobId ?? record.key;
+        const stored = pending.get(jobId) ?? new StoredProgress();
+        pending.set(jobId, stored);
+        if (partKey !== undefined) {
+            stored.parts.push({ key: partKey, value: record.value });
+            return;
         }
-        else {
+        stored.state = record.value;
+        const finished = tryDecodingEnd(record.value);
+        if (finished !== undefined) {
             this.finished.set(record.key, finished);
         }
     }
@@ -54,15 +63,16 @@
      * @param progress The job's progress under earlier coordinators, if any was recorded.
      * @returns The job; undefined if the record is empty or the job is known already.
      */
-    addJob(record: KeyedRecord, progress?: Uint8Array): Job | undefined {
+    addJob(record: KeyedRecord, progress?: StoredProgress): Job | undefined {
         if (record.value === undefined || this.live.has(record.key) || this.finished.has(record.key)) {
             return undefined;
         }
         const { spec, queue, acceptedAtMs } = decodeJobRecord(record.value);
         const job = new Job(record.key, spec, queue, acceptedAtMs);
-        if (progress !== undefined) {
-            applyProgress(job, progress);
+        if (progress?.state !== undefined) {
+            applyProgress(job, progress.state);
         }
+        progress?.parts.forEach(({ key, value }) => applyProgressPart(job, key, value));
         this.live.set(job.id, job);
         this.ready.addJob(job, task => this.throttled.add(task));
         return job;
@@ -104,7 +114,9 @@
 
     /** Finds a task by its reference, if its occurrence is open. */
     findTask(ref: TaskRef): Task | undefined {
-        return this.live.get(ref.jobId)?.openOccurrences.get(ref.occurrence)?.steps.at(ref.step)?.tasks.at(ref.index);
+        const step = this.live.get(ref.jobId)?.openOccurrences.get(ref.occurrence)?.steps[ref.step];
+        const isValid = step !== undefined && ref.index >= 0 && ref.index < step.spec.taskCount;
+        return isValid ? step.getTask(ref.index) : undefined;
     }
 
     /**
--- a/packages/coordinate-work/src/planningRound.ts
+++ b/packages/coordinate-work/src/planningRound.ts
@@ -2,13 +2,7 @@
 import type { StartRules, StepDemand, WorkerCapacity } from "@sardinestage/plan-starts";
 import { planStarts } from "@sardinestage/plan-starts";
 import type { StepRun, Task } from "@sardinestage/track-jobs";
-import {
-    applyRunStart,
-    computeCriticalPath,
-    computeRemainingCriticalPath,
-    encodeProgress,
-    TaskPhase,
-} from "@sardinestage/track-jobs";
+import { applyRunStart, computeCriticalPath, computeRemainingCriticalPath, TaskPhase } from "@sardinestage/track-jobs";
 import type { AdviceCache } from "./adviceCache.js";
 import { CapacityReservations } from "./capacityReservations.js";
 import { CapacityTable } from "./capacityTable.js";
@@ -18,13 +12,16 @@
 import type { DurationEstimator } from "./durationEstimator.js";
 import type { Fleet } from "./fleet.js";
 import type { HeadroomTracker } from "./headroomTracker.js";
+import type { JobRecorder } from "./jobRecorder.js";
 import type { JobRegistry } from "./jobRegistry.js";
 import { limits } from "./limits.js";
 import type { OrderSender } from "./orderSender.js";
 import type { PlacementScorer } from "./placementScorer.js";
 import { PreemptionController } from "./preemptionController.js";
 import type { ProgressWriter } from "./progressWriter.js";
+import type { ReadyStep } from "./readyStep.js";
 import type { RunTracker } from "./runTracker.js";
+import { UnusedTaskLimiter } from "./unusedTaskLimiter.js";
 import { WaitReporter } from "./waitReporter.js";
 import { WaitSummary } from "./waitSummary.js";
 
@@ -56,6 +53,7 @@
     readonly jobs: JobRegistry;
     readonly fleet: Fleet;
     readonly writer: ProgressWriter;
+    readonly recorder: JobRecorder;
     readonly orders: OrderSender;
     readonly runs: RunTracker;
     readonly advice: AdviceCache;
@@ -73,6 +71,7 @@
     private readonly capacityTable = new CapacityTable();
     private readonly reservations = new CapacityReservations();
     private readonly preemption: PreemptionController;
+    private readonly unusedTasks = new UnusedTaskLimiter();
 
     constructor(private readonly parts: CoordinatorParts, private readonly collaborators: PlanningRoundParts) {
         this.waitReporter = new WaitReporter(parts.logger);
@@ -108,7 +107,7 @@
             task => this.collaborators.headroomTracker.estimatePlacementHeadroom(task, nowMs + PLACEMENT_LOOKAHEAD_MS),
         );
         const isBusy = computeReservedShare(capacities) >= BUSY_SHARE;
-        const waiting = steps.map(({ step, waiting: tasks }) => this.buildDemand(step, tasks));
+        const waiting = steps.map(ready => this.buildDemand(ready));
         const demands = this.demandSelector.pickDemands(waiting);
         this.collaborators.placementScorer.startRound();
         const planningStartedAtMs = clock.getNow();
@@ -125,11 +124,13 @@
         this.demandSelector.recordRound(demands.length, clock.getNow() - planningStartedAtMs);
         plan.unmet.forEach(demand => this.requestAdvice(demand, capacities));
         this.preemption.runPreemption(plan.unmet, capacities, planningStartedAtMs);
+        this.unusedTasks.noteListed(demands.map(demand => demand.step));
         const isPartial = demands.length < waiting.length;
         return isPartial ? clock.getWallTime() : nextDueMs;
     }
 
-    private buildDemand(step: StepRun, waiting: readonly Task[]): StepDemand {
+    private buildDemand(ready: ReadyStep): StepDemand {
+        const { step } = ready;
         const { occurrence } = step;
         const { queue } = occurrence.job;
         const estimate = (spec: StepRun["spec"]) => this.collaborators.durations.estimateDuration(queue.name, spec);
@@ -140,9 +141,14 @@
         const readyAtMs = this.readyAtMs.get(step) ?? nowMs;
         this.readyAtMs.set(step, readyAtMs);
         const elapsedMs = this.parts.clock.getWallTime() - occurrence.dueMs;
+        let waiting: readonly Task[] | undefined;
         return {
             step,
-            waiting,
+            // Listed only for the demands that the round comes to.
+            get waiting() {
+                waiting ??= ready.waiting;
+                return waiting;
+            },
             isStarted: occurrence.isStarted,
             remainingMs,
             waitedMs: nowMs - readyAtMs,
@@ -164,7 +170,7 @@
         this.reservations.release(task, workerId);
         const fields = { task: formatTaskKey(task.ref), run, worker: workerId };
         this.parts.logger.info("run-order", { ...fields, tasksThere: worker.tasks.size });
-        this.collaborators.writer.schedule(job.id, () => encodeProgress(job));
+        this.collaborators.recorder.recordJob(job);
         this.collaborators.writer.runWhenRecorded(() => this.sendStart(task, run, workerId), true);
     }
 
@@ -174,8 +180,14 @@
         if (!step.spec.gang) {
             return task.run + 1;
         }
-        const activeMember = step.tasks.find(member => member.isActive);
-        return activeMember?.run ?? Math.max(...step.tasks.map(member => member.run)) + 1;
+        let highestRun = 0;
+        for (const member of step.listKnown()) {
+            if (member.isActive) {
+                return member.run;
+            }
+            highestRun = Math.max(highestRun, member.run);
+        }
+        return highestRun + 1;
     }
 
     private sendStart(task: Task, run: number, workerId: string): void {
@@ -207,8 +219,9 @@
     }
 
     private requestAdvice(demand: StepDemand, capacities: readonly WorkerCapacity[]): void {
-        const task = demand.waiting.at(0);
-        if (task !== undefined && task.step.occurrence.job.queue.advice !== undefined) {
+        const isAdviceNeeded = demand.step.occurrence.job.queue.advice !== undefined;
+        const task = isAdviceNeeded ? demand.waiting.at(0) : undefined;
+        if (task !== undefined) {
             this.collaborators.advice.request(task, capacities.map(capacity => capacity.workerId));
         }
     }
--- a/packages/coordinate-work/src/readyList.ts
+++ b/packages/coordinate-work/src/readyList.ts
@@ -1,11 +1,4 @@
-import type { StepRun, Task } from "@sardinestage/track-jobs";
-
-/** A step that has tasks to start. */
-interface ReadyStep {
-    readonly step: StepRun;
-    /** The tasks that wait for a worker. */
-    readonly waiting: readonly Task[];
-}
+import type { ReadyStep } from "./readyStep.js";
 
 /** The steps that have tasks to start, and when the next occurrence is due. */
 export interface ReadyList {
--- a/packages/coordinate-work/src/readySteps.fuzz.test.ts
+++ b/packages/coordinate-work/src/readySteps.fuzz.test.ts
@@ -14,6 +14,7 @@
 } from "@sardinestage/track-jobs";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { JobRegistry } from "./jobRegistry.js";
+import { StoredProgress } from "./storedProgress.js";
 import { createQueue } from "./testing/createQueue.js";
 
 const SEEDS = Array.from({ length: 8 }, (_unused, index) => 20261204 + index);
@@ -119,7 +120,10 @@
         const next = new JobRegistry();
         for (const job of this.registry.live.values()) {
             const record = { key: job.id, value: this.records.get(job.id) };
-            next.addJob(record, this.pick(4) === 0 && !job.isFinished ? undefined : encodeProgress(job));
+            next.addJob(
+                record,
+                this.pick(4) === 0 && !job.isFinished ? undefined : new StoredProgress(encodeProgress(job)),
+            );
         }
         this.registry = next;
     }
--- a/packages/coordinate-work/src/readySteps.ts
+++ b/packages/coordinate-work/src/readySteps.ts
@@ -1,6 +1,10 @@
 import type { Job, Task } from "@sardinestage/track-jobs";
-import { openDueOccurrences, TaskPhase } from "@sardinestage/track-jobs";
+import { openDueOccurrences } from "@sardinestage/track-jobs";
 import type { ReadyList } from "./readyList.js";
+import { ReadyStep } from "./readyStep.js";
+
+/** Steps of open occurrences that all jobs together may have; beyond it each job has only a few occurrences open. */
+const MAX_OPEN_STEPS = 16_384;
 
 /** The state kept of one job. */
 interface JobEntry {
@@ -10,6 +14,8 @@
     steps: ReadyList["steps"];
     /** When its next occurrence is due, in Unix milliseconds; infinite when none is. */
     dueMs: number;
+    /** Number of steps of its open occurrences. */
+    openSteps: number;
 }
 
 /**
@@ -26,10 +32,12 @@
     private readonly upcoming = new Map<Job, JobEntry>();
     private nextDueMs = Infinity;
     private jobs = 0;
+    /** Number of steps of the open occurrences of all jobs. */
+    private openSteps = 0;
 
     /** Adds a job and watches its changes; `noteThrottled` is called when one of its tasks is throttled. */
     addJob(job: Job, noteThrottled: (task: Task) => void): void {
-        this.entries.set(job, { number: this.jobs++, steps: [], dueMs: Infinity });
+        this.entries.set(job, { number: this.jobs++, steps: [], dueMs: Infinity, openSteps: 0 });
         this.changed.add(job);
         job.setWatcher({ noteChanged: () => this.changed.add(job), noteThrottled });
     }
@@ -43,6 +51,7 @@
         this.upcoming.delete(job);
         if (entry !== undefined) {
             this.startable.delete(entry);
+            this.openSteps -= entry.openSteps;
             this.updateNextDue(entry.dueMs, Infinity);
         }
     }
@@ -72,7 +81,12 @@
             return;
         }
         const dueBeforeMs = entry.dueMs;
-        entry.dueMs = openDueOccurrences(job, wallNowMs) ?? Infinity;
+        const stepsEach = job.spec.steps.length;
+        const maxOpen = Math.floor((MAX_OPEN_STEPS - this.openSteps + entry.openSteps) / stepsEach);
+        entry.dueMs = openDueOccurrences(job, wallNowMs, { maxOpen }) ?? Infinity;
+        this.openSteps -= entry.openSteps;
+        entry.openSteps = job.openOccurrences.size * stepsEach;
+        this.openSteps += entry.openSteps;
         entry.steps = job.isFinished ? [] : listSteps(job);
         if (entry.steps.length > 0) {
             this.startable.add(entry);
@@ -107,6 +121,6 @@
     return [...job.openOccurrences.values()].flatMap(occurrence =>
         occurrence.steps
             .filter(step => step.isWaiting && step.isReady)
-            .map(step => ({ step, waiting: step.tasks.filter(task => task.phase === TaskPhase.Waiting) }))
+            .map(step => new ReadyStep(step))
     );
 }
--- a/packages/coordinate-work/src/runTracker.ts
+++ b/packages/coordinate-work/src/runTracker.ts
@@ -147,7 +147,7 @@
         if (end !== RunEnd.Done) {
             return [];
         }
-        const members = task.step.spec.gang ? task.step.tasks : [task];
+        const members = task.step.spec.gang ? [...task.step.listKnown()] : [task];
         return members.filter(member => member.isActive)
             .map(member => ({ task: member, workerId: member.workerId, run: member.run }));
     }
--- a/packages/coordinate-work/src/testing/coordinatorHarness.ts
+++ b/packages/coordinate-work/src/testing/coordinatorHarness.ts
@@ -5,6 +5,7 @@
 import {
     emulatedCodec,
     EmulatedFleet,
+    emulatedStoreLimits,
     EmulatedWorker,
     listPrerequisiteTasks,
     MemoryStore,
@@ -22,6 +23,7 @@
     maxLeaseMs: 6000,
     keepFinishedMs: 120_000,
     harmMs: 4000,
+    storeLimits: emulatedStoreLimits,
     paceMs: 100,
     entryReturnMs: 2000,
 };
@@ -112,6 +114,22 @@
     /** Begins the next term without informing the previous coordinator. */
     startTerm(hadUnrecordedStarts: boolean): void {
         this.term++;
+    /** Counts the records of parts of jobs' progress in the store. */
+    async countProgressParts(): Promise<number> {
+        let count = 0;
+        let after: string | undefined;
+        let hasMore = true;
+        while (hasMore) {
+            const reading = this.store.readNewest(Topic.Progress, after);
+            await this.clock.runFor(50);
+            const page = await reading;
+            count += page.records.filter(({ key }) => PartKey.parse(key) !== undefined).length;
+            after = page.records.at(-1)?.key;
+            hasMore = page.hasMore;
+        }
+        return count;
+    }
+
         const { term } = this;
         const coordinator = new Coordinator({
             store: this.store,
--- a/packages/coordinate-work/src/waitSummary.ts
+++ b/packages/coordinate-work/src/waitSummary.ts
@@ -43,8 +43,8 @@
         const tasksByReason: Record<string, number> = {};
         for (const demand of unmet.slice(0, MAX_STEPS)) {
             const name = `for${WaitReason[explainWait(demand, capacities, rules)]}`;
-            tasksByReason[name] = (tasksByReason[name] ?? 0) + demand.waiting.length;
-            this.parts.metrics.count("waiting_tasks_total", name, demand.waiting.length);
+            tasksByReason[name] = (tasksByReason[name] ?? 0) + demand.step.waitingCount;
+            this.parts.metrics.count("waiting_tasks_total", name, demand.step.waitingCount);
         }
         this.parts.logger.info("tasks-wait", {
             steps: unmet.length,
--- a/packages/describe-ports/src/index.ts
+++ b/packages/describe-ports/src/index.ts
@@ -19,6 +19,7 @@
 export type { RecordCodec } from "./recordCodec.js";
 export type { StartOrder } from "./startOrder.js";
 export type { StoredRecord } from "./storedRecord.js";
+export type { StoreLimits } from "./storeLimits.js";
 export type { StorePort } from "./storePort.js";
 export { systemClock } from "./systemClock.js";
 export { Topic } from "./topic.js";
--- a/packages/emulate-platform/src/index.ts
+++ b/packages/emulate-platform/src/index.ts
@@ -2,6 +2,7 @@
 export { createStep } from "./createStep.js";
 export { emulatedCodec } from "./emulatedCodec.js";
 export { EmulatedFleet } from "./emulatedFleet.js";
+export { emulatedStoreLimits } from "./emulatedStoreLimits.js";
 export { EmulatedWorker } from "./emulatedWorker.js";
 export { listPrerequisiteTasks } from "./listPrerequisiteTasks.js";
 export { MemoryStore } from "./memoryStore.js";
--- a/packages/plan-starts/src/planGang.ts
+++ b/packages/plan-starts/src/planGang.ts
@@ -25,7 +25,7 @@
     starts: PlannedStart[],
 ): boolean {
     const { step, waiting } = demand;
-    if (waiting.length < step.tasks.length || waiting.length === 0) {
+    if (waiting.length < step.spec.taskCount || waiting.length === 0) {
         return true;
     }
     const allowed = ledger.workers.filter(worker => isAllowedOn(step, worker));
--- a/packages/plan-starts/src/preemptionPlanner.ts
+++ b/packages/plan-starts/src/preemptionPlanner.ts
@@ -64,7 +64,7 @@
         for (const worker of this.workers) {
             const isEligible = isAllowedOn(demand.step, worker)
                 && !isStepLimitReached(spec, perWorker.get(worker.workerId))
-                && this.isAdvised(demand.step.tasks[0], worker.workerId);
+                && this.isAdvised(demand.step.getTask(0), worker.workerId);
             if (!isEligible || worker.startsLeft <= 0) {
                 continue;
             }
--- a/packages/plan-starts/src/reserveWorkers.ts
+++ b/packages/plan-starts/src/reserveWorkers.ts
@@ -45,7 +45,7 @@
     if (isInterrupted(demand)) {
         const others = eligible.filter(index => !reservedIds.has(workers[index].workerId))
             .filter(index => isFittingLater(step, workers[index]))
-            .filter(index => rules.isAdvised(step.tasks[0], workers[index].workerId))
+            .filter(index => rules.isAdvised(step.getTask(0), workers[index].workerId))
             .sort((left, right) => workers[right].freeCpuMillis - workers[left].freeCpuMillis);
         chosen.push(...others.slice(0, Math.max(0, missingCount - coveredCount)));
     }
--- a/packages/run-entry-vm/src/testing/takeoverHarness.ts
+++ b/packages/run-entry-vm/src/testing/takeoverHarness.ts
@@ -6,6 +6,7 @@
 import {
     emulatedCodec,
     EmulatedFleet,
+    emulatedStoreLimits,
     EmulatedWorker,
     listPrerequisiteTasks,
     MemoryStore,
@@ -37,6 +38,7 @@
     keepFinishedMs: 120_000,
     harmMs: 4000,
     paceMs: 100,
+    storeLimits: emulatedStoreLimits,
     entryReturnMs: 2000,
 };
 /** Without the random delay, so that the same seed always gives the same run. */
--- a/packages/track-jobs/src/applyProgress.ts
+++ b/packages/track-jobs/src/applyProgress.ts
@@ -1,44 +1,33 @@
 import type { JobState } from "@sardinestage/describe-work";
+import { applyTaskRow } from "./applyTaskRow.js";
 import type { Job } from "./job.js";
-import { Occurrence } from "./occurrence.js";
 import { recordEncoder } from "./recordEncoder.js";
-import type { StepRun } from "./stepRun.js";
-import type { TaskPhase } from "./taskPhase.js";
+import type { TaskRow } from "./taskRow.js";
 
-type TaskRow = [number, TaskPhase, number, number[]?, string?, string?];
 type StepRow = [number, number[], TaskRow[]];
-type ProgressRow = [JobState, number, number[], [number, StepRow[]][]];
+type ProgressRow = [JobState, number, number[], [number, StepRow[]][], number[]?];
 
 /**
- * Restores the progress of a job from a record written by `encodeProgress`.
+ * Restores the progress of a job from a record written by `encodeProgress`. Earlier versions wrote one record for every
+ * job, whatever its size; such a record of a partitioned job counts as changed, so that it is written anew in parts.
  *
  * @param job The job, without open occurrences.
  * @param bytes The record.
- * @throws If the bytes aren't such a record.
+ * @throws If the bytes aren't such a record, or the job has no such step or task.
  */
 export function applyProgress(job: Job, bytes: Uint8Array): void {
-    const [state, finishedAtMs, done, open] = recordEncoder.decode(bytes) as ProgressRow;
+    const [state, finishedAtMs, done, open, doneBounds] = recordEncoder.decode(bytes) as ProgressRow;
     job.state = state;
     job.finishedAtMs = finishedAtMs;
-    for (const number of done) {
-        job.doneOccurrences.add(number);
-    }
+    job.restoreDone(done, doneBounds ?? []);
     for (const [number, steps] of open) {
-        const occurrence = new Occurrence(job, number, job.getDueTime(number));
-        job.openOccurrences.set(number, occurrence);
+        const occurrence = job.addOccurrence(number);
         for (const [step, gangFailedRuns, rows] of steps) {
             gangFailedRuns.forEach(run => occurrence.steps[step].gangFailedRuns.add(run));
             rows.forEach(row => applyTaskRow(occurrence.steps[step], row));
         }
     }
-}
-
-function applyTaskRow(step: StepRun, row: TaskRow): void {
-    const [index, phase, run, failedRuns = [], workerId = "", checkpoint = ""] = row;
-    const task = step.tasks[index];
-    task.phase = phase;
-    task.run = run;
-    failedRuns.forEach(failed => task.failedRuns.add(failed));
-    task.workerId = workerId;
-    task.checkpoint = checkpoint;
+    if (doneBounds !== undefined) {
+        job.changes.noteStateLoaded();
+    }
 }
--- a/packages/track-jobs/src/applyRunEnd.ts
+++ b/packages/track-jobs/src/applyRunEnd.ts
@@ -51,9 +51,7 @@
     if (!task.step.isDone || !occurrence.isDone) {
         return;
     }
-    job.openOccurrences.delete(occurrence.number);
-    job.doneOccurrences.add(occurrence.number);
-    job.noteChanged();
+    job.finishOccurrence(occurrence);
     if (job.doneOccurrences.size === job.occurrenceCount && !job.isFinished) {
         job.state = JobState.Completed;
         job.finishedAtMs = wallNowMs;
@@ -69,8 +67,7 @@
     if (spec.longRunning) {
         return;
     }
-    task.failedRuns.add(run);
-    task.step.gangFailedRuns.add(run);
+    task.step.noteFailedRun(task, run);
     const failures = spec.gang ? task.step.gangFailedRuns.size : task.failedRuns.size;
     if (failures >= job.queue.maxAttempts && !job.isFinished) {
         job.state = JobState.Failed;
--- a/packages/track-jobs/src/computeRemainingCriticalPath.ts
+++ b/packages/track-jobs/src/computeRemainingCriticalPath.ts
@@ -13,8 +13,11 @@
 export function computeRemainingCriticalPath(occurrence: Occurrence, estimateTask: (step: StepSpec) => number): number {
     return computeCriticalPath(occurrence, step => {
         const estimate = estimateTask(step.spec);
+        if (step.isWaiting) {
+            return estimate;
+        }
         let longestTask = 0;
-        for (const task of step.tasks) {
+        for (const task of step.listKnown()) {
             if (task.phase !== TaskPhase.Done) {
                 longestTask = Math.max(longestTask, estimate * (1 - task.percent / 100));
             }
--- a/packages/track-jobs/src/encodeProgress.ts
+++ b/packages/track-jobs/src/encodeProgress.ts
@@ -1,35 +1,30 @@
+import { encodeTaskRows } from "./encodeTaskRows.js";
 import type { Job } from "./job.js";
 import { recordEncoder } from "./recordEncoder.js";
-import type { StepRun } from "./stepRun.js";
-import type { Task } from "./task.js";
-import { TaskPhase } from "./taskPhase.js";
 
 /**
  * Encodes the progress of a job, from which a new coordinator restores the job:
- * `[state, finishedAt, done occurrences, open occurrences]`. Leaves out tasks that have never run.
+ * `[state, finishedAt, done occurrences, open occurrences]`. Leaves out tasks that have never run. The record of a
+ * partitioned job has no occurrences but, as a fifth entry, the bounds of the ranges of done ones; its tasks are in
+ * other records, see `encodeProgressPart`.
+ *
+ * @param maxBytes The largest record that the store takes, in bytes.
  */
-export function encodeProgress(job: Job): Uint8Array {
-    const open = job.isFinished
-        ? []
-        : [...job.openOccurrences.values()].map(
-            occurrence => [occurrence.number, occurrence.steps.flatMap(convertStep)],
-        );
-    return recordEncoder.encode([job.state, job.finishedAtMs, [...job.doneOccurrences], open]);
-}
-
-function convertStep(step: StepRun): unknown[] {
-    const rows = step.tasks.filter(isTouched).map(convertTask);
-    return rows.length === 0 ? [] : [[step.number, [...step.gangFailedRuns], rows]];
-}
-
-function isTouched(task: Task): boolean {
-    return task.run > 0 || task.phase === TaskPhase.Done;
-}
-
-function convertTask(task: Task): unknown[] {
-    if (task.phase === TaskPhase.Done) {
-        return [task.index, TaskPhase.Done, task.run];
+export function encodeProgress(job: Job, maxBytes = Infinity): Uint8Array {
+    if (job.isPartitioned) {
+        return recordEncoder.encode([job.state, job.finishedAtMs, [], [], job.doneOccurrences.listBounds()]);
     }
-    const phase = task.isActive ? TaskPhase.Ordered : TaskPhase.Waiting;
-    return [task.index, phase, task.run, [...task.failedRuns], task.workerId, task.checkpoint];
+    const done = [...job.doneOccurrences.listNumbers()];
+    const occurrences = job.isFinished ? [] : [...job.openOccurrences.values()];
+    return encodeTaskRows(convertTasks => {
+        const open = occurrences.map(({ number, steps }) => [
+            number,
+            steps.flatMap(step => {
+                const tasks = [...step.listKnown()].sort((left, right) => left.index - right.index);
+                const rows = convertTasks(tasks);
+                return rows.length === 0 ? [] : [[step.number, [...step.gangFailedRuns], rows]];
+            }),
+        ]);
+        return [job.state, job.finishedAtMs, done, open];
+    }, maxBytes);
 }
--- a/packages/track-jobs/src/job.ts
+++ b/packages/track-jobs/src/job.ts
@@ -1,15 +1,30 @@
 import type { JobSpec, QueueConfig } from "@sardinestage/describe-work";
 import { JobState } from "@sardinestage/describe-work";
+import { IndexRanges } from "./indexRanges.js";
+import { JobChanges } from "./jobChanges.js";
 import type { JobWatcher } from "./jobWatcher.js";
-import type { Occurrence } from "./occurrence.js";
+import { Occurrence } from "./occurrence.js";
 import type { Task } from "./task.js";
+import { UnstartedOccurrences } from "./unstartedOccurrences.js";
+
+/** A job with more tasks than this, over all occurrences, is partitioned. */
+const MAX_TASKS_UNPARTITIONED = 128;
 
 /** An accepted job and its progress. */
 export class Job {
-    /** Occurrences that are due and not done, by number. */
+    /** Occurrences that are due, not done, and wait or run; further ones may be due that aren't opened yet. */
     readonly openOccurrences = new Map<number, Occurrence>();
     /** Numbers of the occurrences that are done. */
-    readonly doneOccurrences = new Set<number>();
+    doneOccurrences = new IndexRanges();
+    /** Numbers of the occurrences that are open or done. */
+    readonly begunOccurrences = new IndexRanges();
+    /** What has to be recorded of the job. */
+    readonly changes: JobChanges;
+    /** Whether the job has so many tasks that its progress takes several records and done tasks are only counted. */
+    readonly isPartitioned: boolean;
+    /** The open occurrences of which no task has had a run. */
+    readonly unstarted = new UnstartedOccurrences();
+    private activeTasks = 0;
     private currentState = JobState.Queued;
     private watcher: JobWatcher | undefined;
     /** When the job finished, in Unix milliseconds; 0 before. */
@@ -26,7 +41,11 @@
         readonly spec: JobSpec,
         readonly queue: QueueConfig,
         readonly acceptedAtMs: number,
-    ) {}
+    ) {
+        const tasksEach = spec.steps.reduce((sum, step) => sum + step.taskCount, 0);
+        this.isPartitioned = tasksEach * this.occurrenceCount > MAX_TASKS_UNPARTITIONED;
+        this.changes = new JobChanges(this);
+    }
 
     /** State of the job; setting it notifies the watcher. */
     get state(): JobState {
@@ -35,6 +54,7 @@
 
     set state(state: JobState) {
         this.currentState = state;
+        this.changes.noteState();
         this.noteChanged();
     }
 
@@ -65,7 +85,45 @@
         return repeatCount > 0 ? firstRunMs + occurrence * intervalMs : this.acceptedAtMs;
     }
 
-    /** Lists the tasks of all open occurrences. */
+    /** Opens an occurrence that is neither open nor done. */
+    addOccurrence(number: number): Occurrence {
+        const occurrence = new Occurrence(this, number, this.getDueTime(number));
+        this.openOccurrences.set(number, occurrence);
+        this.begunOccurrences.add(number);
+        return occurrence;
+    }
+
+    /** Moves an open occurrence to the done ones. */
+    finishOccurrence(occurrence: Occurrence): void {
+        this.openOccurrences.delete(occurrence.number);
+        this.doneOccurrences.add(occurrence.number);
+        this.changes.noteOccurrenceDone(occurrence);
+        this.noteChanged();
+    }
+
+    /**
+     * Restores which occurrences are done.
+     *
+     * @param numbers Their numbers, as earlier versions recorded them.
+     * @param bounds Bounds of ranges of further numbers.
+     */
+    restoreDone(numbers: readonly number[], bounds: readonly number[]): void {
+        this.doneOccurrences = new IndexRanges(bounds);
+        numbers.forEach(number => this.doneOccurrences.add(number));
+        this.begunOccurrences.addAll(this.doneOccurrences);
+    }
+
+    /** Adds `change`, which may be negative, to the number of active tasks. */
+    noteActive(change: number): void {
+        this.activeTasks += change;
+    }
+
+    /** Whether any task may be active on a worker. */
+    get hasActiveTask(): boolean {
+        return this.activeTasks > 0;
+    }
+
+    /** Lists all tasks of the open occurrences, as objects. Only for short jobs. */
     *listTasks(): Iterable<Task> {
         for (const occurrence of this.openOccurrences.values()) {
             for (const step of occurrence.steps) {
@@ -74,6 +132,15 @@
         }
     }
 
+    /** Lists the tasks of the open occurrences that exist as objects: among others all that are active. */
+    *listKnownTasks(): Iterable<Task> {
+        for (const occurrence of this.openOccurrences.values()) {
+            for (const step of occurrence.steps) {
+                yield* step.listKnown();
+            }
+        }
+    }
+
     /** Total number of occurrences of the job. */
     get occurrenceCount(): number {
         return Math.max(1, this.spec.repeatCount);
--- a/packages/track-jobs/src/openOccurrence.ts
+++ b/packages/track-jobs/src/openOccurrence.ts
@@ -1,11 +1,10 @@
 import type { Job } from "./job.js";
-import { Occurrence } from "./occurrence.js";
 
 /** Opens an occurrence of a job. Does nothing if the number is invalid, or the occurrence is already open or done. */
 export function openOccurrence(job: Job, number: number): void {
     const isValid = number >= 0 && number < job.occurrenceCount;
     if (isValid && !job.isFinished && !job.openOccurrences.has(number) && !job.doneOccurrences.has(number)) {
-        job.openOccurrences.set(number, new Occurrence(job, number, job.getDueTime(number)));
+        job.addOccurrence(number);
         job.noteChanged();
     }
 }
--- a/packages/track-jobs/src/task.ts
+++ b/packages/track-jobs/src/task.ts
@@ -39,6 +39,14 @@
 
     constructor(readonly step: StepRun, readonly index: number) {}
 
+    /** Creates a task that stands for a done one of which the step keeps no object. No reported run is newer. */
+    static createForgotten(step: StepRun, index: number): Task {
+        const task = new Task(step, index);
+        task.currentPhase = TaskPhase.Done;
+        task.newestRun = Number.MAX_SAFE_INTEGER;
+        return task;
+    }
+
     /** Phase of the task; setting it updates the counters of the step. */
     get phase(): TaskPhase {
         return this.currentPhase;
@@ -48,7 +56,7 @@
         const before = this.currentPhase;
         if (phase !== before) {
             this.currentPhase = phase;
-            this.step.notePhase(before, phase);
+            this.step.notePhase(this, before, phase);
         }
     }
 
@@ -59,7 +67,11 @@
 
     set run(run: number) {
         const change = Number(run > 0) - Number(this.newestRun > 0);
+        const isNew = run !== this.newestRun;
         this.newestRun = run;
+        if (isNew) {
+            this.step.noteRecordChanged(this.index);
+        }
         if (change !== 0) {
             this.step.occurrence.noteStarted(change);
         }
@@ -88,6 +100,12 @@
         };
     }
 
+    /** Whether the task waits and nothing has ever become of it, so that it needs no object. */
+    get isUnused(): boolean {
+        return this.phase === TaskPhase.Waiting && this.run === 0 && this.checkpoint === ""
+            && this.lastFailedWorkerId === "" && this.failedRuns.size === 0;
+    }
+
     /** Whether a run of the task may be active on a worker. */
     get isActive(): boolean {
         return this.phase === TaskPhase.Ordered || this.phase === TaskPhase.Running
