Don't repeat what the store will never take, and don't let it hold up other records

Cause: the port had one word for refusals that pass and for permanent ones, and the writer repeated an encoded batch for ever.

Change: AppendOutcome tells TooLarge and Malformed from Refused. A batch that is refused for good is halved down to the record at fault, which is left out and logged, and its job fails; a record that can't be encoded likewise.

--- a/packages/accept-jobs/src/recordAppender.test.ts
+++ b/packages/accept-jobs/src/recordAppender.test.ts
@@ -2,7 +2,7 @@
 import { Metrics } from "@sardinestage/count-metrics";
 import type { StorePort } from "@sardinestage/describe-ports";
 import { AppendOutcome, systemClock, Topic } from "@sardinestage/describe-ports";
-import { MemoryStore, VirtualClock } from "@sardinestage/emulate-platform";
+import { emulatedStoreLimits, MemoryStore, VirtualClock } from "@sardinestage/emulate-platform";
 import { silentLogger } from "@sardinestage/log-events";
 import type { CoordinatorReply } from "./coordinatorReply.js";
 import { RecordAppender } from "./recordAppender.js";
@@ -20,6 +20,7 @@
         readNewest: () => Promise.resolve({ succeeded: true, records: [], hasMore: false, end: 0 }),
     };
     return new RecordAppender({
+        limits: emulatedStoreLimits,
         store,
         coordinatorClient: { call: () => Promise.resolve(relayed) },
         clock: systemClock,
@@ -68,6 +69,7 @@
             const store = new MemoryStore(clock, () => 0.5);
             const coordinatorClient = { call: () => Promise.resolve({ outcome: AppendOutcome.Refused }) };
             const appender = new RecordAppender({
+                limits: emulatedStoreLimits,
                 store,
                 coordinatorClient,
                 clock,
@@ -109,6 +111,7 @@
             store.faults.lostAnswerShare = 0.5;
             const coordinatorClient = { call: () => Promise.resolve({ isUnsent: true }) };
             const appender = new RecordAppender({
+                limits: emulatedStoreLimits,
                 store,
                 coordinatorClient,
                 clock,
@@ -128,6 +131,7 @@
             store.faults.lostAnswerShare = 0.5;
             const coordinatorClient = { call: () => Promise.resolve({ isUnsent: true }) };
             const appender = new RecordAppender({
+                limits: emulatedStoreLimits,
                 store,
                 coordinatorClient,
                 clock,
@@ -153,6 +157,7 @@
             };
             const coordinatorClient = { call: () => Promise.resolve({ isUnsent: true }) };
             const appender = new RecordAppender({
+                limits: emulatedStoreLimits,
                 store,
                 coordinatorClient,
                 clock: systemClock,
@@ -182,6 +187,7 @@
                 return new Promise(resolve => clock.schedule(timeoutMs, () => resolve(undefined)));
             };
             const appender = new RecordAppender({
+                limits: emulatedStoreLimits,
                 store,
                 coordinatorClient: { call },
                 clock,
--- a/packages/accept-jobs/src/recordAppender.ts
+++ b/packages/accept-jobs/src/recordAppender.ts
@@ -1,5 +1,5 @@
 import type { Metrics } from "@sardinestage/count-metrics";
-import type { Clock, KeyedRecord, StorePort } from "@sardinestage/describe-ports";
+import type { Clock, KeyedRecord, StoreLimits, StorePort } from "@sardinestage/describe-ports";
 import { AppendOutcome, ReadOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
 import { AdaptiveTimeout } from "@sardinestage/learn-behaviour";
 import type { EventLogger } from "@sardinestage/log-events";
@@ -23,6 +23,9 @@
 const RELAYED_TIMEOUT_MS = 1000;
 /** Pause between two checks whether records of unknown outcome are in the store, in milliseconds. */
 const CONFIRM_INTERVAL_MS = 100;
+/** Bytes of a record's length, and of its key's length. */
+const RECORD_LENGTH_BYTES = 4;
+const KEY_LENGTH_BYTES = 1;
 /** Default time to append a record and find out its outcome, in milliseconds. */
 const DEFAULT_TIMEOUT_MS = 2700;
 
@@ -33,6 +36,7 @@
     readonly clock: Clock;
     readonly logger: EventLogger;
     readonly metrics: Metrics;
+    readonly limits: StoreLimits;
 }
 
 /** A record whose outcome its caller waits for. */
@@ -78,6 +82,9 @@
      * @param timeoutMs How long to try, and to look up an unknown outcome, in milliseconds.
      */
     append(record: KeyedRecord, timeoutMs = DEFAULT_TIMEOUT_MS): Promise<SubmitOutcome> {
+        if (countBytes(record) > this.parts.limits.maxRecordBytes) {
+            return Promise.resolve(SubmitOutcome.Invalid);
+        }
         return new Promise(resolve => {
             const untilMs = this.parts.clock.getNow() + timeoutMs;
             this.waiting.push({ record, untilMs, settle: resolve });
@@ -90,8 +97,7 @@
         if (this.waiting.length === 0 || this.isCollecting || this.batchesInFlight >= MAX_BATCHES_IN_FLIGHT) {
             return;
         }
-        const batch = this.waiting;
-        this.waiting = [];
+        const batch = this.takeBatch();
         this.isCollecting = true;
         this.batchesInFlight++;
         const finishCollecting = () => {
@@ -106,6 +112,16 @@
         });
     }
 
+    /** Takes waiting records, as many as one append may have. */
+    private takeBatch(): readonly PendingRecord[] {
+        let bytes = 0;
+        const excess = this.waiting.findIndex(({ record }, index) => {
+            bytes += RECORD_LENGTH_BYTES + countBytes(record);
+            return index > 0 && bytes > this.parts.limits.maxAppendBytes;
+        });
+        return this.waiting.splice(0, excess === -1 ? this.waiting.length : excess);
+    }
+
     /** Appends to the store, or by the coordinator if the store fails; looks up records of unknown outcome. */
     private async appendWithFallback(batch: readonly PendingRecord[]): Promise<void> {
         const from = this.knownEnd;
@@ -115,9 +131,17 @@
             batch.forEach(pending => pending.settle(direct));
             return;
         }
+        if (direct === SubmitOutcome.Invalid) {
+            await this.appendSeparately(batch);
+            return;
+        }
         const relayed = this.appendRelayed(records);
         const relayedInTime = this.waitForRelayed(relayed);
         const outcome = direct === SubmitOutcome.Refused ? await relayedInTime : direct;
+        if (outcome === SubmitOutcome.Invalid) {
+            await this.appendSeparately(batch);
+            return;
+        }
         if (outcome === SubmitOutcome.Unknown) {
             void this.confirmUnknown(batch, { relayed, relayedInTime }, from);
             return;
@@ -125,6 +149,17 @@
         batch.forEach(pending => pending.settle(outcome));
     }
 
+    /** Appends each record of a batch by itself, so that one that the store never takes is refused alone. */
+    private async appendSeparately(batch: readonly PendingRecord[]): Promise<void> {
+        if (batch.length === 1) {
+            batch.forEach(pending => pending.settle(SubmitOutcome.Invalid));
+            return;
+        }
+        for (const pending of batch) {
+            await this.appendWithFallback([pending]);
+        }
+    }
+
     /**
      * Settles records that may be in the store: as accepted once they are found there or are appended after all, as
      * unknown when their callers stop waiting or when neither the store nor the coordinator answers.
@@ -242,7 +277,10 @@
                 return outcome;
             }
             isUnknown ||= outcome === SubmitOutcome.Unknown;
-            if (outcome === SubmitOutcome.Refused) {
+            if (outcome === SubmitOutcome.Invalid && !isUnknown) {
+                return outcome;
+            }
+            if (outcome !== SubmitOutcome.Unknown) {
                 break;
             }
         }
@@ -262,7 +300,9 @@
         this.appendTimeout.noteOutcome(outcome !== SubmitOutcome.Unknown, tookMs);
         if (outcome !== SubmitOutcome.Accepted) {
             metrics.count("accept_failures_total", `store-${AppendOutcome[answer.outcome]}`);
-            void this.watchStore();
+            if (outcome !== SubmitOutcome.Invalid) {
+                void this.watchStore();
+            }
         }
         return outcome;
     }
@@ -307,5 +347,13 @@
     if (outcome === AppendOutcome.Appended) {
         return SubmitOutcome.Accepted;
     }
+    if (outcome === AppendOutcome.TooLarge || outcome === AppendOutcome.Malformed) {
+        return SubmitOutcome.Invalid;
+    }
     return outcome === AppendOutcome.Unknown ? SubmitOutcome.Unknown : SubmitOutcome.Refused;
 }
+
+/** Counts the bytes of a record without its length. */
+function countBytes({ key, value }: KeyedRecord): number {
+    return KEY_LENGTH_BYTES + Buffer.byteLength(key) + (value?.length ?? 0);
+}
--- a/packages/accept-jobs/src/testing/jobServiceHarness.ts
+++ b/packages/accept-jobs/src/testing/jobServiceHarness.ts
@@ -1,7 +1,7 @@
 import { Metrics } from "@sardinestage/count-metrics";
 import type { KeyedRecord, NewestRecordsPage, StorePort } from "@sardinestage/describe-ports";
 import { Topic } from "@sardinestage/describe-ports";
-import { MemoryStore, VirtualClock } from "@sardinestage/emulate-platform";
+import { emulatedStoreLimits, MemoryStore, VirtualClock } from "@sardinestage/emulate-platform";
 import { silentLogger } from "@sardinestage/log-events";
 import type { CoordinatorCall } from "../coordinatorCall.js";
 import type { CoordinatorReply } from "../coordinatorReply.js";
@@ -50,7 +50,14 @@
         };
         const jobStateCache = new JobStateCache(clock, KEEP_MS);
         this.jobService = new JobService({
-            recordAppender: new RecordAppender({ store, coordinatorClient, clock, logger, metrics: new Metrics() }),
+            recordAppender: new RecordAppender({
+                limits: emulatedStoreLimits,
+                store,
+                coordinatorClient,
+                clock,
+                logger,
+                metrics: new Metrics(),
+            }),
             stateReader: new JobStateReader({ store, clock, logger, jobStateCache }),
             jobStateCache,
             coordinatorClient,
--- a/packages/coordinate-work/src/cleanupTimer.ts
+++ b/packages/coordinate-work/src/cleanupTimer.ts
@@ -9,6 +9,9 @@
 /** Interval between two clean-ups of the records of ended jobs, in milliseconds. */
 const CLEANUP_INTERVAL_MS = 2000;
 
+/** Reserve for the key of the record of estimates within the store's limit of a record, in bytes. */
+const RECORD_RESERVE_BYTES = 64;
+
 /** Dependencies of a cleanup timer. */
 interface CleanupTimerParts {
     readonly jobs: JobRegistry;
@@ -42,7 +45,8 @@
         const { jobs, fleet, writer, learned, recordCleaner } = this.collaborators;
         const { logger, clock } = this.parts;
         logger.info("fleet-summary", describeFleet(jobs, [...fleet.workers.values()], clock.getWallTime()));
-        writer.schedule(LearnedEstimates.KEY, () => learned.encodeState());
+        const maxBytes = this.parts.rules.storeLimits.maxRecordBytes - RECORD_RESERVE_BYTES;
+        writer.schedule(LearnedEstimates.KEY, () => learned.encodeState(maxBytes));
         void recordCleaner.dropObsolete().finally(() => this.start());
     }
 }
--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -77,7 +77,7 @@
             () => parts.meter.measure(MeteredWork.Rounds, () => this.runRound()),
             failure => parts.logger.error("round-failed", { problem: describeProblem(failure) }),
         );
-        this.writer = new ProgressWriter(parts);
+        this.writer = new ProgressWriter(parts, key => this.finisher.finishUnrecorded(key));
         this.earlierStarts = new EarlierStarts(parts.hadUnrecordedStarts, this.writer);
         const recordCleaner = new RecordCleaner(parts, this.jobs, this.writer);
         const recorder = new JobRecorder(parts, this.writer);
--- a/packages/coordinate-work/src/jobFinisher.ts
+++ b/packages/coordinate-work/src/jobFinisher.ts
@@ -1,6 +1,6 @@
 import { JobState } from "@sardinestage/describe-work";
 import type { Job } from "@sardinestage/track-jobs";
-import { encodeProgress } from "@sardinestage/track-jobs";
+import { applyFailure, PartKey } from "@sardinestage/track-jobs";
 import type { AdviceCache } from "./adviceCache.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import type { Fleet } from "./fleet.js";
@@ -54,6 +54,20 @@
         }
     }
 
+    /**
+     * Fails a job whose progress can't be recorded: it could neither start nor end safely, and what waits for its record
+     * would wait for ever. The record of a failed job is small.
+     *
+     * @param key Key of the record that the store doesn't take.
+     */
+    finishUnrecorded(key: string): void {
+        const job = this.collaborators.jobs.live.get(PartKey.parse(key)?.jobId ?? key);
+        if (job !== undefined && applyFailure(job, this.parts.clock.getWallTime())) {
+            this.parts.logger.error("job-unrecorded", { job: job.id, record: key });
+            this.handleChange(job);
+        }
+    }
+
     private stopTasks(job: Job): void {
         for (const task of job.listKnownTasks()) {
             const worker = this.collaborators.fleet.workers.get(task.workerId);
--- a/packages/coordinate-work/src/learnedEstimates.ts
+++ b/packages/coordinate-work/src/learnedEstimates.ts
@@ -10,13 +10,20 @@
     readonly headroom = new HeadroomEstimator();
     readonly durations = new DurationEstimator();
 
-    /** Encodes the estimates as a record. */
-    encodeState(): Uint8Array {
-        const state: LearnedState = {
-            headroom: this.headroom.describeState(),
-            durations: this.durations.describeState(),
-        };
-        return recordEncoder.encode(state);
+    /**
+     * Encodes the estimates as a record. What makes the record too large is left out: the next coordinator learns it
+     * again.
+     *
+     * @param maxBytes The largest record that the store takes, in bytes.
+     */
+    encodeState(maxBytes = Infinity): Uint8Array {
+        const headroom = this.headroom.describeState();
+        const durations = this.durations.describeState();
+        const none = { harms: {}, usual: {}, lowest: {} };
+        const states: LearnedState[] = [{ headroom, durations }, { headroom: none, durations }];
+        const records = states.map(state => recordEncoder.encode(state));
+        const empty: LearnedState = { headroom: none, durations: {} };
+        return records.find(record => record.length <= maxBytes) ?? recordEncoder.encode(empty);
     }
 
     /** Restores the estimates from a record of another coordinator. Throws if the record can't be decoded. */
--- a/packages/coordinate-work/src/progressWriter.test.ts
+++ b/packages/coordinate-work/src/progressWriter.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, it } from "@jest/globals";
 import { Metrics } from "@sardinestage/count-metrics";
 import type { StorePort } from "@sardinestage/describe-ports";
-import { AppendOutcome } from "@sardinestage/describe-ports";
-import { VirtualClock } from "@sardinestage/emulate-platform";
+import { AppendOutcome, Topic } from "@sardinestage/describe-ports";
+import { emulatedStoreLimits, MemoryStore, VirtualClock } from "@sardinestage/emulate-platform";
 import { silentLogger } from "@sardinestage/log-events";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import { ProgressWriter } from "./progressWriter.js";
@@ -23,12 +23,13 @@
         clock,
         store,
         term: 1,
+        rules: { storeLimits: emulatedStoreLimits },
         getTermRenewalAge: () => renewalAgeMs,
         getLoopDelay: () => 0,
         onTermLost: () => undefined,
         logger: silentLogger,
         metrics: new Metrics(),
-    } as unknown as CoordinatorParts);
+    } as unknown as CoordinatorParts, () => undefined);
     let starts = 0;
     writer.schedule("job", () => Uint8Array.of(1));
     writer.runWhenRecorded(() => starts++, true);
@@ -62,4 +63,75 @@
             expect(writer.hasUnrecordedStarts).toBe(false);
         });
     });
+
+    // Guards against a record that the store never takes and that is appended again and again, while nothing else is.
+    describe("when the store will never take one of the records", () => {
+        async function writeBeside(key: string, encode: () => Uint8Array) {
+            const clock = new VirtualClock();
+            const store = new MemoryStore(clock, () => 0.5);
+            const refused: string[] = [];
+            const writer = new ProgressWriter({
+                clock,
+                store,
+                term: 1,
+                rules: { storeLimits: emulatedStoreLimits },
+                getTermRenewalAge: () => 0,
+                getLoopDelay: () => 0,
+                onTermLost: () => undefined,
+                logger: silentLogger,
+                metrics: new Metrics(),
+            } as unknown as CoordinatorParts, refusedKey => refused.push(refusedKey));
+            let recorded = 0;
+            writer.schedule("before", () => Uint8Array.of(1));
+            writer.schedule(key, encode);
+            writer.schedule("after", () => Uint8Array.of(1));
+            writer.runWhenRecorded(() => recorded++, false);
+            await clock.runFor(500);
+            writer.schedule("later", () => Uint8Array.of(1));
+            writer.runWhenRecorded(() => recorded++, false);
+            await clock.runFor(500);
+            const page = store.readNewest(Topic.Progress, undefined);
+            await clock.runFor(50);
+            writer.close();
+            return { refused, recorded, keys: (await page).records.map(record => record.key) };
+        }
+
+        it("leaves out the one that is too large, and writes all others", async () => {
+            const result = await writeBeside("large", () => new Uint8Array(emulatedStoreLimits.maxRecordBytes));
+            expect(result).toEqual({ refused: ["large"], recorded: 2, keys: ["after", "before", "later"] });
+        });
+
+        it("leaves out the one that can't be encoded, and writes all others", async () => {
+            const result = await writeBeside("odd", () => {
+                throw new RangeError("The value is nested too deeply.");
+            });
+            expect(result).toEqual({ refused: ["odd"], recorded: 2, keys: ["after", "before", "later"] });
+        });
+    });
+
+    describe("when many records are to be written", () => {
+        it("appends no more at once than the store takes", async () => {
+            const clock = new VirtualClock();
+            const store = new MemoryStore(clock, () => 0.5);
+            const writer = new ProgressWriter({
+                clock,
+                store,
+                term: 1,
+                rules: { storeLimits: emulatedStoreLimits },
+                getTermRenewalAge: () => 0,
+                getLoopDelay: () => 0,
+                onTermLost: () => undefined,
+                logger: silentLogger,
+                metrics: new Metrics(),
+            } as unknown as CoordinatorParts, key => expect(key).toBe("none is refused"));
+            let recorded = 0;
+            for (let index = 0; index < 40; index++) {
+                writer.schedule(`job${index}`, () => new Uint8Array(emulatedStoreLimits.maxRecordBytes - 100));
+            }
+            writer.runWhenRecorded(() => recorded++, false);
+            await clock.runFor(2000);
+            expect(recorded).toBe(1);
+            writer.close();
+        });
+    });
 });
--- a/packages/coordinate-work/src/progressWriter.ts
+++ b/packages/coordinate-work/src/progressWriter.ts
@@ -6,6 +6,8 @@
 import { limits } from "./limits.js";
 
 const WRITER_NAME = "coordinator";
+/** Bytes of a record in an append beside its key and value: the lengths of the record and of its key. */
+const RECORD_OVERHEAD_BYTES = 5;
 
 /** A callback that waits until all changes scheduled before it are recorded. */
 interface Waiter {
@@ -37,7 +39,11 @@
     /** Whether a callback ran before the records it depends on were written. */
     hasUnrecordedStarts = false;
 
-    constructor(private readonly parts: CoordinatorParts) {
+    /**
+     * @param parts Dependencies of the coordinator.
+     * @param noteRefused Called with the key of a record that can never be written. What waited for it goes on.
+     */
+    constructor(private readonly parts: CoordinatorParts, private readonly noteRefused: (key: string) => void) {
         this.lastWrittenAtMs = parts.clock.getNow();
     }
 
@@ -49,11 +55,15 @@
     }
 
     /**
-     * Schedules the write of a record. The record is encoded when it is written, not now.
+     * Schedules the write of a record. The record is encoded when it is written, not now. A deletion is written after
+     * everything that was scheduled before it.
      *
      * @param encode Encodes the record; undefined deletes it.
      */
     schedule(key: string, encode: (() => Uint8Array) | undefined): void {
+        if (encode === undefined) {
+            this.dirty.delete(key);
+        }
         this.dirty.set(key, encode);
         this.startFlush();
     }
@@ -130,21 +140,45 @@
     }
 
     private encodeBatch(): KeyedRecord[] {
+        const maxBytes = Math.min(limits.maxFlushBytes, this.parts.rules.storeLimits.maxAppendBytes);
         const records: KeyedRecord[] = [];
         let bytes = 0;
         for (const [key, encode] of this.dirty) {
-            const value = encode?.();
-            bytes += key.length + (value?.length ?? 0);
-            records.push({ key, value });
-            this.dirty.delete(key);
-            if (bytes >= limits.maxFlushBytes) {
+            const record = this.tryEncoding(key, encode);
+            const recordBytes = RECORD_OVERHEAD_BYTES + key.length + (record?.value?.length ?? 0);
+            if (records.length > 0 && bytes + recordBytes > maxBytes) {
                 break;
             }
+            this.dirty.delete(key);
+            if (record !== undefined) {
+                bytes += recordBytes;
+                records.push(record);
+            }
         }
         return records;
     }
 
-    /** Repeats an append until it succeeds. Returns false if this coordinator is closed or fenced off. */
+    /** Encodes a record. One that can't be encoded is left out, since it must not hold up all others. */
+    private tryEncoding(key: string, encode: (() => Uint8Array) | undefined): KeyedRecord | undefined {
+        try {
+            return { key, value: encode?.() };
+        }
+        catch (failure) {
+            this.refuseRecord(key, 0, String(failure));
+            return undefined;
+        }
+    }
+
+    private refuseRecord(key: string, bytes: number, problem: string): void {
+        this.parts.logger.error("progress-record-refused", { key, bytes, problem, term: this.parts.term });
+        this.parts.metrics.count("progress_records_refused_total", problem);
+        this.noteRefused(key);
+    }
+
+    /**
+     * Repeats an append until it succeeds, or leaves out the records that the store will never take. Returns false if
+     * this coordinator is closed or fenced off.
+     */
     private async write(records: readonly KeyedRecord[], waiters: Waiter[]): Promise<boolean> {
         const { clock, logger, metrics } = this.parts;
         let tries = 0;
@@ -162,6 +196,9 @@
                 this.parts.onTermLost(`progress:${reason}`);
                 return false;
             }
+            if (answer.outcome === AppendOutcome.TooLarge || answer.outcome === AppendOutcome.Malformed) {
+                return this.writeSeparately(records, waiters, answer.outcome);
+            }
             if (tries === 0) {
                 logger.warn("progress-write-failed", {
                     outcome: AppendOutcome[answer.outcome],
@@ -178,6 +215,21 @@
         return false;
     }
 
+    /** Writes the halves of a batch that the store won't take, down to the record that is at fault. */
+    private async writeSeparately(
+        records: readonly KeyedRecord[],
+        waiters: Waiter[],
+        outcome: AppendOutcome,
+    ): Promise<boolean> {
+        if (records.length === 1) {
+            const [{ key, value }] = records;
+            this.refuseRecord(key, value?.length ?? 0, AppendOutcome[outcome]);
+            return true;
+        }
+        const half = Math.ceil(records.length / 2);
+        return await this.write(records.slice(0, half), waiters) && this.write(records.slice(half), waiters);
+    }
+
     private runUnrecorded(inFlight: Waiter[]): void {
         if (!this.isStoreUnavailable) {
             return;
--- a/packages/coordinate-work/src/recordCleaner.ts
+++ b/packages/coordinate-work/src/recordCleaner.ts
@@ -4,6 +4,8 @@
 import type { JobRegistry } from "./jobRegistry.js";
 import type { ProgressWriter } from "./progressWriter.js";
 
+/** Jobs whose records one append deletes: few enough for the size limit of an append. */
+const MAX_JOBS_PER_DROP = 2000;
 /** Timeout of an append that deletes records, in milliseconds. */
 const DROP_TIMEOUT_MS = 2000;
 
@@ -22,12 +24,12 @@
         this.obsolete.add(id);
     }
 
-    /** Deletes all obsolete records; after a failed append they are deleted in the next call. */
+    /** Deletes obsolete records; those left over, also after a failed append, are deleted in the next call. */
     async dropObsolete(): Promise<void> {
         const { clock, rules, store } = this.parts;
         const dropped = this.jobs.dropFinished(clock.getWallTime(), rules.keepFinishedMs);
         dropped.forEach(id => this.writer.schedule(id, undefined));
-        const ids = [...this.obsolete];
+        const ids = [...this.obsolete].slice(0, MAX_JOBS_PER_DROP);
         if (ids.length === 0) {
             return;
         }
--- a/packages/emulate-platform/src/memoryStore.ts
+++ b/packages/emulate-platform/src/memoryStore.ts
@@ -9,6 +9,7 @@
     Topic,
 } from "@sardinestage/describe-ports";
 import { AppendOutcome, ReadOutcome, waitFor } from "@sardinestage/describe-ports";
+import { emulatedStoreLimits } from "./emulatedStoreLimits.js";
 import type { StoreFaults } from "./storeFaults.js";
 
 /** Records per page of `readNewest`. */
@@ -95,6 +96,12 @@
     private applyAppend(call: AppendCall): AppendAnswer {
         const state = this.getTopicState(call.topic);
         const end = state.records.length;
+        const { maxRecordBytes, maxAppendBytes } = emulatedStoreLimits;
+        const sizes = call.records.map(({ key, value }) => 1 + key.length + (value?.length ?? 0));
+        const totalBytes = sizes.reduce((sum, size) => sum + size + 4, 0);
+        if (Math.max(0, ...sizes) > maxRecordBytes || totalBytes > maxAppendBytes) {
+            return { outcome: AppendOutcome.TooLarge, offset: 0, end };
+        }
         if (call.at !== undefined && call.at !== end) {
             return { outcome: AppendOutcome.ConditionFailed, offset: 0, end };
         }
--- a/packages/run-entry-vm/src/createEntryVm.ts
+++ b/packages/run-entry-vm/src/createEntryVm.ts
@@ -69,7 +69,11 @@
         })
     ).inSingletonScope();
     container.bind(RecordAppender).toDynamicValue(context =>
-        new RecordAppender({ ...parts, coordinatorClient: context.get(Membership) })
+        new RecordAppender({
+            ...parts,
+            limits: parts.coordinatorRules.storeLimits,
+            coordinatorClient: context.get(Membership),
+        })
     )
         .inSingletonScope();
     container.bind(JobStateCache).toConstantValue(
