Give a coordinator's authority an end, and tell it of its successor

Cause: nothing bounded the authority; the successor counted on a notice within 1 s that nothing guaranteed.

Change: TermAuthority lasts 1.4 s from when the store was asked for the last answer that confirms the term, by the clock on which more has passed; while the store is away for all, promises of all VMs not to compete extend it. Winners tell the others; any contact tells of a later term; relays serve only the newest term they know. The successor waits for the bound and a lease, or for a lease where the predecessor has ended or confirms.

--- a/packages/bench/src/coordinatorLoad.ts
+++ b/packages/bench/src/coordinatorLoad.ts
@@ -164,6 +164,8 @@
             },
             term: 1,
             hadUnrecordedStarts: false,
+            hasAuthority: () => true,
+            getEarlierAuthorityEnd: () => 0,
             getTermRenewalAge: () => Infinity,
             getLoopDelay: () => 0,
             meter: new WorkMeter(this.clock),
--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -196,7 +196,7 @@
             listWorkers: () => this.fleet.workers.values(),
             getListReadAt: () => this.workersFollower.freshAtMs ?? -Infinity,
             openedAtMs: this.openedAtMs,
-            expiredAtMs: this.fleet.earlierLeasesExpireAtMs,
+            getExpiredAt: () => this.fleet.earlierLeasesExpireAtMs,
         });
         this.takeoverGate.openWhenSettled(() => this.startGate?.isSettled() === true);
         this.scheduleRound(limits.roundDelayMs);
@@ -333,7 +333,7 @@
         const startedAtMs = clock.getNow();
         this.expireLeases(startedAtMs);
         let nextDueMs: number | undefined;
-        if (this.startGate?.tryOpen(startedAtMs) === true) {
+        if (this.startGate?.tryOpen(startedAtMs) === true && this.parts.hasAuthority()) {
             this.earlierStarts.noteAllReported();
             nextDueMs = this.planningRound.run();
         }
--- a/packages/coordinate-work/src/coordinatorParts.ts
+++ b/packages/coordinate-work/src/coordinatorParts.ts
@@ -7,6 +7,10 @@
     readonly rules: CoordinatorRules;
     /** The coordinator's term: the fencing token of all orders and the epoch of all records. */
     readonly term: number;
+    /** Whether this coordinator may start tasks and renew leases now. Its successor counts on it that it doesn't else. */
+    readonly hasAuthority: () => boolean;
+    /** When the earlier coordinators' authority has certainly run out, in steady milliseconds. It may become earlier. */
+    readonly getEarlierAuthorityEnd: () => number;
     /** Time since the last confirmed renewal of the term in the store, in milliseconds. */
     readonly getTermRenewalAge: () => number;
     /** The usual delay of this process's event loop, in milliseconds. */
--- a/packages/coordinate-work/src/fleet.ts
+++ b/packages/coordinate-work/src/fleet.ts
@@ -5,8 +5,6 @@
 import { limits } from "./limits.js";
 import { TrackedWorker } from "./trackedWorker.js";
 
-/** An earlier coordinator notices within this time that it has lost its term, in milliseconds. */
-const TERM_LOSS_NOTICE_MS = 1000;
 /** An unlisted worker without tasks is removed after this silence, in milliseconds. */
 const REMOVE_AFTER_SILENCE_MS = 10_000;
 
@@ -37,7 +35,7 @@
      * milliseconds. All coordinators ask for the same lease length, although workers would grant longer leases.
      */
     get earlierLeasesExpireAtMs(): number {
-        return this.openedAtMs + TERM_LOSS_NOTICE_MS + this.parts.rules.leaseMs / limits.slowestClockRate;
+        return this.parts.getEarlierAuthorityEnd() + this.parts.rules.leaseMs / limits.slowestClockRate;
     }
 
     /** Applies a record of the platform's worker list. */
@@ -73,7 +71,7 @@
     private applyEntry(entry: WorkerEntry): void {
         const known = this.workers.get(entry.id);
         if (known === undefined) {
-            const worker = new TrackedWorker(entry, this.earlierLeasesExpireAtMs);
+            const worker = new TrackedWorker(entry, () => this.earlierLeasesExpireAtMs);
             this.workers.set(entry.id, worker);
             this.parts.logger.info("worker-listed", { worker: entry.id, domain: entry.domain, bornMs: entry.bornMs });
             this.handlers.noteListed(worker);
@@ -109,7 +107,7 @@
             rack: "",
             remainingMs: 0,
         };
-        const worker = new TrackedWorker(entry, this.earlierLeasesExpireAtMs);
+        const worker = new TrackedWorker(entry, () => this.earlierLeasesExpireAtMs);
         worker.isUnlisted = true;
         this.workers.set(workerId, worker);
         this.parts.logger.warn("worker-unlisted", { worker: workerId });
--- a/packages/coordinate-work/src/headroomTracker.test.ts
+++ b/packages/coordinate-work/src/headroomTracker.test.ts
@@ -46,7 +46,10 @@
 describe("HeadroomTracker", () => {
     describe("when the load of a serving task swings faster than best-effort tasks end", () => {
         it("estimates less excess headroom for placements, but no less than the image's lowest", () => {
-            const worker = new TrackedWorker({ id: "w", capacity: { cpuMillis: 16_000 } } as unknown as WorkerEntry, 0);
+            const worker = new TrackedWorker(
+                { id: "w", capacity: { cpuMillis: 16_000 } } as unknown as WorkerEntry,
+                () => 0,
+            );
             const estimator = new HeadroomEstimator();
             const tracker = new HeadroomTracker(estimator);
             const task = createServingTask();
--- a/packages/coordinate-work/src/leaseRenewalLoop.test.ts
+++ b/packages/coordinate-work/src/leaseRenewalLoop.test.ts
@@ -22,7 +22,15 @@
     const workers = {
         renewLease: () => new Promise<LeaseReport>(resolve => clock.schedule(5, () => resolve(report))),
     };
-    const parts = { clock, workers, term: 1, rules: { leaseMs: 4500 }, metrics: new Metrics(), getLoopDelay: () => 0 };
+    const parts = {
+        clock,
+        workers,
+        term: 1,
+        hasAuthority: () => true,
+        rules: { leaseMs: 4500 },
+        metrics: new Metrics(),
+        getLoopDelay: () => 0,
+    };
     return parts as unknown as CoordinatorParts;
 }
 
--- a/packages/coordinate-work/src/leaseRenewalLoop.ts
+++ b/packages/coordinate-work/src/leaseRenewalLoop.ts
@@ -53,6 +53,10 @@
 
     private async renewUntilOver(): Promise<void> {
         while (!this.handlers.isOver(this.worker)) {
+            if (!this.parts.hasAuthority()) {
+                await this.checkForLaterTerm();
+                continue;
+            }
             const sentAtMs = this.parts.clock.getNow();
             const hasLease = this.worker.answeredAtMs > 0 && this.worker.missedRenewals < limits.maxMissedRenewals;
             const report = await this.sendRenewal(sentAtMs, hasLease);
@@ -83,6 +87,20 @@
         }
     }
 
+    /**
+     * Asks the worker without renewing its lease, and leaves its answer aside but for one thing: a worker that has seen
+     * a later fencing token says that the term is over.
+     */
+    private async checkForLaterTerm(): Promise<void> {
+        const { parts, worker } = this;
+        const order = { fence: parts.term, lastRecordedEnd: 0, leaseUntilMs: undefined, waitMs: 0, bornMs: 0 };
+        const report = await parts.workers.renewLease(worker.entry, order);
+        if (report.outcome === OrderOutcome.StaleFence) {
+            parts.onTermLost("hold:stale-fence");
+        }
+        await waitFor(parts.clock, limits.unauthorizedPauseMs);
+    }
+
     /**
      * Reads the worker's clock from an answer to a call without a lease. Leases are stated on the worker's own clock,
      * so they can be renewed only after this; a silent worker isn't asked to renew. The answer's lists are ignored:
--- a/packages/coordinate-work/src/limits.ts
+++ b/packages/coordinate-work/src/limits.ts
@@ -13,6 +13,8 @@
     busyLoopDelayMs: 100,
     /** Pause after a lease renewal without an answer, in milliseconds. */
     renewalRetryMs: 150,
+    /** Pause between two calls to a worker while this coordinator may not renew its lease, in milliseconds. */
+    unauthorizedPauseMs: 500,
     /** A worker silent for this long gets no new work, in milliseconds: the longest long poll and a round trip. */
     workerSilenceMs: 1800,
     /** After this many renewals without an answer, the worker's lease is left to expire. */
--- a/packages/coordinate-work/src/orderSender.ts
+++ b/packages/coordinate-work/src/orderSender.ts
@@ -109,6 +109,11 @@
         const outcome = await workers.start(worker.entry, {
             task: task.ref,
             run,
+        if (!this.parts.hasAuthority()) {
+            // A successor may have the worker's tasks started elsewhere.
+            this.handlers.handleNotStarted(task, worker, OrderOutcome.Unsent);
+            return;
+        }
             payload: task.step.occurrence.job.spec.payload,
             leaseUntilMs,
             fence: term,
--- a/packages/coordinate-work/src/paceController.test.ts
+++ b/packages/coordinate-work/src/paceController.test.ts
@@ -30,7 +30,10 @@
     readonly clock = new VirtualClock();
     readonly paces: SentPace[] = [];
     readonly stops: { readonly atMs: number; readonly task: Task }[] = [];
-    readonly worker = new TrackedWorker({ id: "w", capacity: { cpuMillis: 16_000 } } as unknown as WorkerEntry, 0);
+    readonly worker = new TrackedWorker(
+        { id: "w", capacity: { cpuMillis: 16_000 } } as unknown as WorkerEntry,
+        () => 0,
+    );
     readonly estimator = new HeadroomEstimator();
     readonly headroomTracker = new HeadroomTracker(this.estimator);
     private readonly controller: PaceController;
--- a/packages/coordinate-work/src/startGate.test.ts
+++ b/packages/coordinate-work/src/startGate.test.ts
@@ -16,7 +16,7 @@
         leaseMs: LEASE_MS,
         entryReturnMs: ENTRY_RETURN_MS,
         getListReadAt: () => list.readAtMs,
-        expiredAtMs: EXPIRED_AT_MS,
+        getExpiredAt: () => EXPIRED_AT_MS,
         hadUnrecordedStarts,
     });
 }
@@ -82,9 +82,8 @@
         });
 
         it("waits until the lease of an unlisted worker has expired, since it may still run tasks", () => {
-            const gone = createTrackedWorker("gone");
+            const gone = createTrackedWorker("gone", undefined, EXPIRED_AT_MS);
             gone.isUnlisted = true;
-            gone.earlierLeasesExpireAtMs = EXPIRED_AT_MS;
             const gate = createGate([createReportedWorker(), gone], true, { readAtMs: EXPIRED_AT_MS });
             expect(gate.tryOpen(EXPIRED_AT_MS)).toBe(false);
             expect(gate.tryOpen(EXPIRED_AT_MS + 1)).toBe(true);
--- a/packages/coordinate-work/src/startGate.ts
+++ b/packages/coordinate-work/src/startGate.ts
@@ -12,8 +12,8 @@
     readonly entryReturnMs: number;
     /** When the list of workers was last read, in steady milliseconds. */
     readonly getListReadAt: () => number;
-    /** When all leases that earlier coordinators granted have expired, in steady milliseconds. */
-    readonly expiredAtMs: number;
+    /** Returns when all leases that earlier coordinators granted have expired, in steady milliseconds. */
+    readonly getExpiredAt: () => number;
     /** Whether an earlier coordinator may have started work without recording it. */
     readonly hadUnrecordedStarts: boolean;
 }
@@ -47,10 +47,10 @@
     }
 
     private hasAllReported(nowMs: number): boolean {
-        const { listWorkers, getListReadAt, openedAtMs, entryReturnMs, expiredAtMs } = this.parts;
+        const { listWorkers, getListReadAt, openedAtMs, entryReturnMs, getExpiredAt } = this.parts;
         // Workers whose entries were lost may run tasks too; a list that is read after `entryReturnMs` names them
         // again.
-        const isListComplete = getListReadAt() - openedAtMs >= entryReturnMs || nowMs > expiredAtMs;
+        const isListComplete = getListReadAt() - openedAtMs >= entryReturnMs || nowMs > getExpiredAt();
         // A worker whose entry is gone may only be partitioned from the platform, and runs on until its lease expires.
         const unreported = [...listWorkers()].filter(worker => !worker.hasReported);
         return isListComplete && unreported.every(worker => nowMs > worker.getLeaseExpiry());
--- a/packages/coordinate-work/src/testing/coordinatorHarness.ts
+++ b/packages/coordinate-work/src/testing/coordinatorHarness.ts
@@ -13,7 +13,8 @@
     SingleThreadWorkerPort,
     VirtualClock,
 } from "@sardinestage/emulate-platform";
-import { CANCEL_SUFFIX, encodeJobRecord } from "@sardinestage/track-jobs";
+import { EarlierTerm } from "@sardinestage/keep-term";
+import { CANCEL_SUFFIX, encodeJobRecord, PartKey } from "@sardinestage/track-jobs";
 import { WorkMeter } from "@sardinestage/watch-loop";
 import { Coordinator } from "../coordinator.js";
 
@@ -22,8 +23,8 @@
     leaseMs: 4500,
     maxLeaseMs: 6000,
     keepFinishedMs: 120_000,
-    harmMs: 4000,
     storeLimits: emulatedStoreLimits,
+    harmMs: 4000,
     paceMs: 100,
     entryReturnMs: 2000,
 };
@@ -43,6 +44,8 @@
     callCostMs = 0;
     /** Time that sending a start order occupies the thread, in milliseconds. */
     sendCostMs = 0;
+    /** Whether the coordinators may start tasks and renew leases. */
+    hasAuthority = true;
     private term = 0;
 
     /**
@@ -111,9 +114,6 @@
         return (await reading).records;
     }
 
-    /** Begins the next term without informing the previous coordinator. */
-    startTerm(hadUnrecordedStarts: boolean): void {
-        this.term++;
     /** Counts the records of parts of jobs' progress in the store. */
     async countProgressParts(): Promise<number> {
         let count = 0;
@@ -130,7 +130,11 @@
         return count;
     }
 
+    /** Begins the next term without informing the previous coordinator. */
+    startTerm(hadUnrecordedStarts: boolean): void {
+        this.term++;
         const { term } = this;
+        const earlierTerm = new EarlierTerm(this.clock, this.clock.getNow());
         const coordinator = new Coordinator({
             store: this.store,
             workers: new SingleThreadWorkerPort(
@@ -155,6 +159,8 @@
             rules,
             term,
             hadUnrecordedStarts,
+            hasAuthority: () => this.hasAuthority,
+            getEarlierAuthorityEnd: () => earlierTerm.actsUntilMs,
             getTermRenewalAge: () => Infinity,
             getLoopDelay: () => 0,
             meter: new WorkMeter(this.clock),
--- a/packages/coordinate-work/src/testing/createTrackedWorker.ts
+++ b/packages/coordinate-work/src/testing/createTrackedWorker.ts
@@ -4,8 +4,16 @@
 
 const SMALL_CAPACITY: Capacity = { cpuMillis: 1000, memoryMb: 1000, accelerators: 0 };
 
-/** Creates a tracked worker that is listed and hasn't answered yet. */
-export function createTrackedWorker(id: string, capacity: Capacity = SMALL_CAPACITY): TrackedWorker {
+/**
+ * Creates a tracked worker that is listed and hasn't answered yet.
+ *
+ * @param earlierLeasesExpireAtMs When all leases from earlier coordinators have expired, in steady milliseconds.
+ */
+export function createTrackedWorker(
+    id: string,
+    capacity: Capacity = SMALL_CAPACITY,
+    earlierLeasesExpireAtMs = 0,
+): TrackedWorker {
     return new TrackedWorker({
         id,
         bornMs: 1,
@@ -17,5 +25,5 @@
         labels: [],
         rack: "",
         remainingMs: 0,
-    }, 0);
+    }, () => earlierLeasesExpireAtMs);
 }
--- a/packages/coordinate-work/src/trackedWorker.ts
+++ b/packages/coordinate-work/src/trackedWorker.ts
@@ -25,8 +25,6 @@
     answeredAtMs = 0;
     /** The latest end of the lease stated in any order to the worker, on the worker's clock. */
     leaseUntilMs = 0;
-    /** When all leases from earlier coordinators have expired, in steady milliseconds; used before the first answer. */
-    earlierLeasesExpireAtMs: number;
     /** Consecutive lease renewals without an answer. */
     missedRenewals = 0;
     /** No starts before this, in steady milliseconds. */
@@ -54,11 +52,10 @@
 
     /**
      * @param entry The worker's entry in the platform's list.
-     * @param leasesExpireAtMs When all leases from earlier coordinators have expired, in steady milliseconds.
+     * @param getEarlierLeasesExpiry Returns when all leases from earlier coordinators have expired, in steady
+     *   milliseconds; used before the worker's first answer.
      */
-    constructor(public entry: WorkerEntry, leasesExpireAtMs: number) {
-        this.earlierLeasesExpireAtMs = leasesExpireAtMs;
-    }
+    constructor(public entry: WorkerEntry, private readonly getEarlierLeasesExpiry: () => number) {}
 
     /** Estimates the worker's clock. The result is slightly low, by the time that the last answer was under way. */
     estimateClock(nowMs: number): number {
@@ -68,7 +65,7 @@
     /** When the worker's lease has certainly expired if no further order renews it, in steady milliseconds. */
     getLeaseExpiry(): number {
         if (this.answeredAtMs === 0) {
-            return this.earlierLeasesExpireAtMs;
+            return this.getEarlierLeasesExpiry();
         }
         return this.answeredAtMs + Math.max(0, this.leaseUntilMs - this.clockMs) / limits.slowestClockRate;
     }
--- a/packages/keep-term/src/termLog.ts
+++ b/packages/keep-term/src/termLog.ts
@@ -24,6 +24,11 @@
  */
 export class TermLog {
     private end = 0;
+    /**
+     * The end offset that the last try to win a term expected, if that try may still be carried out; undefined if none
+     * may.
+     */
+    private unsettledTryEnd: number | undefined;
 
     constructor(
         private readonly store: StorePort,
@@ -31,8 +36,21 @@
         private readonly clock: Clock,
     ) {}
 
+    /** Whether a try of this process to win a term got no answer and may still be carried out. */
+    get hasUnsettledTry(): boolean {
+        return this.unsettledTryEnd !== undefined;
+    }
+
     /** Reads the current term and its holder; undefined if the store doesn't answer. */
     async readTerm(): Promise<TermView | undefined> {
+        const view = await this.readNewest();
+        if (view !== undefined && this.unsettledTryEnd !== undefined && view.end > this.unsettledTryEnd) {
+            this.unsettledTryEnd = undefined;
+        }
+        return view;
+    }
+
+    private async readNewest(): Promise<TermView | undefined> {
         const page = await this.store.readNewest(Topic.Term, undefined);
         if (!page.succeeded) {
             return undefined;
@@ -64,7 +82,11 @@
      *   without an answer may still win; then the next `readTerm` returns this process as the holder.
      */
     async tryWin(end: number): Promise<TermHolder | undefined> {
+        this.unsettledTryEnd = end;
         const answer = await this.append(end, 0, 0, true);
+        if (answer.outcome !== AppendOutcome.Unknown) {
+            this.unsettledTryEnd = undefined;
+        }
         if (answer.outcome !== AppendOutcome.Appended) {
             return undefined;
         }
--- a/packages/relay-orders/src/orderRelay.ts
+++ b/packages/relay-orders/src/orderRelay.ts
@@ -21,11 +21,13 @@
     readonly logger: EventLogger;
     /** The usual delay of this process's event loop, in milliseconds. */
     readonly getLoopDelay: () => number;
+    /** The newest term that this process knows; 0 if it knows none. */
+    readonly getKnownTerm: () => number;
 }
 
 /**
- * Makes calls to workers for the coordinator. Only the session opened last is served: after a coordinator of a later
- * term has opened one, requests of the earlier one are refused.
+ * Makes calls to workers for the coordinator. Only the session opened last is served, and only while this process knows
+ * of no later term.
  */
 export class OrderRelay {
     private session: ServedSession | undefined;
@@ -39,7 +41,7 @@
      * @throws {TypeError} If the request is malformed; then no call is made.
      */
     async handleRequest(request: RelayRequest): Promise<RelayReply> {
-        if (request.term < (this.session?.term ?? 0)) {
+        if (request.term < Math.max(this.session?.term ?? 0, this.parts.getKnownTerm())) {
             return this.buildReply(RelayOutcome.StaleTerm, []);
         }
         if (request.isOpening) {
--- a/packages/relay-orders/src/relayedWorkerPort.test.ts
+++ b/packages/relay-orders/src/relayedWorkerPort.test.ts
@@ -27,6 +27,20 @@
         });
     });
 
+    describe("when the relay's process knows of a later term that has opened no session yet", () => {
+        it("learns that its own term is over, and no call is made", async () => {
+            const harness = new RelayHarness(WORKERS);
+            harness.addRelay("relay");
+            const port = harness.createCoordinatorPort(1, 0);
+            port.openSessions();
+            await harness.clock.runFor(50);
+            harness.knownTerm = 2;
+            const outcomes = await harness.renewAll(port, 1);
+            expect(outcomes).toContain(OrderOutcome.StaleFence);
+            expect(harness.calls.relayed).toEqual([]);
+        });
+    });
+
     describe("for a large fleet", () => {
         it("has a relay make the calls, many in one request", async () => {
             const harness = new RelayHarness(WORKERS);
--- a/packages/relay-orders/src/testing/relayHarness.ts
+++ b/packages/relay-orders/src/testing/relayHarness.ts
@@ -37,6 +37,8 @@
     /** Ids of the workers called, in order, by who called them. */
     readonly calls = { direct: [] as string[], relayed: [] as string[] };
     requests = 0;
+    /** The newest term that the relays' processes know. */
+    knownTerm = 0;
 
     constructor(workerCount: number) {
         this.fleet = new EmulatedFleet(this.clock, createRandom(1));
@@ -55,6 +57,7 @@
                 clock: this.clock,
                 logger: this.createLogger(),
                 getLoopDelay: () => relay.loopDelayMs,
+                getKnownTerm: () => this.knownTerm,
             }),
             isSilent: false,
             lateMs: 0,
--- a/packages/run-entry-vm/src/createEntryVm.ts
+++ b/packages/run-entry-vm/src/createEntryVm.ts
@@ -32,17 +32,15 @@
             termLog: context.get(TermLog),
             followers: context.get(Followers),
             getResponsiveTime: () => context.get(EventLoopMonitor).getResponsiveTime(),
-            createCoordinator: (term, hadUnrecordedStarts, getTermRenewalAge, onTermLost) =>
+            createCoordinator: termParts =>
                 new Coordinator({
                     ...parts,
-                    workers: createWorkerPort(parts, context, term),
+                    ...termParts,
+                    workers: createWorkerPort(parts, context, termParts.term),
                     rules: parts.coordinatorRules,
-                    term,
-                    hadUnrecordedStarts,
-                    getTermRenewalAge,
+                    getEarlierAuthorityEnd: () => termParts.earlierTerm.actsUntilMs,
                     getLoopDelay: () => context.get(EventLoopMonitor).averageDelayMs,
                     meter: context.get(WorkMeter),
-                    onTermLost,
                 }),
         })
     ).inSingletonScope();
@@ -58,7 +56,11 @@
         })
     ).inSingletonScope();
     container.bind(OrderRelay).toDynamicValue(context =>
-        new OrderRelay({ ...parts, getLoopDelay: () => context.get(EventLoopMonitor).averageDelayMs })
+        new OrderRelay({
+            ...parts,
+            getLoopDelay: () => context.get(EventLoopMonitor).averageDelayMs,
+            getKnownTerm: () => context.get(Membership).knownTerm,
+        })
     ).inSingletonScope();
     container.bind(LoadReporter).toDynamicValue(context =>
         new LoadReporter({
--- a/packages/run-entry-vm/src/entryVm.ts
+++ b/packages/run-entry-vm/src/entryVm.ts
@@ -13,6 +13,7 @@
 import type { FollowRequest } from "./followRequest.js";
 import type { LoadReporter } from "./loadReporter.js";
 import type { Membership } from "./membership.js";
+import type { PeerQuery } from "./peerQuery.js";
 import type { Peers } from "./peers.js";
 
 /** The largest frame that is accepted from another VM, in bytes. */
@@ -51,7 +52,7 @@
                 FrameKind.FollowCoordinator,
                 body => Promise.resolve(membership.answerFollowRequest(body as FollowRequest)),
             ],
-            [FrameKind.AskPeer, () => Promise.resolve(membership.answerPeerQuery())],
+            [FrameKind.AskPeer, body => Promise.resolve(membership.answerPeerQuery(body as PeerQuery))],
             [FrameKind.RelayOrders, body => orderRelay.handleRequest(body as RelayRequest)],
             [
                 FrameKind.CallCoordinator,
--- a/packages/run-entry-vm/src/followers.ts
+++ b/packages/run-entry-vm/src/followers.ts
@@ -19,6 +19,8 @@
 /** The VMs that follow this process. */
 export class Followers {
     private readonly followers = new Map<string, Follower>();
+    /** The VMs that might compete for the term, and when they were last heard. */
+    private readonly heard = new Map<string, { readonly candidate: Candidate; readonly atMs: number }>();
     /** Changes whenever the list does, so that an unchanged list isn't sent again. */
     version = 0;
 
@@ -27,6 +29,7 @@
         const known = this.followers.get(candidate.vm);
         const isKnown = known?.candidate.incarnation === candidate.incarnation;
         this.version += isKnown ? 0 : 1;
+        this.noteHeard(candidate, nowMs);
         this.followers.set(candidate.vm, {
             candidate,
             atMs: nowMs,
@@ -35,6 +38,21 @@
         });
     }
 
+    /** Notes that a VM was heard of, whether or not it follows this process. */
+    noteHeard(candidate: Candidate, nowMs: number): void {
+        this.heard.set(candidate.vm, { candidate, atMs: nowMs });
+    }
+
+    /** Lists the VMs that were heard at or after a time, and forgets the others. */
+    listHeardSince(atMs: number): readonly Candidate[] {
+        for (const [vm, heard] of this.heard) {
+            if (heard.atMs < atMs) {
+                this.heard.delete(vm);
+            }
+        }
+        return [...this.heard.values()].map(({ candidate }) => candidate);
+    }
+
     /** Removes the followers whose last request is too old. */
     dropSilent(nowMs: number): void {
         for (const [vm, { atMs }] of this.followers) {
--- a/packages/run-entry-vm/src/localCoordinator.test.ts
+++ b/packages/run-entry-vm/src/localCoordinator.test.ts
@@ -4,7 +4,7 @@
 import { waitFor } from "@sardinestage/describe-ports";
 import { VirtualClock } from "@sardinestage/emulate-platform";
 import type { TermLog } from "@sardinestage/keep-term";
-import { RenewalOutcome } from "@sardinestage/keep-term";
+import { EarlierTerm, Instant, RenewalOutcome } from "@sardinestage/keep-term";
 import { silentLogger } from "@sardinestage/log-events";
 import { defaultRules } from "./defaultRules.js";
 import { Followers } from "./followers.js";
@@ -26,6 +26,7 @@
     const local = new LocalCoordinator({
         termLog: {
             renew: () => waitFor(clock, RENEWAL_TIMEOUT_MS).then(() => RenewalOutcome.Failed),
+            readTerm: () => waitFor(clock, RENEWAL_TIMEOUT_MS).then(() => undefined),
         } as unknown as TermLog,
         store: {} as StorePort,
         clock,
@@ -35,7 +36,7 @@
         getResponsiveTime: () => clock.getNow() * responsiveShare,
         createCoordinator: () => coordinator as unknown as Coordinator,
     });
-    await local.start(holder, false);
+    await local.start(holder, Instant.readNow(clock), false, new EarlierTerm(clock, 0));
     await clock.runFor(defaultRules.renewMs + FAILING_MS);
     const { storeLostMs } = local;
     local.stop(holder.term, "end of test");
--- a/packages/run-entry-vm/src/localCoordinator.ts
+++ b/packages/run-entry-vm/src/localCoordinator.ts
@@ -3,11 +3,12 @@
 import type { Coordinator } from "@sardinestage/coordinate-work";
 import type { Clock, StorePort } from "@sardinestage/describe-ports";
 import { AppendOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
-import type { TermHolder, TermLog } from "@sardinestage/keep-term";
-import { RenewalOutcome } from "@sardinestage/keep-term";
+import type { EarlierTerm, TermHolder, TermLog } from "@sardinestage/keep-term";
+import { Instant, RenewalOutcome, TermAuthority } from "@sardinestage/keep-term";
 import type { EventLogger } from "@sardinestage/log-events";
 import type { EntryVmRules } from "./entryVmRules.js";
 import type { Followers } from "./followers.js";
+import type { TermParts } from "./termParts.js";
 
 /** Pause between two tries to take over, in milliseconds. */
 const TAKEOVER_RETRY_MS = 100;
@@ -28,16 +29,8 @@
     readonly followers: Followers;
     /** Monotonic time without the stalls of this process's event loop, in milliseconds. */
     readonly getResponsiveTime: () => number;
-    /**
-     * Creates the coordinator of a term. `hadUnrecordedStarts` says whether an earlier coordinator may have started
-     * tasks that the store has no record of.
-     */
-    readonly createCoordinator: (
-        term: number,
-        hadUnrecordedStarts: boolean,
-        getTermRenewalAge: () => number,
-        onTermLost: (reason: string) => void,
-    ) => Coordinator;
+    /** Creates the coordinator of a term. */
+    readonly createCoordinator: (termParts: TermParts) => Coordinator;
 }
 
 /** The coordinator in this process: active, and renewing the term, for as long as this process holds the term. */
@@ -50,6 +43,10 @@
      */
     private renewalsFailingSinceMs = Infinity;
     private termWonAtMs = 0;
+    private authority: TermAuthority | undefined;
+    private hadAuthority = true;
+    /** Whether a read that may confirm the term is under way. */
+    private isConfirming = false;
     /** The term that this process holds, or undefined. */
     holder: TermHolder | undefined;
     /** Whether this process has asked the others to take over. */
@@ -62,6 +59,11 @@
         return this.holder !== undefined;
     }
 
+    /** The authority of the term that this process holds; undefined if it holds none. */
+    get termAuthority(): TermAuthority | undefined {
+        return this.holder === undefined ? undefined : this.authority;
+    }
+
     /** How long this process has held the term, in milliseconds. */
     get termHeldMs(): number {
         return this.holder === undefined ? 0 : this.parts.clock.getNow() - this.termWonAtMs;
@@ -101,22 +103,37 @@
         return this.renewalAgeMs >= this.parts.rules.lateRenewalMs || (this.coordinator?.hasUnrecordedStarts ?? false);
     }
 
-    /** Starts coordinating in a term that this process has won. Returns when the takeover has succeeded or failed. */
-    async start(holder: TermHolder, hadUnrecordedStarts: boolean): Promise<void> {
+    /**
+     * Starts coordinating in a term that this process has won. Returns when the takeover has succeeded or failed.
+     *
+     * @param wonAt When the call to the store was sent whose answer shows that the term is won.
+     * @param hadUnrecordedStarts Whether an earlier coordinator may have started tasks that the store has no record of.
+     * @param earlierTerm Until when earlier coordinators may act.
+     */
+    async start(
+        holder: TermHolder,
+        wonAt: Instant,
+        hadUnrecordedStarts: boolean,
+        earlierTerm: EarlierTerm,
+    ): Promise<void> {
         const { clock, logger } = this.parts;
         this.holder = holder;
+        this.authority = new TermAuthority(wonAt);
+        this.hadAuthority = true;
         this.termWonAtMs = clock.getNow();
         this.lastRenewedAtMs = this.termWonAtMs;
         this.renewalsFailingSinceMs = Infinity;
         logger.info("term-won", { term: holder.term, hadUnrecordedStarts });
         void this.runRenewals(holder.term);
         for (let tries = 0; tries < MAX_TAKEOVER_TRIES && this.holder === holder; tries++) {
-            const coordinator = this.parts.createCoordinator(
-                holder.term,
+            const coordinator = this.parts.createCoordinator({
+                term: holder.term,
                 hadUnrecordedStarts,
-                () => this.renewalAgeMs,
-                reason => this.stop(holder.term, reason),
-            );
+                earlierTerm,
+                hasAuthority: () => this.checkAuthority(holder.term),
+                getTermRenewalAge: () => this.renewalAgeMs,
+                onTermLost: reason => this.stop(holder.term, reason),
+            });
             this.coordinator = coordinator;
             if (await coordinator.open()) {
                 return;
@@ -178,6 +195,37 @@
         this.isLeaving = false;
     }
 
+    /** Whether this process may act in a term now; logs when that has changed. */
+    private checkAuthority(term: number): boolean {
+        const isValid = this.holder?.term === term && this.authority?.isValid === true;
+        if (isValid !== this.hadAuthority && this.holder?.term === term) {
+            this.hadAuthority = isValid;
+            const unconfirmedMs = Math.round(this.authority?.unconfirmedMs ?? 0);
+            this.parts.logger.warn(isValid ? "authority-regained" : "authority-lapsed", { term, unconfirmedMs });
+        }
+        return isValid;
+    }
+
+    /** Finds out after a failed renewal whether the term is still the newest: a slow store may answer only reads. */
+    private async confirmTerm(term: number): Promise<void> {
+        if (this.isConfirming) {
+            return;
+        }
+        this.isConfirming = true;
+        const askedAt = Instant.readNow(this.parts.clock);
+        const view = await this.parts.termLog.readTerm();
+        this.isConfirming = false;
+        if (view?.holder === undefined || this.holder?.term !== term) {
+            return;
+        }
+        if (view.holder.term > term) {
+            this.stop(term, "another-won");
+        }
+        else {
+            this.authority?.noteConfirmed(askedAt);
+        }
+    }
+
     private async runRenewals(term: number): Promise<void> {
         const { clock, termLog, rules, logger, followers } = this.parts;
         let hasFailed = false;
@@ -187,6 +235,7 @@
             if (this.holder?.term !== term) {
                 return;
             }
+            const sentAt = Instant.readNow(clock);
             const sentAtMs = clock.getNow();
             const sentAtResponsiveMs = this.parts.getResponsiveTime();
             const outcome = await termLog.renew(term, followers.countActive(sentAtMs), this.hasUnrecordedStarts);
@@ -201,6 +250,10 @@
             }
             if (!hasFailed) {
                 this.lastRenewedAtMs = sentAtMs;
+                this.authority?.noteConfirmed(sentAt);
+            }
+            else {
+                void this.confirmTerm(term);
             }
             // Counts from when this renewal was sent: followers see the time between renewals, and a process that reads
             // the store's answers late mustn't lengthen it.
--- a/packages/run-entry-vm/src/membership.test.ts
+++ b/packages/run-entry-vm/src/membership.test.ts
@@ -15,6 +15,7 @@
 import { LocalCoordinator } from "./localCoordinator.js";
 import { Membership } from "./membership.js";
 import type { Peers } from "./peers.js";
+import type { TermParts } from "./termParts.js";
 
 /** VMs that share a store. A test sets how long each VM takes to answer and which of its calls fail. */
 class Installation {
@@ -64,7 +65,7 @@
                 return withUnrecordedStarts.has(vm);
             },
         } as unknown as Coordinator;
-        const createCoordinator = (_term: number, hadUnrecordedStarts: boolean) => {
+        const createCoordinator = ({ hadUnrecordedStarts }: TermParts) => {
             this.hadUnrecordedStarts.push(hadUnrecordedStarts);
             return coordinator;
         };
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -8,16 +8,19 @@
 import { AdaptiveTimeout } from "@sardinestage/learn-behaviour";
 import type { EventLogger } from "@sardinestage/log-events";
 import type { EventLoopMonitor } from "@sardinestage/watch-loop";
+import { AuthorityKeeper } from "./authorityKeeper.js";
+import { Candidacy } from "./candidacy.js";
+import { CandidacyPromise } from "./candidacyPromise.js";
 import { computeWeakness } from "./computeWeakness.js";
 import { ConfigExchange } from "./configExchange.js";
 import type { ConfigKeeper } from "./configKeeper.js";
-import { describeCandidacy } from "./describeCandidacy.js";
 import type { EntryVmRules } from "./entryVmRules.js";
 import type { Followers } from "./followers.js";
 import type { FollowReply } from "./followReply.js";
 import type { FollowRequest } from "./followRequest.js";
 import { listRelayVms } from "./listRelayVms.js";
 import type { LocalCoordinator } from "./localCoordinator.js";
+import type { PeerQuery } from "./peerQuery.js";
 import type { PeerReport } from "./peerReport.js";
 import type { Peers } from "./peers.js";
 import { pickRandom } from "./pickRandom.js";
@@ -26,8 +29,6 @@
 
 /** A peer counts as connected to the coordinator if it got an answer less than this ago, in milliseconds. */
 const MAX_REPORT_AGE_MS = 700;
-/** Latency of a nearby store, in milliseconds. Only latency above this delays a candidacy. */
-const NEAR_STORE_MS = 6;
 /** Upper bound of the adaptive timeout of follow requests, in milliseconds. */
 const MAX_FOLLOW_TIMEOUT_MS = 2000;
 /** Peers that are asked about a suspected coordinator. Asking all of them would flood a large installation. */
@@ -77,6 +78,11 @@
     private readonly term: TermObserver;
     private readonly followTimeout: AdaptiveTimeout;
     private readonly configExchange: ConfigExchange;
+    private readonly promise: CandidacyPromise;
+    private readonly authorityKeeper: AuthorityKeeper;
+    private readonly candidacy: Candidacy;
+    /** When this process learnt of the newest term, in milliseconds of the monotonic clock. */
+    private holderKnownSinceMs = -Infinity;
     private isClosed = false;
     private isDraining = false;
 
@@ -85,6 +91,19 @@
         this.followTimeout = new AdaptiveTimeout({ leastMs: parts.rules.silenceMs / 2, mostMs: MAX_FOLLOW_TIMEOUT_MS });
         this.configExchange = new ConfigExchange(parts.config, parts.clock);
         this.term = new TermObserver(parts.termLog, parts.clock, parts.rules);
+        this.promise = new CandidacyPromise(parts.clock, this.term, parts.termLog);
+        this.authorityKeeper = new AuthorityKeeper(parts, holder => this.updateHolder(holder));
+        this.candidacy = new Candidacy({
+            ...parts,
+            term: this.term,
+            promise: this.promise,
+            authorityKeeper: this.authorityKeeper,
+            readTerm: () => this.readTerm(),
+            updateHolder: holder => this.updateHolder(holder),
+            mayCompete: () => !this.isClosed && !this.isDraining,
+            isClosed: () => this.isClosed,
+            getHolderKnownSince: () => this.holderKnownSinceMs,
+        });
     }
 
     /** Follows the coordinator until closed. */
@@ -108,9 +127,11 @@
         this.parts.localCoordinator.announceLeaving();
     }
 
-    /** Stops following. */
+    /** Stops following, and coordinating if this process does: nobody could reach it to tell it of its successor. */
     close(): void {
+        const { localCoordinator } = this.parts;
         this.isClosed = true;
+        localCoordinator.stop(localCoordinator.holder?.term ?? -1, "closed");
     }
 
     /** Whether this process coordinates. */
@@ -118,6 +139,11 @@
         return this.parts.localCoordinator.isActive;
     }
 
+    /** The newest term that is known here; 0 if none is. */
+    get knownTerm(): number {
+        return this.holder?.term ?? 0;
+    }
+
     /** The VMs that may relay calls for this coordinator. */
     get relays(): readonly Candidate[] {
         return listRelayVms(this.parts, this.members);
@@ -155,6 +181,7 @@
         const { self, localCoordinator, config, clock, followers } = this.parts;
         followers.noteFollower(request.candidate, clock.getNow(), request.isDraining);
         followers.dropSilent(clock.getNow());
+        this.updateHolder(request.holder);
         if (request.config !== undefined) {
             config.applyConfig(request.config as OperatorConfig, "follower");
         }
@@ -176,12 +203,15 @@
     }
 
     /** Reports to a peer which coordinator this process knows, and when it last answered. */
-    answerPeerQuery(): PeerReport {
+    answerPeerQuery(query: PeerQuery = {}): PeerReport {
         const { localCoordinator, loopMonitor } = this.parts;
+        this.updateHolder(query.holder);
         if (localCoordinator.isActive) {
             return { holder: localCoordinator.holder, heardMs: 0 };
         }
-        return { holder: this.holder, heardMs: loopMonitor.getResponsiveTime() - this.lastAnswerAtMs };
+        const heardMs = loopMonitor.getResponsiveTime() - this.lastAnswerAtMs;
+        const isAsked = query.promiseForTerm !== undefined && query.promiseForTerm === this.holder?.term;
+        return { holder: this.holder, heardMs, isPromised: isAsked && this.promise.tryGiving(this.isDraining) };
     }
 
     /**
@@ -196,6 +226,7 @@
             this.term.noteStoreContact(clock.getNow() - localCoordinator.storeSilentMs);
             this.holder = localCoordinator.holder;
             this.parts.followers.dropSilent(clock.getNow());
+            void this.authorityKeeper.requestPromises();
             this.members = this.parts.followers.list();
             this.releaseTermToStronger(clock.getNow());
             return true;
@@ -232,6 +263,7 @@
     private buildFollowRequest(): FollowRequest {
         return {
             candidate: this.parts.self,
+            holder: this.holder,
             isDraining: this.isDraining,
             membersVersion: this.membersVersion,
             needsConfig: this.configExchange.needsConfig,
@@ -262,8 +294,11 @@
             return;
         }
         const { vm, term } = holder;
+        const { localCoordinator } = this.parts;
+        localCoordinator.stop(localCoordinator.holder?.term ?? -1, "told-of-later-term");
         this.parts.logger.info("coordinator-changed", { vm, term, from: this.holder?.vm, fromTerm: this.holder?.term });
         this.changedAtMs = this.holder === undefined ? -Infinity : this.parts.clock.getNow();
+        this.holderKnownSinceMs = this.parts.clock.getNow();
         this.holder = holder;
         this.isRefused = false;
         this.isLeaving = false;
@@ -278,7 +313,7 @@
         const asked = pickRandom(this.members.filter(member => this.isOtherPeer(member)), MAX_PEERS_ASKED);
         const [view, reports] = await Promise.all([
             this.readTerm(),
-            requestPeerReports(peers, asked, rules.peerTimeoutMs),
+            requestPeerReports(peers, asked, { holder: this.holder }, rules.peerTimeoutMs),
         ]);
         const fresh = reports.find(({ report }) => report.heardMs < MAX_REPORT_AGE_MS && this.isCurrent(report.holder));
         reports.forEach(({ report }) => this.updateHolder(report.holder));
@@ -299,7 +334,7 @@
         };
         const step = chooseCandidacyStep(coordinator, rules);
         if (step === CandidacyStep.Campaign && view !== undefined && !this.isDraining) {
-            await this.tryWinTerm(view, coordinator);
+            await this.candidacy.run(view, coordinator, this.members);
             return;
         }
         if (step === CandidacyStep.Relay && fresh !== undefined) {
@@ -324,37 +359,4 @@
         this.updateHolder(view?.holder);
         return view;
     }
-
-    /**
-     * Tries to win the next term after a delay that lets strong VMs and VMs with low store latency go first. Returns
-     * without a try if another process wins in the meantime.
-     */
-    private async tryWinTerm(before: TermView, coordinator: CoordinatorView): Promise<void> {
-        const { clock, rules, termLog, localCoordinator, logger, self } = this.parts;
-        if (before.holder?.incarnation !== self.incarnation) {
-            const storeWaitMs = Math.max(0, this.term.storeLatencyMs - NEAR_STORE_MS) * rules.storeDelayFactor;
-            const weakerWaitMs = rules.maxWeaknessDelayMs * computeWeakness(self, this.members);
-            const waitMs = Math.min(rules.maxStoreDelayMs, storeWaitMs) + weakerWaitMs + Math.random() * rules.jitterMs;
-            await waitFor(clock, waitMs);
-        }
-        const view = await this.readTerm();
-        if (view === undefined || this.isClosed || this.isDraining) {
-            return;
-        }
-        const isOurs = view.holder?.incarnation === self.incarnation;
-        if (!isOurs && view.holder?.term !== before.holder?.term) {
-            return;
-        }
-        const isRecorded = [before, view].every(read => this.term.isFullyRecorded(read));
-        logger.info("term-candidacy", describeCandidacy(coordinator, before.holder?.term));
-        const won = isOurs ? view.holder : await termLog.tryWin(view.end);
-        if (won === undefined) {
-            return;
-        }
-        if (isOurs) {
-            termLog.acceptTerm(view);
-        }
-        this.updateHolder(won);
-        await localCoordinator.start(won, before.holder !== undefined && !isRecorded);
-    }
 }
--- a/packages/run-entry-vm/src/peerReport.ts
+++ b/packages/run-entry-vm/src/peerReport.ts
@@ -6,4 +6,6 @@
     readonly holder: TermHolder | undefined;
     /** Time since the coordinator last answered the peer, in milliseconds; 0 if the peer coordinates. */
     readonly heardMs: number;
+    /** Whether the peer promises not to compete for the term. */
+    readonly isPromised?: boolean;
 }
--- a/packages/run-entry-vm/src/termObserver.ts
+++ b/packages/run-entry-vm/src/termObserver.ts
@@ -16,8 +16,12 @@
     private lastTopicEnd = -1;
     private lastRenewalAtMs = -Infinity;
     private lastReadAtMs = -Infinity;
+    /** When the last read was sent, whatever its outcome, in milliseconds of the monotonic clock. */
+    private lastSentAtMs = -Infinity;
     /** Since when all reads have succeeded, in milliseconds of the monotonic clock; Infinity after a failed read. */
     private storeAvailableSinceMs = Infinity;
+    /** When the last read failed, in milliseconds of the monotonic clock; -Infinity once a read succeeds. */
+    private readFailedAtMs = -Infinity;
     /** Duration of the last read that the store answered, in milliseconds. */
     storeLatencyMs = 0;
 
@@ -37,16 +41,29 @@
         return this.clock.getNow() - this.storeAvailableSinceMs;
     }
 
+    /** Time since the last read failed, in milliseconds; Infinity if the store answered the last read. */
+    get readFailureAgeMs(): number {
+        return this.clock.getNow() - this.readFailedAtMs;
+    }
+
+    /** Time since the last read was sent, in milliseconds. */
+    get readAgeMs(): number {
+        return this.clock.getNow() - this.lastSentAtMs;
+    }
+
     /** Reads the term. Returns undefined if the store doesn't answer. */
     async read(): Promise<TermView | undefined> {
         const { clock, termLog } = this;
         const sentAtMs = clock.getNow();
+        this.lastSentAtMs = sentAtMs;
         const view = await termLog.readTerm();
         const nowMs = clock.getNow();
         if (view === undefined) {
             this.storeAvailableSinceMs = Infinity;
+            this.readFailedAtMs = nowMs;
             return undefined;
         }
+        this.readFailedAtMs = -Infinity;
         this.storeAvailableSinceMs = Math.min(this.storeAvailableSinceMs, nowMs);
         this.storeLatencyMs = nowMs - sentAtMs;
         if (view.end !== this.lastTopicEnd) {
--- /dev/null
+++ b/packages/run-entry-vm/src/termParts.ts
@@ -0,0 +1,16 @@
+import type { EarlierTerm } from "@sardinestage/keep-term";
+
+/** What a coordinator needs to know of its term. */
+export interface TermParts {
+    readonly term: number;
+    /** Whether an earlier coordinator may have started tasks that the store has no record of. */
+    readonly hadUnrecordedStarts: boolean;
+    /** Until when earlier coordinators may act. */
+    readonly earlierTerm: EarlierTerm;
+    /** Whether the coordinator may start tasks and renew leases now. */
+    readonly hasAuthority: () => boolean;
+    /** Time since the last confirmed renewal of the term in the store, in milliseconds. */
+    readonly getTermRenewalAge: () => number;
+    /** Called when the coordinator has lost the term to another one. */
+    readonly onTermLost: (reason: string) => void;
+}
--- a/packages/run-entry-vm/src/testing/takeoverHarness.ts
+++ b/packages/run-entry-vm/src/testing/takeoverHarness.ts
@@ -1,7 +1,7 @@
 import { Coordinator } from "@sardinestage/coordinate-work";
 import { Metrics } from "@sardinestage/count-metrics";
 import type { KeyedRecord, StorePort } from "@sardinestage/describe-ports";
-import { AppendOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
+import { AppendOutcome, ReadOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
 import type { JobSpec, QueueConfig, TaskRef } from "@sardinestage/describe-work";
 import {
     emulatedCodec,
@@ -27,7 +27,9 @@
 import type { FollowRequest } from "../followRequest.js";
 import { LocalCoordinator } from "../localCoordinator.js";
 import { Membership } from "../membership.js";
+import type { PeerQuery } from "../peerQuery.js";
 import type { Peers } from "../peers.js";
+import { ZonedNetwork } from "./zonedNetwork.js";
 
 const APPEND_TIMEOUT_MS = 1000;
 /** Network delay between two VMs in one direction, in milliseconds. */
@@ -36,9 +38,9 @@
     leaseMs: 4500,
     maxLeaseMs: 6000,
     keepFinishedMs: 120_000,
+    storeLimits: emulatedStoreLimits,
     harmMs: 4000,
     paceMs: 100,
-    storeLimits: emulatedStoreLimits,
     entryReturnMs: 2000,
 };
 /** Without the random delay, so that the same seed always gives the same run. */
@@ -64,6 +66,8 @@
     readonly lost = { share: 0, lateMs: 0 };
     /** Share of the requests to relays that arrive late, and how late these are at the most, in milliseconds. */
     readonly relayFaults = { lateShare: 0, maxLateMs: 0 };
+    /** The links between VMs, workers and the store, which a test may cut. */
+    readonly network: ZonedNetwork;
     private readonly processes = new Map<string, VmProcess>();
     /** Counts the started processes, for their incarnations. */
     private startCount = 0;
@@ -80,6 +84,7 @@
     ) {
         this.store = new MemoryStore(this.clock, random);
         this.fleet = new EmulatedFleet(this.clock, random);
+        this.network = new ZonedNetwork(this.clock);
         this.runChecker = new RunInvariantChecker(
             () => this.clock.getNow(),
             task => listPrerequisiteTasks(this.specs.get(task.jobId), task),
@@ -106,7 +111,7 @@
         this.startCount++;
         const incarnation = `${vm}#${this.startCount}`;
         const self: Candidate = { vm, incarnation, host: vm, port: 1, strength: 1, domain: "here" };
-        const store = this.createStore();
+        const store = this.createStore(vm);
         const termLog = new TermLog(store, self, clock);
         const followers = new Followers();
         const loopMonitor = new EventLoopMonitor(clock);
@@ -120,10 +125,13 @@
             rules,
             followers,
             getResponsiveTime: () => loopMonitor.getResponsiveTime(),
-            createCoordinator: (term, hadUnrecordedStarts, getTermRenewalAge, onTermLost) =>
+            createCoordinator: termParts =>
                 new Coordinator({
+                    ...termParts,
                     store,
-                    workers: this.usesRelays ? this.createWorkerPort(self, term) : this.fleet,
+                    workers: this.usesRelays
+                        ? this.createWorkerPort(self, termParts.term)
+                        : this.network.createWorkerPort(vm, this.fleet),
                     advice: { requestTickets: () => Promise.resolve({ tickets: undefined, validMs: 0 }) },
                     vms: {
                         list: () => Promise.resolve(undefined),
@@ -134,19 +142,16 @@
                     logger,
                     metrics: new Metrics(),
                     rules: coordinatorRules,
-                    term,
-                    hadUnrecordedStarts,
-                    getTermRenewalAge,
+                    getEarlierAuthorityEnd: () => termParts.earlierTerm.actsUntilMs,
                     getLoopDelay: () => 0,
                     meter: new WorkMeter(clock),
-                    onTermLost,
                 }),
         });
         const membership = new Membership({
             self,
             termLog,
             localCoordinator,
-            peers: { request: this.request.bind(this) } as unknown as Peers,
+            peers: { request: this.request.bind(this, vm) } as unknown as Peers,
             followers,
             config: { version: 1 } as ConfigKeeper,
             clock,
@@ -154,7 +159,13 @@
             rules,
             loopMonitor,
         });
-        const orderRelay = new OrderRelay({ workers: this.fleet, clock, logger, getLoopDelay: () => 0 });
+        const orderRelay = new OrderRelay({
+            workers: this.network.createWorkerPort(vm, this.fleet),
+            clock,
+            logger,
+            getLoopDelay: () => 0,
+            getKnownTerm: () => membership.knownTerm,
+        });
         this.processes.set(vm, { membership, localCoordinator, orderRelay });
         void membership.run();
     }
@@ -206,10 +217,15 @@
         return { info: write, warn: write, error: write };
     }
 
-    private createStore(): StorePort {
-        const { store, clock } = this;
+    private createStore(vm: string): StorePort {
+        const { store, clock, network } = this;
+        const isCut = () => this.network.isStoreCut(vm);
         return {
             append: async call => {
+                if (isCut()) {
+                    await waitFor(clock, call.timeoutMs);
+                    return { outcome: AppendOutcome.Unknown, offset: 0, end: 0 };
+                }
                 if (this.random() < this.lost.share) {
                     clock.schedule(this.lost.lateMs, () => void store.append(call));
                     await waitFor(clock, call.timeoutMs);
@@ -217,15 +233,28 @@
                 }
                 return store.append(call);
             },
-            read: (topic, from, waitMs) => store.read(topic, from, waitMs),
-            readNewest: (topic, afterKey) => store.readNewest(topic, afterKey),
+            read: async (topic, from, waitMs) => {
+                const answer = isCut() ? undefined : await store.read(topic, from, waitMs);
+                if (answer === undefined || isCut()) {
+                    await waitFor(clock, network.timeoutMs);
+                    return { outcome: ReadOutcome.Failed, records: [], next: from };
+                }
+                return answer;
+            },
+            readNewest: async (topic, afterKey) => {
+                if (isCut()) {
+                    await waitFor(clock, network.timeoutMs);
+                    return { succeeded: false, records: [], hasMore: false, end: 0 };
+                }
+                return store.readNewest(topic, afterKey);
+            },
         };
     }
 
     private createWorkerPort(self: Candidate, term: number): RelayedWorkerPort {
         const getProcess = () => this.processes.get(self.vm);
         const port = new RelayedWorkerPort({
-            direct: this.fleet,
+            direct: this.network.createWorkerPort(self.vm, this.fleet),
             term,
             incarnation: self.incarnation,
             clock: this.clock,
@@ -233,7 +262,7 @@
             maxDirectWorkers: 0,
             getWorkerCount: () => 0,
             listRelays: () => getProcess()?.membership.relays ?? [],
-            sendRequest: (relay, request, timeoutMs) => this.sendRelayRequest(relay.vm, request, timeoutMs),
+            sendRequest: (relay, request, timeoutMs) => this.sendRelayRequest(self.vm, relay.vm, request, timeoutMs),
             getGatherMs: () => 2,
             isTermHeld: () => getProcess()?.localCoordinator.holder?.term === term,
         });
@@ -242,11 +271,16 @@
     }
 
     private async sendRelayRequest(
+        from: string,
         vm: string,
         request: RelayRequest,
         timeoutMs: number,
     ): Promise<RelayReply | undefined> {
         const { clock, relayFaults } = this;
+        if (this.network.isVmLinkCut(from, vm)) {
+            await waitFor(clock, timeoutMs);
+            return undefined;
+        }
         const isLate = this.random() < relayFaults.lateShare;
         const delayMs = ONE_WAY_DELAY_MS + (isLate ? this.random() * relayFaults.maxLateMs : 0);
         const reply = waitFor(clock, delayMs)
@@ -259,14 +293,20 @@
         return Promise.race([reply, waitFor(clock, timeoutMs).then(() => undefined)]);
     }
 
-    private async request(peer: Candidate, kind: FrameKind, body: unknown) {
+    private async request(vm: string, peer: Candidate, kind: FrameKind, body: unknown, timeoutMs: number) {
+        if (this.network.isVmLinkCut(vm, peer.vm)) {
+            await waitFor(this.clock, timeoutMs);
+            return { body: undefined, isConnectionRefused: false, hasAnswered: false };
+        }
         await waitFor(this.clock, ONE_WAY_DELAY_MS * 2);
         const member = this.processes.get(peer.vm)?.membership;
         if (member === undefined) {
             return { body: undefined, isConnectionRefused: true, hasAnswered: false };
         }
         const isFollowing = kind === FrameKind.FollowCoordinator;
-        const answer = isFollowing ? member.answerFollowRequest(body as FollowRequest) : member.answerPeerQuery();
+        const answer = isFollowing
+            ? member.answerFollowRequest(body as FollowRequest)
+            : member.answerPeerQuery(body as PeerQuery);
         return { body: answer, isConnectionRefused: false, hasAnswered: true };
     }
 }
