Count runs that a worker reports and nobody knows

Cause: room was computed from known tasks; a job whose end is recorded isn't loaded by the next coordinator, so its runs counted as free room.

Change: what a worker reports beside its tasks is a stray run, and the worker gets no start until a report without it. So are earlier runs of tasks that were adopted or ended elsewhere.

--- a/packages/coordinate-work/src/computeStartsLeft.ts
+++ b/packages/coordinate-work/src/computeStartsLeft.ts
@@ -6,11 +6,12 @@
 const HEALTHY_STARTS = 1000;
 
 /**
- * Computes how many starts a worker may get now: none while it can't be used or is on probation, one at a time while it
+ * Computes how many starts a worker may get now: none while it can't be used, has stray runs or is on probation, one at a time while it
  * is on trial after a probation, else as many as fit.
  */
 export function computeStartsLeft(worker: TrackedWorker, nowMs: number): number {
-    const isUsable = worker.hasReported && !worker.isUnlisted && worker.entry.state === WorkerState.Ready
+    const isUsable = worker.hasReported && worker.strayRuns.size === 0 && !worker.isUnlisted
+        && worker.entry.state === WorkerState.Ready
         && worker.missedRenewals === 0;
     if (!isUsable || nowMs < worker.blockedUntilMs || nowMs - worker.answeredAtMs > limits.workerSilenceMs) {
         return 0;
--- a/packages/coordinate-work/src/runTracker.ts
+++ b/packages/coordinate-work/src/runTracker.ts
@@ -1,4 +1,5 @@
 import type { ActiveRun, EndedRun, LeaseReport } from "@sardinestage/describe-ports";
+import type { TaskRef } from "@sardinestage/describe-work";
 import { formatTaskKey, RunEnd } from "@sardinestage/describe-work";
 import type { Job, Task } from "@sardinestage/track-jobs";
 import { applyRunEnd, applyRunLost, applyRunStart, TaskPhase } from "@sardinestage/track-jobs";
@@ -50,6 +51,7 @@
         difference.matched.forEach(({ task, row }) => this.updateTask(task, row, nowMs));
         difference.adopted.forEach(({ task, row }) => this.acceptRun(task, row, worker, nowMs));
         difference.unneeded.forEach(row => this.stopUnneeded(row, worker));
+        worker.strayRuns.clear();
         difference.lost.forEach(task => this.handleLostRun(task, worker, "not-listed"));
         difference.uncertain.forEach(task => this.collaborators.orders.cancelUnansweredStart(task, worker));
         worker.hasReported = true;
@@ -160,7 +162,7 @@
             }
             worker.tasks.delete(task);
             if (run !== row.run) {
-                this.collaborators.orders.sendStrayStop(task.ref, run, worker);
+                this.stopStray(task.ref, run, worker);
             }
         }
     }
@@ -205,7 +207,7 @@
         const { job } = task.step.occurrence;
         const fields = { task: formatTaskKey(row.task), run: row.run, worker: worker.entry.id };
         this.parts.logger.info("run-adopted", { ...fields, instead: task.isActive ? task.run : undefined });
-        this.collaborators.findWorker(task.workerId)?.tasks.delete(task);
+        this.releaseEarlierRun(task, worker);
         applyRunStart(task, worker.entry.id, row.run, nowMs);
         worker.tasks.add(task);
         this.updateTask(task, row, nowMs);
@@ -214,9 +216,27 @@
 
     private stopUnneeded(row: ActiveRun, worker: TrackedWorker): void {
         const task = this.collaborators.jobs.findTask(row.task);
+    /** Leaves a task's earlier run, if it may be active on another worker, to that worker's next report. */
+    private releaseEarlierRun(task: Task, worker: TrackedWorker): void {
+        const earlier = this.collaborators.findWorker(task.workerId);
+        if (earlier?.tasks.delete(task) === true && earlier !== worker) {
+            earlier.strayRuns.add(formatRunKey(task.ref, task.run));
+        }
+    }
+
         if (task !== undefined && worker.tasks.has(task) && task.run <= row.run) {
             return;
         }
-        this.collaborators.orders.sendStrayStop(row.task, row.run, worker);
+        this.stopStray(row.task, row.run, worker);
     }
 }
+
+    /** Stops a run that no task needs. It counts on the worker until a report without it. */
+    private stopStray(ref: TaskRef, run: number, worker: TrackedWorker): void {
+        worker.strayRuns.add(formatRunKey(ref, run));
+        this.collaborators.orders.sendStrayStop(ref, run, worker);
+    }
+}
+
+function formatRunKey(ref: TaskRef, run: number): string {
+    return `${formatTaskKey(ref)}#${run}`;
--- a/packages/coordinate-work/src/trackedWorker.ts
+++ b/packages/coordinate-work/src/trackedWorker.ts
@@ -8,6 +8,11 @@
     /** Tasks with a run that may be active on the worker. */
     readonly tasks = new Set<Task>();
     /** When the worker's process started, as last reported; 0 before the first report. */
+    /**
+     * Keys of the runs that the worker has beside those of `tasks`, such as runs of a cancelled job that an earlier
+     * coordinator was stopping. How much they use may not be known, so the worker gets no start meanwhile.
+     */
+    readonly strayRuns = new Set<string>();
     bornMs = 0;
     /** Whether a report has been applied in this term, so that the worker's runs are known. */
     hasReported = false;
@@ -84,3 +89,4 @@
         this.pace = { overSinceMs: undefined, noIncreaseUntilMs: 0 };
     }
 }
+        this.strayRuns.clear();
