Send numbers of a worker's life to that life only

Cause: a lease renewal named no life, so that the last recorded end and the end of the lease of the former life reached the next one, which forgot ends unread. After a restart, and in the first report of a term, the coordinator also counted on a shorter lease than the worker had.

After a restart the coordinator counts on the longest lease.

--- a/packages/coordinate-work/src/leaseRenewalLoop.ts
+++ b/packages/coordinate-work/src/leaseRenewalLoop.ts
@@ -109,6 +109,7 @@
     private readClock(report: LeaseReport): void {
         const { worker, parts } = this;
         worker.clockMs = report.clockMs;
+        worker.clockBornMs = report.bornMs;
         worker.answeredAtMs = parts.clock.getNow();
         if (worker.bornMs !== report.bornMs) {
             // An earlier coordinator may have asked for the longest lease.
@@ -145,7 +146,9 @@
         }
         const longPollMs = chooseLongPollTimeout(worker.hasMixedTasks, parts.getLoopDelay());
         const waitMs = worker.hasReported && !this.isReportDue && worker.missedRenewals === 0 ? longPollMs : 0;
-        const order = { fence: parts.term, lastRecordedEnd: worker.recordedEndNumber, leaseUntilMs, waitMs };
+        const bornMs = worker.clockBornMs;
+        const lastRecordedEnd = bornMs === worker.bornMs ? worker.recordedEndNumber : 0;
+        const order = { fence: parts.term, lastRecordedEnd, leaseUntilMs, waitMs, bornMs };
         return parts.workers.renewLease(worker.entry, order);
     }
 
--- a/packages/coordinate-work/src/runTracker.ts
+++ b/packages/coordinate-work/src/runTracker.ts
@@ -39,6 +39,7 @@
         this.handleRestart(worker, report);
         this.reportExpiredLeases(worker, report.ended, nowMs);
         worker.clockMs = report.clockMs;
+        worker.clockBornMs = report.bornMs;
         worker.answeredAtMs = receivedAtMs;
         [...report.ended, ...report.running].forEach(row => this.collaborators.jobs.openReportedOccurrence(row.task));
         this.applyEnds(worker, report.ended);
@@ -98,7 +99,8 @@
                 }
             }
         }
-        worker.reset(report.bornMs);
+        // Starts state the end of the lease on the earlier clock, which the new process shortens to the longest lease.
+        worker.reset(report.bornMs, report.clockMs + this.parts.rules.maxLeaseMs);
     }
 
     private applyEnds(worker: TrackedWorker, ended: readonly EndedRun[]): void {
--- a/packages/coordinate-work/src/trackedWorker.ts
+++ b/packages/coordinate-work/src/trackedWorker.ts
@@ -27,6 +27,8 @@
     /** The worker's clock in its last answer. */
     clockMs = 0;
     /** When that answer arrived, in steady milliseconds; 0 before the first one. */
+    /** When the life began that this clock belongs to. */
+    clockBornMs = 0;
     answeredAtMs = 0;
     /** The latest end of the lease stated in any order to the worker, on the worker's clock. */
     leaseUntilMs = 0;
@@ -75,12 +77,17 @@
         return this.answeredAtMs + Math.max(0, this.leaseUntilMs - this.clockMs) / limits.slowestClockRate;
     }
 
-    /** Resets all state that belongs to an earlier process of the worker. */
-    reset(bornMs: number): void {
+    /**
+     * Resets all state that belongs to an earlier process of the worker.
+     *
+     * @param bornMs When the new process started.
+     * @param leaseUntilMs The latest end of a lease that orders to the earlier process may have brought the new one.
+     */
+    reset(bornMs: number, leaseUntilMs: number): void {
         this.bornMs = bornMs;
         this.appliedEndNumber = 0;
         this.recordedEndNumber = 0;
-        this.leaseUntilMs = 0;
+        this.leaseUntilMs = leaseUntilMs;
         this.answeredAtMs = 0;
         this.consecutiveFailures = 0;
         this.failedJobs.clear();
--- a/packages/emulate-platform/src/emulatedWorker.ts
+++ b/packages/emulate-platform/src/emulatedWorker.ts
@@ -139,6 +139,10 @@
         if (refusal !== undefined) {
             return this.buildLeaseReport(refusal);
         }
+        if (order.bornMs !== undefined && order.bornMs !== 0 && order.bornMs !== this.bornMs) {
+            // What belongs to another life must not reach this one, by the contract of the worker port.
+            return this.buildLeaseReport(OrderOutcome.Accepted);
+        }
         if (order.leaseUntilMs !== undefined) {
             this.extendLease(order.leaseUntilMs);
         }
--- a/packages/relay-orders/src/callCodec.ts
+++ b/packages/relay-orders/src/callCodec.ts
@@ -2,7 +2,7 @@
 import type { RelayedCall } from "./relayedCall.js";
 import { RelayedCallKind } from "./relayedCallKind.js";
 
-type RenewalRow = [lastRecordedEnd: number, waitMs: number, leaseUntilMs: number | undefined];
+type RenewalRow = [lastRecordedEnd: number, waitMs: number, leaseUntilMs: number | undefined, bornMs?: number];
 type RunRow = [jobId: string, occurrence: number, step: number, index: number, run: number];
 type PaceRow = [...RunRow, percent: number];
 type StartRow = [...RunRow, payloadIndex: number, leaseUntilMs: number, checkpoint: string, ticket: string];
@@ -23,8 +23,8 @@
         const head = [id, call.kind, call.worker.id, call.worker.address];
         switch (call.kind) {
             case RelayedCallKind.RenewLease: {
-                const { lastRecordedEnd, waitMs, leaseUntilMs } = call.order;
-                return [...head, lastRecordedEnd, waitMs, leaseUntilMs];
+                const { lastRecordedEnd, waitMs, leaseUntilMs, bornMs } = call.order;
+                return [...head, lastRecordedEnd, waitMs, leaseUntilMs, bornMs];
             }
             case RelayedCallKind.Stop: {
                 const { jobId, occurrence, step, index } = call.task;
@@ -69,8 +69,8 @@
     payloads: readonly string[],
 ): RelayedCall {
     if (kind === RelayedCallKind.RenewLease) {
-        const [lastRecordedEnd, waitMs, leaseUntilMs] = values as RenewalRow;
-        return { kind, worker, order: { fence, lastRecordedEnd, leaseUntilMs, waitMs } };
+        const [lastRecordedEnd, waitMs, leaseUntilMs, bornMs] = values as RenewalRow;
+        return { kind, worker, order: { fence, lastRecordedEnd, leaseUntilMs, waitMs, bornMs } };
     }
     const [jobId, occurrence, step, index, run] = values as RunRow;
     const task = { jobId, occurrence, step, index };
--- a/packages/relay-orders/src/relayedWorkerPort.test.ts
+++ b/packages/relay-orders/src/relayedWorkerPort.test.ts
@@ -87,7 +87,7 @@
             await harness.clock.runFor(100);
             expect(await outcome).toBe(OrderOutcome.Accepted);
             for (let renewal = 0; renewal < 3; renewal++) {
-                const order = { fence: 1, lastRecordedEnd: 0, leaseUntilMs: undefined, waitMs: 100 };
+                const order = { fence: 1, lastRecordedEnd: 0, leaseUntilMs: undefined, waitMs: 100, bornMs: undefined };
                 const report = port.renewLease(worker, order);
                 await harness.clock.runFor(500);
                 expect((await report).running.map(({ task, run }) => ({ ...task, run }))).toEqual([
@@ -123,7 +123,7 @@
             await harness.renewAll(port, 1);
             strong.isSilent = true;
             await harness.renewAll(port, 1);
-            const order = { fence: 1, lastRecordedEnd: 0, leaseUntilMs: undefined, waitMs: 0 };
+            const order = { fence: 1, lastRecordedEnd: 0, leaseUntilMs: undefined, waitMs: 0, bornMs: undefined };
             strong.isSilent = false;
             void port.renewLease(worker, order);
             await harness.clock.runFor(50);
@@ -156,7 +156,7 @@
             const port = harness.createCoordinatorPort(1, 0);
             await harness.renewAll(port, 1);
             relay.loopDelayMs = 500;
-            const order = { fence: 1, lastRecordedEnd: 0, leaseUntilMs: undefined, waitMs: 0 };
+            const order = { fence: 1, lastRecordedEnd: 0, leaseUntilMs: undefined, waitMs: 0, bornMs: undefined };
             const report = port.renewLease(worker, order);
             await harness.clock.runFor(100);
             expect((await report).outcome).toBe(OrderOutcome.Accepted);
@@ -178,6 +178,7 @@
                 lastRecordedEnd: 0,
                 leaseUntilMs: undefined,
                 waitMs: 0,
+                bornMs: undefined,
             });
             await harness.clock.runFor(100);
             const relayedCalls = harness.calls.relayed.length;
--- a/packages/relay-orders/src/testing/relayHarness.ts
+++ b/packages/relay-orders/src/testing/relayHarness.ts
@@ -96,7 +96,13 @@
 
     /** Renews the leases of all workers once, and returns the outcomes by worker. */
     async renewAll(port: WorkerPort, fence: number): Promise<number[]> {
-        const order = { fence, lastRecordedEnd: 0, leaseUntilMs: this.clock.getNow() + 4500, waitMs: 0 };
+        const order = {
+            fence,
+            lastRecordedEnd: 0,
+            leaseUntilMs: this.clock.getNow() + 4500,
+            waitMs: 0,
+            bornMs: undefined,
+        };
         const renewals = [...this.fleet.workers.keys()].map(id => port.renewLease(createAddress(id), order));
         const outcomes = Promise.all(renewals).then(reports => reports.map(report => report.outcome));
         await this.clock.runFor(3500);
