Send stops in turn, so that none is repeated before it is sent

Cause: all stop calls were handed to the HTTP client at once; their timeouts ran while they waited for one of eight connections, and each was repeated.

Change: four stop calls to a worker at a time, the others wait their turn without a timeout; a stray run isn't stopped again while its stop waits.

--- a/packages/coordinate-work/src/limits.ts
+++ b/packages/coordinate-work/src/limits.ts
@@ -25,6 +25,8 @@
     endRecordWaitMs: 400,
     /** Maximum number of start calls under way to one worker. */
     maxConcurrentStarts: 6,
+    /** Maximum number of stop calls under way to one worker: its connections also carry starts and paces. */
+    maxConcurrentStops: 4,
     /** Longest time for sending start orders at a stretch, in milliseconds; far below the slack of lease renewals. */
     startBatchMs: 20,
     /** Minimum interval between two appends of progress, in milliseconds; bounds the rate of calls to the store. */
--- a/packages/coordinate-work/src/orderSender.ts
+++ b/packages/coordinate-work/src/orderSender.ts
@@ -86,7 +86,13 @@
             worker: worker.entry.id,
             reason: "stray",
         });
-        void this.parts.workers.stop(worker.entry, ref, run, this.parts.term);
+        const key = `${formatTaskKey(ref)}#${run}`;
+        if (worker.stoppingStrays.has(key)) {
+            return;
+        }
+        worker.stoppingStrays.add(key);
+        void worker.stopCalls.run(() => this.parts.workers.stop(worker.entry, ref, run, this.parts.term))
+            .finally(() => worker.stoppingStrays.delete(key));
     }
 
     /** Cancels a start that got no answer, so that the worker can't carry it out late. */
@@ -103,17 +109,17 @@
             }
             return;
         }
+        if (!this.parts.hasAuthority()) {
+            // A successor may have the worker's tasks started elsewhere.
+            this.handlers.handleNotStarted(task, worker, OrderOutcome.Unsent);
+            return;
+        }
         const sentAtMs = clock.getNow();
         const leaseUntilMs = Math.floor(worker.estimateClock(sentAtMs) + rules.leaseMs);
         worker.leaseUntilMs = Math.max(worker.leaseUntilMs, leaseUntilMs);
         const outcome = await workers.start(worker.entry, {
             task: task.ref,
             run,
-        if (!this.parts.hasAuthority()) {
-            // A successor may have the worker's tasks started elsewhere.
-            this.handlers.handleNotStarted(task, worker, OrderOutcome.Unsent);
-            return;
-        }
             payload: task.step.occurrence.job.spec.payload,
             leaseUntilMs,
             fence: term,
@@ -159,7 +165,14 @@
     ): Promise<boolean> {
         const { workers, term, clock } = this.parts;
         while (isWanted() && !this.handlers.isClosed()) {
-            const outcome = await workers.stop(worker.entry, ref, run, term);
+            const outcome = await worker.stopCalls.run(() =>
+                isWanted() && !this.handlers.isClosed()
+                    ? workers.stop(worker.entry, ref, run, term)
+                    : Promise.resolve(OrderOutcome.Unsent)
+            );
+            if (outcome === OrderOutcome.Unsent) {
+                return false;
+            }
             if (outcome === OrderOutcome.StaleFence) {
                 this.parts.onTermLost("stop:stale-fence");
                 return false;
--- a/packages/coordinate-work/src/trackedWorker.ts
+++ b/packages/coordinate-work/src/trackedWorker.ts
@@ -1,18 +1,19 @@
 import type { WorkerEntry } from "@sardinestage/describe-work";
 import type { PaceState } from "@sardinestage/plan-pace";
 import type { Task } from "@sardinestage/track-jobs";
+import { CallLimiter } from "./callLimiter.js";
 import { limits } from "./limits.js";
 
 /** The coordinator's state of one worker. */
 export class TrackedWorker {
     /** Tasks with a run that may be active on the worker. */
     readonly tasks = new Set<Task>();
-    /** When the worker's process started, as last reported; 0 before the first report. */
     /**
      * Keys of the runs that the worker has beside those of `tasks`, such as runs of a cancelled job that an earlier
      * coordinator was stopping. How much they use may not be known, so the worker gets no start meanwhile.
      */
     readonly strayRuns = new Set<string>();
+    /** When the worker's process started, as last reported; 0 before the first report. */
     bornMs = 0;
     /** Whether a report has been applied in this term, so that the worker's runs are known. */
     hasReported = false;
@@ -26,9 +27,9 @@
     recordedEndNumber = 0;
     /** The worker's clock in its last answer. */
     clockMs = 0;
-    /** When that answer arrived, in steady milliseconds; 0 before the first one. */
     /** When the life began that this clock belongs to. */
     clockBornMs = 0;
+    /** When that answer arrived, in steady milliseconds; 0 before the first one. */
     answeredAtMs = 0;
     /** The latest end of the lease stated in any order to the worker, on the worker's clock. */
     leaseUntilMs = 0;
@@ -38,6 +39,10 @@
     blockedUntilMs = 0;
     /** Number of start calls under way. */
     startsUnderWay = 0;
+    /** Limits the stop calls under way: many tasks may be cancelled at once, and calls that queue would time out. */
+    readonly stopCalls = new CallLimiter(limits.maxConcurrentStops);
+    /** Keys of the stray runs whose stop order is under way or waits to be sent. */
+    readonly stoppingStrays = new Set<string>();
     /** Start calls that wait for one under way to finish, in order. */
     readonly waitingStarts: (() => void)[] = [];
     /** Whether best-effort tasks run beside serving tasks on the worker. */
@@ -85,6 +90,7 @@
      */
     reset(bornMs: number, leaseUntilMs: number): void {
         this.bornMs = bornMs;
+        this.strayRuns.clear();
         this.appliedEndNumber = 0;
         this.recordedEndNumber = 0;
         this.leaseUntilMs = leaseUntilMs;
@@ -96,4 +102,3 @@
         this.pace = { overSinceMs: undefined, noIncreaseUntilMs: 0 };
     }
 }
-        this.strayRuns.clear();
