Leave the active run alone when another run of its number ends

Cause: an earlier coordinator had started run 1 without recording it; it ended failed on a worker that was silent past its lease. The successor started run 1 anew elsewhere, then took the late report of the first one for the end of the active run and started run 2 beside it.

Change: such an end counts as an attempt and ends nothing else.

--- a/packages/coordinate-work/src/runTracker.ts
+++ b/packages/coordinate-work/src/runTracker.ts
@@ -51,8 +51,8 @@
         );
         difference.matched.forEach(({ task, row }) => this.updateTask(task, row, nowMs));
         difference.adopted.forEach(({ task, row }) => this.acceptRun(task, row, worker, nowMs));
-        difference.unneeded.forEach(row => this.stopUnneeded(row, worker));
         worker.strayRuns.clear();
+        difference.unneeded.forEach(row => this.stopUnneeded(row, worker));
         difference.lost.forEach(task => this.handleLostRun(task, worker, "not-listed"));
         difference.uncertain.forEach(task => this.collaborators.orders.cancelUnansweredStart(task, worker));
         worker.hasReported = true;
@@ -137,7 +137,7 @@
             return;
         }
         const assignedWorker = this.collaborators.findWorker(task.workerId);
-        applyRunEnd(task, row, this.parts.clock.getWallTime());
+        applyRunEnd(task, { ...row, isDuplicate: isElsewhere && row.run === task.run }, this.parts.clock.getWallTime());
         if (!task.isActive) {
             worker.tasks.delete(task);
             assignedWorker?.tasks.delete(task);
@@ -216,8 +216,6 @@
         this.collaborators.noteChanged(job);
     }
 
-    private stopUnneeded(row: ActiveRun, worker: TrackedWorker): void {
-        const task = this.collaborators.jobs.findTask(row.task);
     /** Leaves a task's earlier run, if it may be active on another worker, to that worker's next report. */
     private releaseEarlierRun(task: Task, worker: TrackedWorker): void {
         const earlier = this.collaborators.findWorker(task.workerId);
@@ -226,12 +224,13 @@
         }
     }
 
+    private stopUnneeded(row: ActiveRun, worker: TrackedWorker): void {
+        const task = this.collaborators.jobs.findTask(row.task);
         if (task !== undefined && worker.tasks.has(task) && task.run <= row.run) {
             return;
         }
         this.stopStray(row.task, row.run, worker);
     }
-}
 
     /** Stops a run that no task needs. It counts on the worker until a report without it. */
     private stopStray(ref: TaskRef, run: number, worker: TrackedWorker): void {
@@ -242,3 +241,4 @@
 
 function formatRunKey(ref: TaskRef, run: number): string {
     return `${formatTaskKey(ref)}#${run}`;
+}
--- a/packages/emulate-platform/src/emulatedWorker.ts
+++ b/packages/emulate-platform/src/emulatedWorker.ts
@@ -9,10 +9,10 @@
 /** Time from a stop order to the end of the run, in milliseconds. */
 const STOP_DURATION_MS = 300;
 /**
- * Time in which a run's reported progress rises by one percent, in milliseconds. Progress wraps around at 100 percent;
- * callers rarely poll at exactly 100 times this interval, so progress differs between two polls.
+ * Time in which a run's reported progress rises by one percent, in milliseconds. Progress wraps around at 100 percent,
+ * after far longer than the longest time between two polls, so that progress differs between two polls.
  */
-const MS_PER_PERCENT = 13;
+const MS_PER_PERCENT = 61;
 const CPU_MILLIS = 16_000;
 const MEMORY_MB = 64_000;
 
--- a/packages/track-jobs/src/applyRunEnd.ts
+++ b/packages/track-jobs/src/applyRunEnd.ts
@@ -7,6 +7,11 @@
     readonly run: number;
     readonly end: RunEnd;
     readonly checkpoint: string;
+    /**
+     * Whether another run of the same number is active on another worker. An earlier coordinator may have started a run
+     * without recording it, so that its successor gave the number once more. The active run goes on.
+     */
+    readonly isDuplicate?: boolean;
 }
 
 /**
@@ -20,14 +25,15 @@
     if (task.phase === TaskPhase.Done) {
         return;
     }
-    const isNewest = reported.run >= task.run;
+    const isNewest = reported.run >= task.run && reported.isDuplicate !== true;
     if (reported.end === RunEnd.Done && !task.step.spec.longRunning) {
         finishTask(task);
         finishOccurrence(task, wallNowMs);
         return;
     }
     if (reported.end === RunEnd.Failed) {
-        countFailure(task, reported.run, wallNowMs);
+        // Both runs count as attempts, so one of them counts under a number that no run has.
+        countFailure(task, reported.isDuplicate === true ? -reported.run : reported.run, wallNowMs);
         task.lastFailedWorkerId = task.workerId;
     }
     if (isNewest) {
