List a step's waiting tasks once for each change of its job

Cause: since tasks are created as they are needed, each round listed and sorted the waiting tasks of every demand anew, and each record sorted its tasks.

Change: the list is kept until the job changes; releasing unused tasks counts as a change. Records aren't sorted, as each row names its task.

--- a/packages/coordinate-work/src/planningRound.ts
+++ b/packages/coordinate-work/src/planningRound.ts
@@ -19,7 +19,7 @@
 import type { PlacementScorer } from "./placementScorer.js";
 import { PreemptionController } from "./preemptionController.js";
 import type { ProgressWriter } from "./progressWriter.js";
-import type { ReadyStep } from "./readyStep.js";
+import type { ReadyList } from "./readyList.js";
 import type { RunTracker } from "./runTracker.js";
 import { UnusedTaskLimiter } from "./unusedTaskLimiter.js";
 import { WaitReporter } from "./waitReporter.js";
@@ -129,7 +129,7 @@
         return isPartial ? clock.getWallTime() : nextDueMs;
     }
 
-    private buildDemand(ready: ReadyStep): StepDemand {
+    private buildDemand(ready: ReadyList["steps"][number]): StepDemand {
         const { step } = ready;
         const { occurrence } = step;
         const { queue } = occurrence.job;
@@ -141,13 +141,11 @@
         const readyAtMs = this.readyAtMs.get(step) ?? nowMs;
         this.readyAtMs.set(step, readyAtMs);
         const elapsedMs = this.parts.clock.getWallTime() - occurrence.dueMs;
-        let waiting: readonly Task[] | undefined;
         return {
             step,
             // Listed only for the demands that the round comes to.
             get waiting() {
-                waiting ??= ready.waiting;
-                return waiting;
+                return ready.waiting;
             },
             isStarted: occurrence.isStarted,
             remainingMs,
--- a/packages/track-jobs/src/encodeProgress.ts
+++ b/packages/track-jobs/src/encodeProgress.ts
@@ -20,8 +20,7 @@
         const open = occurrences.map(({ number, steps }) => [
             number,
             steps.flatMap(step => {
-                const tasks = [...step.listKnown()].sort((left, right) => left.index - right.index);
-                const rows = convertTasks(tasks);
+                const rows = convertTasks(step.listKnown());
                 return rows.length === 0 ? [] : [[step.number, [...step.gangFailedRuns], rows]];
             }),
         ]);
--- a/packages/track-jobs/src/stepRun.ts
+++ b/packages/track-jobs/src/stepRun.ts
@@ -108,7 +108,10 @@
         return listed.sort((left, right) => left.index - right.index);
     }
 
-    /** Forgets the waiting tasks that have never run; they are created again when they are listed. */
+    /**
+     * Forgets the waiting tasks that have never run; they are created again when they are listed. Counts as a change of
+     * the job, since lists that have these tasks are out of date.
+     */
     releaseUnused(): void {
         for (const task of this.knownWaiting) {
             if (task.isUnused) {
@@ -117,6 +120,7 @@
                 this.nextUnknown = Math.min(this.nextUnknown, task.index);
             }
         }
+        this.occurrence.job.noteChanged();
     }
 
     /** The forgotten tasks, all done, from the index `from` on and below `to`, as bounds of ranges. */
