Give all members of a gang one checkpoint, and refuse a record once

Change: a gang that starts shares the first checkpoint that a member saved; the refused key leaves the queue before its refusal is noted, and the refusals' metric has three fixed labels.

The tests of a worker's restart passed without their mechanisms; they now hold back the former life's answers and cut the worker as soon as the next life is known.

--- a/packages/coordinate-work/src/planningRound.ts
+++ b/packages/coordinate-work/src/planningRound.ts
@@ -162,6 +162,9 @@
             return;
         }
         const run = this.chooseRun(task);
+        if (task.step.spec.gang) {
+            shareCheckpoint(task.step);
+        }
         const { job } = task.step.occurrence;
         applyRunStart(task, workerId, run, nowMs);
         worker.tasks.add(task);
@@ -225,6 +228,16 @@
     }
 }
 
+/** Gives all waiting members of a gang that isn't active the same checkpoint: a gang resumes as a whole. */
+function shareCheckpoint(step: StepRun): void {
+    const members = [...step.listKnown()];
+    if (members.some(member => member.isActive)) {
+        return;
+    }
+    const checkpoint = members.find(member => member.checkpoint !== "")?.checkpoint ?? "";
+    members.forEach(member => member.checkpoint = checkpoint);
+}
+
 function isMovable(task: Task, nowMs: number): boolean {
     const { spec } = task.step;
     return spec.isBestEffort && task.phase === TaskPhase.Running && task.pace <= THROTTLED_PERCENT
--- a/packages/coordinate-work/src/progressWriter.test.ts
+++ b/packages/coordinate-work/src/progressWriter.test.ts
@@ -109,6 +109,32 @@
         });
     });
 
+    describe("when a record can't be encoded and another of its key is scheduled for that reason", () => {
+        it("writes the other one", async () => {
+            const clock = new VirtualClock();
+            const store = new MemoryStore(clock, () => 0.5);
+            const writer: ProgressWriter = new ProgressWriter({
+                clock,
+                store,
+                term: 1,
+                rules: { storeLimits: emulatedStoreLimits },
+                getTermRenewalAge: () => 0,
+                getLoopDelay: () => 0,
+                onTermLost: () => undefined,
+                logger: silentLogger,
+                metrics: new Metrics(),
+            } as unknown as CoordinatorParts, key => writer.schedule(key, () => Uint8Array.of(1)));
+            writer.schedule("job", () => {
+                throw new RangeError("The value is nested too deeply.");
+            });
+            await clock.runFor(500);
+            const page = store.readNewest(Topic.Progress, undefined);
+            await clock.runFor(50);
+            writer.close();
+            expect((await page).records.map(({ key }) => key)).toEqual(["job"]);
+        });
+    });
+
     describe("when many records are to be written", () => {
         it("appends no more at once than the store takes", async () => {
             const clock = new VirtualClock();
--- a/packages/coordinate-work/src/progressWriter.ts
+++ b/packages/coordinate-work/src/progressWriter.ts
@@ -4,6 +4,7 @@
 import { chooseFlushInterval } from "./chooseFlushInterval.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import { limits } from "./limits.js";
+import { RefusedRecord } from "./refusedRecord.js";
 
 const WRITER_NAME = "coordinator";
 /** Bytes of a record in an append beside its key and value: the lengths of the record and of its key. */
@@ -149,8 +150,8 @@
             if (records.length > 0 && bytes + recordBytes > maxBytes) {
                 break;
             }
-            this.dirty.delete(key);
             if (record !== undefined) {
+                this.dirty.delete(key);
                 bytes += recordBytes;
                 records.push(record);
             }
@@ -164,14 +165,16 @@
             return { key, value: encode?.() };
         }
         catch (failure) {
-            this.refuseRecord(key, 0, String(failure));
+            // Before the refusal is noted, since that may schedule another record of the same key.
+            this.dirty.delete(key);
+            this.refuseRecord(key, 0, RefusedRecord.Unencodable, String(failure));
             return undefined;
         }
     }
 
-    private refuseRecord(key: string, bytes: number, problem: string): void {
-        this.parts.logger.error("progress-record-refused", { key, bytes, problem, term: this.parts.term });
-        this.parts.metrics.count("progress_records_refused_total", problem);
+    private refuseRecord(key: string, bytes: number, reason: RefusedRecord, problem?: string): void {
+        this.parts.logger.error("progress-record-refused", { key, bytes, reason, problem, term: this.parts.term });
+        this.parts.metrics.count("progress_records_refused_total", reason);
         this.noteRefused(key);
     }
 
@@ -223,7 +226,8 @@
     ): Promise<boolean> {
         if (records.length === 1) {
             const [{ key, value }] = records;
-            this.refuseRecord(key, value?.length ?? 0, AppendOutcome[outcome]);
+            const isTooLarge = outcome === AppendOutcome.TooLarge;
+            this.refuseRecord(key, value?.length ?? 0, isTooLarge ? RefusedRecord.TooLarge : RefusedRecord.Malformed);
             return true;
         }
         const half = Math.ceil(records.length / 2);
--- /dev/null
+++ b/packages/coordinate-work/src/refusedRecord.ts
@@ -0,0 +1,6 @@
+/** Why a record can never be written. */
+export enum RefusedRecord {
+    TooLarge = "too-large",
+    Malformed = "malformed",
+    Unencodable = "unencodable",
+}
--- a/packages/coordinate-work/src/restartedWorker.test.ts
+++ b/packages/coordinate-work/src/restartedWorker.test.ts
@@ -8,8 +8,23 @@
 const SHORT_MS = 150;
 const LONG_MS = 600_000;
 
-function createSpec(taskCount: number): JobSpec {
-    return { payload: "", steps: [createStep({ taskCount })], repeatCount: 0, firstRunMs: 0, intervalMs: 0 };
+function createSpec(taskCount: number, longRunning = false): JobSpec {
+    return {
+        payload: "",
+        steps: [createStep({ taskCount, longRunning })],
+        repeatCount: 0,
+        firstRunMs: 0,
+        intervalMs: 0,
+    };
+}
+
+/** Replaces a worker by its next life under the same id; calls to the former life get no answer. */
+async function resetWorker(harness: CoordinatorHarness): Promise<void> {
+    const former = harness.fleet.workers.get("w");
+    Object.assign(former ?? {}, { isUnreachable: true });
+    former?.stopAbruptly();
+    await harness.clock.runFor(1);
+    void harness.addWorker("w");
 }
 
 describe("A worker that restarts at once under its id", () => {
@@ -20,18 +35,16 @@
         void harness.addWorker("w");
         await clock.runFor(50);
         harness.startTerm(false);
-        for (let round = 0; round < 6; round++) {
-            void harness.submit(`job${round}`, createSpec(24), createQueue());
-            await clock.runFor(700);
-            harness.fleet.workers.get("w")?.stopAbruptly();
-            harness.fleet.workers.delete("w");
-            await clock.runFor(300);
-            void harness.addWorker("w");
-            await clock.runFor(700);
+        for (let round = 0; round < 4; round++) {
+            void harness.submit(`earlier${round}`, createSpec(24), createQueue());
+            await clock.runFor(2000);
+            await resetWorker(harness);
+            void harness.submit(`later${round}`, createSpec(8), createQueue());
+            await clock.runFor(6000);
         }
         await clock.runFor(12_000);
         expect(runChecker.violations).toEqual([]);
-        expect(runChecker.completedTasks.size).toBe(6 * 24);
+        expect(runChecker.completedTasks.size).toBe(4 * (24 + 8));
     });
 
     // Guards against a lease that the coordinator took for shorter than the worker did: the runs were started again.
@@ -43,14 +56,18 @@
         harness.startTerm(false);
         // The former life's clock is far ahead of the next one's.
         await clock.runFor(30_000);
-        harness.fleet.workers.get("w")?.stopAbruptly();
-        void harness.addWorker("w");
-        void harness.submit("job", createSpec(8), createQueue());
-        await clock.runFor(1000);
-        const worker = harness.fleet.workers.get("w");
-        Object.assign(worker ?? {}, { isUnreachable: true });
+        await resetWorker(harness);
+        void harness.submit("job", createSpec(8, true), createQueue());
+        let passedMs = 0;
+        while (!harness.events.some(event => event.includes("worker-reborn")) && passedMs < 5000) {
+            await clock.runFor(1);
+            passedMs++;
+        }
+        expect(runChecker.countActiveRuns()).toBe(8);
+        Object.assign(harness.fleet.workers.get("w") ?? {}, { isUnreachable: true });
         void harness.addWorker("other");
         await clock.runFor(20_000);
         expect(runChecker.violations).toEqual([]);
+        expect(runChecker.countActiveRuns()).toBe(8);
     });
 });
