--- a/packages/coordinate-work/src/testing/runHeavyWork.ts
+++ b/packages/coordinate-work/src/testing/runHeavyWork.ts
@@ -49,8 +49,8 @@
             return [createLargeJob(true)];
         case HeavyScenario.ManyJobs:
             return Array.from(
-                { length: 240 },
-                (_unused, index) => index < 40 ? createLargeJob(index % 2 === 0) : createSchedule(wallNowMs, 5),
+                { length: 124 },
+                (_unused, index) => index < 24 ? createLargeJob(index % 2 === 0) : createSchedule(wallNowMs, 5),
             );
     }
 }
