Log what tells a run given up too early from one refused or carried out late

Three hypotheses fit the record: a report of a worker's new life that was applied to a later start, an answer that was taken for "not started", and an order that was carried out late. No logic is changed.

--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -1,4 +1,4 @@
-import type { LeaseReport, OrderOutcome } from "@sardinestage/describe-ports";
+import type { LeaseReport } from "@sardinestage/describe-ports";
 import { JobState, WorkerState } from "@sardinestage/describe-work";
 import { TopicFollower } from "@sardinestage/follow-topic";
 import type { Job, Task } from "@sardinestage/track-jobs";
@@ -83,7 +83,7 @@
         const recorder = new JobRecorder(parts, this.writer);
         this.advice = new AdviceCache(parts, () => this.scheduleRound(limits.roundDelayMs));
         this.orders = new OrderSender(parts, {
-            handleNotStarted: (task, worker, outcome) => this.handleNotStarted(task, worker, outcome),
+            handleNotStarted: (task, worker) => this.handleNotStarted(task, worker),
             handleStarted: worker => this.pace.handleMeasurements(worker),
             isClosed: () => this.isClosed,
             getTicket: (task, workerId) => this.advice.getTicket(task, workerId),
@@ -307,10 +307,9 @@
         this.scheduleRound(limits.roundDelayMs);
     }
 
-    private handleNotStarted(task: Task, worker: TrackedWorker, outcome: OrderOutcome): void {
+    private handleNotStarted(task: Task, worker: TrackedWorker): void {
         worker.tasks.delete(task);
         applyRunLost(task);
-        this.parts.logger.warn("run-refused", { worker: worker.entry.id, job: task.ref.jobId, run: task.run, outcome });
         this.handleChange(task.step.occurrence.job);
     }
 
--- a/packages/coordinate-work/src/orderSender.ts
+++ b/packages/coordinate-work/src/orderSender.ts
@@ -18,7 +18,7 @@
 /** Callbacks into the coordinator. */
 interface OrderHandlers {
     /** Called when a run certainly didn't start. */
-    readonly handleNotStarted: (task: Task, worker: TrackedWorker, outcome: OrderOutcome) => void;
+    readonly handleNotStarted: (task: Task, worker: TrackedWorker) => void;
     /** Called when a worker has accepted a start. */
     readonly handleStarted: (worker: TrackedWorker) => void;
     /** Whether the coordinator has closed, after which no order is sent. */
@@ -111,7 +111,7 @@
         }
         if (!this.parts.hasAuthority()) {
             // A successor may have the worker's tasks started elsewhere.
-            this.handlers.handleNotStarted(task, worker, OrderOutcome.Unsent);
+            this.handleRefusal(task, worker, OrderOutcome.Unsent);
             return;
         }
         const sentAtMs = clock.getNow();
@@ -128,6 +128,11 @@
         });
         metrics.recordDuration("start_call", clock.getNow() - sentAtMs);
         metrics.count("starts_total", OrderOutcome[outcome]);
+        if (outcome === OrderOutcome.Unknown) {
+            const tookMs = Math.round(clock.getNow() - sentAtMs);
+            const fields = { task: formatTaskKey(task.ref), run, worker: worker.entry.id, tookMs };
+            this.parts.logger.warn("start-unanswered", fields);
+        }
         if (task.run === run && task.isActive) {
             this.applyStartOutcome(task, worker, outcome);
         }
@@ -154,7 +159,17 @@
                 worker.blockedUntilMs = nowMs + UNHEALTHY_PAUSE_MS;
                 break;
         }
-        this.handlers.handleNotStarted(task, worker, outcome);
+        this.handleRefusal(task, worker, outcome);
+    }
+
+    private handleRefusal(task: Task, worker: TrackedWorker, outcome: OrderOutcome): void {
+        this.parts.logger.warn("run-refused", {
+            task: formatTaskKey(task.ref),
+            run: task.run,
+            worker: worker.entry.id,
+            outcome: OrderOutcome[outcome],
+        });
+        this.handlers.handleNotStarted(task, worker);
     }
 
     private async sendStopUntilAnswered(
--- a/packages/coordinate-work/src/runTracker.ts
+++ b/packages/coordinate-work/src/runTracker.ts
@@ -36,7 +36,7 @@
      */
     applyReport(worker: TrackedWorker, report: LeaseReport, sentAtMs: number, receivedAtMs: number): void {
         const nowMs = this.parts.clock.getNow();
-        this.handleRestart(worker, report);
+        this.handleRestart(worker, report, sentAtMs);
         this.reportExpiredLeases(worker, report.ended, nowMs);
         worker.clockMs = report.clockMs;
         worker.clockBornMs = report.bornMs;
@@ -53,17 +53,28 @@
         difference.adopted.forEach(({ task, row }) => this.acceptRun(task, row, worker, nowMs));
         worker.strayRuns.clear();
         difference.unneeded.forEach(row => this.stopUnneeded(row, worker));
-        difference.lost.forEach(task => this.handleLostRun(task, worker, "not-listed"));
+        difference.lost.forEach(task => this.handleLostRun(task, worker, "not-listed", sentAtMs));
         difference.uncertain.forEach(task => this.collaborators.orders.cancelUnansweredStart(task, worker));
         worker.hasReported = true;
     }
 
-    /** Handles the loss of a task's newest run: the run isn't active, and no end was reported for it. */
-    handleLostRun(task: Task, worker: TrackedWorker, reason: string): void {
+    /**
+     * Handles the loss of a task's newest run: the run isn't active, and no end was reported for it.
+     *
+     * @param askedAtMs When the report was asked for that shows the loss, in steady milliseconds; undefined if no report
+     *   does.
+     */
+    handleLostRun(task: Task, worker: TrackedWorker, reason: string, askedAtMs?: number): void {
         worker.tasks.delete(task);
         this.parts.metrics.count("runs_lost_total", reason);
-        const fields = { task: formatTaskKey(task.ref), run: task.run, worker: worker.entry.id, reason };
-        this.parts.logger.warn("run-lost", fields);
+        this.parts.logger.warn("run-lost", {
+            task: formatTaskKey(task.ref),
+            run: task.run,
+            worker: worker.entry.id,
+            reason,
+            phase: TaskPhase[task.phase],
+            ...describeTimes(task, this.parts.clock.getNow(), askedAtMs),
+        });
         applyRunLost(task);
         this.collaborators.noteChanged(task.step.occurrence.job);
     }
@@ -83,7 +94,7 @@
         });
     }
 
-    private handleRestart(worker: TrackedWorker, report: LeaseReport): void {
+    private handleRestart(worker: TrackedWorker, report: LeaseReport, sentAtMs: number): void {
         if (worker.bornMs === report.bornMs) {
             return;
         }
@@ -91,11 +102,13 @@
             this.parts.logger.warn("worker-reborn", {
                 worker: worker.entry.id,
                 bornMs: report.bornMs,
+                formerBornMs: worker.bornMs,
+                askedMsAgo: Math.round(this.parts.clock.getNow() - sentAtMs),
                 tasks: worker.tasks.size,
             });
             for (const task of [...worker.tasks]) {
                 if (task.orderSettledAtMs !== Infinity) {
-                    this.handleLostRun(task, worker, "worker-reborn");
+                    this.handleLostRun(task, worker, "worker-reborn", sentAtMs);
                 }
             }
         }
@@ -229,9 +242,28 @@
         if (task !== undefined && worker.tasks.has(task) && task.run <= row.run) {
             return;
         }
+        if (task?.isActive === true && task.run !== row.run) {
+            this.reportDuplicate(task, row, worker);
+        }
         this.stopStray(row.task, row.run, worker);
     }
 
+    /** Logs that an earlier run of a task is still active beside its newest one. */
+    private reportDuplicate(task: Task, row: ActiveRun, worker: TrackedWorker): void {
+        this.parts.metrics.count(
+            "runs_duplicate_total",
+            task.workerId === worker.entry.id ? "same-worker" : "other-worker",
+        );
+        this.parts.logger.warn("run-duplicate", {
+            task: formatTaskKey(row.task),
+            run: row.run,
+            worker: worker.entry.id,
+            newestRun: task.run,
+            newestWorker: task.workerId,
+            phase: TaskPhase[task.phase],
+        });
+    }
+
     /** Stops a run that no task needs. It counts on the worker until a report without it. */
     private stopStray(ref: TaskRef, run: number, worker: TrackedWorker): void {
         worker.strayRuns.add(formatRunKey(ref, run));
@@ -239,6 +271,14 @@
     }
 }
 
+/** Describes how long ago the outcome of a run's last order became known, and the report was asked for. */
+function describeTimes(task: Task, nowMs: number, askedAtMs: number | undefined) {
+    return {
+        settledMsAgo: Number.isFinite(task.orderSettledAtMs) ? Math.round(nowMs - task.orderSettledAtMs) : undefined,
+        askedMsAgo: askedAtMs === undefined ? undefined : Math.round(nowMs - askedAtMs),
+    };
+}
+
 function formatRunKey(ref: TaskRef, run: number): string {
     return `${formatTaskKey(ref)}#${run}`;
 }
