Offer the newest fencing token of a term, which a later term always exceeds

`TermLog.newestFence` is the offset after this process's newest confirmed record. A term is the offset of its winning record plus one, and that record comes after this one. It doesn't use a read page's end, which may be newer than the page's records and may count a successor's record in. A coordinator that has lost its term is offered only its term, not the tokens of its process's next term. Nothing uses the tokens yet. The harness's terms are 1,000,000 apart.

--- a/packages/bench/src/coordinatorLoad.ts
+++ b/packages/bench/src/coordinatorLoad.ts
@@ -163,6 +163,7 @@
                 entryReturnMs: 2000,
             },
             term: 1,
+            getNewestFence: () => 1,
             hadUnrecordedStarts: false,
             hasAuthority: () => true,
             getEarlierAuthorityEnd: () => 0,
--- a/packages/coordinate-work/src/coordinatorParts.ts
+++ b/packages/coordinate-work/src/coordinatorParts.ts
@@ -7,6 +7,11 @@
     readonly rules: CoordinatorRules;
     /** The coordinator's term: the fencing token of all orders and the epoch of all records. */
     readonly term: number;
+    /**
+     * The newest fencing token that the term may use: at least the term, and below every later term. It grows with the
+     * term's confirmed renewals, not while the store can't be reached, and never falls.
+     */
+    readonly getNewestFence: () => number;
     /** Whether this coordinator may start tasks and renew leases now. Its successor counts on it that it doesn't else. */
     readonly hasAuthority: () => boolean;
     /** When the earlier coordinators' authority has certainly run out, in steady milliseconds. It may become earlier. */
--- a/packages/coordinate-work/src/testing/coordinatorHarness.ts
+++ b/packages/coordinate-work/src/testing/coordinatorHarness.ts
@@ -19,6 +19,10 @@
 import { Coordinator } from "../coordinator.js";
 
 const APPEND_TIMEOUT_MS = 1000;
+/** Distance between two terms: the fencing tokens of a term lie between it and the next one. */
+const TERM_DISTANCE = 1_000_000;
+/** Interval at which a term gets another fencing token, in milliseconds, as if the term were renewed then. */
+const RENEWAL_INTERVAL_MS = 500;
 const rules = {
     leaseMs: 4500,
     maxLeaseMs: 6000,
@@ -46,7 +50,7 @@
     sendCostMs = 0;
     /** Whether the coordinators may start tasks and renew leases. */
     hasAuthority = true;
-    private term = 0;
+    private terms = 0;
 
     /**
      * @param random Random numbers from 0 to 1, from the test's seed.
@@ -63,7 +67,7 @@
 
     /** Number of terms that have begun. */
     get termCount(): number {
-        return this.term;
+        return this.terms;
     }
 
     /** Adds a worker and publishes its entry. */
@@ -132,8 +136,10 @@
 
     /** Begins the next term without informing the previous coordinator. */
     startTerm(hadUnrecordedStarts: boolean): void {
-        this.term++;
-        const { term } = this;
+        this.terms++;
+        const ordinal = this.terms;
+        const term = ordinal * TERM_DISTANCE;
+        const wonAtMs = this.clock.getNow();
         const earlierTerm = new EarlierTerm(this.clock, this.clock.getNow());
         const coordinator = new Coordinator({
             store: this.store,
@@ -151,13 +157,14 @@
             codec: emulatedCodec,
             clock: this.clock,
             logger: {
-                info: (event, fields) => this.recordEvent(term, event, fields),
-                warn: (event, fields) => this.recordEvent(term, event, fields),
-                error: (event, fields) => this.recordEvent(term, event, fields),
+                info: (event, fields) => this.recordEvent(ordinal, event, fields),
+                warn: (event, fields) => this.recordEvent(ordinal, event, fields),
+                error: (event, fields) => this.recordEvent(ordinal, event, fields),
             },
             metrics: new Metrics(),
             rules,
             term,
+            getNewestFence: () => term + Math.floor((this.clock.getNow() - wonAtMs) / RENEWAL_INTERVAL_MS),
             hadUnrecordedStarts,
             hasAuthority: () => this.hasAuthority,
             getEarlierAuthorityEnd: () => earlierTerm.actsUntilMs,
@@ -185,8 +192,8 @@
         }
     }
 
-    private recordEvent(term: number, event: string, fields: object | undefined): void {
-        this.events.push(`${Math.round(this.clock.getNow())} term ${term} ${event} ${JSON.stringify(fields)}`);
+    private recordEvent(ordinal: number, event: string, fields: object | undefined): void {
+        this.events.push(`${Math.round(this.clock.getNow())} term ${ordinal} ${event} ${JSON.stringify(fields)}`);
     }
 
     /** Repeats an append until it is confirmed, as callers do. */
--- a/packages/keep-term/src/termLog.test.ts
+++ b/packages/keep-term/src/termLog.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from "@jest/globals";
-import { MemoryStore, VirtualClock } from "@sardinestage/emulate-platform";
+import { waitFor } from "@sardinestage/describe-ports";
+import { createRandom, MemoryStore, VirtualClock } from "@sardinestage/emulate-platform";
 import { RenewalOutcome } from "./renewalOutcome.js";
 import { TermLog } from "./termLog.js";
 
@@ -77,14 +78,94 @@
             const won = first.tryWin(0);
             await clock.runFor(50);
             const term = (await won)?.term ?? 0;
+            expect(first.newestFence).toBe(term);
             store.faults.lostAnswerShare = 1;
             const lost = first.renew(term, 0, false);
             await clock.runFor(1000);
             expect(await lost).toBe(RenewalOutcome.Failed);
+            // Nobody has told this process that the store carried the renewal out.
+            expect(first.newestFence).toBe(term);
             store.faults.lostAnswerShare = 0;
             const next = first.renew(term, 0, false);
             await clock.runFor(50);
             expect(await next).toBe(RenewalOutcome.Renewed);
+            expect(first.newestFence).toBe(term + 1);
+        });
+    });
+
+    describe("as a source of fencing tokens", () => {
+        it("offers the term itself once the term is won, also by an append without an answer, and 0 before", async () => {
+            const { clock, store, first } = createLogs(() => 0);
+            store.faults.lostAnswerShare = 1;
+            void first.tryWin(0);
+            await clock.runFor(1000);
+            expect(first.newestFence).toBe(0);
+            store.faults.lostAnswerShare = 0;
+            const read = first.readTerm();
+            await clock.runFor(100);
+            const view = await read;
+            if (view?.holder?.term !== 1) {
+                throw new Error("The append without an answer hasn't won the term.");
+            }
+            // A page's end may be newer than its records: here as if another process had won term 2 in between.
+            first.acceptTerm({ ...view, end: 2 });
+            expect(first.newestFence).toBe(1);
+        });
+
+        it("offers none at or above a later term, whatever answers are lost and whatever is carried out late", async () => {
+            const totals = { terms: 0, raised: 0 };
+            for (let seed = 1; seed <= 60; seed++) {
+                const random = createRandom(seed);
+                const { clock, store, first, second } = createLogs(random);
+                /** Highest token offered in each term, by the term. */
+                const offered = new Map<number, number>();
+                /** Tries to win and renews, as a process does that often takes the others for dead. */
+                const runProcess = async (log: TermLog, vm: string) => {
+                    for (let turn = 0; turn < 40; turn++) {
+                        await waitFor(clock, random() * 300);
+                        const view = await log.readTerm();
+                        if (view === undefined) {
+                            continue;
+                        }
+                        const isHolder = view.holder?.vm === vm;
+                        const won = isHolder || random() < 0.7 ? undefined : await log.tryWin(view.end);
+                        if (isHolder) {
+                            log.acceptTerm(view);
+                        }
+                        const term = isHolder ? view.holder?.term : won?.term;
+                        const renewals = Math.floor(random() * 6);
+                        for (let renewal = 0; term !== undefined && renewal <= renewals; renewal++) {
+                            expect(log.newestFence).toBeGreaterThanOrEqual(Math.max(term, offered.get(term) ?? 0));
+                            offered.set(term, log.newestFence);
+                            if (await log.renew(term, 0, false) === RenewalOutcome.TermLost) {
+                                break;
+                            }
+                        }
+                    }
+                };
+                store.faults.lostAnswerShare = 0.3;
+                const changing = setFaults(clock, store, random);
+                const running = Promise.all([runProcess(first, "first"), runProcess(second, "second")]);
+                await clock.runFor(300_000);
+                await Promise.all([running, changing]);
+                const terms = [...offered.keys()].sort((left, right) => left - right);
+                terms.forEach((term, index) => {
+                    expect(offered.get(term)).toBeLessThan(terms[index + 1] ?? Infinity);
+                    totals.raised += (offered.get(term) ?? 0) > term ? 1 : 0;
+                });
+                totals.terms += terms.length;
+            }
+            // The plays contain many terms, and many of them have raised their token.
+            expect(totals.terms).toBeGreaterThan(300);
+            expect(totals.raised).toBeGreaterThan(150);
         });
     });
 });
+
+/** Changes at random how late the store carries out the appends whose answers are lost. */
+async function setFaults(clock: VirtualClock, store: MemoryStore, random: () => number): Promise<void> {
+    for (let change = 0; change < 60; change++) {
+        store.faults.applyDelayMs = random() < 0.5 ? 0 : random() * 2500;
+        await waitFor(clock, 500);
+    }
+}
--- a/packages/keep-term/src/termLog.ts
+++ b/packages/keep-term/src/termLog.ts
@@ -24,6 +24,7 @@
  */
 export class TermLog {
     private end = 0;
+    private confirmedEnd = 0;
     /**
      * The end offset that the last try to win a term expected, if that try may still be carried out; undefined if none
      * may.
@@ -41,6 +42,17 @@
         return this.unsettledTryEnd !== undefined;
     }
 
+    /**
+     * The newest fencing token that the term which this process won last may use; 0 if it has won none. It is the
+     * offset after this process's newest record that the store has confirmed. A term is the offset of its winning record
+     * plus one, and that record comes after all records of earlier terms. So the token is at least this process's term
+     * and below every later one. It grows with each confirmed renewal, stays as it is while renewals fail, and never
+     * falls.
+     */
+    get newestFence(): number {
+        return this.confirmedEnd;
+    }
+
     /** Reads the current term and its holder; undefined if the store doesn't answer. */
     async readTerm(): Promise<TermView | undefined> {
         const view = await this.readNewest();
@@ -57,7 +69,14 @@
         }
         const record = page.records.find(entry => entry.key === TERM_KEY);
         if (record?.value === undefined) {
-            return { holder: undefined, end: page.end, writtenAtMs: 0, followers: 0, hasUnrecordedStarts: false };
+            return {
+                holder: undefined,
+                end: page.end,
+                recordEnd: 0,
+                writtenAtMs: 0,
+                followers: 0,
+                hasUnrecordedStarts: false,
+            };
         }
         const row = encoder.decode(record.value) as TermRow;
         const [vm, incarnation, host, port, term, writtenAtMs, strength, followers, hasUnrecordedStarts] = row;
@@ -69,7 +88,9 @@
             port,
             strength,
         };
-        return { holder, end: Math.max(page.end, record.offset + 1), writtenAtMs, followers, hasUnrecordedStarts };
+        const recordEnd = record.offset + 1;
+        const end = Math.max(page.end, recordEnd);
+        return { holder, end, recordEnd, writtenAtMs, followers, hasUnrecordedStarts };
     }
 
     /**
@@ -91,12 +112,14 @@
             return undefined;
         }
         this.end = answer.offset + 1;
+        this.noteConfirmed(this.end);
         return { ...this.candidate, term: answer.offset + 1 };
     }
 
     /** Accepts a term that this process has won by an append whose answer was lost. */
     acceptTerm(view: TermView): void {
         this.end = view.end;
+        this.noteConfirmed(view.recordEnd);
     }
 
     /**
@@ -109,6 +132,7 @@
         const answer = await this.append(this.end, term, followers, hasUnrecordedStarts);
         if (answer.outcome === AppendOutcome.Appended) {
             this.end = answer.offset + 1;
+            this.noteConfirmed(this.end);
             return RenewalOutcome.Renewed;
         }
         if (answer.outcome !== AppendOutcome.ConditionFailed) {
@@ -123,9 +147,15 @@
         }
         // An earlier renewal that got no answer was written after all.
         this.end = view.end;
+        this.noteConfirmed(view.recordEnd);
         return RenewalOutcome.Renewed;
     }
 
+    /** Notes the offset after a record of this process; a late answer to an earlier append lowers nothing. */
+    private noteConfirmed(recordEnd: number): void {
+        this.confirmedEnd = Math.max(this.confirmedEnd, recordEnd);
+    }
+
     private append(at: number, term: number, followers: number, hasUnrecordedStarts: boolean) {
         const { vm, incarnation, host, port, strength } = this.candidate;
         const writtenAtMs = this.clock.getWallTime();
--- a/packages/keep-term/src/termView.ts
+++ b/packages/keep-term/src/termView.ts
@@ -6,6 +6,8 @@
     readonly holder: TermHolder | undefined;
     /** End offset of the topic, which the next append expects. */
     readonly end: number;
+    /** Offset after the holder's newest record; 0 without a record. */
+    readonly recordEnd: number;
     /** When the newest record was written, by its writer's wall clock, in Unix milliseconds; 0 without a record. */
     readonly writtenAtMs: number;
     /**
--- a/packages/run-entry-vm/src/localCoordinator.test.ts
+++ b/packages/run-entry-vm/src/localCoordinator.test.ts
@@ -9,6 +9,7 @@
 import { defaultRules } from "./defaultRules.js";
 import { Followers } from "./followers.js";
 import { LocalCoordinator } from "./localCoordinator.js";
+import type { TermParts } from "./termParts.js";
 
 const RENEWAL_TIMEOUT_MS = 600;
 const FAILING_MS = 1500;
@@ -44,6 +45,34 @@
 }
 
 describe("LocalCoordinator", () => {
+    describe("as a source of fencing tokens", () => {
+        it("offers a coordinator no token of its process's next term", async () => {
+            const clock = new VirtualClock();
+            const termLog = { newestFence: 9, renew: () => Promise.resolve(RenewalOutcome.Renewed) };
+            const created: TermParts[] = [];
+            const local = new LocalCoordinator({
+                termLog: termLog as unknown as TermLog,
+                store: {} as StorePort,
+                clock,
+                logger: silentLogger,
+                rules: defaultRules,
+                followers: new Followers(),
+                getResponsiveTime: () => clock.getNow(),
+                createCoordinator: termParts => {
+                    created.push(termParts);
+                    return { open: () => Promise.resolve(true), close: () => undefined } as unknown as Coordinator;
+                },
+            });
+            await local.start(holder, Instant.readNow(clock), false, new EarlierTerm(clock, 0));
+            expect(created.map(termParts => termParts.getNewestFence())).toEqual([9]);
+            local.stop(holder.term, "lost");
+            termLog.newestFence = 30;
+            await local.start({ ...holder, term: 29 }, Instant.readNow(clock), false, new EarlierTerm(clock, 0));
+            expect(created.map(termParts => termParts.getNewestFence())).toEqual([holder.term, 30]);
+            local.stop(29, "end of test");
+        });
+    });
+
     describe("when its renewals get no answer in time", () => {
         it("counts the store as lost, so that a VM that has the store takes over", async () => {
             expect(await measureStoreLost(1)).toBeGreaterThan(defaultRules.storeSilenceMs);
--- a/packages/run-entry-vm/src/localCoordinator.ts
+++ b/packages/run-entry-vm/src/localCoordinator.ts
@@ -132,6 +132,7 @@
                 earlierTerm,
                 hasAuthority: () => this.checkAuthority(holder.term),
                 getTermRenewalAge: () => this.renewalAgeMs,
+                getNewestFence: () => this.findNewestFence(holder.term),
                 onTermLost: reason => this.stop(holder.term, reason),
             });
             this.coordinator = coordinator;
@@ -195,6 +196,12 @@
         this.isLeaving = false;
     }
 
+    /** The newest fencing token of a term of this process; the term itself once the process doesn't hold it any more. */
+    private findNewestFence(term: number): number {
+        // The log goes on to the tokens of the process's next term, which are no tokens of this one.
+        return this.holder?.term === term ? Math.max(term, this.parts.termLog.newestFence) : term;
+    }
+
     /** Whether this process may act in a term now; logs when that has changed. */
     private checkAuthority(term: number): boolean {
         const isValid = this.holder?.term === term && this.authority?.isValid === true;
--- a/packages/run-entry-vm/src/termParts.ts
+++ b/packages/run-entry-vm/src/termParts.ts
@@ -11,6 +11,8 @@
     readonly hasAuthority: () => boolean;
     /** Time since the last confirmed renewal of the term in the store, in milliseconds. */
     readonly getTermRenewalAge: () => number;
+    /** The newest fencing token that the term may use: at least the term, below every later one, and never falling. */
+    readonly getNewestFence: () => number;
     /** Called when the coordinator has lost the term to another one. */
     readonly onTermLost: (reason: string) => void;
 }
