Carry a call's own fencing token through relays

A worker's token will differ from the term once another life of it has answered; a relay sent the term. A call whose token is the term is encoded as before, any other one has it as its last value. A relay of the earlier version would ignore that value and send the term, so a relay says in the reply that opens its session that it carries tokens, and calls that need it are made directly if it doesn't. The relay's check of terms still goes by the request's term.

--- a/packages/relay-orders/src/callCodec.ts
+++ b/packages/relay-orders/src/callCodec.ts
@@ -1,6 +1,7 @@
 import type { WorkerAddress } from "@sardinestage/describe-ports";
 import type { RelayedCall } from "./relayedCall.js";
 import { RelayedCallKind } from "./relayedCallKind.js";
+import { resolveFence } from "./resolveFence.js";
 
 type RenewalRow = [lastRecordedEnd: number, waitMs: number, leaseUntilMs: number | undefined, bornMs?: number];
 type RunRow = [jobId: string, occurrence: number, step: number, index: number, run: number];
@@ -13,32 +14,56 @@
     readonly call: RelayedCall;
 }
 
+/** Number of values of a call of each kind after the id, the kind and the worker, without the fencing token. */
+const valueCounts: Readonly<Record<RelayedCallKind, number>> = {
+    [RelayedCallKind.RenewLease]: 4,
+    [RelayedCallKind.Stop]: 5,
+    [RelayedCallKind.Pace]: 6,
+    [RelayedCallKind.Start]: 9,
+};
+
 /**
- * Converts calls to the lists of values that a request carries, and back. Fencing tokens are left out, since the
- * request names the term; payloads are referred to by their index in the request's table.
+ * Converts calls to the lists of values that a request carries, and back. A fencing token that equals the request's term
+ * is left out, any other one comes last; payloads are referred to by their index in the request's table.
  */
 export class CallCodec {
-    /** Encodes a call. `addPayload` adds a payload to the request's table and returns its index there. */
-    static encodeCall(id: number, call: RelayedCall, addPayload: (payload: string) => number): unknown[] {
-        const head = [id, call.kind, call.worker.id, call.worker.address];
+    /**
+     * Encodes a call.
+     *
+     * @param term The term of the request.
+     * @param addPayload Adds a payload to the request's table and returns its index there.
+     */
+    static encodeCall(
+        id: number,
+        call: RelayedCall,
+        term: number,
+        addPayload: (payload: string) => number,
+    ): unknown[] {
+        const row = [id, call.kind, call.worker.id, call.worker.address, ...CallCodec.encodeValues(call, addPayload)];
+        const fence = resolveFence(call);
+        return fence === term ? row : [...row, fence];
+    }
+
+    /** Encodes what is specific to the kind of a call. */
+    private static encodeValues(call: RelayedCall, addPayload: (payload: string) => number): unknown[] {
         switch (call.kind) {
             case RelayedCallKind.RenewLease: {
                 const { lastRecordedEnd, waitMs, leaseUntilMs, bornMs } = call.order;
-                return [...head, lastRecordedEnd, waitMs, leaseUntilMs, bornMs];
+                return [lastRecordedEnd, waitMs, leaseUntilMs, bornMs];
             }
             case RelayedCallKind.Stop: {
                 const { jobId, occurrence, step, index } = call.task;
-                return [...head, jobId, occurrence, step, index, call.run];
+                return [jobId, occurrence, step, index, call.run];
             }
             case RelayedCallKind.Pace: {
                 const { jobId, occurrence, step, index } = call.task;
-                return [...head, jobId, occurrence, step, index, call.run, call.percent];
+                return [jobId, occurrence, step, index, call.run, call.percent];
             }
             case RelayedCallKind.Start: {
                 const { task, run, payload, leaseUntilMs, checkpoint, ticket } = call.order;
                 const { jobId, occurrence, step, index } = task;
                 const payloadIndex = addPayload(payload);
-                return [...head, jobId, occurrence, step, index, run, payloadIndex, leaseUntilMs, checkpoint, ticket];
+                return [jobId, occurrence, step, index, run, payloadIndex, leaseUntilMs, checkpoint, ticket];
             }
         }
     }
@@ -47,17 +72,21 @@
      * Decodes a call.
      *
      * @param row As `encodeCall` returned it.
-     * @param fence The term of the request.
+     * @param term The term of the request: the fencing token of a call that carries none.
      * @param payloads The request's table of payloads.
      * @throws {TypeError} If the row isn't an encoded call.
      */
-    static decodeCall(row: unknown, fence: number, payloads: readonly string[]): IdentifiedCall {
+    static decodeCall(row: unknown, term: number, payloads: readonly string[]): IdentifiedCall {
         if (!Array.isArray(row)) {
             throw new TypeError("A relayed call isn't a list of values.");
         }
         const [id, kind, workerId, address, ...values] = row as [number, RelayedCallKind, string, string];
         const worker: WorkerAddress = { id: workerId, address, domain: "" };
-        return { id, call: decodeValues(kind, worker, values, fence, payloads) };
+        const fence = values[valueCounts[kind]] ?? term;
+        if (!Number.isSafeInteger(fence)) {
+            throw new TypeError(`A relayed call has the fencing token ${String(fence)}, which isn't a whole number.`);
+        }
+        return { id, call: decodeValues(kind, worker, values, fence as number, payloads) };
     }
 }
 
--- a/packages/relay-orders/src/orderRelay.ts
+++ b/packages/relay-orders/src/orderRelay.ts
@@ -46,7 +46,7 @@
         }
         if (request.isOpening) {
             this.openSession(request);
-            return this.buildReply(RelayOutcome.Accepted, []);
+            return { ...this.buildReply(RelayOutcome.Accepted, []), carriesFences: true };
         }
         const { session } = this;
         if (session === undefined || session.id !== request.session || this.isLate(request, session)) {
--- a/packages/relay-orders/src/relayReply.ts
+++ b/packages/relay-orders/src/relayReply.ts
@@ -7,4 +7,9 @@
     readonly loopDelayMs: number;
     /** Answers to calls of this or of earlier requests, as `encodeReport` and `encodeOutcome` encode them. */
     readonly answers: readonly unknown[];
+    /**
+     * Whether the relay passes each call's own fencing token on; only in the reply to a request that opens a session. A
+     * relay of an earlier version doesn't say so, and sends the term as the token of every call.
+     */
+    readonly carriesFences?: boolean;
 }
--- a/packages/relay-orders/src/relayRequest.ts
+++ b/packages/relay-orders/src/relayRequest.ts
@@ -1,6 +1,6 @@
 /** A request of the coordinator to a relay: calls to make, and a wait for answers to earlier calls. */
 export interface RelayRequest {
-    /** The coordinator's term: the fencing token of all calls in the request. */
+    /** The coordinator's term: the fencing token of the calls that carry none of their own. */
     readonly term: number;
     /** Identifies the coordinator's session with the relay. */
     readonly session: string;
--- a/packages/relay-orders/src/relaySession.ts
+++ b/packages/relay-orders/src/relaySession.ts
@@ -10,6 +10,7 @@
 import type { RelayRequest } from "./relayRequest.js";
 import type { RelayVm } from "./relayVm.js";
 import { ReportDecoder } from "./reportDecoder.js";
+import { resolveFence } from "./resolveFence.js";
 import { SessionState } from "./sessionState.js";
 
 /** Timeout of a request to a relay, in milliseconds: several times the delay after which it replies in any case. */
@@ -59,6 +60,8 @@
     private lastId = 0;
     private requestsUnderWay = 0;
     private isFlushScheduled = false;
+    /** Whether the relay passes fencing tokens on that differ from the term. */
+    private carriesFences = false;
     /** Number of workers whose calls go through this relay. */
     workerCount = 0;
     state = SessionState.Opening;
@@ -80,6 +83,7 @@
             this.close("busy");
         }
         else {
+            this.carriesFences = reply.carriesFences === true;
             this.state = SessionState.Open;
         }
     }
@@ -90,7 +94,9 @@
      * @returns The answer, with the outcome `Unknown` if the call may have been made; undefined if it certainly wasn't.
      */
     forwardCall(call: RelayedCall): Promise<RelayAnswer | undefined> {
-        if (this.state !== SessionState.Open) {
+        // A relay of an earlier version would send the term as the token.
+        const isTokenPassedOn = this.carriesFences || resolveFence(call) === this.parts.term;
+        if (this.state !== SessionState.Open || !isTokenPassedOn) {
             return Promise.resolve(undefined);
         }
         const waitMs = call.kind === RelayedCallKind.RenewLease ? call.order.waitMs : 0;
@@ -149,7 +155,7 @@
         };
         const calls = ids.flatMap(callId => {
             const pending = this.pending.get(callId);
-            return pending === undefined ? [] : [CallCodec.encodeCall(callId, pending.call, addPayload)];
+            return pending === undefined ? [] : [CallCodec.encodeCall(callId, pending.call, term, addPayload)];
         });
         const request: RelayRequest = {
             term,
--- a/packages/relay-orders/src/relayedWorkerPort.test.ts
+++ b/packages/relay-orders/src/relayedWorkerPort.test.ts
@@ -190,6 +190,68 @@
     });
 });
 
+describe("A call whose fencing token is above the term", () => {
+    const raisedFence = 5;
+
+    async function openPort(isEarlierVersion: boolean) {
+        const harness = new RelayHarness(WORKERS);
+        const relay = harness.addRelay("relay");
+        relay.isEarlierVersion = isEarlierVersion;
+        const port = harness.createCoordinatorPort(1, 0);
+        port.openSessions();
+        await harness.clock.runFor(50);
+        const callWorker = async <T>(answer: Promise<T>) => {
+            await harness.clock.runFor(500);
+            return answer;
+        };
+        /** A worker keeps the highest token that it has seen and refuses lower ones. */
+        const start = (index: number, fence: number) => {
+            const order = createStart(fence);
+            return callWorker(port.start(worker, { ...order, task: { ...order.task, index } }));
+        };
+        return { harness, port, callWorker, start };
+    }
+
+    it("reaches the worker through a relay with its token", async () => {
+        const { harness, start } = await openPort(false);
+        expect(await start(1, raisedFence)).toBe(OrderOutcome.Accepted);
+        expect(await start(2, raisedFence - 1)).toBe(OrderOutcome.StaleFence);
+        expect(await start(2, 1)).toBe(OrderOutcome.StaleFence);
+        expect(harness.calls).toEqual({ direct: [], relayed: ["w0", "w0", "w0"] });
+    });
+
+    it("carries it in renewals, stops and changes of pace too", async () => {
+        const { harness, port, callWorker } = await openPort(false);
+        const renewal = { fence: raisedFence, lastRecordedEnd: 0, leaseUntilMs: 4500, waitMs: 0, bornMs: undefined };
+        const task = createStart(1).task;
+        expect((await callWorker(port.renewLease(worker, renewal))).outcome).toBe(OrderOutcome.Accepted);
+        const lowered = { ...renewal, fence: raisedFence - 1 };
+        expect((await callWorker(port.renewLease(worker, lowered))).outcome).toBe(OrderOutcome.StaleFence);
+        expect(await callWorker(port.stop(worker, task, 1, raisedFence - 1))).toBe(OrderOutcome.StaleFence);
+        expect(await callWorker(port.stop(worker, task, 1, raisedFence))).not.toBe(OrderOutcome.StaleFence);
+        await callWorker(port.pace(worker, task, 1, 50, raisedFence));
+        expect(harness.paceFences).toEqual([raisedFence]);
+        expect(harness.calls.direct).toEqual([]);
+    });
+
+    it("is made directly, with its token, if the relay is of a version that would send the term", async () => {
+        const { harness, start } = await openPort(true);
+        expect(await start(1, 1)).toBe(OrderOutcome.Accepted);
+        expect(harness.calls).toEqual({ direct: [], relayed: ["w0"] });
+        expect(await start(2, raisedFence)).toBe(OrderOutcome.Accepted);
+        expect(harness.calls).toEqual({ direct: ["w0"], relayed: ["w0"] });
+        expect(await start(3, 1)).toBe(OrderOutcome.StaleFence);
+        expect(harness.calls).toEqual({ direct: ["w0"], relayed: ["w0", "w0"] });
+    });
+
+    it("doesn't pass the relay's check of the term: that goes by the request's term", async () => {
+        const { harness, start } = await openPort(false);
+        harness.knownTerm = 2;
+        expect(await start(1, raisedFence)).toBe(OrderOutcome.StaleFence);
+        expect(harness.calls.relayed).toEqual([]);
+    });
+});
+
 describe("OrderRelay", () => {
     describe("when a session asks for answers that a later one of the same term has replaced", () => {
         it("refuses it, and goes on serving the later one", async () => {
@@ -218,6 +280,7 @@
         it.each([
             ["calls that aren't lists", [1, 2]],
             ["an unknown kind of call", [[1, 99, "w0", "w0", "job", 0, 0, 0, 1]]],
+            ["a fencing token that isn't a number", [[1, 1, "w0", "w0", "job", 0, 0, 0, 1, "5"]]],
         ])("refuses %s as a whole and makes no call", async (_name, calls) => {
             const harness = new RelayHarness(WORKERS);
             const { relay } = harness.addRelay("relay");
--- a/packages/relay-orders/src/testing/relayHarness.ts
+++ b/packages/relay-orders/src/testing/relayHarness.ts
@@ -24,6 +24,8 @@
     lateMs: number;
     /** How late the relay's event loop is, in milliseconds. */
     loopDelayMs: number;
+    /** Whether the relay is of the version that knew no fencing tokens but the term. */
+    isEarlierVersion: boolean;
     readonly strength: number;
     readonly domain: string;
 }
@@ -36,6 +38,8 @@
     readonly events: string[] = [];
     /** Ids of the workers called, in order, by who called them. */
     readonly calls = { direct: [] as string[], relayed: [] as string[] };
+    /** The fencing tokens of the changes of pace that reached workers. */
+    readonly paceFences: number[] = [];
     requests = 0;
     /** The newest term that the relays' processes know. */
     knownTerm = 0;
@@ -62,6 +66,7 @@
             isSilent: false,
             lateMs: 0,
             loopDelayMs: 0,
+            isEarlierVersion: false,
             strength,
             domain,
         };
@@ -113,7 +118,10 @@
         const relay = this.relays.get(vm);
         this.requests++;
         const reply = waitFor(this.clock, ONE_WAY_MS + (relay?.lateMs ?? 0))
-            .then(() => relay?.relay.handleRequest(request));
+            .then(() => relay?.relay.handleRequest(relay.isEarlierVersion ? dropFences(request) : request))
+            .then(answer =>
+                answer === undefined || !relay?.isEarlierVersion ? answer : { ...answer, carriesFences: undefined }
+            );
         const isInTime = !relay?.isSilent && relay !== undefined;
         return Promise.race([
             isInTime ? reply : new Promise<undefined>(() => undefined),
@@ -129,7 +137,10 @@
                 return fleet.start(worker, order);
             },
             stop: (worker, task, run, fence) => fleet.stop(worker, task, run, fence),
-            pace: () => fleet.pace(),
+            pace: (_worker, _task, _run, _percent, fence) => {
+                this.paceFences.push(fence);
+                return fleet.pace();
+            },
             renewLease: (worker, order) => {
                 called.push(worker.id);
                 return fleet.renewLease(worker, order);
@@ -145,6 +156,13 @@
     }
 }
 
+/** What a relay of the earlier version reads of a request: the rows' first values, by the kind of the call. */
+function dropFences(request: RelayRequest): RelayRequest {
+    const lengths = [8, 9, 10, 13];
+    const calls = (request.calls as unknown[][]).map(row => row.slice(0, lengths[Number(row[1])]));
+    return { ...request, calls };
+}
+
 function createAddress(id: string): WorkerAddress {
     return { id, address: id, domain: "here" };
 }
