--- a/packages/emulate-platform/src/emulatedFleet.ts
+++ b/packages/emulate-platform/src/emulatedFleet.ts
@@ -8,6 +8,8 @@
 } from "@sardinestage/describe-ports";
 import { OrderOutcome, waitFor } from "@sardinestage/describe-ports";
 import type { TaskRef } from "@sardinestage/describe-work";
+import type { CallDelays } from "./callDelays.js";
+import { createOrderFaults } from "./createOrderFaults.js";
 import type { EmulatedWorker } from "./emulatedWorker.js";
 import type { OrderFaults } from "./orderFaults.js";
 
@@ -15,23 +17,36 @@
 const ONE_WAY_MS = 1;
 /** Time after which a caller gives up on an answer, in milliseconds. */
 const CALLER_TIMEOUT_MS = 600;
-const UNANSWERED: LeaseReport = { outcome: OrderOutcome.Unknown, clockMs: 0, bornMs: 0, running: [], ended: [] };
 
-/** Delivers orders to emulated workers over an emulated network with injectable faults. */
+/** A call to a worker. */
+interface WorkerCall<T> {
+    readonly delays: CallDelays;
+    /** Share of these calls that are applied late. */
+    readonly lateShare: number;
+    readonly timeoutMs: number;
+    readonly apply: (found: EmulatedWorker) => T | Promise<T>;
+    /** Creates what the caller gets if the worker didn't answer with what was asked for. */
+    readonly createFailure: (outcome: OrderOutcome) => T;
+}
+
+/**
+ * Delivers orders to emulated workers over an emulated network with injectable faults. Each call has a connection of its
+ * own, which a worker's crash breaks.
+ */
 export class EmulatedFleet implements WorkerPort {
     readonly workers = new Map<string, EmulatedWorker>();
-    readonly faults: OrderFaults = { delayedShare: 0, maxDelayMs: 0 };
+    readonly faults: OrderFaults = createOrderFaults();
 
     constructor(private readonly clock: Clock, private readonly random: () => number) {}
 
     /** Sends a worker the order to start a run. */
     start(worker: WorkerAddress, order: StartOrder): Promise<OrderOutcome> {
-        return this.send(worker, found => found.start(order));
+        return this.sendOrder(worker, this.faults.startDelays, found => found.start(order));
     }
 
     /** Sends a worker the order to stop a run. */
     stop(worker: WorkerAddress, task: TaskRef, run: number, fence: number): Promise<OrderOutcome> {
-        return this.send(worker, found => found.stop(task, run, fence));
+        return this.sendOrder(worker, this.faults.stopDelays, found => found.stop(task, run, fence));
     }
 
     /** Accepts every pace and changes nothing: emulated runs have no pace. */
@@ -41,32 +56,80 @@
     }
 
     /** Extends a worker's lease and lists its active and ended runs. */
-    async renewLease(worker: WorkerAddress, order: LeaseRenewal): Promise<LeaseReport> {
-        await waitFor(this.clock, ONE_WAY_MS);
-        const found = this.workers.get(worker.id);
-        if (found === undefined || found.isUnreachable) {
-            await waitFor(this.clock, order.waitMs + CALLER_TIMEOUT_MS);
-            return UNANSWERED;
-        }
-        const answer = await found.renewLease(order);
-        await waitFor(this.clock, ONE_WAY_MS);
-        return found.isUnreachable ? UNANSWERED : answer;
+    renewLease(worker: WorkerAddress, order: LeaseRenewal): Promise<LeaseReport> {
+        return this.send(worker, {
+            delays: this.faults.renewalDelays,
+            lateShare: this.faults.delayedRenewalShare,
+            timeoutMs: order.waitMs + CALLER_TIMEOUT_MS,
+            apply: found => found.renewLease(order),
+            createFailure: outcome => ({ outcome, clockMs: 0, bornMs: 0, running: [], ended: [] }),
+        });
     }
 
-    private async send(worker: WorkerAddress, apply: (found: EmulatedWorker) => OrderOutcome): Promise<OrderOutcome> {
-        await waitFor(this.clock, ONE_WAY_MS);
+    private sendOrder(
+        worker: WorkerAddress,
+        delays: CallDelays,
+        apply: (found: EmulatedWorker) => OrderOutcome,
+    ): Promise<OrderOutcome> {
+        const lateShare = this.faults.delayedShare;
+        return this.send(worker, {
+            delays,
+            lateShare,
+            timeoutMs: CALLER_TIMEOUT_MS,
+            apply,
+            createFailure: outcome => outcome,
+        });
+    }
+
+    private async send<T>(worker: WorkerAddress, call: WorkerCall<T>): Promise<T> {
+        const { faults, clock } = this;
+        const untilMs = clock.getNow() + call.timeoutMs;
+        const deliveryMs = ONE_WAY_MS + this.pickDelay(call.delays.maxDeliveryMs);
+        if (this.isPicked(call.lateShare) || deliveryMs >= call.timeoutMs) {
+            const lateMs = faults.minDelayMs + this.random() * (faults.maxDelayMs - faults.minDelayMs);
+            this.applyLate(worker.id, call, Math.max(deliveryMs, call.timeoutMs + lateMs));
+            return this.waitForTimeout(call, untilMs);
+        }
+        await waitFor(clock, deliveryMs);
         const found = this.workers.get(worker.id);
         if (found === undefined || found.isUnreachable) {
-            await waitFor(this.clock, CALLER_TIMEOUT_MS);
-            return OrderOutcome.Unknown;
+            return this.waitForTimeout(call, untilMs);
+        }
+        const isUnhealthy = this.isPicked(faults.unhealthyShare);
+        const answer = isUnhealthy ? call.createFailure(OrderOutcome.Unhealthy) : await call.apply(found);
+        if (found.isCrashed && !found.isUnreachable) {
+            await waitFor(clock, ONE_WAY_MS);
+            return call.createFailure(OrderOutcome.Unknown);
         }
-        if (this.random() < this.faults.delayedShare) {
-            this.clock.schedule(CALLER_TIMEOUT_MS + this.random() * this.faults.maxDelayMs, () => void apply(found));
-            await waitFor(this.clock, CALLER_TIMEOUT_MS);
-            return OrderOutcome.Unknown;
+        const answerMs = ONE_WAY_MS + this.pickDelay(call.delays.maxAnswerMs);
+        if (this.isPicked(faults.lostAnswerShare) || clock.getNow() + answerMs > untilMs) {
+            return this.waitForTimeout(call, untilMs);
         }
-        const outcome = apply(found);
-        await waitFor(this.clock, ONE_WAY_MS);
-        return outcome;
+        await waitFor(clock, answerMs);
+        return found.isUnreachable ? this.waitForTimeout(call, untilMs) : answer;
+    }
+
+    /** Has a call applied that gets no answer: by the life that it was sent to, or by the one that runs then. */
+    private applyLate<T>(id: string, call: WorkerCall<T>, delayMs: number): void {
+        const life = this.workers.get(id);
+        this.clock.schedule(delayMs, () => {
+            const found = this.workers.get(id);
+            if (found !== undefined && (found === life || this.faults.isNextLifeReached)) {
+                void call.apply(found);
+            }
+        });
+    }
+
+    private async waitForTimeout<T>(call: WorkerCall<T>, untilMs: number): Promise<T> {
+        await waitFor(this.clock, untilMs - this.clock.getNow());
+        return call.createFailure(OrderOutcome.Unknown);
+    }
+
+    private isPicked(share: number): boolean {
+        return share > 0 && this.random() < share;
+    }
+
+    private pickDelay(maxMs: number): number {
+        return maxMs > 0 ? this.random() * maxMs : 0;
     }
 }
--- a/packages/emulate-platform/src/emulatedWorker.ts
+++ b/packages/emulate-platform/src/emulatedWorker.ts
@@ -2,6 +2,7 @@
 import { OrderOutcome } from "@sardinestage/describe-ports";
 import type { TaskRef, WorkerEntry } from "@sardinestage/describe-work";
 import { formatTaskKey, RunEnd, WorkerState } from "@sardinestage/describe-work";
+import type { EmulatedWorkerTraits } from "./emulatedWorkerTraits.js";
 import type { RunInvariantChecker } from "./runInvariantChecker.js";
 
 /** The longest lease that a worker grants, in milliseconds. */
@@ -15,6 +16,9 @@
 const MS_PER_PERCENT = 61;
 const CPU_MILLIS = 16_000;
 const MEMORY_MB = 64_000;
+/** The most ended runs that one report lists. */
+const MAX_REPORTED_ENDS = 500;
+const DEFAULT_TRAITS: EmulatedWorkerTraits = { clockRate: 1, getDemand: undefined };
 
 /** A run in progress. */
 interface Run {
@@ -27,15 +31,17 @@
 
 /** One process lifetime of an emulated worker, with its own clock, lease and list of ended runs. */
 export class EmulatedWorker {
+    /** The active runs by task and run number: several runs of one task may be active. */
     private readonly runs = new Map<string, Run>();
     private unacknowledgedEnds: EndedRun[] = [];
-    private readonly highestRunNumbers = new Map<string, number>();
+    /** The highest run number of each task that was stopped or has ended here. */
+    private readonly refusedRunNumbers = new Map<string, number>();
     private readonly waiters = new Set<() => void>();
     private fence = 0;
     private lastEndNumber = 0;
     private leaseUntilMs = 0;
     private cancelExpiry: (() => void) | undefined;
-    private isCrashed = false;
+    private hasCrashed = false;
     readonly bornMs: number;
     private readonly startedAtMs: number;
     /** Whether the worker is unreachable: no call gets an answer. */
@@ -46,12 +52,14 @@
      * @param clock The test's clock.
      * @param invariantChecker Is notified of each run's start and end.
      * @param getDuration Returns a run's duration in milliseconds; negative if the run fails after that time.
+     * @param traits In what the worker differs from others.
      */
     constructor(
         readonly id: string,
         private readonly clock: Clock,
         private readonly invariantChecker: RunInvariantChecker,
         private readonly getDuration: (task: TaskRef, run: number) => number,
+        private readonly traits: EmulatedWorkerTraits = DEFAULT_TRAITS,
     ) {
         this.bornMs = Math.floor(clock.getWallTime());
         this.startedAtMs = clock.getNow();
@@ -73,34 +81,47 @@
         };
     }
 
+    /** Whether the worker has crashed: calls that wait for an answer lose their connection. */
+    get isCrashed(): boolean {
+        return this.hasCrashed;
+    }
+
     /** Crashes the worker: all runs end without being reported. */
     stopAbruptly(): void {
-        this.isCrashed = true;
+        this.hasCrashed = true;
         this.cancelExpiry?.();
         for (const run of this.runs.values()) {
             run.cancelEnd();
             this.invariantChecker.noteEnd(run.task, false);
         }
         this.runs.clear();
+        this.waiters.forEach(wake => wake());
     }
 
-    /** Starts a run unless the fencing token, the lease or an earlier run of the task forbids it. */
+    /**
+     * Starts a run unless the fencing token, the lease, a run that was stopped or has ended here, or the capacity forbids
+     * it. Another active run of the task doesn't.
+     */
     start(order: StartOrder): OrderOutcome {
         const refusal = this.checkFence(order.fence);
         if (refusal !== undefined) {
             return refusal;
         }
-        const key = formatTaskKey(order.task);
-        if (this.runs.get(key)?.run === order.run) {
+        const key = formatRunKey(order.task, order.run);
+        if (this.runs.has(key)) {
+            this.extendLease(order.leaseUntilMs);
             return OrderOutcome.Accepted;
         }
         if (order.leaseUntilMs <= this.getClockTime()) {
             return OrderOutcome.LeaseOver;
         }
         this.extendLease(order.leaseUntilMs);
-        if (order.run <= (this.highestRunNumbers.get(key) ?? 0) || this.runs.has(key)) {
+        if (order.run <= (this.refusedRunNumbers.get(formatTaskKey(order.task)) ?? 0)) {
             return OrderOutcome.RunEnded;
         }
+        if (!this.hasRoom(order.task)) {
+            return OrderOutcome.NoRoom;
+        }
         const duration = this.getDuration(order.task, order.run);
         const end = duration < 0 ? RunEnd.Failed : RunEnd.Done;
         const cancelEnd = this.clock.schedule(Math.abs(duration), () => this.finishRun(key, end));
@@ -111,25 +132,23 @@
             cancelEnd,
             isStopping: false,
         });
-        this.highestRunNumbers.set(key, order.run);
         this.invariantChecker.noteStart(order.task, this.id);
         return OrderOutcome.Accepted;
     }
 
-    /** Stops a run; a run that hasn't started yet is prevented from starting. */
+    /** Stops a run, which may end by itself until the stop is done; a run that isn't here is prevented from starting. */
     stop(task: TaskRef, run: number, fence: number): OrderOutcome {
         const refusal = this.checkFence(fence);
         if (refusal !== undefined) {
             return refusal;
         }
-        const key = formatTaskKey(task);
+        const key = formatRunKey(task, run);
         const running = this.runs.get(key);
-        if (running !== undefined && running.run === run && !running.isStopping) {
+        if (running !== undefined && !running.isStopping) {
             running.isStopping = true;
-            running.cancelEnd();
             this.clock.schedule(STOP_DURATION_MS, () => this.finishRun(key, RunEnd.Stopped));
         }
-        this.highestRunNumbers.set(key, Math.max(run, this.highestRunNumbers.get(key) ?? 0));
+        this.refuseRunsUpTo(task, run);
         return OrderOutcome.Accepted;
     }
 
@@ -171,12 +190,12 @@
             clockMs: this.getClockTime(),
             bornMs: this.bornMs,
             running,
-            ended: [...this.unacknowledgedEnds],
+            ended: this.unacknowledgedEnds.slice(0, MAX_REPORTED_ENDS),
         };
     }
 
     private checkFence(fence: number): OrderOutcome | undefined {
-        if (this.isCrashed) {
+        if (this.hasCrashed) {
             return OrderOutcome.Unknown;
         }
         if (fence < this.fence) {
@@ -187,25 +206,44 @@
     }
 
     private getClockTime(): number {
-        return Math.floor(this.clock.getNow() - this.startedAtMs);
+        return Math.floor((this.clock.getNow() - this.startedAtMs) * this.traits.clockRate);
+    }
+
+    private hasRoom(task: TaskRef): boolean {
+        const { getDemand } = this.traits;
+        if (getDemand === undefined) {
+            return true;
+        }
+        const demands = [task, ...[...this.runs.values()].map(run => run.task)].map(getDemand);
+        return demands.reduce((sum, { cpuMillis }) => sum + cpuMillis, 0) <= CPU_MILLIS
+            && demands.reduce((sum, { memoryMb }) => sum + memoryMb, 0) <= MEMORY_MB;
+    }
+
+    private refuseRunsUpTo(task: TaskRef, run: number): void {
+        const key = formatTaskKey(task);
+        this.refusedRunNumbers.set(key, Math.max(run, this.refusedRunNumbers.get(key) ?? 0));
     }
 
     private extendLease(untilMs: number): void {
         const limit = this.getClockTime() + MAX_LEASE_MS;
         this.leaseUntilMs = Math.max(this.leaseUntilMs, Math.min(untilMs, limit));
         this.cancelExpiry?.();
-        this.cancelExpiry = this.clock.schedule(this.leaseUntilMs - this.getClockTime(), () => {
-            [...this.runs.keys()].forEach(key => this.finishRun(key, RunEnd.Lapsed));
-        });
+        this.cancelExpiry = this.clock.schedule(
+            (this.leaseUntilMs - this.getClockTime()) / this.traits.clockRate,
+            () => {
+                [...this.runs.keys()].forEach(key => this.finishRun(key, RunEnd.Lapsed));
+            },
+        );
     }
 
     private finishRun(key: string, end: RunEnd): void {
         const run = this.runs.get(key);
-        if (run === undefined || this.isCrashed) {
+        if (run === undefined || this.hasCrashed) {
             return;
         }
         run.cancelEnd();
         this.runs.delete(key);
+        this.refuseRunsUpTo(run.task, run.run);
         this.lastEndNumber++;
         this.unacknowledgedEnds.push({
             number: this.lastEndNumber,
@@ -230,3 +268,7 @@
         });
     }
 }
+
+function formatRunKey(task: TaskRef, run: number): string {
+    return `${formatTaskKey(task)}#${run}`;
+}
--- /dev/null
+++ b/packages/emulate-platform/src/emulatedWorkerTraits.ts
@@ -0,0 +1,9 @@
+import type { TaskRef } from "@sardinestage/describe-work";
+
+/** In what emulated workers differ. */
+export interface EmulatedWorkerTraits {
+    /** Rate of the worker's steady clock, on which its lease is measured; 0.98 for a clock that is 2% slow. */
+    readonly clockRate: number;
+    /** Returns what a task requests, for a worker that refuses what doesn't fit; undefined to start everything. */
+    readonly getDemand: ((task: TaskRef) => { readonly cpuMillis: number; readonly memoryMb: number }) | undefined;
+}
--- a/packages/emulate-platform/src/orderFaults.ts
+++ b/packages/emulate-platform/src/orderFaults.ts
@@ -1,7 +1,22 @@
-/** Faults injected into the delivery of orders to workers. */
+import type { CallDelays } from "./callDelays.js";
+
+/** Faults injected into the calls to workers. */
 export interface OrderFaults {
-    /** Share of the orders that get no answer and are applied late, 0 to 1. */
+    /** Share of the starts and stops that get no answer and are applied late, 0 to 1. */
     delayedShare: number;
-    /** Maximum delay of a late order after the caller's timeout, in milliseconds. */
+    /** Share of the lease renewals that get no answer and are applied late, 0 to 1. */
+    delayedRenewalShare: number;
+    /** Minimum delay of a late call after the caller's timeout, in milliseconds. */
+    minDelayMs: number;
+    /** Maximum delay of a late call after the caller's timeout, in milliseconds. */
     maxDelayMs: number;
+    /** Whether a late call is applied by the worker's next life if the one that it was sent to is gone by then. */
+    isNextLifeReached: boolean;
+    /** Share of the calls that are applied at once and whose answer is lost, 0 to 1. */
+    lostAnswerShare: number;
+    /** Share of the calls that an unhealthy worker refuses without doing anything, 0 to 1. */
+    unhealthyShare: number;
+    startDelays: CallDelays;
+    stopDelays: CallDelays;
+    renewalDelays: CallDelays;
 }
