--- a/packages/coordinate-work/src/testing/coordinatorHarness.ts
+++ b/packages/coordinate-work/src/testing/coordinatorHarness.ts
@@ -13,6 +13,7 @@
     SingleThreadWorkerPort,
     VirtualClock,
 } from "@sardinestage/emulate-platform";
+import type { EmulatedWorkerTraits } from "@sardinestage/emulate-platform";
 import { EarlierTerm } from "@sardinestage/keep-term";
 import { CANCEL_SUFFIX, encodeJobRecord, PartKey } from "@sardinestage/track-jobs";
 import { WorkMeter } from "@sardinestage/watch-loop";
@@ -48,6 +49,8 @@
     callCostMs = 0;
     /** Time that sending a start order occupies the thread, in milliseconds. */
     sendCostMs = 0;
+    /** In what workers added from now on differ from others. */
+    workerTraits: EmulatedWorkerTraits | undefined;
     /** Whether the coordinators may start tasks and renew leases. */
     hasAuthority = true;
     private terms = 0;
@@ -72,7 +75,8 @@
 
     /** Adds a worker and publishes its entry. */
     async addWorker(id: string): Promise<void> {
-        this.fleet.workers.set(id, new EmulatedWorker(id, this.clock, this.runChecker, this.getDuration));
+        const { clock, runChecker, getDuration, workerTraits } = this;
+        this.fleet.workers.set(id, new EmulatedWorker(id, clock, runChecker, getDuration, workerTraits));
         await this.publishEntry(id);
     }
 
@@ -87,6 +91,17 @@
         });
     }
 
+    /** Ends a worker's life and starts the next one under its id, which is as reachable as the former one. */
+    resetWorker(id: string, pauseMs = 1): void {
+        const former = this.fleet.workers.get(id);
+        former?.stopAbruptly();
+        this.fleet.workers.delete(id);
+        this.clock.schedule(pauseMs, () => {
+            void this.addWorker(id);
+            Object.assign(this.fleet.workers.get(id) ?? {}, { isUnreachable: former?.isUnreachable ?? false });
+        });
+    }
+
     /** Publishes a worker's entry in the platform's list. */
     async publishEntry(id: string): Promise<void> {
         const entry = this.fleet.workers.get(id)?.describeEntry();
--- /dev/null
+++ b/packages/coordinate-work/src/testing/restartHazard.ts
@@ -0,0 +1,14 @@
+/** What may happen in a play beside restarts of workers under their ids and delays of calls and answers. */
+export enum RestartHazard {
+    LostAnswers = "lost-answers",
+    /** Starts and stops are carried out 2 to 12 s late if the worker hasn't restarted by then. */
+    LateOrders = "late-orders",
+    /** Late orders are carried out by the worker's next life, too. */
+    NextLife = "next-life",
+    Takeovers = "takeovers",
+    Cancellations = "cancellations",
+    /** Workers are out of reach for a while, and some restart meanwhile. */
+    Cuts = "cuts",
+    /** Workers' clocks are slow, some workers refuse what doesn't fit, and some calls meet an unhealthy worker. */
+    OddWorkers = "odd-workers",
+}
