Bind orders to a life of a worker, so that none runs in the next one beside its repetition

Cause: a view from one moment was applied to what was decided after it. On the first report of a worker's new life handleRestart gave up every task whose order was settled, also one that the new life had accepted after the report was made; the next round started it again beside its run. The mend that only looks at when the report was asked for isn't enough: an order may also reach the next life after the former one, or a report of the next one, has settled it.

Change: WorkerLife says which life an order belongs to and which reports settle it. Orders to each life carry a fencing token of its own within the term, raised when another life answers, or when a call gets no answer after a start. The worker refuses lower tokens, so a report that was asked for with the token shows all that became of earlier orders. No report is applied before that, no start is planned for the worker, and a start whose call is under way is never settled. A stop order to a former life doesn't count for the next one.

Two tests relied on a kinder emulator, in which a call to a cut-off worker failed at once instead of after its timeout. "starts its tasks elsewhere only after its lease has expired" now watches the worker's own lease, and bounds the time from there by what it is made of; "renews the lease before it applies the run ends" lets the worker answer 0.2 s earlier, when a renewal isn't already under way into the cut.

--- a/packages/coordinate-work/src/compareRuns.ts
+++ b/packages/coordinate-work/src/compareRuns.ts
@@ -2,24 +2,26 @@
 import { formatTaskKey } from "@sardinestage/describe-work";
 import type { Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
+import type { ReportRequest } from "./reportRequest.js";
 import type { RunDifference } from "./runDifference.js";
+import { WorkerLife } from "./workerLife.js";
 
 /** A report with this many ends may be cut off, so that a run missing from it isn't known to be lost. */
 const MAX_REPORTED_ENDS = 500;
 
 /**
  * Compares the runs that a worker reports with the runs that are expected there. The report is authoritative, but only
- * for orders that were settled before it was requested.
+ * for the orders that it settles.
  *
  * @param expected The tasks that are expected to have a run on the worker.
  * @param report The worker's report.
- * @param sentAtMs When the report was requested, in steady milliseconds.
+ * @param request The call that the report answers.
  * @param findTask Finds the task of a reported run, if its job and occurrence are still open.
  */
 export function compareRuns(
     expected: ReadonlySet<Task>,
     report: LeaseReport,
-    sentAtMs: number,
+    request: ReportRequest,
     findTask: (row: ActiveRun) => Task | undefined,
 ): RunDifference {
     const adopted: { task: Task; row: ActiveRun }[] = [];
@@ -45,8 +47,8 @@
         adopted,
         unneeded,
         matched,
-        lost: missing.filter(task => task.orderSettledAtMs < sentAtMs),
-        uncertain: missing.filter(task => task.isStartUnconfirmed && task.orderSettledAtMs >= sentAtMs),
+        lost: missing.filter(task => WorkerLife.isSettledBy(task, request)),
+        uncertain: missing.filter(task => task.isStartUnconfirmed && !WorkerLife.isSettledBy(task, request)),
     };
 }
 
--- a/packages/coordinate-work/src/computeStartsLeft.ts
+++ b/packages/coordinate-work/src/computeStartsLeft.ts
@@ -10,7 +10,7 @@
  * is on trial after a probation, else as many as fit.
  */
 export function computeStartsLeft(worker: TrackedWorker, nowMs: number): number {
-    const isUsable = worker.hasReported && worker.strayRuns.size === 0 && !worker.isUnlisted
+    const isUsable = worker.isLifeReported && worker.strayRuns.size === 0 && !worker.isUnlisted
         && worker.entry.state === WorkerState.Ready
         && worker.missedRenewals === 0;
     if (!isUsable || nowMs < worker.blockedUntilMs || nowMs - worker.answeredAtMs > limits.workerSilenceMs) {
--- a/packages/coordinate-work/src/coordinator.test.ts
+++ b/packages/coordinate-work/src/coordinator.test.ts
@@ -8,6 +8,12 @@
 import { createQueue } from "./testing/createQueue.js";
 
 const FIXED_RANDOM = () => 0.5;
+/**
+ * Longest time from the expiry of a lease to the next start of what ran under it, in milliseconds: a renewal that is
+ * repeated 1.75 s after a lost one counts as received, clocks differ by 2.5 %, ends may be unreported for 6 s, and
+ * rounds come every 0.25 s.
+ */
+const RESTART_AFTER_EXPIRY_MS = 8200;
 
 function createSpec(steps = [createStep()]): JobSpec {
     return { payload: "payload", steps, repeatCount: 0, firstRunMs: 0, intervalMs: 0 };
@@ -290,7 +296,11 @@
                 cutWorker.isUnreachable = true;
             }
             void harness.addWorker("w1");
-            await harness.clock.runFor(12_000);
+            while (cutWorker !== undefined && cutWorker.countRuns() > 0) {
+                expect(harness.runChecker.countActiveRuns()).toBe(1);
+                await harness.clock.runFor(10);
+            }
+            await harness.clock.runFor(RESTART_AFTER_EXPIRY_MS);
             expect(harness.runChecker.violations).toEqual([]);
             expect(harness.runChecker.countActiveRuns()).toBe(1);
         });
--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -29,6 +29,7 @@
 import { PlanningRound } from "./planningRound.js";
 import { ProgressWriter } from "./progressWriter.js";
 import { RecordCleaner } from "./recordCleaner.js";
+import type { ReportRequest } from "./reportRequest.js";
 import { RoundTimer } from "./roundTimer.js";
 import { RunTracker } from "./runTracker.js";
 import { StartGate } from "./startGate.js";
@@ -280,8 +281,8 @@
         const loop = new LeaseRenewalLoop(this.parts, worker, {
             waitUntilOpen: () => this.takeoverGate.waitUntilOpen(),
             hasAllJobs: report => this.hasAllJobs(report),
-            applyReport: (renewed, report, ...times) =>
-                this.parts.meter.measure(MeteredWork.Answers, () => this.handleReport(renewed, report, ...times)),
+            applyReport: (renewed, report, request) =>
+                this.parts.meter.measure(MeteredWork.Answers, () => this.handleReport(renewed, report, request)),
             isOver: renewed => this.isClosed || this.fleet.workers.get(renewed.entry.id) !== renewed,
         });
         void loop.run();
@@ -296,8 +297,8 @@
         return isUnread ? this.jobsFollower.refresh() : true;
     }
 
-    private handleReport(worker: TrackedWorker, report: LeaseReport, sentAtMs: number, receivedAtMs: number): void {
-        this.runs.applyReport(worker, report, sentAtMs, receivedAtMs);
+    private handleReport(worker: TrackedWorker, report: LeaseReport, request: ReportRequest): void {
+        this.runs.applyReport(worker, report, request);
         this.monitor.stopEndedJobs(worker);
         this.parts.meter.measure(MeteredWork.Pace, () => this.pace.handleMeasurements(worker));
         this.monitor.stopStalled(worker);
--- a/packages/coordinate-work/src/fleet.ts
+++ b/packages/coordinate-work/src/fleet.ts
@@ -71,7 +71,7 @@
     private applyEntry(entry: WorkerEntry): void {
         const known = this.workers.get(entry.id);
         if (known === undefined) {
-            const worker = new TrackedWorker(entry, () => this.earlierLeasesExpireAtMs);
+            const worker = new TrackedWorker(entry, () => this.earlierLeasesExpireAtMs, this.parts.getNewestFence);
             this.workers.set(entry.id, worker);
             this.parts.logger.info("worker-listed", { worker: entry.id, domain: entry.domain, bornMs: entry.bornMs });
             this.handlers.noteListed(worker);
@@ -107,7 +107,7 @@
             rack: "",
             remainingMs: 0,
         };
-        const worker = new TrackedWorker(entry, () => this.earlierLeasesExpireAtMs);
+        const worker = new TrackedWorker(entry, () => this.earlierLeasesExpireAtMs, this.parts.getNewestFence);
         worker.isUnlisted = true;
         this.workers.set(workerId, worker);
         this.parts.logger.warn("worker-unlisted", { worker: workerId });
--- a/packages/coordinate-work/src/headroomTracker.test.ts
+++ b/packages/coordinate-work/src/headroomTracker.test.ts
@@ -49,6 +49,7 @@
             const worker = new TrackedWorker(
                 { id: "w", capacity: { cpuMillis: 16_000 } } as unknown as WorkerEntry,
                 () => 0,
+                () => 1,
             );
             const estimator = new HeadroomEstimator();
             const tracker = new HeadroomTracker(estimator);
--- a/packages/coordinate-work/src/leaseRenewalLoop.coordinator.test.ts
+++ b/packages/coordinate-work/src/leaseRenewalLoop.coordinator.test.ts
@@ -33,8 +33,8 @@
             const cutWorker = harness.fleet.workers.get("w");
             if (cutWorker !== undefined) {
                 cutWorker.isUnreachable = true;
-                // The last renewal was sent 10 ms ago, for 4.5 s.
-                await harness.clock.runFor(4100);
+                // The last renewal was sent 10 ms ago, for 4.5 s. One that is sent to a cut-off worker fails after 0.6 s.
+                await harness.clock.runFor(3900);
                 cutWorker.isUnreachable = false;
             }
             harness.store.faults.answerMs = 600;
--- a/packages/coordinate-work/src/leaseRenewalLoop.ts
+++ b/packages/coordinate-work/src/leaseRenewalLoop.ts
@@ -5,6 +5,7 @@
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import { describeProblem } from "./describeProblem.js";
 import { limits } from "./limits.js";
+import type { ReportRequest } from "./reportRequest.js";
 import type { TrackedWorker } from "./trackedWorker.js";
 
 /** Callbacks of a lease renewal loop. */
@@ -13,8 +14,8 @@
     readonly waitUntilOpen: () => boolean | Promise<boolean>;
     /** Whether all jobs named in a report are known; false if one of them can't be read from the store yet. */
     readonly hasAllJobs: (report: LeaseReport) => boolean | Promise<boolean>;
-    /** Applies a report; the renewal was sent at `sentAtMs` and the report arrived at `receivedAtMs`. */
-    readonly applyReport: (worker: TrackedWorker, report: LeaseReport, sentAtMs: number, receivedAtMs: number) => void;
+    /** Applies the report that answers a renewal. */
+    readonly applyReport: (worker: TrackedWorker, report: LeaseReport, request: ReportRequest) => void;
     /** Whether the worker's lease need not be renewed any more. */
     readonly isOver: (worker: TrackedWorker) => boolean;
 }
@@ -59,22 +60,14 @@
             }
             const sentAtMs = this.parts.clock.getNow();
             const hasLease = this.worker.answeredAtMs > 0 && this.worker.missedRenewals < limits.maxMissedRenewals;
+            const { fence } = this.worker.life;
             const report = await this.sendRenewal(sentAtMs, hasLease);
             if (this.handlers.isOver(this.worker)) {
                 return;
             }
             if (report.outcome === OrderOutcome.Accepted) {
                 this.worker.missedRenewals = 0;
-                if (!hasLease) {
-                    this.readClock(report);
-                    continue;
-                }
-                this.worker.isLeaseRenewed = true;
-                const receivedAtMs = this.parts.clock.getNow();
-                if (await this.handlers.waitUntilOpen()) {
-                    this.isReportDue = false;
-                    await this.handleReport(report, sentAtMs, receivedAtMs);
-                }
+                await this.handleAnswer(report, { sentAtMs, receivedAtMs: this.parts.clock.getNow(), fence }, hasLease);
             }
             else if (report.outcome === OrderOutcome.StaleFence) {
                 this.parts.onTermLost("hold:stale-fence");
@@ -93,7 +86,7 @@
      */
     private async checkForLaterTerm(): Promise<void> {
         const { parts, worker } = this;
-        const order = { fence: parts.term, lastRecordedEnd: 0, leaseUntilMs: undefined, waitMs: 0, bornMs: 0 };
+        const order = { fence: worker.life.fence, lastRecordedEnd: 0, leaseUntilMs: undefined, waitMs: 0, bornMs: 0 };
         const report = await parts.workers.renewLease(worker.entry, order);
         if (report.outcome === OrderOutcome.StaleFence) {
             parts.onTermLost("hold:stale-fence");
@@ -101,6 +94,29 @@
         await waitFor(parts.clock, limits.unauthorizedPauseMs);
     }
 
+    private async handleAnswer(report: LeaseReport, request: ReportRequest, hadLease: boolean): Promise<void> {
+        const { worker } = this;
+        const isOtherLife = worker.life.noteAnswer(report.bornMs);
+        if (isOtherLife) {
+            const fields = { worker: worker.entry.id, bornMs: report.bornMs, fence: worker.life.fence };
+            this.parts.logger.warn("worker-restart-seen", fields);
+        }
+        if (!hadLease || isOtherLife) {
+            this.readClock(report);
+            return;
+        }
+        worker.isLeaseRenewed = true;
+        if (!worker.life.isReportedBy(request)) {
+            // The worker may still carry out orders for a former life.
+            this.readClock(report);
+            await waitFor(this.parts.clock, limits.renewalRetryMs);
+        }
+        else if (await this.handlers.waitUntilOpen()) {
+            this.isReportDue = false;
+            await this.handleReport(report, request);
+        }
+    }
+
     /**
      * Reads the worker's clock from an answer to a call without a lease. Leases are stated on the worker's own clock,
      * so they can be renewed only after this; a silent worker isn't asked to renew. The answer's lists are ignored:
@@ -109,17 +125,16 @@
     private readClock(report: LeaseReport): void {
         const { worker, parts } = this;
         worker.clockMs = report.clockMs;
-        worker.clockBornMs = report.bornMs;
         worker.answeredAtMs = parts.clock.getNow();
         if (worker.bornMs !== report.bornMs) {
-            // An earlier coordinator may have asked for the longest lease.
+            // An earlier coordinator, or orders for a former life, may have brought the longest lease.
             worker.leaseUntilMs = report.clockMs + parts.rules.maxLeaseMs;
         }
         this.isReportDue = true;
     }
 
     /** Applies a report once all its jobs are known: a run's end must not be acknowledged before its job was read. */
-    private async handleReport(report: LeaseReport, sentAtMs: number, receivedAtMs: number): Promise<void> {
+    private async handleReport(report: LeaseReport, request: ReportRequest): Promise<void> {
         const isComplete = await this.handlers.hasAllJobs(report);
         if (this.handlers.isOver(this.worker)) {
             return;
@@ -129,7 +144,7 @@
             await waitFor(this.parts.clock, limits.renewalRetryMs);
             return;
         }
-        this.handlers.applyReport(this.worker, report, sentAtMs, receivedAtMs);
+        this.handlers.applyReport(this.worker, report, request);
         await this.waitUntilRecorded();
         const pauseMs = chooseRenewalPause(this.parts.getLoopDelay());
         if (pauseMs > 0) {
@@ -146,15 +161,16 @@
         }
         const longPollMs = chooseLongPollTimeout(worker.hasMixedTasks, parts.getLoopDelay());
         const waitMs = worker.hasReported && !this.isReportDue && worker.missedRenewals === 0 ? longPollMs : 0;
-        const bornMs = worker.clockBornMs;
+        const { bornMs, fence } = worker.life;
         const lastRecordedEnd = bornMs === worker.bornMs ? worker.recordedEndNumber : 0;
-        const order = { fence: parts.term, lastRecordedEnd, leaseUntilMs, waitMs, bornMs };
+        const order = { fence, lastRecordedEnd, leaseUntilMs, waitMs, bornMs };
         return parts.workers.renewLease(worker.entry, order);
     }
 
     private noteMissedRenewal(outcome: OrderOutcome): void {
         const { worker, parts } = this;
         worker.missedRenewals++;
+        worker.life.noteSilence();
         if (worker.missedRenewals === 1) {
             parts.metrics.count("hold_failures_total", OrderOutcome[outcome]);
         }
--- a/packages/coordinate-work/src/orderSender.ts
+++ b/packages/coordinate-work/src/orderSender.ts
@@ -91,7 +91,7 @@
             return;
         }
         worker.stoppingStrays.add(key);
-        void worker.stopCalls.run(() => this.parts.workers.stop(worker.entry, ref, run, this.parts.term))
+        void worker.stopCalls.run(() => this.parts.workers.stop(worker.entry, ref, run, worker.life.fence))
             .finally(() => worker.stoppingStrays.delete(key));
     }
 
@@ -101,7 +101,7 @@
     }
 
     private async callStart(task: Task, run: number, worker: TrackedWorker): Promise<void> {
-        const { clock, rules, workers, term, metrics } = this.parts;
+        const { clock, rules, workers, metrics } = this.parts;
         if (this.handlers.isClosed() || task.run !== run || task.phase !== TaskPhase.Ordered) {
             if (task.run === run && task.phase === TaskPhase.Stopping) {
                 // The task was stopped before its start was sent, so nothing runs on the worker.
@@ -117,12 +117,15 @@
         const sentAtMs = clock.getNow();
         const leaseUntilMs = Math.floor(worker.estimateClock(sentAtMs) + rules.leaseMs);
         worker.leaseUntilMs = Math.max(worker.leaseUntilMs, leaseUntilMs);
+        const fence = worker.life.noteStartSent();
+        task.orderFence = fence;
+        task.isStartUnderWay = true;
         const outcome = await workers.start(worker.entry, {
             task: task.ref,
             run,
             payload: task.step.occurrence.job.spec.payload,
             leaseUntilMs,
-            fence: term,
+            fence,
             checkpoint: task.checkpoint,
             ticket: this.handlers.getTicket(task, worker.entry.id),
         });
@@ -134,11 +137,12 @@
             this.parts.logger.warn("start-unanswered", fields);
         }
         if (task.run === run && task.isActive) {
-            this.applyStartOutcome(task, worker, outcome);
+            task.isStartUnderWay = false;
+            this.applyStartOutcome(task, worker, outcome, fence);
         }
     }
 
-    private applyStartOutcome(task: Task, worker: TrackedWorker, outcome: OrderOutcome): void {
+    private applyStartOutcome(task: Task, worker: TrackedWorker, outcome: OrderOutcome, fence: number): void {
         const nowMs = this.parts.clock.getNow();
         switch (outcome) {
             case OrderOutcome.Accepted:
@@ -149,8 +153,11 @@
                 task.isStartUnconfirmed = true;
                 return;
             case OrderOutcome.StaleFence:
-                this.parts.onTermLost("start:stale-fence");
-                return;
+                if (fence === worker.life.fence) {
+                    this.parts.onTermLost("start:stale-fence");
+                    return;
+                }
+                break;
             case OrderOutcome.NoRoom:
                 worker.blockedUntilMs = nowMs + NO_CAPACITY_PAUSE_MS;
                 break;
@@ -178,21 +185,26 @@
         worker: TrackedWorker,
         isWanted: () => boolean,
     ): Promise<boolean> {
-        const { workers, term, clock } = this.parts;
+        const { workers, clock } = this.parts;
         while (isWanted() && !this.handlers.isClosed()) {
-            const outcome = await worker.stopCalls.run(() =>
-                isWanted() && !this.handlers.isClosed()
-                    ? workers.stop(worker.entry, ref, run, term)
-                    : Promise.resolve(OrderOutcome.Unsent)
-            );
+            let { fence } = worker.life;
+            const outcome = await worker.stopCalls.run(() => {
+                fence = worker.life.fence;
+                return isWanted() && !this.handlers.isClosed()
+                    ? workers.stop(worker.entry, ref, run, fence)
+                    : Promise.resolve(OrderOutcome.Unsent);
+            });
             if (outcome === OrderOutcome.Unsent) {
                 return false;
             }
-            if (outcome === OrderOutcome.StaleFence) {
+            if (outcome === OrderOutcome.StaleFence && fence === worker.life.fence) {
                 this.parts.onTermLost("stop:stale-fence");
                 return false;
             }
-            if (outcome !== OrderOutcome.Unknown && outcome !== OrderOutcome.Unhealthy) {
+            if (
+                outcome !== OrderOutcome.StaleFence && outcome !== OrderOutcome.Unknown
+                && outcome !== OrderOutcome.Unhealthy
+            ) {
                 return true;
             }
             await waitFor(clock, STOP_RETRY_MS);
--- a/packages/coordinate-work/src/paceController.test.ts
+++ b/packages/coordinate-work/src/paceController.test.ts
@@ -33,6 +33,7 @@
     readonly worker = new TrackedWorker(
         { id: "w", capacity: { cpuMillis: 16_000 } } as unknown as WorkerEntry,
         () => 0,
+        () => 1,
     );
     readonly estimator = new HeadroomEstimator();
     readonly headroomTracker = new HeadroomTracker(this.estimator);
--- a/packages/coordinate-work/src/paceController.ts
+++ b/packages/coordinate-work/src/paceController.ts
@@ -172,14 +172,15 @@
     }
 
     private async sendPace(task: Task, worker: TrackedWorker, percent: number): Promise<void> {
-        const { workers, term, metrics, clock } = this.parts;
+        const { workers, metrics, clock } = this.parts;
         const { run } = task;
+        const { fence } = worker.life;
         this.requestedPercents.set(task, percent);
         metrics.count("pace_orders_total", percent < task.pace ? "down" : "up");
-        const outcome = await workers.pace(worker.entry, task.ref, run, percent, term);
+        const outcome = await workers.pace(worker.entry, task.ref, run, percent, fence);
         const requestedPercent = this.requestedPercents.get(task) ?? percent;
         this.requestedPercents.delete(task);
-        if (outcome === OrderOutcome.StaleFence) {
+        if (outcome === OrderOutcome.StaleFence && fence === worker.life.fence) {
             this.parts.onTermLost("pace:stale-fence");
             return;
         }
--- a/packages/coordinate-work/src/runTracker.ts
+++ b/packages/coordinate-work/src/runTracker.ts
@@ -11,6 +11,7 @@
 import type { OrderSender } from "./orderSender.js";
 import { noteFailedRun } from "./probation.js";
 import type { ProgressWriter } from "./progressWriter.js";
+import type { ReportRequest } from "./reportRequest.js";
 import type { TrackedWorker } from "./trackedWorker.js";
 
 /** Dependencies of a run tracker. */
@@ -31,29 +32,29 @@
     /**
      * Applies a worker's lease report.
      *
-     * @param sentAtMs When the lease renewal was sent, in steady milliseconds.
-     * @param receivedAtMs When the report arrived, in steady milliseconds.
+     * @param request The lease renewal that the report answers.
      */
-    applyReport(worker: TrackedWorker, report: LeaseReport, sentAtMs: number, receivedAtMs: number): void {
+    applyReport(worker: TrackedWorker, report: LeaseReport, request: ReportRequest): void {
         const nowMs = this.parts.clock.getNow();
-        this.handleRestart(worker, report, sentAtMs);
+        const isRestarted = worker.bornMs !== 0 && worker.bornMs !== report.bornMs;
+        this.handleNewLife(worker, report, request);
         this.reportExpiredLeases(worker, report.ended, nowMs);
         worker.clockMs = report.clockMs;
-        worker.clockBornMs = report.bornMs;
-        worker.answeredAtMs = receivedAtMs;
+        worker.answeredAtMs = request.receivedAtMs;
         [...report.ended, ...report.running].forEach(row => this.collaborators.jobs.openReportedOccurrence(row.task));
         this.applyEnds(worker, report.ended);
         const difference = compareRuns(
             worker.tasks,
             report,
-            sentAtMs,
+            request,
             row => this.collaborators.jobs.findTask(row.task),
         );
         difference.matched.forEach(({ task, row }) => this.updateTask(task, row, nowMs));
         difference.adopted.forEach(({ task, row }) => this.acceptRun(task, row, worker, nowMs));
         worker.strayRuns.clear();
         difference.unneeded.forEach(row => this.stopUnneeded(row, worker));
-        difference.lost.forEach(task => this.handleLostRun(task, worker, "not-listed", sentAtMs));
+        const lostReason = isRestarted ? "worker-reborn" : "not-listed";
+        difference.lost.forEach(task => this.handleLostRun(task, worker, lostReason, request.sentAtMs));
         difference.uncertain.forEach(task => this.collaborators.orders.cancelUnansweredStart(task, worker));
         worker.hasReported = true;
     }
@@ -94,7 +95,8 @@
         });
     }
 
-    private handleRestart(worker: TrackedWorker, report: LeaseReport, sentAtMs: number): void {
+    /** Begins to follow a life of the worker that hasn't reported before. */
+    private handleNewLife(worker: TrackedWorker, report: LeaseReport, request: ReportRequest): void {
         if (worker.bornMs === report.bornMs) {
             return;
         }
@@ -103,14 +105,11 @@
                 worker: worker.entry.id,
                 bornMs: report.bornMs,
                 formerBornMs: worker.bornMs,
-                askedMsAgo: Math.round(this.parts.clock.getNow() - sentAtMs),
+                askedMsAgo: Math.round(this.parts.clock.getNow() - request.sentAtMs),
+                fence: request.fence,
                 tasks: worker.tasks.size,
             });
-            for (const task of [...worker.tasks]) {
-                if (task.orderSettledAtMs !== Infinity) {
-                    this.handleLostRun(task, worker, "worker-reborn", sentAtMs);
-                }
-            }
+            worker.tasks.forEach(task => withdrawStop(task, request.fence));
         }
         // Starts state the end of the lease on the earlier clock, which the new process shortens to the longest lease.
         worker.reset(report.bornMs, report.clockMs + this.parts.rules.maxLeaseMs);
@@ -224,6 +223,7 @@
         this.parts.logger.info("run-adopted", { ...fields, instead: task.isActive ? task.run : undefined });
         this.releaseEarlierRun(task, worker);
         applyRunStart(task, worker.entry.id, row.run, nowMs);
+        task.orderFence = worker.life.fence;
         worker.tasks.add(task);
         this.updateTask(task, row, nowMs);
         this.collaborators.noteChanged(job);
@@ -271,6 +271,13 @@
     }
 }
 
+/** Forgets a stop order to a former life of the worker: if the run is active in the next life, nothing stops it there. */
+function withdrawStop(task: Task, fence: number): void {
+    if (task.phase === TaskPhase.Stopping && task.orderFence < fence) {
+        task.phase = TaskPhase.Running;
+    }
+}
+
 /** Describes how long ago the outcome of a run's last order became known, and the report was asked for. */
 function describeTimes(task: Task, nowMs: number, askedAtMs: number | undefined) {
     return {
--- a/packages/coordinate-work/src/testing/createTrackedWorker.ts
+++ b/packages/coordinate-work/src/testing/createTrackedWorker.ts
@@ -14,16 +14,20 @@
     capacity: Capacity = SMALL_CAPACITY,
     earlierLeasesExpireAtMs = 0,
 ): TrackedWorker {
-    return new TrackedWorker({
-        id,
-        bornMs: 1,
-        service: "service",
-        address: id,
-        domain: "here",
-        state: WorkerState.Ready,
-        capacity,
-        labels: [],
-        rack: "",
-        remainingMs: 0,
-    }, () => earlierLeasesExpireAtMs);
+    return new TrackedWorker(
+        {
+            id,
+            bornMs: 1,
+            service: "service",
+            address: id,
+            domain: "here",
+            state: WorkerState.Ready,
+            capacity,
+            labels: [],
+            rack: "",
+            remainingMs: 0,
+        },
+        () => earlierLeasesExpireAtMs,
+        () => 1,
+    );
 }
--- a/packages/coordinate-work/src/testing/restartHazard.ts
+++ b/packages/coordinate-work/src/testing/restartHazard.ts
@@ -3,8 +3,10 @@
     LostAnswers = "lost-answers",
     /** Starts and stops are carried out 2 to 12 s late if the worker hasn't restarted by then. */
     LateOrders = "late-orders",
-    /** Late orders are carried out by the worker's next life, too. */
-    NextLife = "next-life",
+    /** Late orders also reach the worker's next life, once it has seen a higher fencing token than the former one. */
+    FencedLife = "fenced-life",
+    /** Late orders also reach the worker's next life from its first moment. */
+    UnfencedLife = "unfenced-life",
     Takeovers = "takeovers",
     Cancellations = "cancellations",
     /** Workers are out of reach for a while, and some restart meanwhile. */
--- a/packages/coordinate-work/src/testing/restartScenario.ts
+++ b/packages/coordinate-work/src/testing/restartScenario.ts
@@ -1,6 +1,6 @@
 import type { JobSpec, TaskRef } from "@sardinestage/describe-work";
 import { JobState } from "@sardinestage/describe-work";
-import { createRandom, createStep } from "@sardinestage/emulate-platform";
+import { createRandom, createStep, LateCallReach } from "@sardinestage/emulate-platform";
 import { CoordinatorHarness } from "./coordinatorHarness.js";
 import { createQueue } from "./createQueue.js";
 import { RestartHazard } from "./restartHazard.js";
@@ -86,11 +86,18 @@
             delayedShare: this.has(RestartHazard.LateOrders) ? 0.05 : 0,
             minDelayMs: MIN_LATE_MS,
             maxDelayMs: MAX_LATE_MS,
-            isNextLifeReached: this.has(RestartHazard.NextLife),
+            lateCallReach: this.chooseLateCallReach(),
             unhealthyShare: this.has(RestartHazard.OddWorkers) ? 0.03 : 0,
         });
     }
 
+    private chooseLateCallReach(): LateCallReach {
+        if (this.has(RestartHazard.UnfencedLife)) {
+            return LateCallReach.AnyLife;
+        }
+        return this.has(RestartHazard.FencedLife) ? LateCallReach.FencedLife : LateCallReach.SameLife;
+    }
+
     private removeFaults(): void {
         const { harness } = this;
         const noDelays = { maxDeliveryMs: 0, maxAnswerMs: 0 };
--- a/packages/coordinate-work/src/trackedWorker.ts
+++ b/packages/coordinate-work/src/trackedWorker.ts
@@ -3,6 +3,7 @@
 import type { Task } from "@sardinestage/track-jobs";
 import { CallLimiter } from "./callLimiter.js";
 import { limits } from "./limits.js";
+import { WorkerLife } from "./workerLife.js";
 
 /** The coordinator's state of one worker. */
 export class TrackedWorker {
@@ -13,7 +14,9 @@
      * coordinator was stopping. How much they use may not be known, so the worker gets no start meanwhile.
      */
     readonly strayRuns = new Set<string>();
-    /** When the worker's process started, as last reported; 0 before the first report. */
+    /** The worker's present life, and the fencing token of the orders to it. */
+    readonly life: WorkerLife;
+    /** When the life began whose report was applied last, in Unix milliseconds; 0 before the first report. */
     bornMs = 0;
     /** Whether a report has been applied in this term, so that the worker's runs are known. */
     hasReported = false;
@@ -27,8 +30,6 @@
     recordedEndNumber = 0;
     /** The worker's clock in its last answer. */
     clockMs = 0;
-    /** When the life began that this clock belongs to. */
-    clockBornMs = 0;
     /** When that answer arrived, in steady milliseconds; 0 before the first one. */
     answeredAtMs = 0;
     /** The latest end of the lease stated in any order to the worker, on the worker's clock. */
@@ -66,8 +67,20 @@
      * @param entry The worker's entry in the platform's list.
      * @param getEarlierLeasesExpiry Returns when all leases from earlier coordinators have expired, in steady
      *   milliseconds; used before the worker's first answer.
+     * @param getNewestFence Returns the newest fencing token of the term.
      */
-    constructor(public entry: WorkerEntry, private readonly getEarlierLeasesExpiry: () => number) {}
+    constructor(
+        public entry: WorkerEntry,
+        private readonly getEarlierLeasesExpiry: () => number,
+        getNewestFence: () => number,
+    ) {
+        this.life = new WorkerLife(getNewestFence);
+    }
+
+    /** Whether a report of the worker's present life has been applied, so that its runs are known. */
+    get isLifeReported(): boolean {
+        return this.hasReported && this.bornMs === this.life.bornMs;
+    }
 
     /** Estimates the worker's clock. The result is slightly low, by the time that the last answer was under way. */
     estimateClock(nowMs: number): number {
--- a/packages/emulate-platform/src/createOrderFaults.ts
+++ b/packages/emulate-platform/src/createOrderFaults.ts
@@ -1,3 +1,4 @@
+import { LateCallReach } from "./lateCallReach.js";
 import type { OrderFaults } from "./orderFaults.js";
 
 /** Creates settings under which no call to a worker is disturbed. */
@@ -8,7 +9,7 @@
         delayedRenewalShare: 0,
         minDelayMs: 0,
         maxDelayMs: 0,
-        isNextLifeReached: true,
+        lateCallReach: LateCallReach.AnyLife,
         lostAnswerShare: 0,
         unhealthyShare: 0,
         startDelays: noDelays,
--- a/packages/emulate-platform/src/emulatedFleet.ts
+++ b/packages/emulate-platform/src/emulatedFleet.ts
@@ -11,6 +11,7 @@
 import type { CallDelays } from "./callDelays.js";
 import { createOrderFaults } from "./createOrderFaults.js";
 import type { EmulatedWorker } from "./emulatedWorker.js";
+import { LateCallReach } from "./lateCallReach.js";
 import type { OrderFaults } from "./orderFaults.js";
 
 /** One-way network latency to a worker, in milliseconds. */
@@ -114,12 +115,19 @@
         const life = this.workers.get(id);
         this.clock.schedule(delayMs, () => {
             const found = this.workers.get(id);
-            if (found !== undefined && (found === life || this.faults.isNextLifeReached)) {
+            if (found !== undefined && (found === life || this.isReachedLate(found, life))) {
                 void call.apply(found);
             }
         });
     }
 
+    /** Whether a worker applies a call that was sent to its former life. */
+    private isReachedLate(nextLife: EmulatedWorker, formerLife: EmulatedWorker | undefined): boolean {
+        const { lateCallReach } = this.faults;
+        return lateCallReach === LateCallReach.AnyLife
+            || (lateCallReach === LateCallReach.FencedLife && nextLife.highestFence > (formerLife?.highestFence ?? 0));
+    }
+
     private async waitForTimeout<T>(call: WorkerCall<T>, untilMs: number): Promise<T> {
         await waitFor(this.clock, untilMs - this.clock.getNow());
         return call.createFailure(OrderOutcome.Unknown);
--- a/packages/emulate-platform/src/emulatedWorker.ts
+++ b/packages/emulate-platform/src/emulatedWorker.ts
@@ -86,6 +86,16 @@
         return this.hasCrashed;
     }
 
+    /** The highest fencing token that this life has seen; 0 before the first call. */
+    get highestFence(): number {
+        return this.fence;
+    }
+
+    /** Returns the number of active runs. */
+    countRuns(): number {
+        return this.runs.size;
+    }
+
     /** Crashes the worker: all runs end without being reported. */
     stopAbruptly(): void {
         this.hasCrashed = true;
--- a/packages/emulate-platform/src/index.ts
+++ b/packages/emulate-platform/src/index.ts
@@ -5,6 +5,7 @@
 export { emulatedStoreLimits } from "./emulatedStoreLimits.js";
 export { EmulatedWorker } from "./emulatedWorker.js";
 export type { EmulatedWorkerTraits } from "./emulatedWorkerTraits.js";
+export { LateCallReach } from "./lateCallReach.js";
 export { listPrerequisiteTasks } from "./listPrerequisiteTasks.js";
 export { MemoryStore } from "./memoryStore.js";
 export type { OrderFaults } from "./orderFaults.js";
--- a/packages/emulate-platform/src/orderFaults.ts
+++ b/packages/emulate-platform/src/orderFaults.ts
@@ -1,4 +1,5 @@
 import type { CallDelays } from "./callDelays.js";
+import type { LateCallReach } from "./lateCallReach.js";
 
 /** Faults injected into the calls to workers. */
 export interface OrderFaults {
@@ -10,8 +11,8 @@
     minDelayMs: number;
     /** Maximum delay of a late call after the caller's timeout, in milliseconds. */
     maxDelayMs: number;
-    /** Whether a late call is applied by the worker's next life if the one that it was sent to is gone by then. */
-    isNextLifeReached: boolean;
+    /** Which lives of the worker apply a late call. */
+    lateCallReach: LateCallReach;
     /** Share of the calls that are applied at once and whose answer is lost, 0 to 1. */
     lostAnswerShare: number;
     /** Share of the calls that an unhealthy worker refuses without doing anything, 0 to 1. */
--- a/packages/track-jobs/src/applyRunStart.ts
+++ b/packages/track-jobs/src/applyRunStart.ts
@@ -11,6 +11,8 @@
     task.orderedAtMs = nowMs;
     task.firstSeenAtMs = 0;
     task.orderSettledAtMs = Infinity;
+    task.orderFence = Infinity;
+    task.isStartUnderWay = false;
     task.isStartUnconfirmed = false;
     task.percent = 0;
     task.progressAtMs = nowMs;
--- a/packages/track-jobs/src/task.ts
+++ b/packages/track-jobs/src/task.ts
@@ -29,6 +29,13 @@
      * unknown. Only the report of a lease renewal sent after this time proves whether the worker has the run.
      */
     orderSettledAtMs = 0;
+    /**
+     * Fencing token of the order that started the newest run; 0 if an earlier coordinator sent it, infinite before it is
+     * sent.
+     */
+    orderFence = 0;
+    /** Whether the call that starts the newest run is under way: whichever life of the worker it reaches may start the run. */
+    isStartUnderWay = false;
     /** Whether the start order got no answer, so that the worker may still carry it out. */
     isStartUnconfirmed = false;
     /** Last reported measurement: tail latency in milliseconds of a serving task, otherwise CPU usage in millicores. */
