--- a/packages/emulate-platform/src/emulatedWorker.ts
+++ b/packages/emulate-platform/src/emulatedWorker.ts
@@ -34,6 +34,8 @@
     /** The active runs by task and run number: several runs of one task may be active. */
     private readonly runs = new Map<string, Run>();
     private unacknowledgedEnds: EndedRun[] = [];
+    /** How often the task of each unacknowledged end had been started by then, by the end's number; none after a lapse. */
+    private readonly startCounts = new Map<number, number>();
     /** The highest run number of each task that was stopped or has ended here. */
     private readonly refusedRunNumbers = new Map<string, number>();
     private readonly waiters = new Set<() => void>();
@@ -175,10 +177,11 @@
         if (order.leaseUntilMs !== undefined) {
             this.extendLease(order.leaseUntilMs);
         }
-        for (const ended of this.unacknowledgedEnds) {
-            if (ended.number <= order.lastRecordedEnd && ended.end === RunEnd.Done) {
-                this.invariantChecker.noteAcknowledged(ended.task);
+        for (const ended of this.unacknowledgedEnds.filter(({ number }) => number <= order.lastRecordedEnd)) {
+            if (ended.end === RunEnd.Done) {
+                this.invariantChecker.noteAcknowledged(ended.task, this.startCounts.get(ended.number));
             }
+            this.startCounts.delete(ended.number);
         }
         this.unacknowledgedEnds = this.unacknowledgedEnds.filter(ended => ended.number > order.lastRecordedEnd);
         if (order.waitMs > 0 && this.unacknowledgedEnds.length === 0) {
@@ -241,6 +244,7 @@
         this.cancelExpiry = this.clock.schedule(
             (this.leaseUntilMs - this.getClockTime()) / this.traits.clockRate,
             () => {
+                this.startCounts.clear();
                 [...this.runs.keys()].forEach(key => this.finishRun(key, RunEnd.Lapsed));
             },
         );
@@ -255,6 +259,7 @@
         this.runs.delete(key);
         this.refuseRunsUpTo(run.task, run.run);
         this.lastEndNumber++;
+        this.startCounts.set(this.lastEndNumber, this.invariantChecker.countStarts(run.task));
         this.unacknowledgedEnds.push({
             number: this.lastEndNumber,
             task: run.task,
--- a/packages/emulate-platform/src/runInvariantChecker.ts
+++ b/packages/emulate-platform/src/runInvariantChecker.ts
@@ -3,13 +3,14 @@
 
 /**
  * Is notified by the emulated workers of every run's start and end, and records violations of invariants: two
- * concurrent runs of a task, a start after the task's successful end was acknowledged, a start before a task that it
- * depends on is done.
+ * concurrent runs of a task, a start after a successful end of the task that was acknowledged then or is acknowledged
+ * later, a start before a task that it depends on is done.
  */
 export class RunInvariantChecker {
     readonly violations: string[] = [];
     readonly completedTasks = new Set<string>();
     private readonly acknowledgedTasks = new Set<string>();
+    private readonly startCounts = new Map<string, number>();
     private readonly activeRunCounts = new Map<string, number>();
 
     /**
@@ -26,6 +27,7 @@
         const key = formatTaskKey(task);
         const count = (this.activeRunCounts.get(key) ?? 0) + 1;
         this.activeRunCounts.set(key, count);
+        this.startCounts.set(key, this.countStarts(task) + 1);
         if (count > 1) {
             this.addViolation(`${key} runs twice, now on ${worker}`);
         }
@@ -48,9 +50,23 @@
         }
     }
 
-    /** Records that a coordinator acknowledged a task's successful end. */
-    noteAcknowledged(task: TaskRef): void {
-        this.acknowledgedTasks.add(formatTaskKey(task));
+    /**
+     * Records that a coordinator acknowledged a task's successful end.
+     *
+     * @param startCount The starts of the task up to that end, as `countStarts` told; undefined if the worker's lease has
+     *   lapsed since, so that starts in between were allowed.
+     */
+    noteAcknowledged(task: TaskRef, startCount: number | undefined): void {
+        const key = formatTaskKey(task);
+        if (startCount !== undefined && !this.acknowledgedTasks.has(key) && this.countStarts(task) > startCount) {
+            this.addViolation(`${key} was started after an end as done that is acknowledged now`);
+        }
+        this.acknowledgedTasks.add(key);
+    }
+
+    /** Returns how many runs of a task have started so far. */
+    countStarts(task: TaskRef): number {
+        return this.startCounts.get(formatTaskKey(task)) ?? 0;
     }
 
     /** Returns the number of runs in progress. */
