--- a/packages/coordinate-work/src/testing/restartScenario.ts
+++ b/packages/coordinate-work/src/testing/restartScenario.ts
@@ -15,6 +15,12 @@
 const MIN_LATE_MS = 1400;
 const MAX_LATE_MS = 11_400;
 const FOREVER_MS = 600_000;
+/** Time of the coordinator's thread that a call takes at most, in milliseconds. */
+const MAX_CALL_COST_MS = 5;
+/** Longest time for which the entry of a worker that is up is missing, in milliseconds. */
+const MAX_MISSING_MS = 1900;
+/** Longest outage of the store, in milliseconds; starts wait for the store that long, so that all are recorded. */
+const MAX_OUTAGE_MS = 4000;
 
 /**
  * A play of one coordinator or several, whose workers restart under their ids while jobs keep coming. Whether a task ran
@@ -38,6 +44,7 @@
         const { harness, random } = this;
         this.workerIds.forEach(id => this.addWorker(id));
         await harness.clock.runFor(50);
+        harness.callCostMs = this.has(RestartHazard.BusyThread) ? random() * MAX_CALL_COST_MS : 0;
         harness.startTerm(false);
         this.setFaults();
         const restarts = 6 + Math.floor(random() * 5);
@@ -84,6 +91,7 @@
             renewalDelays: delays,
             lostAnswerShare: this.has(RestartHazard.LostAnswers) ? 0.05 : 0,
             delayedShare: this.has(RestartHazard.LateOrders) ? 0.05 : 0,
+            delayedRenewalShare: this.has(RestartHazard.LateOrders) ? 0.02 : 0,
             minDelayMs: MIN_LATE_MS,
             maxDelayMs: MAX_LATE_MS,
             lateCallReach: this.chooseLateCallReach(),
@@ -107,8 +115,10 @@
             renewalDelays: noDelays,
             lostAnswerShare: 0,
             delayedShare: 0,
+            delayedRenewalShare: 0,
             unhealthyShare: 0,
         });
+        Object.assign(harness.store.faults, { isDown: false, lostAnswerShare: 0 });
         harness.fleet.workers.forEach(worker => worker.isUnreachable = false);
     }
 
@@ -127,6 +137,18 @@
         if (this.has(RestartHazard.Cuts) && random() < 0.015) {
             this.injectCut(this.pickWorker());
         }
+        if (this.has(RestartHazard.MissingEntries) && random() < 0.02) {
+            const id = this.pickWorker();
+            void harness.withdrawEntry(id);
+            harness.clock.schedule(random() * MAX_MISSING_MS, () => {
+                if (harness.fleet.workers.has(id)) {
+                    void harness.publishEntry(id);
+                }
+            });
+        }
+        if (this.has(RestartHazard.StoreFaults) && random() < 0.01) {
+            this.injectStoreFaults();
+        }
     }
 
     private createSpec(): JobSpec {
@@ -205,6 +227,17 @@
         });
     }
 
+    private injectStoreFaults(): void {
+        const { harness, random } = this;
+        const { faults } = harness.store;
+        faults.lostAnswerShare = 0.2;
+        faults.isDown = random() < 0.5;
+        harness.clock.schedule(random() * MAX_OUTAGE_MS, () => {
+            faults.isDown = false;
+            faults.lostAnswerShare = 0;
+        });
+    }
+
     /** Starts the next term, after the old coordinator was killed or while it still runs without knowing. */
     private startSuccessor(): void {
         const { harness, random } = this;
