Give each relay session of a process an id of its own

Seen by callers: none; found by reading. A takeover that is tried again in its term creates a second RelayedWorkerPort, whose sessions had the ids of the first one's. Renewals are sent before a takeover has succeeded, and the first port goes on asking for their answers: the relay takes it for the second session, and gives it that one's answers, whose call ids start at 1 too.

Evidence: in the test, on the code before, the first port's renewal of w0 returns the report of w1, as accepted, and the second port's renewal of w1 gets no answer (Unknown). By reading, calls of the first port that arrive late may be answered to the second one in the same way; that isn't shown.

Change: the count in a session's id is the process's, not the port's. The relay then refuses the first session as expired, its call is Unknown, and the second one gets w1's report.

--- a/packages/relay-orders/src/relayedWorkerPort.ts
+++ b/packages/relay-orders/src/relayedWorkerPort.ts
@@ -55,8 +55,9 @@
  * coordinator a fraction of an HTTP call each. A call that a relay certainly didn't make is made directly.
  */
 export class RelayedWorkerPort implements WorkerPort {
+    /** Counts the sessions of all ports: a takeover that is tried again has another port in the same term. */
+    private static sessionCount = 0;
     private readonly pool: RelayPool;
-    private sessionCount = 0;
 
     constructor(private readonly parts: RelayedWorkerPortParts) {
         const { incarnation } = parts;
@@ -64,11 +65,11 @@
             ...parts,
             maxDirectWorkers: parts.maxDirectWorkers ?? MAX_DIRECT_WORKERS,
             createSession: (relay, onUnusable) => {
-                this.sessionCount++;
+                RelayedWorkerPort.sessionCount++;
                 return new RelaySession({
                     ...parts,
                     relay,
-                    id: `${incarnation}/${parts.term}/${this.sessionCount}`,
+                    id: `${incarnation}/${parts.term}/${RelayedWorkerPort.sessionCount}`,
                     onUnusable,
                 });
             },
