Leave a start that is refused as ended to the next report

A worker refuses a start as ended if the run was stopped or has ended there. It was taken for "not started", so a run that had succeeded there could be started again before its end was read.

Change: the order counts as settled; the next report that was asked for after that has the end, or shows that the run was only prevented.

--- a/packages/coordinate-work/src/orderSender.ts
+++ b/packages/coordinate-work/src/orderSender.ts
@@ -152,6 +152,10 @@
             case OrderOutcome.Unknown:
                 task.isStartUnconfirmed = true;
                 return;
+            case OrderOutcome.RunEnded:
+                // The next report tells whether the run was only prevented, or has ended there.
+                task.orderSettledAtMs = nowMs;
+                return;
             case OrderOutcome.StaleFence:
                 if (fence === worker.life.fence) {
                     this.parts.onTermLost("start:stale-fence");
