Start nothing under a binding whose release is on its way to the log

Cause: a holder planned from the worker's report and what it had read of the log. Its own release, appended and not read back, was in neither, so it started the task when the worker had room; then the release took effect, and another worker started the same attempt. With append answers lost a release is on its way for up to a second or two.

Change: the planner asks whether a release of the binding is appended and not read back (WorkerView.isPending), and starts nothing under it until it is settled.

--- a/packages/plan-worker-orders/src/planWorkerOrders.test.ts
+++ b/packages/plan-worker-orders/src/planWorkerOrders.test.ts
@@ -51,6 +51,7 @@
         bound: entry?.phase === TaskPhase.Bound && entry.worker === "w" ? [entry] : [],
         findEntry: () => entry,
         mayStart: true,
+        isPending: () => false,
         isLogFresh: true,
         isLeaving: false,
         isIdle: () => true,
@@ -102,6 +103,24 @@
         });
     });
 
+    describe("when a bound task's release is appended and not read back", () => {
+        const isPending = (recordId: string) => recordId === "release:t:1:7";
+
+        it("doesn't start the task, whose next attempt another worker may start under the same number", () => {
+            expect(planWorkerOrders(createView(createEntry(), undefined, { isPending })).orders).toEqual([]);
+            const stopped = createTask(RunState.Stopped, { checkpoint: "0.5" });
+            const view = createView(createEntry(), stopped, { isPending, isLogFresh: false });
+            expect(planWorkerOrders(view).orders).toEqual([]);
+        });
+
+        it("starts a task that is bound again, and one whose release belongs to an earlier lease", () => {
+            const boundAgain = createView(createEntry({ generation: 2 }), undefined, { isPending });
+            expect(planWorkerOrders(boundAgain).orders).toMatchObject([{ kind: OrderKind.Start, attempt: 1 }]);
+            const newLease = createView(createEntry(), undefined, { isPending, token: 8 });
+            expect(planWorkerOrders(newLease).orders).toMatchObject([{ kind: OrderKind.Start, attempt: 1 }]);
+        });
+    });
+
     describe("when a task runs that is bound to another worker", () => {
         const boundToOther = createEntry({ worker: "other", generation: 2 });
 
--- a/packages/plan-worker-orders/src/planWorkerOrders.ts
+++ b/packages/plan-worker-orders/src/planWorkerOrders.ts
@@ -10,8 +10,9 @@
 import type { WorkerView } from "./workerView.js";
 
 /**
- * Plans the next actions of the holder of a worker from the worker's report and the log. Each plan is made from both
- * without any memory of earlier plans, so that a lost answer, a restart or a takeover needs no special case.
+ * Plans the next actions of the holder of a worker from the worker's report, the log, and this process's records that
+ * are on their way to the log. Each plan is made from these without any memory of earlier plans, so that a lost answer,
+ * a restart or a takeover needs no special case.
  *
  * @param view The worker's report, the state of the log, and the limits.
  * @returns Orders to the worker, records for the log, and ended attempts that the worker may forget.
@@ -152,6 +153,10 @@
     private startTask(entry: TaskEntry, attempt: number, checkpoint: string | undefined): void {
         const { spec, generation } = entry;
         const need = this.estimateNeed(entry);
+        if (this.view.isPending(this.describeRelease(entry))) {
+            // Once the release is in the log another worker may start the task, under this same attempt number.
+            return;
+        }
         if (!resourceMath.fits(need, this.freeCapacity)) {
             if (this.view.isLogFresh && this.view.hasCapacityElsewhere(entry)) {
                 this.releaseTask(entry, attempt - 1, checkpoint, "there is room elsewhere", false);
@@ -196,7 +201,7 @@
     ): void {
         const { worker, token } = this.view;
         const { generation, spec: { taskId } } = entry;
-        this.addRecord(`release:${taskId}:${generation}:${token}`, {
+        this.addRecord(this.describeRelease(entry), {
             kind: TaskRecordKind.Release,
             taskId,
             generation,
@@ -209,6 +214,11 @@
         });
     }
 
+    /** The id of the record by which this holder releases a binding. */
+    private describeRelease({ generation, spec: { taskId } }: TaskEntry): string {
+        return `release:${taskId}:${generation}:${this.view.token}`;
+    }
+
     private addRecord(id: string, data: TaskRecord): void {
         this.records.push({ id, data });
     }
--- a/packages/plan-worker-orders/src/workerView.ts
+++ b/packages/plan-worker-orders/src/workerView.ts
@@ -13,6 +13,8 @@
     readonly findEntry: (taskId: string) => TaskEntry | undefined;
     /** Whether tasks may be started: the hold record is in the log and the holder's authority has not expired. */
     readonly mayStart: boolean;
+    /** Whether this process has appended a record under this id and not read it back, so that the log may hold it. */
+    readonly isPending: (recordId: string) => boolean;
     /** Whether the log was read to its end a short time ago. */
     readonly isLogFresh: boolean;
     /** Whether the worker's VM is being removed, or an operator drains the worker. */
--- a/packages/scheduler/src/ownership.test.ts
+++ b/packages/scheduler/src/ownership.test.ts
@@ -54,7 +54,7 @@
     { weight: 2, arbitrary: fc.record({ kind: fc.constantFrom("pause" as const, "resume" as const), index }) },
     { weight: 4, arbitrary: fc.record({ kind: fc.constantFrom("logOut" as const, "logBack" as const), index }) },
     {
-        weight: 7,
+        weight: 9,
         arbitrary: fc.record({
             kind: fc.constantFrom(
                 "restart" as const,
@@ -66,6 +66,9 @@
                 "drain" as const,
                 "restore" as const,
                 "deliver" as const,
+                "fill" as const,
+                "roomElsewhere" as const,
+                "noRoomElsewhere" as const,
             ),
             index,
         }),
@@ -127,6 +130,15 @@
         case "deliver":
             domain.handleLate();
             break;
+        case "fill":
+            for (let i = 0; i < 5; i++) {
+                domain.submitTask();
+            }
+            break;
+        case "roomElsewhere":
+        case "noRoomElsewhere":
+            domain.hasRoomElsewhere = each.kind === "roomElsewhere";
+            break;
     }
 }
 
@@ -199,6 +211,28 @@
         });
     });
 
+    describe("when a full worker's waiting task is released, and the worker has room before the release is in the log", () => {
+        it("don't start the task there, since another worker starts its next attempt under the same number", async () => {
+            const domain = new FakeDomain(settings, SCHEDULERS, WORKERS);
+            domain.links.set("s0>w1", "cut");
+            domain.links.set("s1>w0", "cut");
+            await submitToFirstWorker(domain);
+            await runTicks(domain, 2);
+            domain.hasRoomElsewhere = true;
+            domain.schedulers[0].isLogUnreachable = true;
+            await runTicks(domain, 1);
+            domain.hasRoomElsewhere = false;
+            await runTicks(domain, 1);
+            expect(domain.workers[0].countRunning()).toBeLessThan(8);
+            domain.schedulers[0].isLogUnreachable = false;
+            await runTicks(domain, 1);
+            domain.links.set("s0>w0", "cut");
+            await runTicks(domain, 3);
+            expect(domain.oracle.violations).toEqual([]);
+            expect(domain.oracle.countStarts("d/t8")).toBe(1);
+        });
+    });
+
     describe("under any sequence of cut links, pauses, restarts, lost or late messages, and drains", () => {
         it(`never run a task on two workers at once and lose no task (seed ${SEED})`, async () => {
             await fc.assert(
--- a/packages/scheduler/src/testing/fakeDomain.ts
+++ b/packages/scheduler/src/testing/fakeDomain.ts
@@ -15,6 +15,7 @@
 import type { WorkerFleet } from "../workerFleet.js";
 import { createFakePort } from "./createFakePort.js";
 import type { FakeLink } from "./fakeLink.js";
+import type { FakeScheduler } from "./fakeScheduler.js";
 import { FakeWorker } from "./fakeWorker.js";
 import { OwnershipOracle } from "./ownershipOracle.js";
 
@@ -25,22 +26,6 @@
 /** Half of the tasks are long, so that they still run when a takeover or a condemnation is complete. */
 const RUN_MS = [5_000, 90_000];
 
-interface FakeScheduler {
-    name: string;
-    incarnation: number;
-    startedAtMs: number;
-    isPaused: boolean;
-    isLogUnreachable: boolean;
-    ledger: TaskLedger;
-    readOffset: number;
-    freshAtMs: number;
-    continuousSinceMs: number;
-    outbox: NewLogRecord[];
-    peerStatuses: Map<string, { atMs: number; condemned: readonly string[]; contested: readonly string[] }>;
-    controls: Map<string, WorkerControl>;
-    condemnationController: CondemnationController;
-}
-
 /**
  * A failure domain on a virtual clock. `WorkerControl` and `CondemnationController` are the real classes. The network,
  * the log and the workers are fakes whose faults the test sets.
@@ -55,6 +40,8 @@
     readonly unlisted = new Set<string>();
     /** Whether the schedulers cannot reach each other. */
     arePeersCut = false;
+    /** Whether a task that doesn't fit on its worker would find room on another. */
+    hasRoomElsewhere = false;
     private readonly drained = new Set<string>();
     private readonly records: LogRecord[] = [];
     private delayedDeliveries: (() => void)[] = [];
@@ -147,6 +134,7 @@
         this.drained.clear();
         this.unlisted.clear();
         this.arePeersCut = false;
+        this.hasRoomElsewhere = false;
         this.workers.filter(worker => worker.isDead).forEach(({ name }) =>
             this.schedulers.forEach(scheduler => this.unlisted.add(`${scheduler.name}>${name}`))
         );
@@ -185,7 +173,10 @@
         if (scheduler.isLogUnreachable) {
             return;
         }
-        this.records.slice(scheduler.readOffset).forEach(record => applyTaskRecord(scheduler.ledger, record));
+        this.records.slice(scheduler.readOffset).forEach(record => {
+            scheduler.unreadIds.delete(record.id);
+            applyTaskRecord(scheduler.ledger, record);
+        });
         scheduler.readOffset = this.records.length;
         if (this.clock.nowMs - scheduler.freshAtMs > MAX_GAP_MS) {
             scheduler.continuousSinceMs = this.clock.nowMs;
@@ -238,6 +229,7 @@
             freshAtMs: Number.NEGATIVE_INFINITY,
             continuousSinceMs: Number.POSITIVE_INFINITY,
             outbox: [],
+            unreadIds: new Set(),
             peerStatuses: new Map(),
             controls: new Map<string, WorkerControl>(),
         } as unknown as FakeScheduler;
@@ -272,7 +264,7 @@
             evictions: new EvictionBudget(100),
             createPort: (vm: VmRecord) => this.createPort(scheduler, vm.vm, incarnation),
             isLeaving: (worker: string) => this.isLeaving(scheduler, worker),
-            hasCapacityElsewhere: () => false,
+            hasCapacityElsewhere: () => this.hasRoomElsewhere,
             getConcurrency: () => 1,
             mayPreempt: () => false,
         };
@@ -305,12 +297,14 @@
         return {
             ledger: scheduler.ledger,
             append: (record: NewLogRecord) => {
+                scheduler.unreadIds.add(record.id);
                 if (!scheduler.outbox.some(each => each.id === record.id)) {
                     scheduler.outbox.push(record);
                 }
                 return true;
             },
             appendEvent: () => {},
+            isPending: (id: string) => scheduler.unreadIds.has(id),
             getFreshAtMs: () => scheduler.freshAtMs,
             isFresh: () => this.clock.nowMs - scheduler.freshAtMs <= MAX_GAP_MS,
             isLoaded: () => scheduler.freshAtMs > Number.NEGATIVE_INFINITY,
--- a/packages/scheduler/src/testing/fakeWorker.ts
+++ b/packages/scheduler/src/testing/fakeWorker.ts
@@ -33,6 +33,11 @@
         }
     }
 
+    /** How many tasks run. */
+    countRunning(): number {
+        return this.listRunning().length;
+    }
+
     /** Kills the worker and every task that runs on it. */
     stop(): void {
         this.listRunning().forEach(task => this.oracle.recordEnd(task.taskId, this.name));
--- a/packages/scheduler/src/workerControl.ts
+++ b/packages/scheduler/src/workerControl.ts
@@ -201,6 +201,7 @@
             bound,
             findEntry: taskId => stream.ledger.getTask(taskId),
             mayStart: this.isHeld() && this.hasAuthority(),
+            isPending: recordId => stream.isPending(recordId),
             isLogFresh: stream.isFresh(),
             isLeaving: isLeaving(worker),
             hasCapacityElsewhere: this.context.hasCapacityElsewhere,
