Show that a late start runs beside the task's next binding (not mended)

A start without an answer counts as not done: the holder releases the binding (worker drained, or room elsewhere) under the same token, another worker starts the same attempt, and then the first worker carries the late start out, since its token is still good. stage-scheduler only.

A way to mend it, not tried: a holder that has a start without an answer gives up its token and acquires a new one before it releases that binding, so that the worker refuses the late start. The cost is the quiet time of the worker's grants after a take-over.

--- a/packages/scheduler/src/ownership.test.ts
+++ b/packages/scheduler/src/ownership.test.ts
@@ -233,6 +233,23 @@
         });
     });
 
+    describe("when a start without an answer is carried out after its binding was released", () => {
+        it("don't run the task on two workers", async () => {
+            const domain = new FakeDomain(settings, SCHEDULERS, WORKERS);
+            domain.links.set("s0>w1", "cut");
+            domain.links.set("s1>w0", "cut");
+            domain.submitTask();
+            await runTicks(domain, 2);
+            domain.links.set("s0>w0", "startsLate");
+            await runTicks(domain, 1);
+            domain.setDrained(0, true);
+            await runTicks(domain, 4);
+            expect(domain.oracle.countStarts("d/t0")).toBe(1);
+            domain.handleLate();
+            expect(domain.oracle.violations).toEqual([]);
+        });
+    });
+
     describe("under any sequence of cut links, pauses, restarts, lost or late messages, and drains", () => {
         it(`never run a task on two workers at once and lose no task (seed ${SEED})`, async () => {
             await fc.assert(
--- a/packages/scheduler/src/testing/createFakePort.ts
+++ b/packages/scheduler/src/testing/createFakePort.ts
@@ -25,7 +25,11 @@
         new StageError(ErrorKind.LeaseHeld, "Another scheduler holds the lease.", "Wait until the lease expires."),
     );
 
-    async function call<T>(token: number | undefined, act: (worker: FakeWorker) => T): Promise<Result<T, StageError>> {
+    async function call<T>(
+        token: number | undefined,
+        act: (worker: FakeWorker) => T,
+        isStart = false,
+    ): Promise<Result<T, StageError>> {
         const run = (): Result<T, StageError> => {
             const worker = options.findWorker();
             if (worker === undefined) {
@@ -37,7 +41,7 @@
         if (link === "cut" || !options.isAlive()) {
             return unreachable;
         }
-        if (link === "late") {
+        if (link === "late" || link === "startsLate" && isStart) {
             options.scheduleDelivery(run);
             return unreachable;
         }
@@ -52,7 +56,7 @@
         },
         renewLease: (token, order) => call(token, worker => worker.renewLease(order)),
         releaseLease: token => call(token, worker => worker.releaseLease()),
-        startTask: (token, order) => call(token, worker => worker.startTask(order)),
+        startTask: (token, order) => call(token, worker => worker.startTask(order), true),
         checkpointTask: token => call(token, () => "0"),
         throttleTask: token => call(token, () => undefined),
         stopTask: (token, attempt) => call(token, worker => worker.stopTask(attempt)),
