--- a/packages/coordinate-work/src/restarts.fuzz.test.ts
+++ b/packages/coordinate-work/src/restarts.fuzz.test.ts
@@ -7,7 +7,7 @@
 const RUNS = Number(process.env.FUZZ_RUNS ?? 7);
 const SEEDS = Array.from({ length: RUNS }, (_unused, index) => FIRST_SEED + index);
 /** Plays of this class are known to fail now and then; KNOWN-RED.txt has the command and what was seen. */
-const CLASS_BY_HAND = "unfenced-life";
+const CLASS_BY_HAND = "new-life";
 const CLASSES = Object.entries(restartClasses).filter(([name]) => name !== CLASS_BY_HAND);
 
 describe("Workers that restart under their ids", () => {
--- a/packages/coordinate-work/src/testing/restartHazard.ts
+++ b/packages/coordinate-work/src/testing/restartHazard.ts
@@ -3,10 +3,10 @@
     LostAnswers = "lost-answers",
     /** Calls get no answer and are carried out 2 to 12 s late if the worker hasn't restarted by then. */
     LateOrders = "late-orders",
-    /** Late orders also reach the worker's next life, once it has seen a higher fencing token than the former one. */
-    FencedLife = "fenced-life",
+    /** Late orders also reach the worker's next life, two seconds after the coordinator's first renewal has. */
+    RenewedLife = "renewed-life",
     /** Late orders also reach the worker's next life from its first moment. */
-    UnfencedLife = "unfenced-life",
+    NewLife = "new-life",
     Takeovers = "takeovers",
     Cancellations = "cancellations",
     /** Workers are out of reach for a while, and some restart meanwhile. */
--- a/packages/coordinate-work/src/testing/restartScenario.ts
+++ b/packages/coordinate-work/src/testing/restartScenario.ts
@@ -100,10 +100,10 @@
     }
 
     private chooseLateCallReach(): LateCallReach {
-        if (this.has(RestartHazard.UnfencedLife)) {
+        if (this.has(RestartHazard.NewLife)) {
             return LateCallReach.AnyLife;
         }
-        return this.has(RestartHazard.FencedLife) ? LateCallReach.FencedLife : LateCallReach.SameLife;
+        return this.has(RestartHazard.RenewedLife) ? LateCallReach.RenewedLife : LateCallReach.SameLife;
     }
 
     private removeFaults(): void {
--- a/packages/emulate-platform/src/emulatedFleet.ts
+++ b/packages/emulate-platform/src/emulatedFleet.ts
@@ -16,6 +16,8 @@
 
 /** One-way network latency to a worker, in milliseconds. */
 const ONE_WAY_MS = 1;
+/** A life that was first asked to renew its lease this long ago is known to whoever asks, in milliseconds. */
+const KNOWN_LIFE_MS = 2000;
 /** Time after which a caller gives up on an answer, in milliseconds. */
 const CALLER_TIMEOUT_MS = 600;
 
@@ -115,17 +117,20 @@
         const life = this.workers.get(id);
         this.clock.schedule(delayMs, () => {
             const found = this.workers.get(id);
-            if (found !== undefined && (found === life || this.isReachedLate(found, life))) {
+            if (found !== undefined && (found === life || this.isReachedLate(found))) {
+                found.isServedLate = true;
                 void call.apply(found);
+                found.isServedLate = false;
             }
         });
     }
 
     /** Whether a worker applies a call that was sent to its former life. */
-    private isReachedLate(nextLife: EmulatedWorker, formerLife: EmulatedWorker | undefined): boolean {
+    private isReachedLate(nextLife: EmulatedWorker): boolean {
         const { lateCallReach } = this.faults;
+        const renewedForMs = this.clock.getNow() - (nextLife.firstRenewedAtMs ?? Infinity);
         return lateCallReach === LateCallReach.AnyLife
-            || (lateCallReach === LateCallReach.FencedLife && nextLife.highestFence > (formerLife?.highestFence ?? 0));
+            || (lateCallReach === LateCallReach.RenewedLife && renewedForMs >= KNOWN_LIFE_MS);
     }
 
     private async waitForTimeout<T>(call: WorkerCall<T>, untilMs: number): Promise<T> {
--- a/packages/emulate-platform/src/emulatedWorker.ts
+++ b/packages/emulate-platform/src/emulatedWorker.ts
@@ -45,9 +45,13 @@
     private cancelExpiry: (() => void) | undefined;
     private hasCrashed = false;
     readonly bornMs: number;
+    /** When the first renewal of a lease reached this life, in steady milliseconds; undefined before. */
+    firstRenewedAtMs: number | undefined;
     private readonly startedAtMs: number;
     /** Whether the worker is unreachable: no call gets an answer. */
     isUnreachable = false;
+    /** Whether the call that is being carried out was held up on its way until its caller had given up. */
+    isServedLate = false;
 
     /**
      * @param id The worker's id in the platform's list of workers.
@@ -88,11 +92,6 @@
         return this.hasCrashed;
     }
 
-    /** The highest fencing token that this life has seen; 0 before the first call. */
-    get highestFence(): number {
-        return this.fence;
-    }
-
     /** Returns the number of active runs. */
     countRuns(): number {
         return this.runs.size;
@@ -144,7 +143,7 @@
             cancelEnd,
             isStopping: false,
         });
-        this.invariantChecker.noteStart(order.task, this.id);
+        this.invariantChecker.noteStart(order.task, this.id, this.isServedLate);
         return OrderOutcome.Accepted;
     }
 
@@ -166,6 +165,7 @@
 
     /** Extends the lease, drops acknowledged ends, waits for an end if asked to, and lists active and ended runs. */
     async renewLease(order: LeaseRenewal): Promise<LeaseReport> {
+        this.firstRenewedAtMs ??= this.clock.getNow();
         const refusal = this.checkFence(order.fence);
         if (refusal !== undefined) {
             return this.buildLeaseReport(refusal);
--- a/packages/emulate-platform/src/runInvariantChecker.ts
+++ b/packages/emulate-platform/src/runInvariantChecker.ts
@@ -10,6 +10,8 @@
     readonly violations: string[] = [];
     readonly completedTasks = new Set<string>();
     private readonly acknowledgedTasks = new Set<string>();
+    /** Tasks of which a start was carried out late. */
+    private readonly lateTasks = new Set<string>();
     private readonly startCounts = new Map<string, number>();
     private readonly activeRunCounts = new Map<string, number>();
 
@@ -22,21 +24,24 @@
         private readonly listPrerequisites: (task: TaskRef) => readonly string[],
     ) {}
 
-    /** Records that a run starts, and checks the invariants. */
-    noteStart(task: TaskRef, worker: string): void {
+    /** Records that a run starts, and checks the invariants. Violations say whether the task had a late start. */
+    noteStart(task: TaskRef, worker: string, isLate: boolean): void {
         const key = formatTaskKey(task);
+        if (isLate) {
+            this.lateTasks.add(key);
+        }
         const count = (this.activeRunCounts.get(key) ?? 0) + 1;
         this.activeRunCounts.set(key, count);
         this.startCounts.set(key, this.countStarts(task) + 1);
         if (count > 1) {
-            this.addViolation(`${key} runs twice, now on ${worker}`);
+            this.addViolation(`${key} runs twice, now on ${worker}`, key);
         }
         if (this.acknowledgedTasks.has(key)) {
-            this.addViolation(`${key} starts on ${worker} after it was done`);
+            this.addViolation(`${key} starts on ${worker} after it was done`, key);
         }
         for (const prerequisite of this.listPrerequisites(task)) {
             if (!this.completedTasks.has(prerequisite)) {
-                this.addViolation(`${key} starts before ${prerequisite} is done`);
+                this.addViolation(`${key} starts before ${prerequisite} is done`, key);
             }
         }
     }
@@ -59,7 +64,7 @@
     noteAcknowledged(task: TaskRef, startCount: number | undefined): void {
         const key = formatTaskKey(task);
         if (startCount !== undefined && !this.acknowledgedTasks.has(key) && this.countStarts(task) > startCount) {
-            this.addViolation(`${key} was started after an end as done that is acknowledged now`);
+            this.addViolation(`${key} was started after an end as done that is acknowledged now`, key);
         }
         this.acknowledgedTasks.add(key);
     }
@@ -74,7 +79,8 @@
         return [...this.activeRunCounts.values()].reduce((sum, count) => sum + count, 0);
     }
 
-    private addViolation(violation: string): void {
-        this.violations.push(`${Math.round(this.getNow())} ms: ${violation}`);
+    private addViolation(violation: string, key: string): void {
+        const remark = this.lateTasks.has(key) ? ", and had a late start" : "";
+        this.violations.push(`${Math.round(this.getNow())} ms: ${violation}${remark}`);
     }
 }
