Take a worker's answer for a report only if it can be read in full

A 200 to a lease renewal whose body can't be read, or lacks its clock or its lists, counted as a report of a worker with nothing running: all its tasks counted as lost and were started again beside their runs. One without `born` counted as a new life.

Cause: PlatformWorkers filled in 0 and empty lists, and left out rows that are none; a name that can't be parsed gave a task that nothing knows. ReportDecoder filled in missing parts of a relayed report likewise.

ReportDecoder refuses an accepted answer that lacks a part (the session ends), and RelaySession takes a report without a life from a relay of an earlier version for Unknown.

--- a/packages/relay-orders/src/relaySession.ts
+++ b/packages/relay-orders/src/relaySession.ts
@@ -201,7 +201,11 @@
             this.finishCall(id, { outcome, report: undefined });
             return;
         }
-        this.finishCall(id, { outcome, report: this.decoder.decodeReport(pending.call.worker.id, row) });
+        const { worker, order } = pending.call;
+        const report = this.decoder.decodeReport(worker.id, row);
+        // Only a relay of an earlier version passes on an answer that it couldn't read.
+        const isUnread = outcome === OrderOutcome.Accepted && (order.bornMs ?? 0) > 0 && !(report.bornMs > 0);
+        this.finishCall(id, isUnread ? { outcome: OrderOutcome.Unknown, report: undefined } : { outcome, report });
     }
 
     /** Gives the relay up if an answer is overdue: it answers every call, also those that a worker doesn't answer. */
--- a/packages/relay-orders/src/relayedWorkerPort.sessions.test.ts
+++ b/packages/relay-orders/src/relayedWorkerPort.sessions.test.ts
@@ -48,3 +48,25 @@
         expect(harness.requests).toBeLessThan(50);
     });
 });
+
+// Guards against answers that a relay of an earlier version couldn't read, and passes on as reports of nothing.
+describe("A relayed report of no life of a worker", () => {
+    it.each([
+        [1000, OrderOutcome.Unknown],
+        [0, OrderOutcome.Accepted],
+        [undefined, OrderOutcome.Accepted],
+    ])("has, if the worker's life was last %p, the outcome %d", async (bornMs, outcome) => {
+        const harness = new RelayHarness(WORKERS);
+        harness.addRelay("relay");
+        const report = { outcome: OrderOutcome.Accepted, clockMs: 0, bornMs: 0, running: [], ended: [] };
+        harness.fleet.renewLease = () => Promise.resolve(report);
+        const port = harness.createCoordinatorPort(1, 0);
+        port.openSessions();
+        await harness.clock.runFor(50);
+        const order = { fence: 1, lastRecordedEnd: 0, leaseUntilMs: undefined, waitMs: 0, bornMs };
+        const renewed = port.renewLease({ id: "w0", address: "w0", domain: "here" }, order);
+        await harness.clock.runFor(1000);
+        expect((await renewed).outcome).toBe(outcome);
+        expect(harness.calls).toEqual({ direct: [], relayed: ["w0"] });
+    });
+});
--- a/packages/relay-orders/src/reportCodec.fuzz.test.ts
+++ b/packages/relay-orders/src/reportCodec.fuzz.test.ts
@@ -74,4 +74,25 @@
             expect(() => new ReportDecoder().decodeReport("w1", second)).toThrow(TypeError);
         });
     });
+
+    describe("when an accepted renewal's answer lacks a part of the report", () => {
+        // Guards against answers that say nothing: a report without lists would show that the worker runs nothing.
+        it.each([
+            [[1, OrderOutcome.Accepted]],
+            [[1, OrderOutcome.Accepted, 5, 6]],
+            [[1, OrderOutcome.Accepted, 5, 6, []]],
+            [[1, OrderOutcome.Accepted, 5, 6, {}, []]],
+            [[1, OrderOutcome.Accepted, 5, 6, [], undefined]],
+            [[1, OrderOutcome.Accepted, undefined, 6, [], []]],
+            [[1, OrderOutcome.Accepted, 5, "6", [], []]],
+        ])("refuse %j", row => {
+            expect(() => new ReportDecoder().decodeReport("w1", row as unknown as AnswerRow)).toThrow(TypeError);
+        });
+
+        it("read the outcome of an answer that carries no report", () => {
+            const row: AnswerRow = [1, OrderOutcome.Unknown];
+            const report = { outcome: OrderOutcome.Unknown, clockMs: 0, bornMs: 0, running: [], ended: [] };
+            expect(new ReportDecoder().decodeReport("w1", row)).toEqual(report);
+        });
+    });
 });
--- a/packages/relay-orders/src/reportDecoder.ts
+++ b/packages/relay-orders/src/reportDecoder.ts
@@ -1,4 +1,5 @@
 import type { ActiveRun, LeaseReport } from "@sardinestage/describe-ports";
+import { OrderOutcome } from "@sardinestage/describe-ports";
 import type { TaskRef } from "@sardinestage/describe-work";
 import type { AnswerRow } from "./answerRow.js";
 import type { RunRow } from "./runRow.js";
@@ -17,9 +18,13 @@
     /**
      * Decodes a worker's report.
      *
-     * @throws {TypeError} If a run wasn't reported before and lacks values; the session is unusable then.
+     * @throws {TypeError} If a run wasn't reported before and lacks values, or if the answer to an accepted renewal lacks
+     *   a part of the report; the session is unusable then. A report that lacks its lists doesn't say that nothing runs.
      */
     decodeReport(workerId: string, row: AnswerRow): LeaseReport {
+        if (row[1] === OrderOutcome.Accepted && !isComplete(row)) {
+            throw new TypeError(`A relayed report of the worker ${workerId} lacks its clock, its life or its lists.`);
+        }
         const [, outcome, clockMs = 0, bornMs = 0, runningRows = [], endedRows = []] = row;
         const earlier = this.workers.get(workerId);
         const known = new Map<number, KnownRun>();
@@ -36,6 +41,10 @@
     }
 }
 
+function isComplete([, , clockMs, bornMs, running, ended]: readonly unknown[]): boolean {
+    return typeof clockMs === "number" && typeof bornMs === "number" && Array.isArray(running) && Array.isArray(ended);
+}
+
 function decodeRun(
     row: RunRow,
     known: Map<number, KnownRun>,
