--- a/packages/coordinate-work/src/limits.ts
+++ b/packages/coordinate-work/src/limits.ts
@@ -37,7 +37,7 @@
     minFlushTimeoutMs: 120,
     /** Upper bound of the same timeout, in milliseconds. */
     maxFlushTimeoutMs: 1000,
-    /** Pause before a refused append of progress is repeated, in milliseconds. */
+    /** Pause before an append of progress that was refused, or whose answer says nothing, is repeated, in milliseconds. */
     flushRetryMs: 100,
     /** Size limit of one append of progress, in bytes; the last record may exceed the limit. */
     maxFlushBytes: 1_000_000,
--- a/packages/coordinate-work/src/progressWriter.test.ts
+++ b/packages/coordinate-work/src/progressWriter.test.ts
@@ -11,12 +11,19 @@
  * Creates a writer whose store refuses appends until it is restored.
  *
  * @param renewalAgeMs Time since the last renewal of the term, in milliseconds.
+ * @param refusal Outcome of the appends until then.
  */
-function createWriter(renewalAgeMs: number) {
+function createWriter(renewalAgeMs: number, refusal = AppendOutcome.Refused) {
     const clock = new VirtualClock();
-    let outcome = AppendOutcome.Refused;
+    let outcome = refusal;
+    let appends = 0;
     const store = {
-        append: () => Promise.resolve({ outcome, offset: 0, end: 0 }),
+        append: () => {
+            appends++;
+            // Ends a loop without pauses, which would never let the clock go on.
+            outcome = appends > 1000 ? AppendOutcome.Appended : outcome;
+            return Promise.resolve({ outcome, offset: 0, end: 0 });
+        },
     } as unknown as StorePort;
     const restoreStore = () => outcome = AppendOutcome.Appended;
     const writer = new ProgressWriter({
@@ -33,7 +40,7 @@
     let starts = 0;
     writer.schedule("job", () => Uint8Array.of(1));
     writer.runWhenRecorded(() => starts++, true);
-    return { clock, writer, restoreStore, getStarts: () => starts };
+    return { clock, writer, restoreStore, getStarts: () => starts, getAppends: () => appends };
 }
 
 describe("ProgressWriter", () => {
@@ -64,6 +71,20 @@
         });
     });
 
+    // Guards against a loop without pauses, which stops all else in the process.
+    describe("when the store gives an answer at once that says nothing of the append", () => {
+        it("repeats the append after a pause, until it succeeds", async () => {
+            const { clock, writer, restoreStore, getAppends, getStarts } = createWriter(0, AppendOutcome.Unknown);
+            await clock.runFor(1000);
+            expect(getAppends()).toBeGreaterThan(5);
+            expect(getAppends()).toBeLessThan(12);
+            restoreStore();
+            await clock.runFor(200);
+            expect(getStarts()).toBe(1);
+            writer.close();
+        });
+    });
+
     // Guards against a record that the store never takes and that is appended again and again, while nothing else is.
     describe("when the store will never take one of the records", () => {
         async function writeBeside(key: string, encode: () => Uint8Array) {
--- a/packages/coordinate-work/src/progressWriter.ts
+++ b/packages/coordinate-work/src/progressWriter.ts
@@ -186,6 +186,7 @@
         const { clock, logger, metrics } = this.parts;
         let tries = 0;
         while (!this.isClosed) {
+            const sentAtMs = clock.getNow();
             const answer = await this.append(records);
             if (answer.outcome === AppendOutcome.Appended) {
                 if (tries > 0) {
@@ -210,8 +211,10 @@
             }
             tries++;
             metrics.count("progress_write_failures_total", AppendOutcome[answer.outcome]);
-            if (answer.outcome !== AppendOutcome.Unknown) {
-                await waitFor(clock, limits.flushRetryMs);
+            // An append that timed out has waited long enough; an answer that says nothing of it may come at once.
+            const waitedMs = answer.outcome === AppendOutcome.Unknown ? clock.getNow() - sentAtMs : 0;
+            if (waitedMs < limits.flushRetryMs) {
+                await waitFor(clock, limits.flushRetryMs - waitedMs);
             }
             this.runUnrecorded(waiters);
         }
