Start a task again only when no run of it, and no lease that may hold one, is left on its worker

One report listed an earlier run of a task as active, and lacked the newest one: the task was started elsewhere by the report that showed it running. It now waits for a report without the other run (compareRuns). 2. A start that reaches a life which hasn't answered yet brings the longest lease, since its deadline is on the former clock. The coordinator counted on the usual one (TrackedWorker.noteStart). 3. Starts that wait to be sent went to workers that had fallen silent or restarted meanwhile. They are planned anew. 4. The loop of a removed worker could give up the term for a refused call of its own.

The harness's terms get no new fencing tokens while the store is down, as the real ones.

--- a/packages/coordinate-work/src/compareRuns.ts
+++ b/packages/coordinate-work/src/compareRuns.ts
@@ -41,13 +41,15 @@
             unneeded.push(row);
         }
     }
+    const beside = new Set(unneeded.map(findTask));
     const isComplete = report.ended.length < MAX_REPORTED_ENDS;
     const missing = isComplete && listed.size < expected.size ? listMissing(expected, listed, report) : [];
     return {
         adopted,
         unneeded,
         matched,
-        lost: missing.filter(task => WorkerLife.isSettledBy(task, request)),
+        // A task isn't started again beside another run of it, which has to end first.
+        lost: missing.filter(task => WorkerLife.isSettledBy(task, request) && !beside.has(task)),
         uncertain: missing.filter(task => task.isStartUnconfirmed && !WorkerLife.isSettledBy(task, request)),
     };
 }
--- a/packages/coordinate-work/src/leaseRenewalLoop.ts
+++ b/packages/coordinate-work/src/leaseRenewalLoop.ts
@@ -88,7 +88,7 @@
         const { parts, worker } = this;
         const order = { fence: worker.life.fence, lastRecordedEnd: 0, leaseUntilMs: undefined, waitMs: 0, bornMs: 0 };
         const report = await parts.workers.renewLease(worker.entry, order);
-        if (report.outcome === OrderOutcome.StaleFence) {
+        if (report.outcome === OrderOutcome.StaleFence && !this.handlers.isOver(worker)) {
             parts.onTermLost("hold:stale-fence");
         }
         await waitFor(parts.clock, limits.unauthorizedPauseMs);
--- a/packages/coordinate-work/src/orderSender.ts
+++ b/packages/coordinate-work/src/orderSender.ts
@@ -109,14 +109,15 @@
             }
             return;
         }
-        if (!this.parts.hasAuthority()) {
-            // A successor may have the worker's tasks started elsewhere.
+        if (!this.parts.hasAuthority() || !worker.isLifeReported || worker.missedRenewals > 0) {
+            // A successor may have the worker's tasks started elsewhere, or the worker has gone or restarted meanwhile.
             this.handleRefusal(task, worker, OrderOutcome.Unsent);
             return;
         }
         const sentAtMs = clock.getNow();
         const leaseUntilMs = Math.floor(worker.estimateClock(sentAtMs) + rules.leaseMs);
         worker.leaseUntilMs = Math.max(worker.leaseUntilMs, leaseUntilMs);
+        worker.noteStart(sentAtMs, rules.maxLeaseMs);
         const fence = worker.life.noteStartSent();
         task.orderFence = fence;
         task.isStartUnderWay = true;
@@ -129,6 +130,7 @@
             checkpoint: task.checkpoint,
             ticket: this.handlers.getTicket(task, worker.entry.id),
         });
+        worker.noteStart(clock.getNow(), rules.maxLeaseMs);
         metrics.recordDuration("start_call", clock.getNow() - sentAtMs);
         metrics.count("starts_total", OrderOutcome[outcome]);
         if (outcome === OrderOutcome.Unknown) {
--- a/packages/coordinate-work/src/testing/coordinatorHarness.ts
+++ b/packages/coordinate-work/src/testing/coordinatorHarness.ts
@@ -154,7 +154,12 @@
         this.terms++;
         const ordinal = this.terms;
         const term = ordinal * TERM_DISTANCE;
-        const wonAtMs = this.clock.getNow();
+        let renewals = 0;
+        const renewTerm = () => {
+            renewals += this.store.faults.isDown ? 0 : 1;
+            this.clock.schedule(RENEWAL_INTERVAL_MS, renewTerm);
+        };
+        this.clock.schedule(RENEWAL_INTERVAL_MS, renewTerm);
         const earlierTerm = new EarlierTerm(this.clock, this.clock.getNow());
         const coordinator = new Coordinator({
             store: this.store,
@@ -179,7 +184,7 @@
             metrics: new Metrics(),
             rules,
             term,
-            getNewestFence: () => term + Math.floor((this.clock.getNow() - wonAtMs) / RENEWAL_INTERVAL_MS),
+            getNewestFence: () => term + renewals,
             hadUnrecordedStarts,
             hasAuthority: () => this.hasAuthority,
             getEarlierAuthorityEnd: () => earlierTerm.actsUntilMs,
--- a/packages/coordinate-work/src/trackedWorker.ts
+++ b/packages/coordinate-work/src/trackedWorker.ts
@@ -34,6 +34,8 @@
     answeredAtMs = 0;
     /** The latest end of the lease stated in any order to the worker, on the worker's clock. */
     leaseUntilMs = 0;
+    private lastStartAtMs = -Infinity;
+    private startLeaseEndMs = -Infinity;
     /** Consecutive lease renewals without an answer. */
     missedRenewals = 0;
     /** No starts before this, in steady milliseconds. */
@@ -87,12 +89,26 @@
         return this.clockMs + (nowMs - this.answeredAtMs);
     }
 
+    /**
+     * Notes that a start is sent or its outcome becomes known. It may have reached a life that hasn't answered yet, whose
+     * clock is another one, so that it grants the longest lease.
+     *
+     * @param nowMs The present time, in steady milliseconds.
+     * @param maxLeaseMs The longest lease that a worker grants, on its clock, in milliseconds.
+     */
+    noteStart(nowMs: number, maxLeaseMs: number): void {
+        this.lastStartAtMs = nowMs;
+        this.startLeaseEndMs = nowMs + maxLeaseMs / limits.slowestClockRate;
+    }
+
     /** When the worker's lease has certainly expired if no further order renews it, in steady milliseconds. */
     getLeaseExpiry(): number {
         if (this.answeredAtMs === 0) {
             return this.getEarlierLeasesExpiry();
         }
-        return this.answeredAtMs + Math.max(0, this.leaseUntilMs - this.clockMs) / limits.slowestClockRate;
+        const leaseEndMs = this.answeredAtMs
+            + Math.max(0, this.leaseUntilMs - this.clockMs) / limits.slowestClockRate;
+        return this.lastStartAtMs > this.answeredAtMs ? Math.max(leaseEndMs, this.startLeaseEndMs) : leaseEndMs;
     }
 
     /**
--- a/packages/coordinate-work/src/workerLife.test.ts
+++ b/packages/coordinate-work/src/workerLife.test.ts
@@ -10,7 +10,7 @@
     return life;
 }
 
-function ask(life: WorkerLife) {
+function createRequest(life: WorkerLife) {
     return { sentAtMs: 0, receivedAtMs: 0, fence: life.fence };
 }
 
@@ -37,11 +37,11 @@
         const life = createLife(term);
         life.noteStartSent();
         expect(life.noteAnswer(BORN_MS + 1)).toBe(true);
-        expect(life.isReportedBy(ask(life))).toBe(false);
-        const early = ask(life);
+        expect(life.isReportedBy(createRequest(life))).toBe(false);
+        const early = createRequest(life);
         term.newest = 11;
         expect(life.noteAnswer(BORN_MS + 1)).toBe(false);
         expect(life.isReportedBy(early)).toBe(false);
-        expect(life.isReportedBy(ask(life))).toBe(true);
+        expect(life.isReportedBy(createRequest(life))).toBe(true);
     });
 });
