Log the run ends in answers that aren't applied as reports, and calls left in a relay's session

What callers saw: a task that had ended as done ran again, one lease after its worker had left. No line said whether the coordinator had ever got the list with that end.

Where a list that was read is left aside without a trace: an answer to a call without a lease, of another life, with an older token, while a takeover isn't complete, with a job that wasn't read yet, without authority, and of a worker that was removed meanwhile. Each now gives `ends-left-aside` with the reason, the number of ends and the first of them, and counts `ends_left_aside_total{reason}`. A relay session that ends with calls on their way gives `relay-calls-unanswered`; at the relay, answers that no request took give `relay-answers-untaken`, later ones `relay-report-late`.

No change of what is done. The doubles of two tests got the logger's `info`.

--- a/packages/coordinate-work/src/leaseRenewalLoop.test.ts
+++ b/packages/coordinate-work/src/leaseRenewalLoop.test.ts
@@ -29,6 +29,7 @@
         hasAuthority: () => true,
         rules: { leaseMs: 4500 },
         metrics: new Metrics(),
+        logger: { info: () => undefined },
         getLoopDelay: () => 0,
     };
     return parts as unknown as CoordinatorParts;
@@ -66,7 +67,7 @@
         it("logs the error and renews the lease again", async () => {
             const clock = new VirtualClock();
             const logged: string[] = [];
-            const logger = { error: (event: string) => logged.push(event) };
+            const logger = { error: (event: string) => logged.push(event), info: () => undefined };
             let applied = 0;
             const loop = new LeaseRenewalLoop(
                 { ...createParts(clock), logger } as unknown as CoordinatorParts,
--- a/packages/coordinate-work/src/leaseRenewalLoop.ts
+++ b/packages/coordinate-work/src/leaseRenewalLoop.ts
@@ -1,5 +1,6 @@
 import type { LeaseReport } from "@sardinestage/describe-ports";
 import { OrderOutcome, waitFor } from "@sardinestage/describe-ports";
+import { formatTaskKey } from "@sardinestage/describe-work";
 import { chooseLongPollTimeout } from "./chooseLongPollTimeout.js";
 import { chooseRenewalPause } from "./chooseRenewalPause.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
@@ -63,6 +64,7 @@
             const { fence } = this.worker.life;
             const report = await this.sendRenewal(sentAtMs, hasLease);
             if (this.handlers.isOver(this.worker)) {
+                this.noteLeftAside(report, "worker-removed");
                 return;
             }
             if (report.outcome === OrderOutcome.Accepted) {
@@ -91,6 +93,7 @@
         if (report.outcome === OrderOutcome.StaleFence && !this.handlers.isOver(worker)) {
             parts.onTermLost("hold:stale-fence");
         }
+        this.noteLeftAside(report, "no-authority");
         await waitFor(parts.clock, limits.unauthorizedPauseMs);
     }
 
@@ -102,12 +105,14 @@
             this.parts.logger.warn("worker-restart-seen", fields);
         }
         if (!hadLease || isOtherLife) {
+            this.noteLeftAside(report, isOtherLife ? "other-life" : "no-lease");
             this.readClock(report);
             return;
         }
         worker.isLeaseRenewed = true;
         if (!worker.life.isReportedBy(request)) {
             // The worker may still carry out orders for a former life.
+            this.noteLeftAside(report, "older-token");
             this.readClock(report);
             await waitFor(this.parts.clock, limits.renewalRetryMs);
         }
@@ -115,6 +120,29 @@
             this.isReportDue = false;
             await this.handleReport(report, request);
         }
+        else {
+            this.noteLeftAside(report, "takeover");
+        }
+    }
+
+    /** Logs the ends in an answer that isn't applied as a report: a worker that leaves may not list them again. */
+    private noteLeftAside(report: LeaseReport, reason: string): void {
+        const { logger, metrics } = this.parts;
+        const { ended } = report;
+        if (ended.length === 0) {
+            return;
+        }
+        metrics.count("ends_left_aside_total", reason, ended.length);
+        logger.info("ends-left-aside", {
+            worker: this.worker.entry.id,
+            reason,
+            bornMs: report.bornMs,
+            ends: ended.length,
+            first: formatTaskKey(ended[0].task),
+            run: ended[0].run,
+            number: ended[0].number,
+            running: report.running.length,
+        });
     }
 
     /**
@@ -137,9 +165,11 @@
     private async handleReport(report: LeaseReport, request: ReportRequest): Promise<void> {
         const isComplete = await this.handlers.hasAllJobs(report);
         if (this.handlers.isOver(this.worker)) {
+            this.noteLeftAside(report, "worker-removed");
             return;
         }
         if (!isComplete) {
+            this.noteLeftAside(report, "job-unread");
             this.parts.metrics.count("hold_failures_total", "job-unread");
             await waitFor(this.parts.clock, limits.renewalRetryMs);
             return;
--- a/packages/relay-orders/src/orderRelay.ts
+++ b/packages/relay-orders/src/orderRelay.ts
@@ -1,4 +1,4 @@
-import type { Clock, WorkerPort } from "@sardinestage/describe-ports";
+import type { Clock, LeaseReport, WorkerPort } from "@sardinestage/describe-ports";
 import type { EventLogger } from "@sardinestage/log-events";
 import { CallCodec } from "./callCodec.js";
 import type { RelayedCall } from "./relayedCall.js";
@@ -63,10 +63,32 @@
     private openSession(request: RelayRequest): void {
         const { clock, logger } = this.parts;
         this.session?.close();
+        this.noteUntaken();
         this.session = new ServedSession(request.session, request.term, this.computeDelay(request), clock);
         logger.info("relay-session-opened", { term: request.term, session: request.session });
     }
 
+    /** Logs the answers that the session which ends now has gathered, and which no request has taken. */
+    private noteUntaken(): void {
+        if (this.session !== undefined && this.session.answerCount > 0) {
+            const { id, term, answerCount, endCount } = this.session;
+            this.parts.logger.warn("relay-answers-untaken", {
+                term,
+                session: id,
+                answers: answerCount,
+                ends: endCount,
+            });
+        }
+    }
+
+    /** Logs a report that comes after its session has ended, so that no request takes it. */
+    private noteLateReport(session: ServedSession, worker: string, report: LeaseReport): void {
+        if (session !== this.session && report.ended.length > 0) {
+            const { id, term } = session;
+            this.parts.logger.warn("relay-report-late", { term, session: id, worker, ends: report.ended.length });
+        }
+    }
+
     /** Whether a request was under way for much longer than the one that opened the session. */
     private isLate(request: RelayRequest, session: ServedSession): boolean {
         const lateMs = this.computeDelay(request) - session.openingDelayMs;
@@ -85,8 +107,11 @@
     private async callWorker(session: ServedSession, id: number, call: RelayedCall): Promise<void> {
         const { workers } = this.parts;
         switch (call.kind) {
-            case RelayedCallKind.RenewLease:
-                return session.addReport(id, call.worker.id, await workers.renewLease(call.worker, call.order));
+            case RelayedCallKind.RenewLease: {
+                const report = await workers.renewLease(call.worker, call.order);
+                this.noteLateReport(session, call.worker.id, report);
+                return session.addReport(id, call.worker.id, report);
+            }
             case RelayedCallKind.Stop: {
                 const { worker, task, run, fence } = call;
                 return session.addOutcome(id, await workers.stop(worker, task, run, fence));
--- a/packages/relay-orders/src/relaySession.ts
+++ b/packages/relay-orders/src/relaySession.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@sardinestage/describe-ports";
 import { OrderOutcome } from "@sardinestage/describe-ports";
+import type { EventLogger } from "@sardinestage/log-events";
 import type { AnswerRow } from "./answerRow.js";
 import { CallCodec } from "./callCodec.js";
 import type { RelayAnswer } from "./relayAnswer.js";
@@ -28,6 +29,7 @@
     /** Identifies the session; unique. */
     readonly id: string;
     readonly clock: Clock;
+    readonly logger: EventLogger;
     /** Sends a request to the relay; returns undefined if no reply comes within the timeout. */
     readonly sendRequest: (
         relay: RelayVm,
@@ -228,6 +230,7 @@
         }
         const wasUsable = this.state !== SessionState.Draining;
         this.state = SessionState.Closed;
+        this.noteUnfinished(reason);
         if (wasUsable) {
             this.parts.onUnusable(reason);
         }
@@ -237,4 +240,20 @@
         this.queued.forEach(({ settle }) => settle(undefined));
         this.queued = [];
     }
+
+    /** Logs how many calls the end of the session leaves without an answer: the workers may have answered them. */
+    private noteUnfinished(reason: string): void {
+        const { relay, id, logger } = this.parts;
+        const pending = [...this.pending.values()];
+        if (pending.length + this.queued.length > 0) {
+            logger.warn("relay-calls-unanswered", {
+                vm: relay.vm,
+                session: id,
+                reason,
+                calls: pending.length,
+                renewals: pending.filter(({ call }) => call.kind === RelayedCallKind.RenewLease).length,
+                unsent: this.queued.length,
+            });
+        }
+    }
 }
--- a/packages/relay-orders/src/servedSession.ts
+++ b/packages/relay-orders/src/servedSession.ts
@@ -67,6 +67,16 @@
         this.reply?.();
     }
 
+    /** The number of answers that no reply has taken yet. */
+    get answerCount(): number {
+        return this.answers.length;
+    }
+
+    /** The number of run ends in these answers. */
+    get endCount(): number {
+        return this.answers.reduce((sum, answer) => sum + ("report" in answer ? answer.report.ended.length : 0), 0);
+    }
+
     private addAnswer(answer: Answer): void {
         this.answers.push(answer);
         if (this.reply !== undefined && !this.isGathering) {
