--- a/packages/coordinate-work/src/testing/coordinatorHarness.ts
+++ b/packages/coordinate-work/src/testing/coordinatorHarness.ts
@@ -49,6 +49,8 @@
     callCostMs = 0;
     /** Time that sending a start order occupies the thread, in milliseconds. */
     sendCostMs = 0;
+    /** The usual delay of the coordinator's event loop, in milliseconds. */
+    loopDelayMs = 0;
     /** In what workers added from now on differ from others. */
     workerTraits: EmulatedWorkerTraits | undefined;
     /** Whether the coordinators may start tasks and renew leases. */
@@ -189,7 +191,7 @@
             hasAuthority: () => this.hasAuthority,
             getEarlierAuthorityEnd: () => earlierTerm.actsUntilMs,
             getTermRenewalAge: () => Infinity,
-            getLoopDelay: () => 0,
+            getLoopDelay: () => this.loopDelayMs,
             meter: new WorkMeter(this.clock),
             onTermLost: reason => {
                 this.lostTermReasons.push(reason);
--- a/packages/emulate-platform/src/emulatedWorker.ts
+++ b/packages/emulate-platform/src/emulatedWorker.ts
@@ -48,6 +48,8 @@
     /** When the first renewal of a lease reached this life, in steady milliseconds; undefined before. */
     firstRenewedAtMs: number | undefined;
     private readonly startedAtMs: number;
+    /** The highest number of an end that an answer has listed; 0 if none has. */
+    listedEndNumber = 0;
     /** Whether the worker is unreachable: no call gets an answer. */
     isUnreachable = false;
     /** Whether the call that is being carried out was held up on its way until its caller had given up. */
@@ -92,6 +94,11 @@
         return this.hasCrashed;
     }
 
+    /** Whether runs have ended here, none is active, and an answer has listed each end that isn't acknowledged. */
+    get hasListedAllEnds(): boolean {
+        return this.lastEndNumber > 0 && this.runs.size === 0 && this.listedEndNumber >= this.lastEndNumber;
+    }
+
     /** Returns the number of active runs. */
     countRuns(): number {
         return this.runs.size;
@@ -198,13 +205,9 @@
             percent: Math.floor(this.clock.getNow() / MS_PER_PERCENT) % 100,
             measurement: 0,
         }));
-        return {
-            outcome,
-            clockMs: this.getClockTime(),
-            bornMs: this.bornMs,
-            running,
-            ended: this.unacknowledgedEnds.slice(0, MAX_REPORTED_ENDS),
-        };
+        const ended = this.unacknowledgedEnds.slice(0, MAX_REPORTED_ENDS);
+        this.listedEndNumber = Math.max(this.listedEndNumber, ended.at(-1)?.number ?? 0);
+        return { outcome, clockMs: this.getClockTime(), bornMs: this.bornMs, running, ended };
     }
 
     private checkFence(fence: number): OrderOutcome | undefined {
--- a/packages/relay-orders/src/relayedWorkerPort.sessions.test.ts
+++ b/packages/relay-orders/src/relayedWorkerPort.sessions.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from "@jest/globals";
 import type { StartOrder } from "@sardinestage/describe-ports";
 import { OrderOutcome } from "@sardinestage/describe-ports";
+import { RunEnd } from "@sardinestage/describe-work";
 import { RelayHarness } from "./testing/relayHarness.js";
 
 const WORKERS = 20;
@@ -70,3 +71,57 @@
         expect(harness.calls).toEqual({ direct: [], relayed: ["w0"] });
     });
 });
+
+const worker = { id: "w0", address: "w0", domain: "here" };
+const renewal = { fence: 1, lastRecordedEnd: 0, leaseUntilMs: undefined, waitMs: 1000, bornMs: 5 };
+const ended = [{
+    number: 1,
+    task: { jobId: "job", occurrence: 0, step: 0, index: 0 },
+    run: 1,
+    end: RunEnd.Done,
+    checkpoint: "",
+}];
+
+/** Creates a port with an open session, whose relay gets these answers to lease renewals from workers. */
+async function openPort(outcome: OrderOutcome, answerAfterMs: number) {
+    const harness = new RelayHarness(WORKERS);
+    const relay = harness.addRelay("relay");
+    const report = { outcome, clockMs: 0, bornMs: 5, running: [], ended };
+    harness.fleet.renewLease = () =>
+        new Promise(resolve => harness.clock.schedule(answerAfterMs, () => resolve(report)));
+    const port = harness.createCoordinatorPort(1, 0);
+    port.openSessions();
+    await harness.clock.runFor(50);
+    return { harness, relay, port };
+}
+
+// Guards against ends that a worker has listed in its last answer: tasks that were done ran again.
+describe("Ends in a worker's answer that a relay has got", () => {
+    it("reach the coordinator though the lease wasn't renewed", async () => {
+        const { harness, port } = await openPort(OrderOutcome.Unknown, 0);
+        const renewed = port.renewLease(worker, renewal);
+        await harness.clock.runFor(1000);
+        expect(await renewed).toEqual({ outcome: OrderOutcome.Unknown, clockMs: 0, bornMs: 5, running: [], ended });
+    });
+
+    it("reach the coordinator if the session is drained meanwhile", async () => {
+        const { harness, relay, port } = await openPort(OrderOutcome.Accepted, 600);
+        const renewed = port.renewLease(worker, renewal);
+        await harness.clock.runFor(100);
+        relay.loopDelayMs = 200;
+        await harness.clock.runFor(2000);
+        expect((await renewed).ended).toEqual(ended);
+    });
+
+    it("are logged with the session if it is replaced before they are there", async () => {
+        const { harness, port } = await openPort(OrderOutcome.Accepted, 600);
+        void port.renewLease(worker, renewal);
+        await harness.clock.runFor(100);
+        harness.createCoordinatorPort(1, 0).openSessions();
+        await harness.clock.runFor(2000);
+        expect(harness.events.filter(event => event.startsWith("relay-report-late"))).toHaveLength(1);
+        expect(harness.events.filter(event => event.startsWith("relay-calls-unanswered"))).toEqual([
+            expect.stringContaining("\"reason\":\"Expired\",\"calls\":1,\"renewals\":1"),
+        ]);
+    });
+});
