Keep the run ends in answers that aren't applied as reports

Cause: an end was read only out of an answer that could be applied as a report. All other answers (without a lease after missed renewals, of another life, with an older token, while a takeover isn't complete, with a job that wasn't read yet, without authority) were left aside with all they listed, and so was the answer to the question that goes first over a new connection. The worker was to list its ends once more in its next answer, which a worker that leaves never gives.

Change: the list of active runs in such an answer proves nothing, but an end is a fact of its life and number. They are applied in the next planning round once starts may begin, or as soon as the worker falls silent; before a lease that has expired is taken for lost runs, before any start, and before a report of the worker. Ends of jobs that weren't read yet stay until they are; an unlisted worker that has told some is kept for 60 s instead of 10. They don't change the numbers that are acknowledged: only a report does. A report doesn't apply them a second time. The renewal still goes out first, since rounds run later.

--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -11,6 +11,7 @@
 import { countPending } from "./countPending.js";
 import { describeProblem } from "./describeProblem.js";
 import { EarlierStarts } from "./earlierStarts.js";
+import { expireLeases } from "./expireLeases.js";
 import { Fleet } from "./fleet.js";
 import { followedTopics } from "./followedTopics.js";
 import { HeadroomTracker } from "./headroomTracker.js";
@@ -21,7 +22,6 @@
 import { LearnedEstimates } from "./learnedEstimates.js";
 import { LeaseRenewalLoop } from "./leaseRenewalLoop.js";
 import { limits } from "./limits.js";
-import { listExpiredTasks } from "./listExpiredTasks.js";
 import { loadProgress } from "./loadProgress.js";
 import { OrderSender } from "./orderSender.js";
 import { PaceController } from "./paceController.js";
@@ -283,6 +283,7 @@
             hasAllJobs: report => this.hasAllJobs(report),
             applyReport: (renewed, report, request) =>
                 this.parts.meter.measure(MeteredWork.Answers, () => this.handleReport(renewed, report, request)),
+            noteEndsLeftAside: () => this.scheduleRound(limits.roundDelayMs),
             isOver: renewed => this.isClosed || this.fleet.workers.get(renewed.entry.id) !== renewed,
         });
         void loop.run();
@@ -331,9 +332,10 @@
     private runRound(): number {
         const { clock, metrics } = this.parts;
         const startedAtMs = clock.getNow();
-        this.expireLeases(startedAtMs);
+        const canStart = this.startGate?.tryOpen(startedAtMs) === true && this.parts.hasAuthority();
+        expireLeases(this.fleet, this.runs, startedAtMs, canStart);
         let nextDueMs: number | undefined;
-        if (this.startGate?.tryOpen(startedAtMs) === true && this.parts.hasAuthority()) {
+        if (canStart) {
             this.earlierStarts.noteAllReported();
             nextDueMs = this.planningRound.run();
         }
@@ -341,11 +343,4 @@
         const dueInMs = nextDueMs === undefined ? limits.idleRoundMs : nextDueMs - clock.getWallTime();
         return Math.min(limits.idleRoundMs, Math.max(1, dueInMs));
     }
-
-    private expireLeases(nowMs: number): void {
-        for (const worker of this.fleet.workers.values()) {
-            listExpiredTasks(worker, nowMs).forEach(task => this.runs.handleLostRun(task, worker, "lease-lapsed"));
-        }
-        this.fleet.removeUnlisted(nowMs);
-    }
 }
--- a/packages/coordinate-work/src/fleet.ts
+++ b/packages/coordinate-work/src/fleet.ts
@@ -7,6 +7,8 @@
 
 /** An unlisted worker without tasks is removed after this silence, in milliseconds. */
 const REMOVE_AFTER_SILENCE_MS = 10_000;
+/** The same if it has told ends of jobs that weren't read yet, in milliseconds: the store may be away meanwhile. */
+const REMOVE_WITH_ENDS_MS = 60_000;
 
 /** Unreadable entries that are logged; further ones are only counted. */
 const MAX_UNREADABLE_KEYS = 100;
@@ -61,7 +63,9 @@
     /** Removes unlisted workers that have no tasks and have been silent for long. */
     removeUnlisted(nowMs: number): void {
         for (const [id, worker] of this.workers) {
-            const isSilent = nowMs - Math.max(worker.answeredAtMs, this.openedAtMs) > REMOVE_AFTER_SILENCE_MS;
+            const silenceMs = nowMs - Math.max(worker.answeredAtMs, this.openedAtMs);
+            const isSilent =
+                silenceMs > (worker.unappliedEnds.size > 0 ? REMOVE_WITH_ENDS_MS : REMOVE_AFTER_SILENCE_MS);
             if (worker.isUnlisted && worker.tasks.size === 0 && isSilent) {
                 this.workers.delete(id);
             }
--- a/packages/coordinate-work/src/leaseRenewalLoop.test.ts
+++ b/packages/coordinate-work/src/leaseRenewalLoop.test.ts
@@ -44,6 +44,7 @@
             let lookups = 0;
             const loop = new LeaseRenewalLoop(createParts(clock), createTrackedWorker("w"), {
                 waitUntilOpen: () => true,
+                noteEndsLeftAside: () => undefined,
                 hasAllJobs: () => {
                     lookups++;
                     return Promise.resolve(isRead);
@@ -74,6 +75,7 @@
                 createTrackedWorker("w"),
                 {
                     waitUntilOpen: () => true,
+                    noteEndsLeftAside: () => undefined,
                     hasAllJobs: () => true,
                     applyReport: () => {
                         applied++;
--- a/packages/coordinate-work/src/leaseRenewalLoop.ts
+++ b/packages/coordinate-work/src/leaseRenewalLoop.ts
@@ -17,6 +17,8 @@
     readonly hasAllJobs: (report: LeaseReport) => boolean | Promise<boolean>;
     /** Applies the report that answers a renewal. */
     readonly applyReport: (worker: TrackedWorker, report: LeaseReport, request: ReportRequest) => void;
+    /** Called when ends were added to those that the worker has told in answers which aren't applied as reports. */
+    readonly noteEndsLeftAside: (worker: TrackedWorker) => void;
     /** Whether the worker's lease need not be renewed any more. */
     readonly isOver: (worker: TrackedWorker) => boolean;
 }
@@ -76,6 +78,7 @@
                 return;
             }
             else {
+                this.noteLeftAside(report, "unrenewed");
                 this.noteMissedRenewal(report.outcome);
                 await waitFor(this.parts.clock, limits.renewalRetryMs);
             }
@@ -125,19 +128,21 @@
         }
     }
 
-    /** Logs the ends in an answer that isn't applied as a report: a worker that leaves may not list them again. */
+    /** Keeps the ends in an answer that isn't applied as a report: a worker that leaves may not list them again. */
     private noteLeftAside(report: LeaseReport, reason: string): void {
         const { logger, metrics } = this.parts;
         const { ended } = report;
-        if (ended.length === 0) {
+        const added = this.worker.unappliedEnds.remember(report.bornMs, ended);
+        if (added === 0) {
             return;
         }
-        metrics.count("ends_left_aside_total", reason, ended.length);
+        this.handlers.noteEndsLeftAside(this.worker);
+        metrics.count("ends_left_aside_total", reason, added);
         logger.info("ends-left-aside", {
             worker: this.worker.entry.id,
             reason,
             bornMs: report.bornMs,
-            ends: ended.length,
+            ends: added,
             first: formatTaskKey(ended[0].task),
             run: ended[0].run,
             number: ended[0].number,
@@ -147,8 +152,8 @@
 
     /**
      * Reads the worker's clock from an answer to a call without a lease. Leases are stated on the worker's own clock,
-     * so they can be renewed only after this; a silent worker isn't asked to renew. The answer's lists are ignored:
-     * applying them may take longer than the rest of the current lease, so the renewal is sent first.
+     * so they can be renewed only after this; a silent worker isn't asked to renew. The answer's lists aren't applied:
+     * that may take longer than the rest of the current lease, so the renewal is sent first.
      */
     private readClock(report: LeaseReport): void {
         const { worker, parts } = this;
--- a/packages/coordinate-work/src/runTracker.ts
+++ b/packages/coordinate-work/src/runTracker.ts
@@ -36,6 +36,7 @@
      */
     applyReport(worker: TrackedWorker, report: LeaseReport, request: ReportRequest): void {
         const nowMs = this.parts.clock.getNow();
+        this.applyUnappliedEnds(worker);
         const isRestarted = worker.bornMs !== 0 && worker.bornMs !== report.bornMs;
         this.handleNewLife(worker, report, request);
         this.reportExpiredLeases(worker, report.ended, nowMs);
@@ -59,6 +60,20 @@
         worker.hasReported = true;
     }
 
+    /**
+     * Applies the ends that the worker has told in answers which weren't applied as reports. Ends of jobs that weren't
+     * read yet stay. Only a report has ends acknowledged.
+     */
+    applyUnappliedEnds(worker: TrackedWorker): void {
+        const { jobs } = this.collaborators;
+        for (const { bornMs, row } of worker.unappliedEnds.take(({ task }) => jobs.isKnown(task.jobId))) {
+            if (bornMs !== worker.bornMs || row.number > worker.appliedEndNumber) {
+                jobs.openReportedOccurrence(row.task);
+                this.applyEnd(worker, row);
+            }
+        }
+    }
+
     /**
      * Handles the loss of a task's newest run: the run isn't active, and no end was reported for it.
      *
@@ -120,10 +135,10 @@
         if (newEnds.length === 0) {
             return;
         }
-        newEnds.forEach(row => this.applyEnd(worker, row));
+        const { bornMs, unappliedEnds } = worker;
+        newEnds.filter(row => !unappliedEnds.hasTaken(bornMs, row)).forEach(row => this.applyEnd(worker, row));
         const lastNumber = Math.max(...newEnds.map(row => row.number));
         worker.appliedEndNumber = lastNumber;
-        const { bornMs } = worker;
         this.collaborators.writer.runWhenRecorded(() => {
             if (worker.bornMs === bornMs) {
                 worker.recordedEndNumber = Math.max(worker.recordedEndNumber, lastNumber);
--- a/packages/coordinate-work/src/trackedWorker.ts
+++ b/packages/coordinate-work/src/trackedWorker.ts
@@ -3,6 +3,7 @@
 import type { Task } from "@sardinestage/track-jobs";
 import { CallLimiter } from "./callLimiter.js";
 import { limits } from "./limits.js";
+import { UnappliedEnds } from "./unappliedEnds.js";
 import { WorkerLife } from "./workerLife.js";
 
 /** The coordinator's state of one worker. */
@@ -14,6 +15,8 @@
      * coordinator was stopping. How much they use may not be known, so the worker gets no start meanwhile.
      */
     readonly strayRuns = new Set<string>();
+    /** Ends that the worker has told in answers which weren't applied as reports. */
+    readonly unappliedEnds = new UnappliedEnds();
     /** The worker's present life, and the fencing token of the orders to it. */
     readonly life: WorkerLife;
     /** When the life began whose report was applied last, in Unix milliseconds; 0 before the first report. */
