--- a/packages/accept-jobs/src/coordinatorReply.ts
+++ b/packages/accept-jobs/src/coordinatorReply.ts
@@ -13,4 +13,6 @@
     readonly outcome?: AppendOutcome;
     /** Set if the call wasn't sent, because no coordinator is known or the circuit is open. */
     readonly isUnsent?: boolean;
+    /** Set with `isUnsent` if the call wasn't sent because the circuit is open. */
+    readonly isCircuitOpen?: boolean;
 }
--- a/packages/accept-jobs/src/guardedCoordinatorClient.ts
+++ b/packages/accept-jobs/src/guardedCoordinatorClient.ts
@@ -39,7 +39,7 @@
     async call(call: CoordinatorCall): Promise<CoordinatorReply | undefined> {
         const { coordinatorClient, clock, answerTimeoutMs } = this.parts;
         if (!this.circuitBreaker.admitCall()) {
-            return { isUnsent: true };
+            return { isUnsent: true, isCircuitOpen: true };
         }
         const sentAtMs = clock.getNow();
         const cancel = clock.schedule(answerTimeoutMs, () => this.circuitBreaker.noteTimeout(sentAtMs));
--- a/packages/accept-jobs/src/jobService.ts
+++ b/packages/accept-jobs/src/jobService.ts
@@ -5,12 +5,16 @@
 import { CANCEL_SUFFIX, encodeJobRecord } from "@sardinestage/track-jobs";
 import { CoordinatorCallKind } from "./coordinatorCallKind.js";
 import type { CoordinatorClient } from "./coordinatorClient.js";
+import type { CoordinatorReply } from "./coordinatorReply.js";
+import { CoordinatorSilence } from "./coordinatorSilence.js";
 import { GuardedCoordinatorClient } from "./guardedCoordinatorClient.js";
 import type { JobStateAnswer } from "./jobStateAnswer.js";
 import type { JobStateCache } from "./jobStateCache.js";
 import type { JobStateReader } from "./jobStateReader.js";
+import type { PageTotals } from "./pageTotals.js";
 import { PendingCountCache } from "./pendingCountCache.js";
 import type { RecordAppender } from "./recordAppender.js";
+import { StateQuery } from "./stateQuery.js";
 import { SubmitOutcome } from "./submitOutcome.js";
 import { waitForFirst } from "./waitForFirst.js";
 
@@ -101,26 +105,27 @@
      * @param callerTimeoutMs How long the caller waits, in milliseconds.
      */
     async getState(id: string, callerTimeoutMs = DEFAULT_CALLER_TIMEOUT_MS): Promise<JobStateAnswer> {
-        const { clock, jobStateCache, logger, stateReader } = this.parts;
+        const { clock, jobStateCache, stateReader } = this.parts;
         const finalState = jobStateCache.findFinalState(id);
         if (finalState !== undefined) {
             return { state: finalState };
         }
         const sentAtMs = clock.getNow();
         const untilMs = sentAtMs + computeTimeout(callerTimeoutMs);
-        const fromCoordinator = this.requestState(id);
+        const query = new StateQuery(id, untilMs);
+        const totalsBefore = stateReader.totals;
+        const fromCoordinator = this.requestState(query);
         const hedgeDelayMs = Math.min(this.coordinator.hedgeDelayMs, (untilMs - sentAtMs) / 2);
         const early = await this.waitAtMost(fromCoordinator, hedgeDelayMs);
         // With an open circuit nobody waits for the coordinator: a call only finds out whether it answers again.
         const answer = early ?? await (hedgeDelayMs === 0
-            ? stateReader.read(id, untilMs)
+            ? stateReader.read(query)
             : this.waitAtMost(
-                waitForFirst([fromCoordinator, stateReader.read(id, untilMs)]),
+                waitForFirst([fromCoordinator, stateReader.read(query)]),
                 untilMs - clock.getNow(),
             ));
         if (answer === undefined) {
-            const tookMs = Math.round(clock.getNow() - sentAtMs);
-            logger.warn("job-state-unavailable", { job: id, reason: "no-coordinator-nor-store", tookMs });
+            this.recordUnavailable(query, totalsBefore, callerTimeoutMs, sentAtMs);
             return { isUnavailable: true };
         }
         return answer;
@@ -159,9 +164,12 @@
     }
 
     /** Asks the coordinator for a job's state; undefined if the call isn't sent or answered, or the state is unsure. */
-    private async requestState(id: string): Promise<JobStateAnswer | undefined> {
+    private async requestState(query: StateQuery): Promise<JobStateAnswer | undefined> {
+        const { id } = query;
         const reply = await this.coordinator.call({ kind: CoordinatorCallKind.GetState, id });
-        if (reply === undefined || reply.isUnsent === true || reply.isUnsure === true) {
+        const silence = findSilence(reply);
+        if (reply === undefined || silence !== undefined) {
+            query.coordinator = silence ?? CoordinatorSilence.Unanswered;
             return undefined;
         }
         if (reply.state === JobState.Completed || reply.state === JobState.Failed) {
@@ -171,6 +179,28 @@
         return reply.state === undefined ? { isAbsent: true } : { state: reply.state };
     }
 
+    /** Logs why neither source has answered; the pages are those that this VM read meanwhile, for all questions. */
+    private recordUnavailable(
+        query: StateQuery,
+        totalsBefore: PageTotals,
+        callerTimeoutMs: number,
+        sentAtMs: number,
+    ): void {
+        const { clock, logger, stateReader } = this.parts;
+        const { pages, bytes } = stateReader.totals;
+        logger.warn("job-state-unavailable", {
+            job: query.id,
+            reason: "no-coordinator-nor-store",
+            coordinator: query.coordinator,
+            store: query.store,
+            storeStep: query.step,
+            pages: pages - totalsBefore.pages,
+            bytes: Math.round(bytes - totalsBefore.bytes),
+            callerTimeoutMs,
+            tookMs: Math.round(clock.getNow() - sentAtMs),
+        });
+    }
+
     private recordOutcome(event: string, id: string, queue: string, outcome: SubmitOutcome, sentAtMs: number): void {
         const tookMs = Math.round(this.parts.clock.getNow() - sentAtMs);
         const fields = { job: id, queue, outcome: SubmitOutcome[outcome], tookMs };
@@ -183,6 +213,17 @@
     }
 }
 
+/** Finds out why a reply doesn't answer the call; undefined if it does. */
+function findSilence(reply: CoordinatorReply | undefined): CoordinatorSilence | undefined {
+    if (reply === undefined) {
+        return CoordinatorSilence.Unanswered;
+    }
+    if (reply.isUnsent === true) {
+        return reply.isCircuitOpen === true ? CoordinatorSilence.CircuitOpen : CoordinatorSilence.Unsent;
+    }
+    return reply.isUnsure === true ? CoordinatorSilence.Unsure : undefined;
+}
+
 function computeTimeout(callerTimeoutMs: number): number {
     return Math.min(QUERY_TIMEOUT_MS, callerTimeoutMs * USABLE_TIMEOUT_SHARE);
 }
--- a/packages/accept-jobs/src/jobStateReader.ts
+++ b/packages/accept-jobs/src/jobStateReader.ts
@@ -6,6 +6,10 @@
 import type { JobStateAnswer } from "./jobStateAnswer.js";
 import type { JobStateCache } from "./jobStateCache.js";
 import { KeyReader } from "./keyReader.js";
+import type { PageTotals } from "./pageTotals.js";
+import type { StateQuery } from "./stateQuery.js";
+import { StateReadStep } from "./stateReadStep.js";
+import { StoreSilence } from "./storeSilence.js";
 
 /** Keys of job records in the progress topic, which has other keys too. */
 const JOB_KEY = /^[0-9a-f]{16}$/;
@@ -44,45 +48,60 @@
         });
     }
 
+    /** What has been read from the store so far. */
+    get totals(): PageTotals {
+        const [progress, jobs] = [this.progress.totals, this.jobs.totals];
+        return { pages: progress.pages + jobs.pages, bytes: progress.bytes + jobs.bytes };
+    }
+
     /**
      * Reads a job's state.
      *
-     * @param untilMs When to give up, in steady milliseconds.
+     * @param query The question; notes why the store doesn't answer it.
      * @returns The state; undefined if the store didn't answer in time.
      */
-    async read(id: string, untilMs: number): Promise<JobStateAnswer | undefined> {
-        const early = await this.readWithRetry(this.progress, id, untilMs);
+    async read(query: StateQuery): Promise<JobStateAnswer | undefined> {
+        const { id } = query;
+        const early = await this.readWithRetry(this.progress, query, StateReadStep.Progress);
         if (early === undefined || early.length > 0) {
-            return this.describeProgress(id, early?.at(0));
+            return this.describeProgress(query, early?.at(0));
         }
         if (!this.parts.jobStateCache.isAccepted(id)) {
-            const records = await this.readWithRetry(this.jobs, id, untilMs);
+            const records = await this.readWithRetry(this.jobs, query, StateReadStep.Jobs);
             if (records === undefined) {
                 return undefined;
             }
             if (!records.some(({ key }) => key === id)) {
-                const late = await this.readWithRetry(this.progress, id, untilMs);
-                return late?.length === 0 ? { isAbsent: true } : this.describeProgress(id, late?.at(0));
+                const late = await this.readWithRetry(this.progress, query, StateReadStep.ProgressAgain);
+                return late?.length === 0 ? { isAbsent: true } : this.describeProgress(query, late?.at(0));
             }
         }
         return { state: this.parts.jobStateCache.isCancelled(id) ? JobState.Cancelled : JobState.Queued };
     }
 
-    /** Reads a key, and retries after a lost page until `untilMs`, since many reads share a page. */
+    /** Reads a job's key, and retries after a lost page until the question's end, since many reads share a page. */
     private async readWithRetry(
         reader: KeyReader,
-        key: string,
-        untilMs: number,
+        query: StateQuery,
+        step: StateReadStep,
     ): Promise<readonly StoredRecord[] | undefined> {
-        let records = await reader.read(key, untilMs);
-        while (records === undefined && !reader.isStoreUnavailable && this.parts.clock.getNow() < untilMs) {
-            records = await reader.read(key, untilMs);
+        const { clock } = this.parts;
+        const { id, untilMs } = query;
+        query.noteStep(step);
+        let records = await reader.read(id, untilMs);
+        while (records === undefined && !reader.isStoreUnavailable && clock.getNow() < untilMs) {
+            records = await reader.read(id, untilMs);
+        }
+        if (records === undefined && clock.getNow() < untilMs) {
+            query.store = StoreSilence.Refused;
         }
         return records;
     }
 
-    private describeProgress(id: string, record: StoredRecord | undefined): JobStateAnswer | undefined {
+    private describeProgress(query: StateQuery, record: StoredRecord | undefined): JobStateAnswer | undefined {
+        const { id } = query;
         if (record?.value === undefined) {
+            query.store = record === undefined ? query.store : StoreSilence.Unreadable;
             return undefined;
         }
         try {
@@ -92,6 +111,7 @@
         }
         catch (failure) {
             this.parts.logger.error("progress-unreadable", { job: id, problem: String(failure) });
+            query.store = StoreSilence.Unreadable;
             return undefined;
         }
     }
--- a/packages/accept-jobs/src/keyReader.ts
+++ b/packages/accept-jobs/src/keyReader.ts
@@ -1,6 +1,7 @@
 import type { Clock, NewestRecordsPage, StoredRecord, StorePort, Topic } from "@sardinestage/describe-ports";
 import type { EventLogger } from "@sardinestage/log-events";
 import { PageTimeTracker } from "./pageTimeTracker.js";
+import type { PageTotals } from "./pageTotals.js";
 
 /** Pages in flight at a time: a second one if the first is late, so that a lost answer doesn't delay all requests. */
 const MAX_PAGES_IN_FLIGHT = 2;
@@ -55,6 +56,8 @@
     private cursor = "";
     private failures = 0;
     private lastFailureAtMs = -Infinity;
+    private pagesRead = 0;
+    private bytesRead = 0;
 
     constructor(private readonly parts: KeyReaderParts) {}
 
@@ -63,6 +66,11 @@
         return this.failures >= FAILURES_UNTIL_UNAVAILABLE;
     }
 
+    /** The pages read so far, lost ones included, and their bytes. */
+    get totals(): PageTotals {
+        return { pages: this.pagesRead, bytes: this.bytesRead };
+    }
+
     /**
      * Reads the record of a key, and the records of keys that start with this key and a slash.
      *
@@ -117,11 +125,14 @@
         this.nextPageAtMs = sentAtMs + MIN_PAGE_INTERVAL_MS;
         const page = await store.readNewest(topic, computeKeyBefore(first));
         this.pagesInFlight--;
+        this.pagesRead++;
         requested.forEach(request => request.isInFlight = false);
         this.noteOutcome(page.succeeded, sentAtMs);
         if (page.succeeded) {
+            const bytes = computeBytes(page);
+            this.bytesRead += bytes;
             this.pageTimes.notePage(clock.getNow() - sentAtMs);
-            this.nextPageAtMs = Math.max(this.nextPageAtMs, sentAtMs + computePause(page));
+            this.nextPageAtMs = Math.max(this.nextPageAtMs, sentAtMs + bytes / BYTES_PER_SECOND * 1000);
             this.answerRequests(page, first, requested);
         }
         else {
@@ -168,11 +179,10 @@
     return key.slice(0, -1) + String.fromCharCode(key.charCodeAt(key.length - 1) - 1);
 }
 
-/** Computes how long to wait after a page to stay within the rate limit, in milliseconds. */
-function computePause(page: NewestRecordsPage): number {
-    const bytes = page.records.reduce(
+/** Computes about how many bytes a page has on the network. */
+function computeBytes(page: NewestRecordsPage): number {
+    return page.records.reduce(
         (sum, { key, value }) => sum + RECORD_OVERHEAD_BYTES + key.length + (value?.length ?? 0) * BASE64_EXPANSION,
         0,
     );
-    return bytes / BYTES_PER_SECOND * 1000;
 }
--- a/packages/accept-jobs/src/testing/jobServiceHarness.ts
+++ b/packages/accept-jobs/src/testing/jobServiceHarness.ts
@@ -2,7 +2,7 @@
 import type { KeyedRecord, NewestRecordsPage, StorePort } from "@sardinestage/describe-ports";
 import { Topic } from "@sardinestage/describe-ports";
 import { emulatedStoreLimits, MemoryStore, VirtualClock } from "@sardinestage/emulate-platform";
-import { silentLogger } from "@sardinestage/log-events";
+import type { EventLogger } from "@sardinestage/log-events";
 import type { CoordinatorCall } from "../coordinatorCall.js";
 import type { CoordinatorReply } from "../coordinatorReply.js";
 import { JobService } from "../jobService.js";
@@ -20,6 +20,8 @@
     readonly clock = new VirtualClock();
     readonly store = new MemoryStore(this.clock, () => 0.5);
     readonly calls: CoordinatorCall[] = [];
+    /** The log lines: each event with its fields. */
+    readonly events: { readonly event: string; readonly fields: object | undefined }[] = [];
     readonly callTimeoutsMs: number[] = [];
     /** Topics of the pages that the job service has requested from the store. */
     readonly pages: Topic[] = [];
@@ -35,7 +37,8 @@
 
     constructor() {
         const { clock } = this;
-        const logger = silentLogger;
+        const write = (event: string, fields: object | undefined) => void this.events.push({ event, fields });
+        const logger: EventLogger = { info: write, warn: write, error: write };
         const coordinatorClient = {
             call: (call: CoordinatorCall, timeoutMs: number) => {
                 this.calls.push(call);
