Answer with a job's last known state where neither coordinator nor store answers

Cause: the answer depended on the coordinator alone. Its fallback reads pages of whole topics one after the other, with two readers of 500 KB/s each on links that carry 875 KB/s, and gave up after 2 s. What the VM knew of the job wasn't used, a record that can't be read ended the search, and a recent count of waiting jobs was held back until the caller's time was nearly over.

Change: - getState uses 0.9 of the caller's time. At its end a job that is certainly accepted is shown in its last known state (queued or running; an end only if it is known to be in the store). Other jobs get 410 or 503 as before. - JobStateCache also remembers which jobs have started, and when all facts that the coordinator had were known here. For 5 s after that a known job is answered without the store: after half of the usable time, or at once with an open circuit. The accepted jobs are read beside the progress if that takes longer than 250 ms, so that a slow store costs fewer pages in a row. - A job whose progress can't be read is running if it is among the accepted jobs. - getPending gives a count of the last 2 s once the hedge delay is over.

The test of two pages of progress that are lost together notes the job as accepted, since its 700 ms page would otherwise start a read of the accepted jobs too.

--- a/packages/accept-jobs/src/jobService.ts
+++ b/packages/accept-jobs/src/jobService.ts
@@ -1,3 +1,4 @@
+import type { Metrics } from "@sardinestage/count-metrics";
 import type { Clock } from "@sardinestage/describe-ports";
 import type { JobSpec, QueueConfig } from "@sardinestage/describe-work";
 import { JobState } from "@sardinestage/describe-work";
@@ -20,10 +21,13 @@
 
 /** A query that the coordinator takes longer for counts as unanswered, in milliseconds. */
 const ANSWER_TIMEOUT_MS = 1500;
-/** Maximum time to answer a query, in milliseconds. */
-const QUERY_TIMEOUT_MS = 2000;
 /** Share of the caller's timeout that may be used; the rest is left for the answer to reach the caller. */
 const USABLE_TIMEOUT_SHARE = 0.9;
+/**
+ * Share of the usable time in which only the coordinator is asked about a job whose last state is known: a call in this
+ * time costs little, and reads of the store have a cost that grows with all jobs.
+ */
+const COORDINATOR_TIME_SHARE = 0.5;
 /** Assumed timeout of a caller that doesn't specify one, in milliseconds. */
 const DEFAULT_CALLER_TIMEOUT_MS = 3000;
 
@@ -35,6 +39,7 @@
     readonly coordinatorClient: CoordinatorClient;
     readonly clock: Clock;
     readonly logger: EventLogger;
+    readonly metrics: Metrics;
 }
 
 /**
@@ -100,35 +105,44 @@
     }
 
     /**
-     * Returns a job's state: from this VM's cache, from the coordinator, or from the store if the coordinator is late.
+     * Returns a job's state: from this VM's cache, from the coordinator, or from the store if the coordinator is late. If
+     * neither answers in the caller's time, the last known state of a job that was certainly accepted.
      *
      * @param callerTimeoutMs How long the caller waits, in milliseconds.
      */
     async getState(id: string, callerTimeoutMs = DEFAULT_CALLER_TIMEOUT_MS): Promise<JobStateAnswer> {
-        const { clock, jobStateCache, stateReader } = this.parts;
+        const { clock, jobStateCache, metrics, stateReader } = this.parts;
         const finalState = jobStateCache.findFinalState(id);
         if (finalState !== undefined) {
             return { state: finalState };
         }
         const sentAtMs = clock.getNow();
-        const untilMs = sentAtMs + computeTimeout(callerTimeoutMs);
+        const untilMs = sentAtMs + callerTimeoutMs * USABLE_TIMEOUT_SHARE;
         const query = new StateQuery(id, untilMs);
         const totalsBefore = stateReader.totals;
         const fromCoordinator = this.requestState(query);
-        const hedgeDelayMs = Math.min(this.coordinator.hedgeDelayMs, (untilMs - sentAtMs) / 2);
-        const early = await this.waitAtMost(fromCoordinator, hedgeDelayMs);
+        const { hedgeDelayMs } = this.coordinator;
+        const usableMs = untilMs - sentAtMs;
+        const coordinatorOnlyMs = hedgeDelayMs > 0 && jobStateCache.findCurrentState(id) !== undefined
+            ? usableMs * COORDINATOR_TIME_SHARE
+            : Math.min(hedgeDelayMs, usableMs / 2);
+        const early = await this.waitAtMost(fromCoordinator, coordinatorOnlyMs);
+        if (early !== undefined) {
+            return early;
+        }
+        const currentState = jobStateCache.findCurrentState(id);
+        if (currentState !== undefined) {
+            metrics.count("states_from_memory_total", "current");
+            return { state: currentState };
+        }
         // With an open circuit nobody waits for the coordinator: a call only finds out whether it answers again.
-        const answer = early ?? await (hedgeDelayMs === 0
+        const answer = await (hedgeDelayMs === 0
             ? stateReader.read(query)
             : this.waitAtMost(
                 waitForFirst([fromCoordinator, stateReader.read(query)]),
                 untilMs - clock.getNow(),
             ));
-        if (answer === undefined) {
-            this.recordUnavailable(query, totalsBefore, callerTimeoutMs, sentAtMs);
-            return { isUnavailable: true };
-        }
-        return answer;
+        return answer ?? this.answerFromMemory(query, totalsBefore, callerTimeoutMs, sentAtMs);
     }
 
     /**
@@ -139,8 +153,14 @@
      */
     async getPending(queue: string, callerTimeoutMs = DEFAULT_CALLER_TIMEOUT_MS): Promise<number | undefined> {
         const fromCoordinator = this.requestPending(queue);
-        const waitMs = this.coordinator.hedgeDelayMs === 0 ? 0 : computeTimeout(callerTimeoutMs);
-        return await this.waitAtMost(fromCoordinator, waitMs) ?? this.pendingCounts.find(queue);
+        const { hedgeDelayMs } = this.coordinator;
+        const usableMs = callerTimeoutMs * USABLE_TIMEOUT_SHARE;
+        const earlyMs = Math.min(hedgeDelayMs, usableMs);
+        const early = await this.waitAtMost(fromCoordinator, earlyMs) ?? this.pendingCounts.find(queue);
+        if (early !== undefined || hedgeDelayMs === 0) {
+            return early;
+        }
+        return this.waitAtMost(fromCoordinator, usableMs - earlyMs);
     }
 
     private async requestPending(queue: string): Promise<number | undefined> {
@@ -179,6 +199,31 @@
         return reply.state === undefined ? { isAbsent: true } : { state: reply.state };
     }
 
+    /** Answers a question that neither source has answered: with the last state of a job that was certainly accepted. */
+    private answerFromMemory(
+        query: StateQuery,
+        totalsBefore: PageTotals,
+        callerTimeoutMs: number,
+        sentAtMs: number,
+    ): JobStateAnswer {
+        const lastState = this.parts.jobStateCache.findLastState(query.id);
+        if (lastState === undefined) {
+            this.recordUnavailable(query, totalsBefore, callerTimeoutMs, sentAtMs);
+            return { isUnavailable: true };
+        }
+        const { coordinator, store, step } = query;
+        this.parts.metrics.count("states_from_memory_total", "last-known");
+        this.parts.logger.warn("job-state-from-memory", {
+            job: query.id,
+            state: lastState,
+            coordinator,
+            store,
+            storeStep: step,
+            tookMs: Math.round(this.parts.clock.getNow() - sentAtMs),
+        });
+        return { state: lastState };
+    }
+
     /** Logs why neither source has answered; the pages are those that this VM read meanwhile, for all questions. */
     private recordUnavailable(
         query: StateQuery,
@@ -223,7 +268,3 @@
     }
     return reply.isUnsure === true ? CoordinatorSilence.Unsure : undefined;
 }
-
-function computeTimeout(callerTimeoutMs: number): number {
-    return Math.min(QUERY_TIMEOUT_MS, callerTimeoutMs * USABLE_TIMEOUT_SHARE);
-}
--- a/packages/accept-jobs/src/jobStateCache.ts
+++ b/packages/accept-jobs/src/jobStateCache.ts
@@ -1,13 +1,24 @@
 import type { Clock } from "@sardinestage/describe-ports";
-import type { JobState } from "@sardinestage/describe-work";
+import { JobState } from "@sardinestage/describe-work";
 
 /** Maximum number of jobs in each map: a few minutes of jobs in a large installation, and at most a megabyte. */
 const MAX_JOBS_PER_KIND = 5000;
 
-/** Caches facts about jobs whose records this VM has seen in the store. Evicts the oldest job first. */
+/**
+ * How long a job's last known state may be shown without asking the store after all facts were known, in milliseconds:
+ * while the coordinator is replaced no job ends, and a VM that alone doesn't reach it shows an end this much later.
+ */
+const CURRENT_FOR_MS = 5000;
+
+/**
+ * Caches facts about jobs whose records this VM has seen in the store, or that the coordinator has told it of. Evicts
+ * the oldest job of each kind first.
+ */
 export class JobStateCache {
     private readonly finalStates = new Map<string, JobState>();
     private readonly acceptedAtMs = new Map<string, number>();
+    private readonly started = new Map<string, true>();
+    private currentAtMs = -Infinity;
     private readonly cancelled = new Map<string, true>();
 
     /**
@@ -21,6 +32,30 @@
         return this.finalStates.get(id);
     }
 
+    /**
+     * Returns the last known state of a job that was certainly accepted; undefined for other jobs. Only a final state is
+     * certainly the newest.
+     */
+    findLastState(id: string): JobState | undefined {
+        const finalState = this.finalStates.get(id);
+        if (finalState !== undefined) {
+            return finalState;
+        }
+        if (this.started.has(id)) {
+            return JobState.Running;
+        }
+        return this.acceptedAtMs.has(id) ? JobState.Queued : undefined;
+    }
+
+    /**
+     * Returns the last known state of an accepted job if all facts were known here a short time ago. Undefined if they
+     * weren't, and for a job with a cancellation, which may have ended it.
+     */
+    findCurrentState(id: string): JobState | undefined {
+        const isCurrent = this.clock.getNow() - this.currentAtMs < CURRENT_FOR_MS;
+        return isCurrent && !this.isCancelled(id) ? this.findLastState(id) : undefined;
+    }
+
     /** Whether a job's record was seen recently enough that its progress, if there was any, would still be stored. */
     isAccepted(id: string): boolean {
         const atMs = this.acceptedAtMs.get(id);
@@ -35,11 +70,46 @@
     /** Notes that a job's final state is in the store. */
     noteFinalState(id: string, state: JobState): void {
         rememberJob(this.finalStates, id, state);
+        this.acceptedAtMs.delete(id);
+        this.started.delete(id);
     }
 
     /** Notes that a job's record is in the store. */
     noteAccepted(id: string): void {
-        rememberJob(this.acceptedAtMs, id, this.clock.getNow());
+        if (!this.finalStates.has(id)) {
+            rememberJob(this.acceptedAtMs, id, this.clock.getNow());
+        }
+    }
+
+    /** Notes that a task of an accepted job has run. */
+    noteStarted(id: string): void {
+        if (!this.finalStates.has(id)) {
+            rememberJob(this.started, id, true);
+        }
+    }
+
+    /** Notes the state of an accepted job; a final state only if it is in the store. */
+    noteState(id: string, state: JobState): void {
+        switch (state) {
+            case JobState.Queued:
+                this.noteAccepted(id);
+                break;
+            case JobState.Running:
+                this.noteAccepted(id);
+                this.noteStarted(id);
+                break;
+            default:
+                this.noteFinalState(id, state);
+        }
+    }
+
+    /**
+     * Notes that all facts that the coordinator had at a time are known here.
+     *
+     * @param atMs The time, in steady milliseconds.
+     */
+    noteCurrent(atMs: number): void {
+        this.currentAtMs = Math.max(this.currentAtMs, atMs);
     }
 
     /** Notes that a job's cancellation is in the store. */
--- a/packages/accept-jobs/src/jobStateReader.test.ts
+++ b/packages/accept-jobs/src/jobStateReader.test.ts
@@ -41,6 +41,7 @@
         it("counts two pages that were in flight together and lost together as one failure", async () => {
             const harness = await createHarness(0);
             await harness.append(Topic.Progress, [createProgress(ID, JobState.Running)]);
+            harness.jobStateCache.noteAccepted(ID);
             const lostAtMs = harness.clock.getNow() + 700;
             harness.beforePage = async pages => {
                 if (pages <= 2) {
--- a/packages/accept-jobs/src/jobStateReader.ts
+++ b/packages/accept-jobs/src/jobStateReader.ts
@@ -6,6 +6,7 @@
 import type { JobStateAnswer } from "./jobStateAnswer.js";
 import type { JobStateCache } from "./jobStateCache.js";
 import { KeyReader } from "./keyReader.js";
+import { PageBudget } from "./pageBudget.js";
 import type { PageTotals } from "./pageTotals.js";
 import type { StateQuery } from "./stateQuery.js";
 import { StateReadStep } from "./stateReadStep.js";
@@ -16,6 +17,12 @@
 /** Approximate maximum size of an ended job's record, in bytes. Longer records are decoded only when requested. */
 const MAX_ENDED_RECORD_BYTES = 128;
 
+/**
+ * Wait for a job's progress before the accepted jobs are read as well, in milliseconds: more than a page takes from a
+ * store that isn't slow, so that few accepted jobs are read in vain.
+ */
+const JOBS_READ_DELAY_MS = 250;
+
 /** Dependencies of `JobStateReader`. */
 interface JobStateReaderParts {
     readonly store: StorePort;
@@ -34,14 +41,17 @@
     private readonly jobs: KeyReader;
 
     constructor(private readonly parts: JobStateReaderParts) {
+        const budget = new PageBudget();
         this.progress = new KeyReader({
             ...parts,
+            budget,
             topic: Topic.Progress,
             name: "progress",
             noteRecord: record => this.noteEnded(record),
         });
         this.jobs = new KeyReader({
             ...parts,
+            budget,
             topic: Topic.Jobs,
             name: "jobs",
             noteRecord: record => this.noteAccepted(record),
@@ -61,33 +71,50 @@
      * @returns The state; undefined if the store didn't answer in time.
      */
     async read(query: StateQuery): Promise<JobStateAnswer | undefined> {
-        const { id } = query;
-        const early = await this.readWithRetry(this.progress, query, StateReadStep.Progress);
-        if (early === undefined || early.length > 0) {
-            return this.describeProgress(query, early?.at(0));
+        const { jobStateCache } = this.parts;
+        let jobsRead: Promise<readonly StoredRecord[] | undefined> | undefined;
+        const cancelJobsRead = this.parts.clock.schedule(JOBS_READ_DELAY_MS, () => {
+            if (!jobStateCache.isAccepted(query.id)) {
+                jobsRead = this.readWithRetry(this.jobs, query);
+            }
+        });
+        query.noteStep(StateReadStep.Progress);
+        const early = await this.readWithRetry(this.progress, query);
+        cancelJobsRead();
+        const answer = this.describeProgress(query, early?.at(0));
+        if (early === undefined || answer !== undefined) {
+            return answer;
         }
-        if (!this.parts.jobStateCache.isAccepted(id)) {
-            const records = await this.readWithRetry(this.jobs, query, StateReadStep.Jobs);
+        const isUnreadable = early.length > 0;
+        if (!jobStateCache.isAccepted(query.id)) {
+            query.noteStep(StateReadStep.Jobs);
+            const records = await (jobsRead ?? this.readWithRetry(this.jobs, query));
             if (records === undefined) {
                 return undefined;
             }
-            if (!records.some(({ key }) => key === id)) {
-                const late = await this.readWithRetry(this.progress, query, StateReadStep.ProgressAgain);
-                return late?.length === 0 ? { isAbsent: true } : this.describeProgress(query, late?.at(0));
+            if (!records.some(({ key }) => key === query.id)) {
+                return isUnreadable ? this.noteUnreadable(query) : this.readProgressAgain(query);
             }
         }
-        return { state: this.parts.jobStateCache.isCancelled(id) ? JobState.Cancelled : JobState.Queued };
+        // A job with a record that can't be read has begun, and may have ended.
+        const lastState = isUnreadable ? JobState.Running : JobState.Queued;
+        return { state: jobStateCache.isCancelled(query.id) ? JobState.Cancelled : lastState };
+    }
+
+    /** Reads the progress of a job that isn't among the accepted ones: it may have ended meanwhile. */
+    private async readProgressAgain(query: StateQuery): Promise<JobStateAnswer | undefined> {
+        query.noteStep(StateReadStep.ProgressAgain);
+        const late = await this.readWithRetry(this.progress, query);
+        return late?.length === 0 ? { isAbsent: true } : this.describeProgress(query, late?.at(0));
     }
 
     /** Reads a job's key, and retries after a lost page until the question's end, since many reads share a page. */
     private async readWithRetry(
         reader: KeyReader,
         query: StateQuery,
-        step: StateReadStep,
     ): Promise<readonly StoredRecord[] | undefined> {
         const { clock } = this.parts;
         const { id, untilMs } = query;
-        query.noteStep(step);
         let records = await reader.read(id, untilMs);
         while (records === undefined && !reader.isStoreUnavailable && clock.getNow() < untilMs) {
             records = await reader.read(id, untilMs);
@@ -101,8 +128,7 @@
     private describeProgress(query: StateQuery, record: StoredRecord | undefined): JobStateAnswer | undefined {
         const { id } = query;
         if (record?.value === undefined) {
-            query.store = record === undefined ? query.store : StoreSilence.Unreadable;
-            return undefined;
+            return record === undefined ? undefined : this.noteUnreadable(query);
         }
         try {
             const end = decodeFinishedJob(record.value);
@@ -111,11 +137,15 @@
         }
         catch (failure) {
             this.parts.logger.error("progress-unreadable", { job: id, problem: String(failure) });
-            query.store = StoreSilence.Unreadable;
-            return undefined;
+            return this.noteUnreadable(query);
         }
     }
 
+    private noteUnreadable(query: StateQuery): undefined {
+        query.store = StoreSilence.Unreadable;
+        return undefined;
+    }
+
     private noteEnded(record: StoredRecord): void {
         if (record.value === undefined || record.value.length > MAX_ENDED_RECORD_BYTES || !JOB_KEY.test(record.key)) {
             return;
--- a/packages/accept-jobs/src/keyReader.ts
+++ b/packages/accept-jobs/src/keyReader.ts
@@ -1,5 +1,6 @@
 import type { Clock, NewestRecordsPage, StoredRecord, StorePort, Topic } from "@sardinestage/describe-ports";
 import type { EventLogger } from "@sardinestage/log-events";
+import type { PageBudget } from "./pageBudget.js";
 import { PageTimeTracker } from "./pageTimeTracker.js";
 import type { PageTotals } from "./pageTotals.js";
 
@@ -7,8 +8,6 @@
 const MAX_PAGES_IN_FLIGHT = 2;
 /** Minimum time between two pages, in milliseconds: requests in quick succession share a page. */
 const MIN_PAGE_INTERVAL_MS = 25;
-/** Rate limit for the pages of one VM: less than half of the slowest link; the rest is for callers and peers. */
-const BYTES_PER_SECOND = 500_000;
 /** Bytes that one byte of a value takes in a page, which encodes values in base64. */
 const BASE64_EXPANSION = 4 / 3;
 /** Bytes that a record takes in a page in addition to its key and value. */
@@ -24,6 +23,8 @@
     readonly topic: Topic;
     /** Name of the topic in log lines. */
     readonly name: string;
+    /** The rate limit, which all readers of a VM share. */
+    readonly budget: PageBudget;
     readonly clock: Clock;
     readonly logger: EventLogger;
     /** Called for every record of a page, whether requested or not. */
@@ -41,7 +42,7 @@
 /**
  * Reads the newest records of single keys. The store offers only pages of keys, which may be large, so waiting requests
  * share them. Pages cycle through the keys in order, one at a time: two at once would share the network link and
- * contain mostly the same keys. A pause in proportion to its size follows each page.
+ * contain mostly the same keys. Their rate is limited.
  *
  * A request is answered only from pages sent after the request was made. If such a page lacks the key, the store had no
  * record of the key when the request was made.
@@ -104,7 +105,7 @@
             return;
         }
         const lateAtMs = this.pagesInFlight > 0 ? this.lastPageSentAtMs + this.pageTimes.lateAfterMs : -Infinity;
-        const pauseMs = Math.max(this.nextPageAtMs, lateAtMs) - clock.getNow();
+        const pauseMs = Math.max(this.nextPageAtMs, this.parts.budget.nextPageAtMs, lateAtMs) - clock.getNow();
         this.cancelNextPage?.();
         if (pauseMs > 0) {
             this.cancelNextPage = clock.schedule(pauseMs, () => this.startPage());
@@ -132,7 +133,7 @@
             const bytes = computeBytes(page);
             this.bytesRead += bytes;
             this.pageTimes.notePage(clock.getNow() - sentAtMs);
-            this.nextPageAtMs = Math.max(this.nextPageAtMs, sentAtMs + bytes / BYTES_PER_SECOND * 1000);
+            this.parts.budget.notePage(bytes, sentAtMs);
             this.answerRequests(page, first, requested);
         }
         else {
--- a/packages/accept-jobs/src/recordAppender.ts
+++ b/packages/accept-jobs/src/recordAppender.ts
@@ -7,6 +7,7 @@
 import type { CoordinatorClient } from "./coordinatorClient.js";
 import { GuardedCoordinatorClient } from "./guardedCoordinatorClient.js";
 import { KeyReader } from "./keyReader.js";
+import { PageBudget } from "./pageBudget.js";
 import { SubmitOutcome } from "./submitOutcome.js";
 
 /** Bounds of the learned timeout of an append, in milliseconds; after it the append is repeated or falls back. */
@@ -73,7 +74,7 @@
             purpose: "appends",
             answerTimeoutMs: RELAYED_TIMEOUT_MS,
         });
-        this.jobKeys = new KeyReader({ ...parts, topic: Topic.Jobs, name: "jobs" });
+        this.jobKeys = new KeyReader({ ...parts, topic: Topic.Jobs, name: "jobs", budget: new PageBudget() });
     }
 
     /**
--- a/packages/accept-jobs/src/testing/jobFixture.ts
+++ b/packages/accept-jobs/src/testing/jobFixture.ts
@@ -20,10 +20,10 @@
     queue,
     /** Creates the id of a job in a series. */
     createId: (index: number): string => index.toString(16).padStart(16, "0"),
-    /** Creates the record of an accepted job. */
-    createJobRecord: (id: string): KeyedRecord => ({
+    /** Creates the record of an accepted job with a payload of this many bytes. */
+    createJobRecord: (id: string, payloadBytes = 1): KeyedRecord => ({
         key: id,
-        value: encodeJobRecord({ spec, queue, acceptedAtMs: 0 }),
+        value: encodeJobRecord({ spec: { ...spec, payload: "p".repeat(payloadBytes) }, queue, acceptedAtMs: 0 }),
     }),
     /** Creates the record of a job's progress. */
     createProgress(id: string, state: JobState): KeyedRecord {
--- a/packages/accept-jobs/src/testing/jobServiceHarness.ts
+++ b/packages/accept-jobs/src/testing/jobServiceHarness.ts
@@ -1,6 +1,6 @@
 import { Metrics } from "@sardinestage/count-metrics";
 import type { KeyedRecord, NewestRecordsPage, StorePort } from "@sardinestage/describe-ports";
-import { Topic } from "@sardinestage/describe-ports";
+import { Topic, waitFor } from "@sardinestage/describe-ports";
 import { emulatedStoreLimits, MemoryStore, VirtualClock } from "@sardinestage/emulate-platform";
 import type { EventLogger } from "@sardinestage/log-events";
 import type { CoordinatorCall } from "../coordinatorCall.js";
@@ -14,11 +14,28 @@
 const KEEP_MS = 120_000;
 const CALLER_TIMEOUT_MS = 3000;
 const APPEND_TIMEOUT_MS = 1000;
+const MAX_SETTLE_MS = 30_000;
+/** Bytes of a record in a page beside its key and its value, which is in base64. */
+const RECORD_OVERHEAD_BYTES = 40;
+const BASE64_EXPANSION = 4 / 3;
+/** Step in which the pages in flight get their share of a link, in milliseconds. */
+const LINK_STEP_MS = 5;
+
+/** How a harness's store answers reads. */
+interface PageTraits {
+    /** Maximum number of records in a page. */
+    readonly pageRecords?: number;
+    /** Bandwidth of the VM's link in bytes a millisecond, which the pages in flight share. */
+    readonly bytesPerMs?: number;
+}
 
 /** A job service with an emulated store, a virtual clock and a coordinator that the test defines. */
 export class JobServiceHarness {
     readonly clock = new VirtualClock();
-    readonly store = new MemoryStore(this.clock, () => 0.5);
+    readonly store: MemoryStore;
+    readonly jobStateCache = new JobStateCache(this.clock, KEEP_MS);
+    /** Bytes of the pages that the job service has read. */
+    bytesRead = 0;
     readonly calls: CoordinatorCall[] = [];
     /** The log lines: each event with its fields. */
     readonly events: { readonly event: string; readonly fields: object | undefined }[] = [];
@@ -31,12 +48,15 @@
     beforePage: (pages: number) => Promise<void> = () => Promise.resolve();
     readonly jobService: JobService;
     private readonly pagesInFlight = new Map<Topic, number>();
+    private pagesOnLink = 0;
     /** The coordinator; by default it doesn't answer. */
     coordinator: (call: CoordinatorCall, timeoutMs: number) => Promise<CoordinatorReply | undefined> = (_, timeoutMs) =>
         this.waitUnanswered(timeoutMs);
 
-    constructor() {
-        const { clock } = this;
+    constructor(private readonly traits: PageTraits = {}) {
+        const { clock, jobStateCache } = this;
+        this.store = new MemoryStore(clock, () => 0.5, traits.pageRecords);
+        const metrics = new Metrics();
         const write = (event: string, fields: object | undefined) => void this.events.push({ event, fields });
         const logger: EventLogger = { info: write, warn: write, error: write };
         const coordinatorClient = {
@@ -51,7 +71,6 @@
             read: (topic, from, waitMs) => this.store.read(topic, from, waitMs),
             readNewest: (topic, afterKey) => this.readPage(topic, afterKey),
         };
-        const jobStateCache = new JobStateCache(clock, KEEP_MS);
         this.jobService = new JobService({
             recordAppender: new RecordAppender({
                 limits: emulatedStoreLimits,
@@ -59,13 +78,14 @@
                 coordinatorClient,
                 clock,
                 logger,
-                metrics: new Metrics(),
+                metrics,
             }),
             stateReader: new JobStateReader({ store, clock, logger, jobStateCache }),
             jobStateCache,
             coordinatorClient,
             clock,
             logger,
+            metrics,
         });
     }
 
@@ -78,11 +98,11 @@
         const startedAtMs = this.clock.getNow();
         let settled: { result: T; tookMs: number } | undefined;
         void promise.then(result => settled = { result, tookMs: this.clock.getNow() - startedAtMs });
-        for (let passed = 0; passed < 10_000 && settled === undefined; passed++) {
+        for (let passed = 0; passed < MAX_SETTLE_MS && settled === undefined; passed++) {
             await this.clock.runFor(1);
         }
         if (settled === undefined) {
-            throw new Error("The promise didn't settle within ten seconds of virtual time.");
+            throw new Error("The promise didn't settle within 30 seconds of virtual time.");
         }
         return settled;
     }
@@ -96,6 +116,21 @@
         return new Promise(resolve => this.clock.schedule(timeoutMs, () => resolve(undefined)));
     }
 
+    private async sendOnLink(page: NewestRecordsPage): Promise<void> {
+        const { bytesPerMs = Infinity } = this.traits;
+        let bytes = page.records.reduce(
+            (sum, { key, value }) => sum + RECORD_OVERHEAD_BYTES + key.length + (value?.length ?? 0) * BASE64_EXPANSION,
+            0,
+        );
+        this.bytesRead += bytes;
+        this.pagesOnLink++;
+        while (bytes > 0 && bytesPerMs < Infinity) {
+            await waitFor(this.clock, LINK_STEP_MS);
+            bytes -= bytesPerMs * LINK_STEP_MS / this.pagesOnLink;
+        }
+        this.pagesOnLink--;
+    }
+
     private async readPage(topic: Topic, afterKey: string | undefined): Promise<NewestRecordsPage> {
         this.pages.push(topic);
         const inFlight = (this.pagesInFlight.get(topic) ?? 0) + 1;
@@ -103,6 +138,7 @@
         this.maxPagesInFlight = Math.max(this.maxPagesInFlight, inFlight);
         await this.beforePage(this.pages.length);
         const page = await this.store.readNewest(topic, afterKey);
+        await this.sendOnLink(page);
         this.pagesInFlight.set(topic, (this.pagesInFlight.get(topic) ?? 0) - 1);
         return page;
     }
--- a/packages/emulate-platform/src/memoryStore.ts
+++ b/packages/emulate-platform/src/memoryStore.ts
@@ -12,8 +12,8 @@
 import { emulatedStoreLimits } from "./emulatedStoreLimits.js";
 import type { StoreFaults } from "./storeFaults.js";
 
-/** Records per page of `readNewest`. */
-const PAGE_SIZE = 50;
+/** Records per page of `readNewest`, by default: few, so that tests with few records read several pages. */
+const DEFAULT_PAGE_RECORDS = 50;
 /** Response time of a nearby store, in milliseconds. */
 const DEFAULT_ANSWER_MS = 4;
 
@@ -35,8 +35,13 @@
     /**
      * @param clock The test's clock.
      * @param random Returns numbers from 0 to 1, generated from the test's seed.
+     * @param pageRecords Maximum number of records in a page of `readNewest`.
      */
-    constructor(private readonly clock: Clock, private readonly random: () => number) {}
+    constructor(
+        private readonly clock: Clock,
+        private readonly random: () => number,
+        private readonly pageRecords = DEFAULT_PAGE_RECORDS,
+    ) {}
 
     /** Appends records; the outcome says why if nothing was appended. */
     async append(call: AppendCall): Promise<AppendAnswer> {
@@ -89,8 +94,13 @@
         const newest = new Map(state.records.map(record => [record.key, record]));
         const liveKeys = [...newest.keys()].filter(key => newest.get(key)?.value !== undefined).sort();
         const remainingKeys = liveKeys.filter(key => afterKey === undefined || key > afterKey);
-        const records = remainingKeys.slice(0, PAGE_SIZE).flatMap(key => newest.get(key) ?? []);
-        return { succeeded: true, records, hasMore: remainingKeys.length > PAGE_SIZE, end: state.records.length };
+        const records = remainingKeys.slice(0, this.pageRecords).flatMap(key => newest.get(key) ?? []);
+        return {
+            succeeded: true,
+            records,
+            hasMore: remainingKeys.length > this.pageRecords,
+            end: state.records.length,
+        };
     }
 
     private applyAppend(call: AppendCall): AppendAnswer {
