Test ends that are told before their job is read, and with an older token

The case of missed renewals now waits until the runs have ended, so that the answer without a lease is the one that lists the ends; before, only those with answers of 300 ms reached that state.

--- a/packages/coordinate-work/src/lastEndsOfLeavingWorker.test.ts
+++ b/packages/coordinate-work/src/lastEndsOfLeavingWorker.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from "@jest/globals";
+import { ReadOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
 import type { JobSpec } from "@sardinestage/describe-work";
 import { createStep } from "@sardinestage/emulate-platform";
 import { CoordinatorHarness } from "./testing/coordinatorHarness.js";
@@ -10,6 +11,8 @@
 const STAYS_MS = [0, 100];
 /** Times that the answers to lease renewals are on their way, in milliseconds. */
 const DELAYS_MS = [0, 50, 150, 300];
+/** The fencing token of the harness's first term before its first renewal, and of orders to a worker's first life. */
+const FIRST_FENCE = 1_000_000;
 /** Each task's lease has expired, and each of its runs would have been started again, after this, in milliseconds. */
 const LEASE_OVER_MS = 20_000;
 
@@ -56,6 +59,14 @@
     return harness;
 }
 
+/** Waits until the only worker with runs counts as silent, and these runs have ended. */
+async function waitUntilSilent(harness: CoordinatorHarness): Promise<void> {
+    const isSilent = () => harness.events.some(event => event.includes("worker-silent"));
+    while (!isSilent() || harness.runChecker.countActiveRuns() > 0) {
+        await harness.clock.runFor(1);
+    }
+}
+
 /** Holds the answers to lease renewals up. Half of the maximum is drawn each time. */
 function setAnswerDelay(harness: CoordinatorHarness, delayMs: number): void {
     harness.fleet.faults.renewalDelays = { maxDeliveryMs: 0, maxAnswerMs: delayMs * 2 };
@@ -79,9 +90,7 @@
             const harness = await startJob(2000, made => setAnswerDelay(made, delayMs));
             const worker = harness.fleet.workers.get("w");
             Object.assign(worker ?? {}, { isUnreachable: true });
-            while (!harness.events.some(event => event.includes("worker-silent"))) {
-                await harness.clock.runFor(1);
-            }
+            await waitUntilSilent(harness);
             Object.assign(worker ?? {}, { isUnreachable: false });
             await stopWhenListed(harness, "w", stayMs);
             await harness.clock.runFor(LEASE_OVER_MS);
@@ -160,4 +169,82 @@
             checkEachRanOnce(harness, "job", 1);
         },
     );
+
+    it.each(DELAYS_MS)(
+        "has no task run again of a job that is read only after it has left, answers take %d ms",
+        async delayMs => {
+            const harness = new CoordinatorHarness(FIXED_RANDOM, () => 200);
+            const { clock, fleet, store } = harness;
+            void harness.addWorker("w");
+            void harness.addWorker("other");
+            await clock.runFor(50);
+            harness.startTerm(false);
+            setAnswerDelay(harness, delayMs);
+            const read = store.read.bind(store);
+            let isHeld = true;
+            store.read = async (topic, from, waitMs) => {
+                if (!isHeld || topic !== Topic.Jobs) {
+                    return read(topic, from, waitMs);
+                }
+                await waitFor(clock, 20);
+                return { outcome: ReadOutcome.Failed, records: [], next: from };
+            };
+            // Calls that wait for the next record come to their end.
+            await clock.runFor(10_000);
+            void harness.submit("job", createSpec(1), createQueue());
+            await clock.runFor(50);
+            // A start of an earlier coordinator.
+            fleet.workers.get("w")?.start({
+                task: { jobId: "job", occurrence: 0, step: 0, index: 0 },
+                run: 1,
+                payload: "",
+                leaseUntilMs: 60_000,
+                fence: FIRST_FENCE,
+                checkpoint: "",
+                ticket: "",
+            });
+            await stopWhenListed(harness, "w", 0);
+            await clock.runFor(15_000);
+            isHeld = false;
+            await clock.runFor(LEASE_OVER_MS);
+            checkEachRanOnce(harness, "job", 1);
+        },
+    );
+
+    it("has no task run again that it told before its life's token was heard", async () => {
+        const harness = new CoordinatorHarness(FIXED_RANDOM, () => 20);
+        const { clock, fleet } = harness;
+        void harness.addWorker("w");
+        await clock.runFor(50);
+        // The term gets no newer token for half a second.
+        harness.startTerm(false);
+        fleet.faults.startDelays = { maxDeliveryMs: 500, maxAnswerMs: 0 };
+        void harness.submit("job", createSpec(1), createQueue());
+        while (!harness.events.some(event => event.includes("run-order"))) {
+            await clock.runFor(1);
+        }
+        await clock.runFor(10);
+        harness.resetWorker("w");
+        await clock.runFor(2);
+        void harness.addWorker("other");
+        await stopWhenListed(harness, "w", 0);
+        await clock.runFor(LEASE_OVER_MS);
+        expect(harness.events.some(event => event.includes("older-token"))).toBe(true);
+        checkEachRanOnce(harness, "job", 1);
+    });
+});
+
+describe("Ends that a worker lists again after an answer that wasn't applied as a report", () => {
+    it.each(DELAYS_MS)("are applied once each, answers take %d ms", async delayMs => {
+        const harness = await startJob(-2000, made => setAnswerDelay(made, delayMs));
+        const worker = harness.fleet.workers.get("w");
+        Object.assign(worker ?? {}, { isUnreachable: true });
+        await waitUntilSilent(harness);
+        Object.assign(worker ?? {}, { isUnreachable: false });
+        await harness.clock.runFor(2000);
+        const isFirstRun = (event: string) => event.includes(" run-end ") && event.includes("\"run\":1,");
+        expect(harness.events.some(event => event.includes("ends-left-aside"))).toBe(true);
+        expect(harness.events.filter(isFirstRun)).toHaveLength(TASKS);
+        expect(harness.runChecker.violations).toEqual([]);
+    });
 });
