Ask a worker that is leaving for its ends while earlier ones are being recorded

What callers saw: a task that had ended on a draining worker could run again one lease later, because nobody asked for that end before the worker left.

Cause: after a report with ends the next renewal waits up to 400 ms until they are recorded. A worker lists ends only when asked, and one that drains may be gone as soon as its last run has ended.

Change: for a worker that drains or is no longer listed that wait is 50 ms at most, and grows to the usual 400 ms as this process gets short of CPU, since answers list the ends that aren't recorded yet once more. Only a slow store makes a difference.

--- /dev/null
+++ b/packages/coordinate-work/src/chooseRecordWait.test.ts
@@ -0,0 +1,15 @@
+import { describe, expect, it } from "@jest/globals";
+import { chooseRecordWait } from "./chooseRecordWait.js";
+import { limits } from "./limits.js";
+
+describe("chooseRecordWait", () => {
+    it("waits the same for a worker that stays, however busy the process is", () => {
+        expect(chooseRecordWait(false, 0)).toBe(limits.endRecordWaitMs);
+        expect(chooseRecordWait(false, limits.busyLoopDelayMs)).toBe(limits.endRecordWaitMs);
+    });
+
+    it("waits less for a worker that is leaving, unless the process is busy", () => {
+        expect(chooseRecordWait(true, 0)).toBe(limits.leavingEndRecordWaitMs);
+        expect(chooseRecordWait(true, limits.busyLoopDelayMs)).toBe(limits.endRecordWaitMs);
+    });
+});
--- a/packages/coordinate-work/src/lastEndsOfLeavingWorker.test.ts
+++ b/packages/coordinate-work/src/lastEndsOfLeavingWorker.test.ts
@@ -234,6 +234,33 @@
     });
 });
 
+// Guards against a worker that isn't asked for its last ends while earlier ones are being recorded.
+describe("A draining worker that leaves soon after its last run has ended, while the store is slow", () => {
+    it.each([100, 200, 300])("has no task run again if that run ends %d ms after the one before", async laterMs => {
+        const harness = new CoordinatorHarness(FIXED_RANDOM, ({ index }) => index === 0 ? 2000 : 2000 + laterMs);
+        const { clock } = harness;
+        void harness.addWorker("w");
+        await clock.runFor(50);
+        harness.startTerm(false);
+        await clock.runFor(1000);
+        void harness.submit("job", createSpec(2), createQueue());
+        while (harness.runChecker.countActiveRuns() < 2) {
+            await clock.runFor(1);
+        }
+        void harness.addWorker("other");
+        void harness.drainWorker("w");
+        await clock.runFor(1500);
+        harness.store.faults.answerMs = 800;
+        while (harness.runChecker.countActiveRuns() > 0) {
+            await clock.runFor(1);
+        }
+        await clock.runFor(80);
+        harness.stopWorker("w");
+        await clock.runFor(LEASE_OVER_MS);
+        checkEachRanOnce(harness, "job", 2);
+    });
+});
+
 describe("Ends that a worker lists again after an answer that wasn't applied as a report", () => {
     it.each(DELAYS_MS)("are applied once each, answers take %d ms", async delayMs => {
         const harness = await startJob(-2000, made => setAnswerDelay(made, delayMs));
--- a/packages/coordinate-work/src/leaseRenewalLoop.ts
+++ b/packages/coordinate-work/src/leaseRenewalLoop.ts
@@ -2,6 +2,7 @@
 import { OrderOutcome, waitFor } from "@sardinestage/describe-ports";
 import { formatTaskKey } from "@sardinestage/describe-work";
 import { chooseLongPollTimeout } from "./chooseLongPollTimeout.js";
+import { chooseRecordWait } from "./chooseRecordWait.js";
 import { chooseRenewalPause } from "./chooseRenewalPause.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import { describeProblem } from "./describeProblem.js";
@@ -227,7 +228,8 @@
                 cancel();
                 resolve();
             };
-            const cancel = this.parts.clock.schedule(limits.endRecordWaitMs, wake);
+            const waitMs = chooseRecordWait(worker.isLeaving, this.parts.getLoopDelay());
+            const cancel = this.parts.clock.schedule(waitMs, wake);
             worker.wakeRenewal = wake;
         });
     }
--- a/packages/coordinate-work/src/limits.ts
+++ b/packages/coordinate-work/src/limits.ts
@@ -23,6 +23,8 @@
     slowestClockRate: 0.975,
     /** The next lease renewal waits at most this long for run ends to be recorded, in milliseconds. */
     endRecordWaitMs: 400,
+    /** The same for a worker that is leaving, which may be gone before it is asked for its last ends. */
+    leavingEndRecordWaitMs: 50,
     /** Maximum number of start calls under way to one worker. */
     maxConcurrentStarts: 6,
     /** Maximum number of stop calls under way to one worker: its connections also carry starts and paces. */
--- a/packages/coordinate-work/src/testing/coordinatorHarness.ts
+++ b/packages/coordinate-work/src/testing/coordinatorHarness.ts
@@ -2,6 +2,7 @@
 import type { KeyedRecord } from "@sardinestage/describe-ports";
 import { Topic } from "@sardinestage/describe-ports";
 import type { JobSpec, QueueConfig, TaskRef } from "@sardinestage/describe-work";
+import { WorkerState } from "@sardinestage/describe-work";
 import {
     emulatedCodec,
     EmulatedFleet,
@@ -110,6 +111,16 @@
         await this.appendUntilConfirmed(Topic.Workers, { key: id, value: Buffer.from(JSON.stringify(entry)) });
     }
 
+    /** Publishes that a worker drains. */
+    async drainWorker(id: string): Promise<void> {
+        const entry = {
+            ...this.fleet.workers.get(id)?.describeEntry(),
+            state: WorkerState.Draining,
+            remainingMs: 5000,
+        };
+        await this.appendUntilConfirmed(Topic.Workers, { key: id, value: Buffer.from(JSON.stringify(entry)) });
+    }
+
     /** Removes a worker's entry from the platform's list while the worker keeps running. */
     async withdrawEntry(id: string): Promise<void> {
         await this.appendUntilConfirmed(Topic.Workers, { key: id, value: undefined });
--- a/packages/coordinate-work/src/trackedWorker.ts
+++ b/packages/coordinate-work/src/trackedWorker.ts
@@ -1,4 +1,5 @@
 import type { WorkerEntry } from "@sardinestage/describe-work";
+import { WorkerState } from "@sardinestage/describe-work";
 import type { PaceState } from "@sardinestage/plan-pace";
 import type { Task } from "@sardinestage/track-jobs";
 import { CallLimiter } from "./callLimiter.js";
@@ -82,6 +83,11 @@
         this.life = new WorkerLife(getNewestFence);
     }
 
+    /** Whether the worker drains or is no longer listed, so that it may soon be gone. */
+    get isLeaving(): boolean {
+        return this.isUnlisted || this.entry.state === WorkerState.Draining;
+    }
+
     /** Whether a report of the worker's present life has been applied, so that its runs are known. */
     get isLifeReported(): boolean {
         return this.hasReported && this.bornMs === this.life.bornMs;
