Let a worker on trial have work beside what has run there since before, and end its trial by work too

Cause: a worker whose runs of several jobs fail gets a probation, then a trial: one task at a time until a run ends as done. But it got that one task only if it had no task at all, and a task that lasts never ends as done. So a worker that has such tasks from before its probation, or gets one as its trial, is shut for good.

--- a/packages/coordinate-work/src/explainUnusable.ts
+++ b/packages/coordinate-work/src/explainUnusable.ts
@@ -1,4 +1,5 @@
 import { WorkerState } from "@sardinestage/describe-work";
+import { isTrialRun } from "./isTrialRun.js";
 import { limits } from "./limits.js";
 import type { TrackedWorker } from "./trackedWorker.js";
 import { UnusableReason } from "./unusableReason.js";
@@ -29,5 +30,5 @@
     if (nowMs < worker.probationUntilMs) {
         return UnusableReason.Probation;
     }
-    return worker.isOnTrial && worker.tasks.size > 0 ? UnusableReason.OnTrial : undefined;
+    return [...worker.tasks].some(task => isTrialRun(task, worker)) ? UnusableReason.OnTrial : undefined;
 }
--- /dev/null
+++ b/packages/coordinate-work/src/hasPassedTrial.ts
@@ -0,0 +1,24 @@
+import type { Task } from "@sardinestage/track-jobs";
+import { TaskPhase } from "@sardinestage/track-jobs";
+import { isTrialRun } from "./isTrialRun.js";
+import type { TrackedWorker } from "./trackedWorker.js";
+
+/**
+ * A run that works for so long shows that its worker is sound, in milliseconds: a worker at fault fails its runs soon
+ * after their start. With a long poll before and one after it, this is less than long-running tasks may be without a run.
+ */
+const SOUND_AFTER_MS = 1000;
+const FULL_PERCENT = 100;
+
+/**
+ * Whether a worker has passed its trial by a run that is still active. A long-running task never ends as done, so that
+ * no end would tell.
+ */
+export function hasPassedTrial(worker: TrackedWorker, nowMs: number): boolean {
+    return worker.isOnTrial && [...worker.tasks].some(task => isTrialRun(task, worker) && isWorking(task, nowMs));
+}
+
+function isWorking(task: Task, nowMs: number): boolean {
+    const hasProgressed = task.progressAtMs > task.firstSeenAtMs || task.percent >= FULL_PERCENT;
+    return task.phase === TaskPhase.Running && hasProgressed && nowMs - task.firstSeenAtMs >= SOUND_AFTER_MS;
+}
--- a/packages/coordinate-work/src/probation.ts
+++ b/packages/coordinate-work/src/probation.ts
@@ -10,7 +10,7 @@
 
 /**
  * Notes a failed run. A worker on which runs of several jobs fail in a row is put on probation: it gets no work for a
- * while, then one task at a time until a run succeeds.
+ * while, then one task at a time until a run succeeds or works for a while.
  *
  * @returns Whether this put the worker on probation.
  */
--- a/packages/coordinate-work/src/runTracker.ts
+++ b/packages/coordinate-work/src/runTracker.ts
@@ -7,6 +7,7 @@
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import type { DurationEstimator } from "./durationEstimator.js";
 import { finishProbation } from "./finishProbation.js";
+import { hasPassedTrial } from "./hasPassedTrial.js";
 import type { JobRegistry } from "./jobRegistry.js";
 import type { OrderSender } from "./orderSender.js";
 import { noteFailedRun } from "./probation.js";
@@ -58,6 +59,9 @@
         difference.lost.forEach(task => this.handleLostRun(task, worker, lostReason, request.sentAtMs));
         difference.uncertain.forEach(task => this.collaborators.orders.cancelUnansweredStart(task, worker));
         worker.hasReported = true;
+        if (hasPassedTrial(worker, nowMs)) {
+            finishProbation(worker);
+        }
     }
 
     /**
--- a/packages/coordinate-work/src/trackedWorker.ts
+++ b/packages/coordinate-work/src/trackedWorker.ts
@@ -66,7 +66,7 @@
     probationCount = 0;
     /** No new work before this, in steady milliseconds. */
     probationUntilMs = 0;
-    /** Whether the worker gets only one task at a time, until a run succeeds after a probation. */
+    /** Whether the worker gets only one task at a time after a probation, until a run shows that it is sound. */
     isOnTrial = false;
 
     /**
