End a probation early enough for long-running tasks: 4 s at most instead of 8 s

Cause: a probation doubles up to 8 s. The rule gives a long-running task 4 s of calm and 3 s more: a worker that was at fault for long is shut for longer than that after its fault, though it has the only room.

Change: 4 s at most.

Evidence: probation.test.ts, "when it was at fault for long": none of four long-running tasks ran 7 s after the fault; with it all do. The bound is the rule's. Cost: a worker that stays at fault fails a run each 4 s instead of each 8 s; not measured by itself.

--- a/packages/coordinate-work/src/probation.test.ts
+++ b/packages/coordinate-work/src/probation.test.ts
@@ -8,6 +8,8 @@
 const FOREVER_MS = 600_000;
 const FAILING_MS = 100;
 const SHORT_MS = 300;
+/** A fault that outlasts the growth of probations, in milliseconds. */
+const LONG_FAULT_MS = 20_000;
 /** A long-running task may be without a run for 3 s, once nothing has been wrong for 4 s. */
 const MAX_WAIT_MS = 7000;
 
@@ -69,6 +71,25 @@
         });
     });
 
+    describe("when it was at fault for long", () => {
+        it("is at the disposal of long-running tasks in time after the fault", async () => {
+            const fault = { isActive: false };
+            const harness = await createHarness(fault);
+            await injectProbation(harness, fault);
+            fault.isActive = true;
+            await harness.clock.runFor(LONG_FAULT_MS);
+            const countProbations = () => harness.events.filter(event => event.includes("worker-probation")).length;
+            const before = countProbations();
+            while (countProbations() === before) {
+                await harness.clock.runFor(10);
+            }
+            fault.isActive = false;
+            void harness.submit("lasting", createSpec(4, true), createQueue());
+            await harness.clock.runFor(MAX_WAIT_MS);
+            expect(harness.runChecker.countActiveRuns()).toBeGreaterThanOrEqual(4);
+        });
+    });
+
     describe("when it is still at fault", () => {
         it("gets one task at a time, beside those that have run there since before", async () => {
             const fault = { isActive: false };
--- a/packages/coordinate-work/src/probation.ts
+++ b/packages/coordinate-work/src/probation.ts
@@ -6,7 +6,11 @@
 const PROBATION_AFTER_JOBS = 2;
 /** Length of a worker's first probation, in milliseconds; it doubles each time. */
 const FIRST_PROBATION_MS = 1000;
-const MAX_PROBATION_MS = 8000;
+/**
+ * Length of a worker's longest probation, in milliseconds. Long-running tasks may be without a run until 7 s after a
+ * fault; the rest of this time is for the trial.
+ */
+const MAX_PROBATION_MS = 4000;
 
 /**
  * Notes a failed run. A worker on which runs of several jobs fail in a row is put on probation: it gets no work for a
