Keep the start gate open once all earlier runs are known

Cause: after a takeover that may have unrecorded starts before it, the gate was judged anew in each round, over all workers listed by then. A worker that joins later and falls silent after its first answer, before its report, closed the gate for all starts until the longest lease had passed: 6.2 s, and again for each such worker, to the end of the term.

Change: once each worker of a complete list has reported, or its lease has expired, the gate stays open: workers that join later run nothing of earlier coordinators.

Evidence: startGate.test.ts, "stays open although a worker that joins later hasn't reported", failed before.

--- a/packages/coordinate-work/src/startGate.test.ts
+++ b/packages/coordinate-work/src/startGate.test.ts
@@ -75,6 +75,17 @@
             expect(gate.tryOpen(OPENED_AT_MS + ENTRY_RETURN_MS + 300)).toBe(false);
         });
 
+        it("stays open although a worker that joins later hasn't reported", () => {
+            const workers = [createReportedWorker()];
+            const gate = createGate(workers, true, { readAtMs: OPENED_AT_MS + ENTRY_RETURN_MS });
+            expect(gate.tryOpen(OPENED_AT_MS + ENTRY_RETURN_MS)).toBe(true);
+            const newcomer = createTrackedWorker("newcomer");
+            newcomer.answeredAtMs = OPENED_AT_MS + ENTRY_RETURN_MS;
+            newcomer.leaseUntilMs = LEASE_MS;
+            workers.push(newcomer);
+            expect(gate.tryOpen(OPENED_AT_MS + ENTRY_RETURN_MS + 1)).toBe(true);
+        });
+
         it("stops waiting for the list once all earlier leases have expired", () => {
             const gate = createGate([createReportedWorker()], true);
             expect(gate.tryOpen(EXPIRED_AT_MS)).toBe(false);
--- a/packages/coordinate-work/src/startGate.ts
+++ b/packages/coordinate-work/src/startGate.ts
@@ -26,19 +26,23 @@
  */
 export class StartGate {
     private areLeasesExtended = false;
+    private areEarlierRunsKnown: boolean;
 
     /**
      * @param takenOver The workers that may run tasks that an earlier coordinator started.
      * @param parts Dependencies of the gate.
      */
-    constructor(private readonly takenOver: readonly TrackedWorker[], private readonly parts: StartGateParts) {}
+    constructor(private readonly takenOver: readonly TrackedWorker[], private readonly parts: StartGateParts) {
+        this.areEarlierRunsKnown = !parts.hadUnrecordedStarts;
+    }
 
-    /** Whether starts may begin; once the leases are extended, later changes to them don't close the gate. */
+    /** Whether starts may begin. An open gate stays open: workers that join later run nothing of earlier coordinators. */
     tryOpen(nowMs: number): boolean {
         const { openedAtMs, leaseMs } = this.parts;
         // After the length of a lease, every lease that could expire has expired.
         this.areLeasesExtended ||= nowMs - openedAtMs >= leaseMs || this.isSettled();
-        return this.areLeasesExtended && (!this.parts.hadUnrecordedStarts || this.hasAllReported(nowMs));
+        this.areEarlierRunsKnown ||= this.hasAllReported(nowMs);
+        return this.areLeasesExtended && this.areEarlierRunsKnown;
     }
 
     /** Whether each worker has its lease extended, or can't get one now because it doesn't answer or isn't listed. */
