Ask for a new ticket when a worker refuses one

Cause: a ticket holds for one life of a worker, but is kept by the worker's id. After a restart the start is refused, the round plans it with the same ticket again, and as each round finds a worker, no new ticket is asked for until the old one expires.

Change: a refused ticket is dropped, so that the step finds no worker and asks again.

--- a/packages/coordinate-work/src/adviceCache.ts
+++ b/packages/coordinate-work/src/adviceCache.ts
@@ -50,6 +50,11 @@
         void this.fetchTickets(task, key, chosen);
     }
 
+    /** Drops a ticket that a worker has refused: it may be one for an earlier life of the worker. */
+    dropTicket(task: Task, workerId: string): void {
+        this.tickets.get(formatStepKey(task))?.delete(workerId);
+    }
+
     /** Drops a job's tickets. */
     dropJob(jobId: string): void {
         for (const key of [...this.requestedAtMs.keys()]) {
--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -87,7 +87,7 @@
             handleNotStarted: (task, worker) => this.handleNotStarted(task, worker),
             handleStarted: worker => this.pace.handleMeasurements(worker),
             isClosed: () => this.isClosed,
-            getTicket: (task, workerId) => this.advice.getTicket(task, workerId),
+            tickets: this.advice,
         });
         this.monitor = new WorkerMonitor(parts, this.orders, this.learned.durations);
         this.fleet = new Fleet(parts, {
--- a/packages/coordinate-work/src/manyCancellations.test.ts
+++ b/packages/coordinate-work/src/manyCancellations.test.ts
@@ -61,7 +61,7 @@
             handleNotStarted: () => undefined,
             handleStarted: () => undefined,
             isClosed: () => false,
-            getTicket: () => "",
+            tickets: { getTicket: () => "", dropTicket: () => undefined },
         });
         const steps = [createStep({ taskCount: TASKS })];
         const spec: JobSpec = { payload: "", steps, repeatCount: 0, firstRunMs: 0, intervalMs: 0 };
--- a/packages/coordinate-work/src/orderSender.ts
+++ b/packages/coordinate-work/src/orderSender.ts
@@ -3,6 +3,7 @@
 import { formatTaskKey } from "@sardinestage/describe-work";
 import type { Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
+import type { AdviceCache } from "./adviceCache.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import { limits } from "./limits.js";
 import { StartPacer } from "./startPacer.js";
@@ -23,8 +24,8 @@
     readonly handleStarted: (worker: TrackedWorker) => void;
     /** Whether the coordinator has closed, after which no order is sent. */
     readonly isClosed: () => boolean;
-    /** The advice service's ticket for a task on a worker; empty if it needs none. */
-    readonly getTicket: (task: Task, workerId: string) => string;
+    /** The advice service's tickets for tasks on workers. */
+    readonly tickets: Pick<AdviceCache, "getTicket" | "dropTicket">;
 }
 
 /** Sends start and stop orders to workers, repeats unanswered stops and applies the outcomes to the tasks. */
@@ -130,7 +131,7 @@
             leaseUntilMs,
             fence,
             checkpoint: task.checkpoint,
-            ticket: this.handlers.getTicket(task, worker.entry.id),
+            ticket: this.handlers.tickets.getTicket(task, worker.entry.id),
         });
         worker.noteStart(clock.getNow(), rules.maxLeaseMs);
         metrics.recordDuration("start_call", clock.getNow() - sentAtMs);
@@ -166,6 +167,9 @@
                     return;
                 }
                 break;
+            case OrderOutcome.TicketInvalid:
+                this.handlers.tickets.dropTicket(task, worker.entry.id);
+                break;
             case OrderOutcome.NoRoom:
                 worker.blockedUntilMs = nowMs + NO_CAPACITY_PAUSE_MS;
                 break;
--- a/packages/coordinate-work/src/testing/coordinatorHarness.ts
+++ b/packages/coordinate-work/src/testing/coordinatorHarness.ts
@@ -1,5 +1,5 @@
 import { Metrics } from "@sardinestage/count-metrics";
-import type { KeyedRecord } from "@sardinestage/describe-ports";
+import type { AdvicePort, KeyedRecord } from "@sardinestage/describe-ports";
 import { Topic } from "@sardinestage/describe-ports";
 import type { JobSpec, QueueConfig, TaskRef } from "@sardinestage/describe-work";
 import { WorkerState } from "@sardinestage/describe-work";
@@ -56,6 +56,8 @@
     workerTraits: EmulatedWorkerTraits | undefined;
     /** Whether the coordinators may start tasks and renew leases. */
     hasAuthority = true;
+    /** Answers for the advice service; as a rule, there is none. */
+    requestTickets: AdvicePort["requestTickets"] = () => Promise.resolve({ tickets: undefined, validMs: 0 });
     private terms = 0;
 
     /**
@@ -182,7 +184,7 @@
                 this.callCostMs,
                 () => this.clock.skipTime(this.sendCostMs),
             ),
-            advice: { requestTickets: () => Promise.resolve({ tickets: undefined, validMs: 0 }) },
+            advice: { requestTickets: (...query) => this.requestTickets(...query) },
             vms: {
                 list: () => Promise.resolve(undefined),
                 startUpkeep: () => Promise.reject(new Error("The harness emulates no upkeep of VMs.")),
