Tell followers which jobs were accepted, started and ended

Cause: a VM knew only the jobs that it had accepted itself or had seen in pages of the store. While the coordinator is away all VMs read these pages at once.

Change: the coordinator notes the state of each accepted job in a log of its term: queued, running, and an end once it is recorded in the store. VMs of the earlier version neither ask for facts nor send them, which is fine.

In packages/coordinate-work this is one optional callback, `onJobState`, called by JobRecorder (not ended), JobFinisher (ended and recorded) and JobIntake (read from the store).

--- a/packages/coordinate-work/src/coordinatorParts.ts
+++ b/packages/coordinate-work/src/coordinatorParts.ts
@@ -1,3 +1,4 @@
+import type { JobState } from "@sardinestage/describe-work";
 import type { WorkMeter } from "@sardinestage/watch-loop";
 import type { CoordinatorRules } from "./coordinatorRules.js";
 import type { PlatformParts } from "./platformParts.js";
@@ -26,4 +27,6 @@
     readonly hadUnrecordedStarts: boolean;
     /** Called when this coordinator has lost the term to another one. */
     readonly onTermLost: (reason: string) => void;
+    /** Called with the state of each accepted job and with each later one; with a final state once it is recorded. */
+    readonly onJobState?: (id: string, state: JobState) => void;
 }
--- a/packages/coordinate-work/src/jobFinisher.ts
+++ b/packages/coordinate-work/src/jobFinisher.ts
@@ -81,6 +81,7 @@
         const { jobs, advice, recordCleaner } = this.collaborators;
         if (!this.recorded.has(job.id)) {
             this.recorded.add(job.id);
+            this.parts.onJobState?.(job.id, job.state);
             const tookMs = Math.round(job.finishedAtMs - job.acceptedAtMs);
             this.parts.metrics.count("jobs_ended_total", job.state);
             this.parts.logger.info("job-ended", { job: job.id, state: job.state, queue: job.queue.name, tookMs });
--- a/packages/coordinate-work/src/jobIntake.ts
+++ b/packages/coordinate-work/src/jobIntake.ts
@@ -44,6 +44,7 @@
         const records = this.deferred ?? [];
         this.deferred = undefined;
         records.forEach(record => this.applyRecord(record, progress.get(record.key)));
+        this.collaborators.jobs.finished.forEach(({ state }, id) => this.parts.onJobState?.(id, state));
         for (const [id, { parts }] of progress) {
             if (this.collaborators.jobs.finished.has(id)) {
                 // The coordinator that recorded the job's end ended itself before it dropped them.
@@ -73,6 +74,9 @@
         if (this.collaborators.jobs.isCancelledBeforeRead(job.id)) {
             this.collaborators.cancelJob(job.id);
         }
+        if (!job.isFinished) {
+            this.parts.onJobState?.(job.id, job.state);
+        }
         this.collaborators.noteAdded(job);
     }
 
--- a/packages/coordinate-work/src/jobRecorder.ts
+++ b/packages/coordinate-work/src/jobRecorder.ts
@@ -5,7 +5,7 @@
 /** Reserve for a record's key within the store's limit of a record, in bytes. */
 const KEY_BYTES = 256;
 
-/** Schedules the records of what has changed of a job. */
+/** Schedules the records of what has changed of a job, and announces its state unless it has ended. */
 export class JobRecorder {
     constructor(private readonly parts: CoordinatorParts, private readonly writer: ProgressWriter) {}
 
@@ -16,6 +16,9 @@
 
     /** Schedules the write of all records of a job that have changed since the last call. */
     recordJob(job: Job): void {
+        if (!job.isFinished) {
+            this.parts.onJobState?.(job.id, job.state);
+        }
         const maxBytes = this.parts.rules.storeLimits.maxRecordBytes - KEY_BYTES;
         job.changes.takeRecords(maxBytes).forEach(({ key, encode }) => this.writer.schedule(key, encode));
     }
--- a/packages/run-entry-vm/src/createEntryVm.ts
+++ b/packages/run-entry-vm/src/createEntryVm.ts
@@ -12,6 +12,7 @@
 import { EntryVm } from "./entryVm.js";
 import type { EntryVmParts } from "./entryVmParts.js";
 import { Followers } from "./followers.js";
+import { JobFactFollower } from "./jobFactFollower.js";
 import { LoadReporter } from "./loadReporter.js";
 import { LocalCoordinator } from "./localCoordinator.js";
 import { Membership } from "./membership.js";
@@ -31,6 +32,7 @@
             ...parts,
             termLog: context.get(TermLog),
             followers: context.get(Followers),
+            jobStateCache: context.get(JobStateCache),
             getResponsiveTime: () => context.get(EventLoopMonitor).getResponsiveTime(),
             createCoordinator: termParts =>
                 new Coordinator({
@@ -52,6 +54,7 @@
             peers: context.get(Peers),
             followers: context.get(Followers),
             config: context.get(ConfigKeeper),
+            jobFacts: new JobFactFollower(context.get(JobStateCache)),
             loopMonitor: context.get(EventLoopMonitor),
         })
     ).inSingletonScope();
--- a/packages/run-entry-vm/src/followRequest.ts
+++ b/packages/run-entry-vm/src/followRequest.ts
@@ -1,4 +1,5 @@
 import type { Candidate, TermHolder } from "@sardinestage/keep-term";
+import type { JobFacts } from "./jobFacts.js";
 
 /** Periodic request of a VM to the coordinator: registers the VM as a follower and asks for the coordinator's state. */
 export interface FollowRequest {
@@ -9,6 +10,8 @@
     readonly isDraining?: boolean;
     /** Version of the list of followers that this VM has; empty at first. */
     readonly membersVersion: string;
+    /** What this VM knows of the jobs, without rows; undefined from a VM of an earlier version. */
+    readonly jobFacts?: JobFacts;
     /** Whether the reply should contain the configuration. */
     readonly needsConfig: boolean;
     /** The configuration, if the coordinator has had an older one for a while. */
--- a/packages/run-entry-vm/src/localCoordinator.test.ts
+++ b/packages/run-entry-vm/src/localCoordinator.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from "@jest/globals";
+import { JobStateCache } from "@sardinestage/accept-jobs";
 import type { Coordinator } from "@sardinestage/coordinate-work";
 import type { StorePort } from "@sardinestage/describe-ports";
 import { waitFor } from "@sardinestage/describe-ports";
@@ -13,6 +14,7 @@
 
 const RENEWAL_TIMEOUT_MS = 600;
 const FAILING_MS = 1500;
+const KEEP_MS = 120_000;
 const holder = { term: 7, vm: "vm", incarnation: "vm", host: "host", port: 1, strength: 1 };
 
 /**
@@ -34,6 +36,7 @@
         logger: silentLogger,
         rules: defaultRules,
         followers: new Followers(),
+        jobStateCache: new JobStateCache(clock, KEEP_MS),
         getResponsiveTime: () => clock.getNow() * responsiveShare,
         createCoordinator: () => coordinator as unknown as Coordinator,
     });
@@ -57,6 +60,7 @@
                 logger: silentLogger,
                 rules: defaultRules,
                 followers: new Followers(),
+                jobStateCache: new JobStateCache(clock, KEEP_MS),
                 getResponsiveTime: () => clock.getNow(),
                 createCoordinator: termParts => {
                     created.push(termParts);
--- a/packages/run-entry-vm/src/localCoordinator.ts
+++ b/packages/run-entry-vm/src/localCoordinator.ts
@@ -1,4 +1,4 @@
-import type { CoordinatorCall, CoordinatorReply } from "@sardinestage/accept-jobs";
+import type { CoordinatorCall, CoordinatorReply, JobStateCache } from "@sardinestage/accept-jobs";
 import { CoordinatorCallKind } from "@sardinestage/accept-jobs";
 import type { Coordinator } from "@sardinestage/coordinate-work";
 import type { Clock, StorePort } from "@sardinestage/describe-ports";
@@ -6,8 +6,11 @@
 import type { EarlierTerm, TermHolder, TermLog } from "@sardinestage/keep-term";
 import { Instant, RenewalOutcome, TermAuthority } from "@sardinestage/keep-term";
 import type { EventLogger } from "@sardinestage/log-events";
+import type { CoordinatorReport } from "./coordinatorReport.js";
 import type { EntryVmRules } from "./entryVmRules.js";
 import type { Followers } from "./followers.js";
+import { JobFactLog } from "./jobFactLog.js";
+import type { JobFacts } from "./jobFacts.js";
 import type { TermParts } from "./termParts.js";
 
 /** Pause between two tries to take over, in milliseconds. */
@@ -27,6 +30,8 @@
     readonly logger: EventLogger;
     readonly rules: EntryVmRules;
     readonly followers: Followers;
+    /** Remembers for the callers of this VM what its coordinator tells the others. */
+    readonly jobStateCache: JobStateCache;
     /** Monotonic time without the stalls of this process's event loop, in milliseconds. */
     readonly getResponsiveTime: () => number;
     /** Creates the coordinator of a term. */
@@ -36,6 +41,7 @@
 /** The coordinator in this process: active, and renewing the term, for as long as this process holds the term. */
 export class LocalCoordinator {
     private coordinator: Coordinator | undefined;
+    private jobFactLog: JobFactLog | undefined;
     private lastRenewedAtMs = 0;
     /**
      * When the first of the current series of failed renewals was sent, in responsive time; Infinity while renewals
@@ -69,6 +75,11 @@
         return this.holder === undefined ? 0 : this.parts.clock.getNow() - this.termWonAtMs;
     }
 
+    /** Whether the takeover of the coordinator in this process is complete. */
+    private get isReady(): boolean {
+        return this.coordinator?.isReady === true;
+    }
+
     /** Number of workers that the coordinator in this process knows; 0 if there is none. */
     get workerCount(): number {
         return this.coordinator?.workerCount ?? 0;
@@ -123,6 +134,8 @@
         this.termWonAtMs = clock.getNow();
         this.lastRenewedAtMs = this.termWonAtMs;
         this.renewalsFailingSinceMs = Infinity;
+        const jobFactLog = new JobFactLog(holder.term);
+        this.jobFactLog = jobFactLog;
         logger.info("term-won", { term: holder.term, hadUnrecordedStarts });
         void this.runRenewals(holder.term);
         for (let tries = 0; tries < MAX_TAKEOVER_TRIES && this.holder === holder; tries++) {
@@ -134,6 +147,10 @@
                 getTermRenewalAge: () => this.renewalAgeMs,
                 getNewestFence: () => this.findNewestFence(holder.term),
                 onTermLost: reason => this.stop(holder.term, reason),
+                onJobState: (id, state) => {
+                    jobFactLog.note(id, state);
+                    this.parts.jobStateCache.noteState(id, state);
+                },
             });
             this.coordinator = coordinator;
             if (await coordinator.open()) {
@@ -150,6 +167,21 @@
         this.isLeaving = true;
     }
 
+    /**
+     * Builds the part of a reply to a follower that tells of this process as the coordinator.
+     *
+     * @param known What the follower knows of the jobs; undefined for one that doesn't ask for them.
+     */
+    buildReply(known: JobFacts | undefined): CoordinatorReport {
+        return {
+            isCoordinator: this.isActive,
+            isLeaving: this.isLeaving,
+            storeSilentMs: this.storeSilentMs,
+            storeLostMs: this.storeLostMs,
+            jobFacts: known === undefined ? undefined : this.jobFactLog?.collectSince(known, this.isReady),
+        };
+    }
+
     /** Answers a call to the coordinator. */
     async answer(call: CoordinatorCall): Promise<CoordinatorReply> {
         if (call.kind === CoordinatorCallKind.Append) {
@@ -184,6 +216,11 @@
         }
     }
 
+    /** Stops coordinating, whatever the term; does nothing if this process doesn't coordinate. */
+    stopAnyTerm(reason: string): void {
+        this.stop(this.holder?.term ?? -1, reason);
+    }
+
     /** Stops coordinating in a term; does nothing if this process holds another term or none. */
     stop(term: number, reason: string): void {
         if (this.holder?.term !== term) {
@@ -192,10 +229,17 @@
         this.parts.logger.warn("term-lost", { term, reason });
         this.coordinator?.close();
         this.coordinator = undefined;
+        this.jobFactLog = undefined;
         this.holder = undefined;
         this.isLeaving = false;
     }
 
+    private noteFactsCurrent(atMs: number): void {
+        if (this.isReady) {
+            this.parts.jobStateCache.noteCurrent(atMs);
+        }
+    }
+
     /** The newest fencing token of a term of this process; the term itself once the process doesn't hold it any more. */
     private findNewestFence(term: number): number {
         // The log goes on to the tokens of the process's next term, which are no tokens of this one.
@@ -258,6 +302,7 @@
             if (!hasFailed) {
                 this.lastRenewedAtMs = sentAtMs;
                 this.authority?.noteConfirmed(sentAt);
+                this.noteFactsCurrent(sentAtMs);
             }
             else {
                 void this.confirmTerm(term);
--- a/packages/run-entry-vm/src/membership.test.ts
+++ b/packages/run-entry-vm/src/membership.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from "@jest/globals";
+import { JobStateCache } from "@sardinestage/accept-jobs";
 import type { Coordinator } from "@sardinestage/coordinate-work";
 import type { StorePort } from "@sardinestage/describe-ports";
 import { AppendOutcome, waitFor } from "@sardinestage/describe-ports";
@@ -12,11 +13,14 @@
 import { defaultRules } from "./defaultRules.js";
 import { Followers } from "./followers.js";
 import type { FollowRequest } from "./followRequest.js";
+import { JobFactFollower } from "./jobFactFollower.js";
 import { LocalCoordinator } from "./localCoordinator.js";
 import { Membership } from "./membership.js";
 import type { Peers } from "./peers.js";
 import type { TermParts } from "./termParts.js";
 
+const KEEP_MS = 120_000;
+
 /** VMs that share a store. A test sets how long each VM takes to answer and which of its calls fail. */
 class Installation {
     readonly clock = new VirtualClock();
@@ -70,6 +74,7 @@
             return coordinator;
         };
         const rules = defaultRules;
+        const jobStateCache = new JobStateCache(clock, KEEP_MS);
         const localCoordinator = new LocalCoordinator({
             termLog,
             store,
@@ -77,6 +82,7 @@
             logger,
             rules,
             followers,
+            jobStateCache,
             getResponsiveTime: () => loopMonitor.getResponsiveTime(),
             createCoordinator,
         });
@@ -87,6 +93,7 @@
             peers: { request: this.request.bind(this, vm) } as unknown as Peers,
             followers,
             config: { version: 1 } as ConfigKeeper,
+            jobFacts: new JobFactFollower(jobStateCache),
             clock,
             logger,
             rules,
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -18,6 +18,7 @@
 import type { Followers } from "./followers.js";
 import type { FollowReply } from "./followReply.js";
 import type { FollowRequest } from "./followRequest.js";
+import type { JobFactFollower } from "./jobFactFollower.js";
 import { listRelayVms } from "./listRelayVms.js";
 import type { LocalCoordinator } from "./localCoordinator.js";
 import type { PeerQuery } from "./peerQuery.js";
@@ -44,6 +45,7 @@
     readonly peers: Peers;
     readonly followers: Followers;
     readonly config: ConfigKeeper;
+    readonly jobFacts: JobFactFollower;
     readonly clock: Clock;
     readonly logger: EventLogger;
     readonly rules: EntryVmRules;
@@ -129,9 +131,8 @@
 
     /** Stops following, and coordinating if this process does: nobody could reach it to tell it of its successor. */
     close(): void {
-        const { localCoordinator } = this.parts;
         this.isClosed = true;
-        localCoordinator.stop(localCoordinator.holder?.term ?? -1, "closed");
+        this.parts.localCoordinator.stopAnyTerm("closed");
     }
 
     /** Whether this process coordinates. */
@@ -189,10 +190,7 @@
         return {
             holder: localCoordinator.holder ?? this.holder,
             incarnation: self.incarnation,
-            isCoordinator: localCoordinator.isActive,
-            isLeaving: localCoordinator.isLeaving,
-            storeSilentMs: localCoordinator.storeSilentMs,
-            storeLostMs: localCoordinator.storeLostMs,
+            ...localCoordinator.buildReply(request.jobFacts),
             membersVersion,
             members: localCoordinator.isActive && request.membersVersion !== membersVersion
                 ? [self, ...followers.list()]
@@ -266,6 +264,7 @@
             holder: this.holder,
             isDraining: this.isDraining,
             membersVersion: this.membersVersion,
+            jobFacts: this.parts.jobFacts.known,
             needsConfig: this.configExchange.needsConfig,
             config: this.configExchange.missingConfig,
         };
@@ -279,6 +278,7 @@
         if (!reply.isCoordinator || this.holder?.term !== asked.term) {
             return false;
         }
+        this.parts.jobFacts.applyFacts(reply.jobFacts, sentAtMs);
         this.lastAnswerAtMs = this.parts.loopMonitor.getResponsiveTime();
         this.relay = undefined;
         this.isLeaving = reply.isLeaving;
@@ -294,8 +294,7 @@
             return;
         }
         const { vm, term } = holder;
-        const { localCoordinator } = this.parts;
-        localCoordinator.stop(localCoordinator.holder?.term ?? -1, "told-of-later-term");
+        this.parts.localCoordinator.stopAnyTerm("told-of-later-term");
         this.parts.logger.info("coordinator-changed", { vm, term, from: this.holder?.vm, fromTerm: this.holder?.term });
         this.changedAtMs = this.holder === undefined ? -Infinity : this.parts.clock.getNow();
         this.holderKnownSinceMs = this.parts.clock.getNow();
--- a/packages/run-entry-vm/src/termParts.ts
+++ b/packages/run-entry-vm/src/termParts.ts
@@ -1,3 +1,4 @@
+import type { JobState } from "@sardinestage/describe-work";
 import type { EarlierTerm } from "@sardinestage/keep-term";
 
 /** What a coordinator needs to know of its term. */
@@ -15,4 +16,6 @@
     readonly getNewestFence: () => number;
     /** Called when the coordinator has lost the term to another one. */
     readonly onTermLost: (reason: string) => void;
+    /** Called with the state of each accepted job and with each later one; with a final state once it is recorded. */
+    readonly onJobState: (id: string, state: JobState) => void;
 }
--- a/packages/run-entry-vm/src/testing/takeoverHarness.ts
+++ b/packages/run-entry-vm/src/testing/takeoverHarness.ts
@@ -1,3 +1,5 @@
+import type { CoordinatorCall, JobService } from "@sardinestage/accept-jobs";
+import { JobStateCache } from "@sardinestage/accept-jobs";
 import { Coordinator } from "@sardinestage/coordinate-work";
 import { Metrics } from "@sardinestage/count-metrics";
 import type { KeyedRecord, StorePort } from "@sardinestage/describe-ports";
@@ -24,14 +26,18 @@
 import type { ConfigKeeper } from "../configKeeper.js";
 import { defaultRules } from "../defaultRules.js";
 import { Followers } from "../followers.js";
+import type { FollowReply } from "../followReply.js";
 import type { FollowRequest } from "../followRequest.js";
+import { JobFactFollower } from "../jobFactFollower.js";
 import { LocalCoordinator } from "../localCoordinator.js";
 import { Membership } from "../membership.js";
 import type { PeerQuery } from "../peerQuery.js";
 import type { Peers } from "../peers.js";
+import { createJobService } from "./createJobService.js";
 import { ZonedNetwork } from "./zonedNetwork.js";
 
 const APPEND_TIMEOUT_MS = 1000;
+const CALL_TIMEOUT_MS = 1000;
 /** Network delay between two VMs in one direction, in milliseconds. */
 const ONE_WAY_DELAY_MS = 1;
 const coordinatorRules = {
@@ -51,6 +57,8 @@
     readonly membership: Membership;
     readonly localCoordinator: LocalCoordinator;
     readonly orderRelay: OrderRelay;
+    readonly jobStateCache: JobStateCache;
+    readonly jobService: JobService;
 }
 
 /** Complete VMs (election, terms, coordinators) with one emulated store and emulated workers, on a virtual clock. */
@@ -61,6 +69,8 @@
     readonly runChecker: RunInvariantChecker;
     /** The log lines of all VMs. */
     readonly events: string[] = [];
+    /** The replies to follow requests. */
+    readonly followReplies: FollowReply[] = [];
     readonly specs = new Map<string, JobSpec>();
     /** Share of the VMs' appends that get no answer, and how late the store carries these out, in milliseconds. */
     readonly lost = { share: 0, lateMs: 0 };
@@ -117,6 +127,7 @@
         const loopMonitor = new EventLoopMonitor(clock);
         loopMonitor.start();
         const logger = this.createLogger(vm);
+        const jobStateCache = new JobStateCache(clock, coordinatorRules.keepFinishedMs);
         const localCoordinator = new LocalCoordinator({
             termLog,
             store,
@@ -124,6 +135,7 @@
             logger,
             rules,
             followers,
+            jobStateCache,
             getResponsiveTime: () => loopMonitor.getResponsiveTime(),
             createCoordinator: termParts =>
                 new Coordinator({
@@ -154,6 +166,7 @@
             peers: { request: this.request.bind(this, vm) } as unknown as Peers,
             followers,
             config: { version: 1 } as ConfigKeeper,
+            jobFacts: new JobFactFollower(jobStateCache),
             clock,
             logger,
             rules,
@@ -166,7 +179,8 @@
             getLoopDelay: () => 0,
             getKnownTerm: () => membership.knownTerm,
         });
-        this.processes.set(vm, { membership, localCoordinator, orderRelay });
+        const jobService = createJobService({ store, clock, logger, jobStateCache, coordinatorClient: membership });
+        this.processes.set(vm, { membership, localCoordinator, orderRelay, jobStateCache, jobService });
         void membership.run();
     }
 
@@ -178,6 +192,16 @@
         process?.localCoordinator.stop(process.localCoordinator.holder?.term ?? -1, "killed");
     }
 
+    /** What a VM's process remembers of jobs. */
+    getJobStateCache(vm: string): JobStateCache | undefined {
+        return this.processes.get(vm)?.jobStateCache;
+    }
+
+    /** The job service of a VM's process. */
+    getJobService(vm: string): JobService | undefined {
+        return this.processes.get(vm)?.jobService;
+    }
+
     /** Starts a worker and adds its entry to the list of workers. */
     addWorker(id: string): void {
         this.fleet.workers.set(id, new EmulatedWorker(id, this.clock, this.runChecker, this.getDuration));
@@ -303,10 +327,20 @@
         if (member === undefined) {
             return { body: undefined, isConnectionRefused: true, hasAnswered: false };
         }
-        const isFollowing = kind === FrameKind.FollowCoordinator;
-        const answer = isFollowing
-            ? member.answerFollowRequest(body as FollowRequest)
-            : member.answerPeerQuery(body as PeerQuery);
-        return { body: answer, isConnectionRefused: false, hasAnswered: true };
+        return { body: await this.answerFrame(member, kind, body), isConnectionRefused: false, hasAnswered: true };
+    }
+
+    private async answerFrame(member: Membership, kind: FrameKind, body: unknown): Promise<unknown> {
+        switch (kind) {
+            case FrameKind.FollowCoordinator: {
+                const reply = member.answerFollowRequest(body as FollowRequest);
+                this.followReplies.push(reply);
+                return reply;
+            }
+            case FrameKind.CallCoordinator:
+                return await member.answerCall(body as CoordinatorCall, CALL_TIMEOUT_MS);
+            default:
+                return member.answerPeerQuery(body as PeerQuery);
+        }
     }
 }
