Show a remembered state without the store for 3 s instead of 5 s

What callers would have seen: a VM that alone doesn't reach the coordinator shows a job as running for up to 5 s after its end, although the store tells it.

Cause: the time was chosen with a margin that only the rare long takeover needs; after it the store is asked, and the last known state is still the answer if the store is late. A coordinator is replaced in some 2.5 s.

--- a/packages/accept-jobs/src/jobStateCache.ts
+++ b/packages/accept-jobs/src/jobStateCache.ts
@@ -8,7 +8,7 @@
  * How long a job's last known state may be shown without asking the store after all facts were known, in milliseconds:
  * while the coordinator is replaced no job ends, and a VM that alone doesn't reach it shows an end this much later.
  */
-const CURRENT_FOR_MS = 5000;
+const CURRENT_FOR_MS = 3000;
 
 /**
  * Caches facts about jobs whose records this VM has seen in the store, or that the coordinator has told it of. Evicts
