Don't show a job as cancelled whose progress can't be read

Cause: the cancellation was looked at after the job had been found among the accepted ones, whatever its progress. Such a job is now running, its last known state.

--- a/packages/accept-jobs/src/jobService.unanswered.test.ts
+++ b/packages/accept-jobs/src/jobService.unanswered.test.ts
@@ -159,6 +159,14 @@
             expect((await harness.getState(ID)).result).toEqual({ state: JobState.Running });
         });
 
+        it("doesn't report it as cancelled, since it may have ended before the cancellation", async () => {
+            const harness = new JobServiceHarness();
+            await harness.append(Topic.Jobs, [createJobRecord(ID)]);
+            await harness.append(Topic.Progress, [unreadable]);
+            harness.jobStateCache.noteCancelled(ID);
+            expect((await harness.getState(ID)).result).toEqual({ state: JobState.Running });
+        });
+
         it("reports a job that isn't among the accepted ones as unavailable", async () => {
             const harness = new JobServiceHarness();
             await harness.append(Topic.Progress, [unreadable]);
--- a/packages/accept-jobs/src/jobStateReader.ts
+++ b/packages/accept-jobs/src/jobStateReader.ts
@@ -96,9 +96,11 @@
                 return isUnreadable ? this.noteUnreadable(query) : this.readProgressAgain(query);
             }
         }
-        // A job with a record that can't be read has begun, and may have ended.
-        const lastState = isUnreadable ? JobState.Running : JobState.Queued;
-        return { state: jobStateCache.isCancelled(query.id) ? JobState.Cancelled : lastState };
+        if (isUnreadable) {
+            // It has begun, and may have ended, also before a cancellation.
+            return { state: JobState.Running };
+        }
+        return { state: jobStateCache.isCancelled(query.id) ? JobState.Cancelled : JobState.Queued };
     }
 
     /** Reads the progress of a job that isn't among the accepted ones: it may have ended meanwhile. */
