Preempt for interrupted long-running tasks where a worker is reserved for them too

Cause: a worker whose run-to-completion tasks take the room of an interrupted long-running task is reserved for it until these end. A reserved worker got no start left in the round, and preemption, which comes after, passes over workers without one. So a task whose room could have been freed at once waited until work of lower priority ended by itself, as soon as there were as many interrupted tasks as workers.

Change: that kind of reservation is a field of its own (isReserved). It shuts out other tasks as before, also their preemption, but not the preemption for interrupted long-running tasks.

The exhaustive references of the planner's random tests know the new field and compare it, so they are as strict as before.

--- a/packages/coordinate-work/src/buildWorkerCapacity.ts
+++ b/packages/coordinate-work/src/buildWorkerCapacity.ts
@@ -30,6 +30,7 @@
         servingTasks: [],
         bestEffortSpecs: [],
         startsLeft,
+        isReserved: false,
     };
     for (const task of worker.tasks) {
         allocateCapacity(capacity, task.step, estimateHeadroom(task));
--- a/packages/coordinate-work/src/capacityTable.ts
+++ b/packages/coordinate-work/src/capacityTable.ts
@@ -46,6 +46,7 @@
                 const cached = this.updateCapacity(worker, nowMs, estimateHeadroom);
                 cached.startsLeft = startsLeft;
                 cached.capacity.startsLeft = startsLeft;
+                cached.capacity.isReserved = false;
                 capacities.push(cached.capacity);
             }
         }
--- a/packages/coordinate-work/src/placementScorer.test.ts
+++ b/packages/coordinate-work/src/placementScorer.test.ts
@@ -38,6 +38,7 @@
         servingTasks: [],
         bestEffortSpecs: [],
         startsLeft: 1000,
+        isReserved: false,
     };
 }
 
--- a/packages/coordinate-work/src/testing/measureRounds.ts
+++ b/packages/coordinate-work/src/testing/measureRounds.ts
@@ -103,6 +103,7 @@
         servingTasks: [],
         bestEffortSpecs: [],
         startsLeft: 1000,
+        isReserved: false,
     };
     residents.forEach(task => allocateCapacity(capacity, task.step, 3));
     capacity.startsLeft = 1000;
--- a/packages/emulate-platform/src/runInvariantChecker.ts
+++ b/packages/emulate-platform/src/runInvariantChecker.ts
@@ -74,6 +74,11 @@
         return this.startCounts.get(formatTaskKey(task)) ?? 0;
     }
 
+    /** Whether a run of a task is in progress. */
+    isRunning(task: TaskRef): boolean {
+        return (this.activeRunCounts.get(formatTaskKey(task)) ?? 0) > 0;
+    }
+
     /** Returns the number of runs in progress. */
     countActiveRuns(): number {
         return [...this.activeRunCounts.values()].reduce((sum, count) => sum + count, 0);
--- a/packages/plan-starts/src/capacityLedger.ts
+++ b/packages/plan-starts/src/capacityLedger.ts
@@ -22,12 +22,18 @@
         this.noteChange(index);
     }
 
-    /** Reserves a worker, which gets no further start in this round. */
-    reserve(index: number): void {
+    /** Closes a worker on which capacity is being freed: nothing further is planned there in this round. */
+    close(index: number): void {
         this.workers[index].startsLeft = 0;
         this.noteChange(index);
     }
 
+    /** Reserves a worker, which gets no further start in this round, until its present work ends. */
+    reserve(index: number): void {
+        this.workers[index].isReserved = true;
+        this.noteChange(index);
+    }
+
     /** Returns how often a worker's capacity has changed. */
     getVersion(index: number): number {
         return this.versions[index];
--- a/packages/plan-starts/src/explainWait.test.ts
+++ b/packages/plan-starts/src/explainWait.test.ts
@@ -49,6 +49,7 @@
         servingTasks: [],
         bestEffortSpecs: [],
         startsLeft: 5,
+        isReserved: false,
         ...changes,
     };
 }
--- a/packages/plan-starts/src/explainWait.ts
+++ b/packages/plan-starts/src/explainWait.ts
@@ -43,7 +43,7 @@
     const canWait = isDeferrable(demand, rules);
     return [
         [WaitReason.NotAllowed, worker => isAllowedOn(step, worker)],
-        [WaitReason.WorkersUnusable, worker => worker.startsLeft > 0],
+        [WaitReason.WorkersUnusable, worker => worker.startsLeft > 0 && !worker.isReserved],
         [WaitReason.Accelerators, worker => worker.freeAccelerators >= spec.accelerators],
         [WaitReason.Memory, worker => worker.freeMemoryMb >= spec.memoryMb],
         [WaitReason.Processor, worker => spec.isBestEffort || worker.freeCpuMillis >= spec.cpuMillis],
--- a/packages/plan-starts/src/planStarts.test.ts
+++ b/packages/plan-starts/src/planStarts.test.ts
@@ -61,6 +61,7 @@
         servingTasks: [],
         bestEffortSpecs: [],
         startsLeft: 1000,
+        isReserved: false,
         ...changes,
     };
 }
--- a/packages/plan-starts/src/preemptionPlanner.ts
+++ b/packages/plan-starts/src/preemptionPlanner.ts
@@ -3,6 +3,7 @@
 import { computeFreedCpu } from "./computeFreedCpu.js";
 import { countTasksPerWorker } from "./countTasksPerWorker.js";
 import { isAllowedOn } from "./isAllowedOn.js";
+import { isInterrupted } from "./isInterrupted.js";
 import { isStepLimitReached } from "./isStepLimitReached.js";
 import type { Preemption } from "./preemption.js";
 import type { StepDemand } from "./stepDemand.js";
@@ -59,13 +60,16 @@
         const { priority } = occurrence.job.queue;
         const reservedIds = [...demand.reservedWorkerIds ?? [], ...this.plannedWorkerIds.get(demand.step) ?? []];
         const perWorker = countTasksPerWorker(demand.step, reservedIds);
+        const isUrgent = isInterrupted(demand);
         let best: Preemption | undefined;
         let bestCost = Infinity;
         for (const worker of this.workers) {
             const isEligible = isAllowedOn(demand.step, worker)
                 && !isStepLimitReached(spec, perWorker.get(worker.workerId))
                 && this.isAdvised(demand.step.getTask(0), worker.workerId);
-            if (!isEligible || worker.startsLeft <= 0) {
+            // The work that a worker is reserved behind may take long to end, too long for an interrupted task.
+            const isOpen = worker.startsLeft > 0 && (!worker.isReserved || isUrgent);
+            if (!isEligible || !isOpen) {
                 continue;
             }
             const chosen = chooseVictims(worker, spec, priority, this.resolveVictims(worker));
@@ -100,7 +104,8 @@
         return demand.step;
     }
     const cpuMillis = spec.isBestEffort ? "fills" : spec.cpuMillis;
-    return [service, priority, spec.requiredLabel, cpuMillis, spec.memoryMb, spec.accelerators].join("|");
+    return [service, priority, isInterrupted(demand), spec.requiredLabel, cpuMillis, spec.memoryMb, spec.accelerators]
+        .join("|");
 }
 
 function chooseVictims(
--- a/packages/plan-starts/src/randomFleet.test.ts
+++ b/packages/plan-starts/src/randomFleet.test.ts
@@ -36,9 +36,19 @@
 }
 
 function describeCapacity(worker: WorkerCapacity) {
-    const { workerId, freeCpuMillis, freeMemoryMb, freeAccelerators, bestEffortCpuMillis, startsLeft } = worker;
+    const { workerId, freeCpuMillis, freeMemoryMb, freeAccelerators, bestEffortCpuMillis, startsLeft, isReserved } =
+        worker;
     const counts = { servingTasks: worker.servingTasks.length, bestEffortSpecs: worker.bestEffortSpecs.length };
-    return { workerId, freeCpuMillis, freeMemoryMb, freeAccelerators, bestEffortCpuMillis, startsLeft, ...counts };
+    return {
+        workerId,
+        freeCpuMillis,
+        freeMemoryMb,
+        freeAccelerators,
+        bestEffortCpuMillis,
+        startsLeft,
+        isReserved,
+        ...counts,
+    };
 }
 
 describe("planStarts on random fleets", () => {
--- a/packages/plan-starts/src/reserveWorkers.ts
+++ b/packages/plan-starts/src/reserveWorkers.ts
@@ -37,7 +37,8 @@
     const missingCount = waiting.length - placed.length;
     const perWorker = countTasksPerWorker(step, placed.map(start => start.workerId));
     const eligible = workers.map((_worker, index) => index).filter(index =>
-        workers[index].startsLeft > 0 && !isStepLimitReached(step.spec, perWorker.get(workers[index].workerId))
+        workers[index].startsLeft > 0 && !workers[index].isReserved
+        && !isStepLimitReached(step.spec, perWorker.get(workers[index].workerId))
     );
     const chosen = eligible.filter(index => reservedIds.has(workers[index].workerId)).slice(0, missingCount);
     const chosenIds = new Set(chosen.map(index => workers[index].workerId));
@@ -47,9 +48,9 @@
             .filter(index => isFittingLater(step, workers[index]))
             .filter(index => rules.isAdvised(step.getTask(0), workers[index].workerId))
             .sort((left, right) => workers[right].freeCpuMillis - workers[left].freeCpuMillis);
-        chosen.push(...others.slice(0, Math.max(0, missingCount - coveredCount)));
+        others.slice(0, Math.max(0, missingCount - coveredCount)).forEach(index => ledger.reserve(index));
     }
-    chosen.forEach(index => ledger.reserve(index));
+    chosen.forEach(index => ledger.close(index));
 }
 
 /** Whether a task of the step fits on a worker once the worker's run-to-completion tasks have ended. */
--- a/packages/plan-starts/src/testing/planPreemptionExhaustively.ts
+++ b/packages/plan-starts/src/testing/planPreemptionExhaustively.ts
@@ -2,6 +2,7 @@
 import type { Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
 import { isAllowedOn } from "../isAllowedOn.js";
+import { isInterrupted } from "../isInterrupted.js";
 import type { StepDemand } from "../stepDemand.js";
 import type { WorkerCapacity } from "../workerCapacity.js";
 
@@ -27,6 +28,7 @@
     let bestCost = Infinity;
     for (const worker of workers) {
         const isEligible = isAllowedOn(demand.step, worker) && worker.startsLeft > 0
+            && (!worker.isReserved || isInterrupted(demand))
             && isAdvised(demand.step.tasks[0], worker.workerId);
         if (!isEligible || isLimitReached(demand, worker.workerId)) {
             continue;
--- a/packages/plan-starts/src/testing/planStartsExhaustively.ts
+++ b/packages/plan-starts/src/testing/planStartsExhaustively.ts
@@ -39,7 +39,8 @@
             for (const worker of eligible) {
                 const reservedCount = demand.reservedWorkerIds?.filter(workerId => workerId === worker.workerId).length
                     ?? 0;
-                if (remainingWorkers > 0 && worker.startsLeft > 0 && reservedCount > 0) {
+                const isOpen = worker.startsLeft > 0 && !worker.isReserved;
+                if (remainingWorkers > 0 && isOpen && reservedCount > 0) {
                     worker.startsLeft = 0;
                     left -= reservedCount;
                     remainingWorkers--;
@@ -83,7 +84,7 @@
         }
     }
     if (best !== undefined) {
-        best.startsLeft = 0;
+        best.isReserved = true;
     }
 }
 
--- a/packages/plan-starts/src/testing/randomFleet.ts
+++ b/packages/plan-starts/src/testing/randomFleet.ts
@@ -79,6 +79,7 @@
             servingTasks: [],
             bestEffortSpecs: [],
             startsLeft: 0,
+            isReserved: false,
         };
         const activeTasks = Array.from({ length: this.pickBelow(14) }, () => this.createActiveTask(workerId));
         activeTasks.forEach(task => allocateCapacity(worker, task.step, 2));
