Go through an ended job's tasks once to stop them, not again with each of its ends

What callers would see: while a job of many tasks is cancelled, the coordinator has no time for anything else: leases, starts and answers are late.

Cause: JobFinisher went through all known tasks of an ended job with each change of the job. 9,000 ends of a job with 9,000 tasks are 81 million looks; a processor profile of the test showed 13.2 of 22.2 s there.

Change: the tasks are stopped once, when the job has ended. Each stop is repeated until it is answered, and runs that are found later, or whose stop was withdrawn with a life of their worker, are stopped with the report that lists them (WorkerMonitor.stopEndedJobs), as before.

Evidence: jobFinisher.test failed before (1,275 tasks listed instead of 50). largeProgress.test takes 5.9 s now, beside other work, with its check as it was; 21 to 26 s before.

--- a/packages/coordinate-work/src/jobFinisher.ts
+++ b/packages/coordinate-work/src/jobFinisher.ts
@@ -25,6 +25,8 @@
 export class JobFinisher {
     /** Ids of jobs whose end is recorded, so that the end may be reported to callers. */
     private readonly recorded = new Set<string>();
+    /** Ended jobs whose runs were stopped. Runs that are found later are stopped with the report that lists them. */
+    private readonly stopped = new WeakSet<Job>();
 
     constructor(private readonly parts: CoordinatorParts, private readonly collaborators: JobFinisherParts) {}
 
@@ -49,7 +51,10 @@
     handleChange(job: Job): void {
         this.collaborators.recorder.recordJob(job);
         if (job.isFinished) {
-            this.stopTasks(job);
+            if (!this.stopped.has(job)) {
+                this.stopped.add(job);
+                this.stopTasks(job);
+            }
             this.collaborators.writer.runWhenRecorded(() => this.closeJob(job), false);
         }
     }
