Don't pass calls to the coordinator on to oneself or back

What callers saw: a VM whose processor is used up for as long as no new term is won: its callers wait for seconds and get 503 or 504.

Cause: a VM took only its own process for itself. The newest term named the former process at the same address, so that the VM called itself, passed the call on as one for the coordinator, and so on: one question never ended. In the same way two VMs that take each other for the coordinator would pass a call back and forth (read only).

Change: nobody else answers at the VM's own address, whichever of its processes holds the term; a call that was passed on once isn't passed on again. A VM doesn't follow its former process either, and takes it for gone at once, as its own answer has told it until now.

Evidence: restartedCoordinator.test: one question made 6,000 calls in 3 s before, and 6,006 if another VM asked; now none and one.

--- a/packages/accept-jobs/src/coordinatorCall.ts
+++ b/packages/accept-jobs/src/coordinatorCall.ts
@@ -10,4 +10,6 @@
     readonly queue?: string;
     /** Records to append, for `Append`. */
     readonly records?: readonly KeyedRecord[];
+    /** Whether a VM has passed the call on already, so that it isn't passed on again. */
+    readonly isForwarded?: boolean;
 }
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -156,7 +156,8 @@
             return this.parts.localCoordinator.answer(call);
         }
         const target = this.relay ?? this.holder;
-        if (target === undefined || target.incarnation === this.parts.self.incarnation) {
+        // Whichever process of this VM the term names, nobody else answers at its address.
+        if (target === undefined || target.vm === this.parts.self.vm) {
             return { isUnsent: true };
         }
         const answer = await this.parts.peers.request(target, FrameKind.CallCoordinator, call, timeoutMs);
@@ -166,15 +167,18 @@
         return answer.hasAnswered ? answer.body as CoordinatorReply : undefined;
     }
 
-    /** Answers a peer's call to the coordinator, or forwards it to the process that coordinates. */
+    /**
+     * Answers a peer's call to the coordinator, or forwards it to the process that coordinates, unless a peer has
+     * forwarded it before: two VMs may take each other for the coordinator.
+     */
     async answerCall(call: CoordinatorCall, timeoutMs: number): Promise<CoordinatorReply> {
         if (this.parts.localCoordinator.isActive) {
             return this.parts.localCoordinator.answer(call);
         }
-        if (this.relay !== undefined) {
+        if (this.relay !== undefined || call.isForwarded === true) {
             return { isUnsent: true };
         }
-        return await this.call(call, timeoutMs) ?? { isUnsure: true };
+        return await this.call({ ...call, isForwarded: true }, timeoutMs) ?? { isUnsure: true };
     }
 
     /** Answers a follow request and registers its sender as a follower. */
@@ -229,7 +233,9 @@
             this.releaseTermToStronger(clock.getNow());
             return true;
         }
-        if (this.holder === undefined || this.holder.incarnation === self.incarnation) {
+        if (this.holder === undefined || this.holder.vm === self.vm) {
+            // A former process of this VM has ended.
+            this.isRefused = this.holder !== undefined && this.holder.incarnation !== self.incarnation;
             return false;
         }
         const asked = this.holder;
--- a/packages/run-entry-vm/src/testing/takeoverHarness.ts
+++ b/packages/run-entry-vm/src/testing/takeoverHarness.ts
@@ -69,6 +69,8 @@
     readonly runChecker: RunInvariantChecker;
     /** The log lines of all VMs. */
     readonly events: string[] = [];
+    /** The requests between VMs. */
+    readonly requests: { readonly from: string; readonly to: string; readonly kind: FrameKind }[] = [];
     /** The replies to follow requests. */
     readonly followReplies: FollowReply[] = [];
     readonly specs = new Map<string, JobSpec>();
@@ -322,6 +324,7 @@
             await waitFor(this.clock, timeoutMs);
             return { body: undefined, isConnectionRefused: false, hasAnswered: false };
         }
+        this.requests.push({ from: vm, to: peer.vm, kind });
         await waitFor(this.clock, ONE_WAY_DELAY_MS * 2);
         const member = this.processes.get(peer.vm)?.membership;
         if (member === undefined) {
