Remember each state that was shown, and answer a question within 4 s

A question with a Timeout-Ms of 20 s that nobody answers was held for 18 s, so that the caller couldn't ask another VM.

Cause: only ends were remembered of what the coordinator and the store told. The caller's whole time was used, however long.

Change: queued and running are remembered too. A question takes 4 s at most: more than the usual caller waits.

--- a/packages/accept-jobs/src/jobService.ts
+++ b/packages/accept-jobs/src/jobService.ts
@@ -28,6 +28,8 @@
  * time costs little, and reads of the store have a cost that grows with all jobs.
  */
 const COORDINATOR_TIME_SHARE = 0.5;
+/** Longest time to answer a question, in milliseconds: a caller that would wait longer may ask another VM meanwhile. */
+const MAX_QUESTION_MS = 4000;
 /** Assumed timeout of a caller that doesn't specify one, in milliseconds. */
 const DEFAULT_CALLER_TIMEOUT_MS = 3000;
 
@@ -117,7 +119,7 @@
             return { state: finalState };
         }
         const sentAtMs = clock.getNow();
-        const untilMs = sentAtMs + callerTimeoutMs * USABLE_TIMEOUT_SHARE;
+        const untilMs = sentAtMs + computeUsableTime(callerTimeoutMs);
         const query = new StateQuery(id, untilMs);
         const totalsBefore = stateReader.totals;
         const fromCoordinator = this.requestState(query);
@@ -154,7 +156,7 @@
     async getPending(queue: string, callerTimeoutMs = DEFAULT_CALLER_TIMEOUT_MS): Promise<number | undefined> {
         const fromCoordinator = this.requestPending(queue);
         const { hedgeDelayMs } = this.coordinator;
-        const usableMs = callerTimeoutMs * USABLE_TIMEOUT_SHARE;
+        const usableMs = computeUsableTime(callerTimeoutMs);
         const earlyMs = Math.min(hedgeDelayMs, usableMs);
         const early = await this.waitAtMost(fromCoordinator, earlyMs) ?? this.pendingCounts.find(queue);
         if (early !== undefined || hedgeDelayMs === 0) {
@@ -192,9 +194,9 @@
             query.coordinator = silence ?? CoordinatorSilence.Unanswered;
             return undefined;
         }
-        if (reply.state === JobState.Completed || reply.state === JobState.Failed) {
-            // The coordinator reports these states only once they are in the store.
-            this.parts.jobStateCache.noteFinalState(id, reply.state);
+        if (reply.state !== undefined && reply.state !== JobState.Cancelled) {
+            // The coordinator reports an end only once it is in the store, except for a cancellation.
+            this.parts.jobStateCache.noteState(id, reply.state);
         }
         return reply.state === undefined ? { isAbsent: true } : { state: reply.state };
     }
@@ -268,3 +270,7 @@
     }
     return reply.isUnsure === true ? CoordinatorSilence.Unsure : undefined;
 }
+
+function computeUsableTime(callerTimeoutMs: number): number {
+    return Math.min(MAX_QUESTION_MS, callerTimeoutMs * USABLE_TIMEOUT_SHARE);
+}
--- a/packages/accept-jobs/src/jobStateReader.ts
+++ b/packages/accept-jobs/src/jobStateReader.ts
@@ -132,10 +132,12 @@
         if (record?.value === undefined) {
             return record === undefined ? undefined : this.noteUnreadable(query);
         }
+        const { jobStateCache } = this.parts;
         try {
-            const end = decodeFinishedJob(record.value);
-            const isCancelled = this.parts.jobStateCache.isCancelled(id);
-            return { state: end?.state ?? (isCancelled ? JobState.Cancelled : decodeJobState(record.value)) };
+            const state = decodeFinishedJob(record.value)?.state ?? decodeJobState(record.value);
+            jobStateCache.noteState(id, state);
+            const isEnded = jobStateCache.findFinalState(id) !== undefined;
+            return { state: !isEnded && jobStateCache.isCancelled(id) ? JobState.Cancelled : state };
         }
         catch (failure) {
             this.parts.logger.error("progress-unreadable", { job: id, problem: String(failure) });
