Tell workers that are reserved from workers that may get no start

Change: an IdleReason of its own, WorkersReserved; WorkersWithheld is left for workers on trial, on probation, paused and so on. The log only.

Evidence: its case in explainIdle.test.ts; explainIdle, idleTaskReporter, interruptedTasks, probation and coordinator tests pass (56).

--- a/packages/coordinate-work/src/explainIdle.test.ts
+++ b/packages/coordinate-work/src/explainIdle.test.ts
@@ -74,6 +74,17 @@
         scene => scene.worker.strayRuns.add("stray"),
         scene => scene.worker.strayRuns.clear(),
     ),
+    [IdleReason.WorkersReserved]: {
+        arrange: scene => {
+            const { rules, nowMs, task: { step } } = scene;
+            const capacities = [{ ...buildWorkerCapacity(scene.worker, 1, () => undefined), isReserved: true }];
+            const times = { isStarted: false, remainingMs: 0, waitedMs: 0, slackMs: 0, lateSlackMs: 0 };
+            const unmet = [{ step, waiting: [scene.task], ...times }];
+            scene.explainer.noteRound({ unmet, capacities, rules, plannedAtMs: nowMs });
+        },
+        end: scene => scene.planRound(),
+        next: IdleReason.RecordPending,
+    },
     [IdleReason.NoWorkerAllowed]: createWaitCase(
         () => undefined,
         scene => scene.worker.entry = { ...scene.worker.entry, labels: ["label"] },
--- a/packages/coordinate-work/src/idleReason.ts
+++ b/packages/coordinate-work/src/idleReason.ts
@@ -13,6 +13,8 @@
     NotExamined = "NotExamined",
     /** A worker has the capacity, but gets no start, for example since it is on trial. */
     WorkersWithheld = "WorkersWithheld",
+    /** The allowed workers are reserved for other tasks in this round, or get no further start in it. */
+    WorkersReserved = "WorkersReserved",
     NoWorkerAllowed = "NoWorkerAllowed",
     Accelerators = "Accelerators",
     Memory = "Memory",
--- a/packages/coordinate-work/src/waitExplainer.ts
+++ b/packages/coordinate-work/src/waitExplainer.ts
@@ -11,7 +11,7 @@
 
 const REASONS: Readonly<Record<WaitReason, IdleReason>> = {
     [WaitReason.NotAllowed]: IdleReason.NoWorkerAllowed,
-    [WaitReason.WorkersUnusable]: IdleReason.WorkersWithheld,
+    [WaitReason.WorkersUnusable]: IdleReason.WorkersReserved,
     [WaitReason.Accelerators]: IdleReason.Accelerators,
     [WaitReason.Memory]: IdleReason.Memory,
     [WaitReason.Processor]: IdleReason.Processor,
