Ask a leaving worker soon for 0.4 s after an end, not for as long as the store is away

Cause: the shorter wait was used again and again for one end that couldn't be recorded.

Change: eight waits of 50 ms after a new end, then the usual 400 ms.

--- a/packages/coordinate-work/src/leaseRenewalLoop.ts
+++ b/packages/coordinate-work/src/leaseRenewalLoop.ts
@@ -31,6 +31,8 @@
 export class LeaseRenewalLoop {
     /** Whether the last answer served only to read the worker's clock, so that no report has been applied since. */
     private isReportDue = false;
+    /** How often the loop has waited again for the record of the last end that was applied. */
+    private waits = { endNumber: 0, count: 0 };
 
     constructor(
         private readonly parts: CoordinatorParts,
@@ -222,13 +224,15 @@
         if (worker.recordedEndNumber >= worker.appliedEndNumber) {
             return Promise.resolve();
         }
+        const isSameEnd = this.waits.endNumber === worker.appliedEndNumber;
+        this.waits = { endNumber: worker.appliedEndNumber, count: isSameEnd ? this.waits.count + 1 : 0 };
         return new Promise(resolve => {
             const wake = () => {
                 worker.wakeRenewal = undefined;
                 cancel();
                 resolve();
             };
-            const waitMs = chooseRecordWait(worker.isLeaving, this.parts.getLoopDelay());
+            const waitMs = chooseRecordWait(worker.isLeaving, this.waits.count, this.parts.getLoopDelay());
             const cancel = this.parts.clock.schedule(waitMs, wake);
             worker.wakeRenewal = wake;
         });
--- a/packages/coordinate-work/src/limits.ts
+++ b/packages/coordinate-work/src/limits.ts
@@ -25,6 +25,8 @@
     endRecordWaitMs: 400,
     /** The same for a worker that is leaving, which may be gone before it is asked for its last ends. */
     leavingEndRecordWaitMs: 50,
+    /** How often the shorter wait is used until the worker lists a new end. */
+    leavingEndRecordWaits: 8,
     /** Maximum number of start calls under way to one worker. */
     maxConcurrentStarts: 6,
     /** Maximum number of stop calls under way to one worker: its connections also carry starts and paces. */
