Hand out run ends that a relay has got though its session with the coordinator has closed

What callers saw: a task that had ended as done ran again (TWICE).

Cause: a worker lists its last end to a relay and goes. If the relay's session closes before the answer is passed on (a link held up for 1.5 s, the session replaced, an answer overdue, a reply lost), the relay only logged the answer, and the coordinator's calls ended as unknown without ends. No later renewal brought the end, and the lease lapsed.

Change: a relay keeps the ends of all reports by worker and life, up to 4,000 ends and 10 s, until a renewal says that they are recorded; so those in a reply that was lost are there too. It adds them to the worker's later answers that are no reports, of its session's term or a later one. When a session closes with renewals unanswered, the coordinator asks the relay for these workers' ends, again and again for 4.5 s as a worker may answer later (log relay-ends-collected), and hands each out once with the worker's next answer that is no report. A report of the same life lists its ends itself; if a report of another life comes first, it is left out once in favour of the earlier life's ends, which costs one renewal. Only ends are used of such answers. Relays and coordinators of the earlier version leave the new fields out: such a relay is asked once.

Two cases require the end within 4.6 s of the call. The harness's relay of the earlier version leaves the new fields out too; no check changed.

Measured: packages relay-orders and run-entry-vm and lastEndsOfLeavingWorker.test.ts of coordinate-work: 314 tests pass.

Open: a coordinator of a later term that calls the worker directly or through another relay doesn't ask; an answer given up as overdue comes after the lease has lapsed; after a restart under the id in a later term the relay adds no ends to the new life's reports.

--- a/packages/relay-orders/src/orderRelay.ts
+++ b/packages/relay-orders/src/orderRelay.ts
@@ -1,6 +1,8 @@
 import type { Clock, LeaseReport, WorkerPort } from "@sardinestage/describe-ports";
+import { OrderOutcome } from "@sardinestage/describe-ports";
 import type { EventLogger } from "@sardinestage/log-events";
 import { CallCodec } from "./callCodec.js";
+import { KeptEnds } from "./keptEnds.js";
 import type { RelayedCall } from "./relayedCall.js";
 import { RelayedCallKind } from "./relayedCallKind.js";
 import { RelayOutcome } from "./relayOutcome.js";
@@ -31,8 +33,12 @@
  */
 export class OrderRelay {
     private session: ServedSession | undefined;
+    /** Ends that workers have listed and that aren't known to be recorded: the reply that carries them may be lost. */
+    private readonly kept: KeptEnds;
 
-    constructor(private readonly parts: OrderRelayParts) {}
+    constructor(private readonly parts: OrderRelayParts) {
+        this.kept = new KeptEnds(parts.clock);
+    }
 
     /**
      * Makes the calls of a request. Replies once answers to calls of the session are there, a later request of the
@@ -48,6 +54,10 @@
             this.openSession(request);
             return { ...this.buildReply(RelayOutcome.Accepted, []), carriesFences: true };
         }
+        if (request.endsOf !== undefined) {
+            const keptEnds = request.endsOf.flatMap(worker => this.kept.listEnds(worker));
+            return { ...this.buildReply(RelayOutcome.Accepted, []), keptEnds };
+        }
         const { session } = this;
         if (session === undefined || session.id !== request.session || this.isLate(request, session)) {
             return this.buildReply(RelayOutcome.Expired, []);
@@ -108,9 +118,12 @@
         const { workers } = this.parts;
         switch (call.kind) {
             case RelayedCallKind.RenewLease: {
-                const report = await workers.renewLease(call.worker, call.order);
-                this.noteLateReport(session, call.worker.id, report);
-                return session.addReport(id, call.worker.id, report);
+                const { worker, order } = call;
+                this.kept.dropRecorded(worker.id, order.bornMs ?? 0, order.lastRecordedEnd);
+                const report = await workers.renewLease(worker, order);
+                this.kept.remember(worker.id, report.bornMs, report.ended);
+                this.noteLateReport(session, worker.id, report);
+                return session.addReport(id, worker.id, this.addKeptEnds(worker.id, report));
             }
             case RelayedCallKind.Stop: {
                 const { worker, task, run, fence } = call;
@@ -125,6 +138,16 @@
         }
     }
 
+    /** Adds the ends that a worker has listed before to an answer that isn't a report: one that has gone gives none. */
+    private addKeptEnds(worker: string, report: LeaseReport): LeaseReport {
+        if (report.outcome === OrderOutcome.Accepted) {
+            return report;
+        }
+        const lives = this.kept.listEnds(worker);
+        const life = report.ended.length > 0 ? lives.find(({ bornMs }) => bornMs === report.bornMs) : lives.at(-1);
+        return life === undefined ? report : { ...report, bornMs: life.bornMs, ended: life.ended };
+    }
+
     private buildReply(outcome: RelayOutcome, answers: readonly unknown[]): RelayReply {
         return { outcome, loopDelayMs: this.parts.getLoopDelay(), answers };
     }
--- a/packages/relay-orders/src/relayReply.ts
+++ b/packages/relay-orders/src/relayReply.ts
@@ -1,3 +1,4 @@
+import type { EndsOfLife } from "./endsOfLife.js";
 import type { RelayOutcome } from "./relayOutcome.js";
 
 /** A relay's reply to one request of the coordinator. */
@@ -12,4 +13,6 @@
      * relay of an earlier version doesn't say so, and sends the term as the token of every call.
      */
     readonly carriesFences?: boolean;
+    /** The ends that the relay keeps of the workers asked about; missing if it is of an earlier version. */
+    readonly keptEnds?: readonly EndsOfLife[];
 }
--- a/packages/relay-orders/src/relayRequest.ts
+++ b/packages/relay-orders/src/relayRequest.ts
@@ -14,4 +14,9 @@
     readonly payloads: readonly string[];
     /** The calls, as `encodeCall` encodes them. */
     readonly calls: readonly unknown[];
+    /**
+     * Workers whose kept ends are asked for, after the session has closed; such a request carries no calls. A relay of
+     * an earlier version takes it for a request without calls.
+     */
+    readonly endsOf?: readonly string[];
 }
--- a/packages/relay-orders/src/relaySession.ts
+++ b/packages/relay-orders/src/relaySession.ts
@@ -40,6 +40,8 @@
     readonly getGatherMs: () => number;
     /** Called once when the relay takes no further calls. */
     readonly onUnusable: (reason: string) => void;
+    /** Called when the session closes with renewals of these workers' leases unanswered. */
+    readonly onRenewalsUnanswered: (workers: readonly string[]) => void;
 }
 
 /** A call that waits to be sent or answered. */
@@ -234,6 +236,10 @@
         if (wasUsable) {
             this.parts.onUnusable(reason);
         }
+        const renewals = [...this.pending.values()].filter(({ call }) => call.kind === RelayedCallKind.RenewLease);
+        if (renewals.length > 0) {
+            this.parts.onRenewalsUnanswered(renewals.map(({ call }) => call.worker.id));
+        }
         [...this.pending.keys()].forEach(id =>
             this.finishCall(id, { outcome: OrderOutcome.Unknown, report: undefined })
         );
--- a/packages/relay-orders/src/relayedWorkerPort.ts
+++ b/packages/relay-orders/src/relayedWorkerPort.ts
@@ -9,6 +9,8 @@
 import { OrderOutcome } from "@sardinestage/describe-ports";
 import type { TaskRef } from "@sardinestage/describe-work";
 import type { EventLogger } from "@sardinestage/log-events";
+import { KeptEnds } from "./keptEnds.js";
+import { KeptEndsCollector } from "./keptEndsCollector.js";
 import type { RelayAnswer } from "./relayAnswer.js";
 import type { RelayedCall } from "./relayedCall.js";
 import { RelayedCallKind } from "./relayedCallKind.js";
@@ -58,19 +60,25 @@
     /** Counts the sessions of all ports: a takeover that is tried again has another port in the same term. */
     private static sessionCount = 0;
     private readonly pool: RelayPool;
+    /** Ends from closed sessions, and those that were handed out. */
+    private readonly kept: KeptEnds;
 
     constructor(private readonly parts: RelayedWorkerPortParts) {
         const { incarnation } = parts;
+        this.kept = new KeptEnds(parts.clock);
+        const collector = new KeptEndsCollector(parts, this.kept);
         this.pool = new RelayPool({
             ...parts,
             maxDirectWorkers: parts.maxDirectWorkers ?? MAX_DIRECT_WORKERS,
             createSession: (relay, onUnusable) => {
                 RelayedWorkerPort.sessionCount++;
+                const id = `${incarnation}/${parts.term}/${RelayedWorkerPort.sessionCount}`;
                 return new RelaySession({
                     ...parts,
                     relay,
-                    id: `${incarnation}/${parts.term}/${RelayedWorkerPort.sessionCount}`,
+                    id,
                     onUnusable,
+                    onRenewalsUnanswered: workers => void collector.collectEnds(relay, id, workers),
                 });
             },
         });
@@ -107,6 +115,29 @@
 
     /** Renews a worker's lease and reads its active and ended runs. */
     async renewLease(worker: WorkerAddress, order: LeaseRenewal): Promise<LeaseReport> {
+        return this.addKeptEnds(worker.id, await this.forwardRenewal(worker, order));
+    }
+
+    /**
+     * Adds ends that a worker has told a relay to its answer, unless that is a report of the same life, which lists
+     * them itself. With ends of another life the answer is no report: the next renewal brings that of its own life.
+     */
+    private addKeptEnds(workerId: string, report: LeaseReport): LeaseReport {
+        if (report.outcome === OrderOutcome.Accepted) {
+            const earlier = this.kept.takeEnds(workerId, report.bornMs);
+            if (earlier === undefined) {
+                return report;
+            }
+            this.kept.remember(workerId, report.bornMs, report.ended);
+            const { bornMs, ended } = earlier;
+            return { outcome: OrderOutcome.Unknown, clockMs: 0, bornMs, running: [], ended };
+        }
+        this.kept.remember(workerId, report.bornMs, report.ended);
+        const { bornMs, ended } = this.kept.takeEnds(workerId) ?? { bornMs: report.bornMs, ended: [] };
+        return { ...report, bornMs, ended };
+    }
+
+    private async forwardRenewal(worker: WorkerAddress, order: LeaseRenewal): Promise<LeaseReport> {
         const answer = await this.forwardCall({ kind: RelayedCallKind.RenewLease, worker, order });
         if (answer === undefined && this.parts.isTermHeld()) {
             return this.parts.direct.renewLease(worker, order);
--- a/packages/relay-orders/src/testing/relayHarness.ts
+++ b/packages/relay-orders/src/testing/relayHarness.ts
@@ -120,7 +120,9 @@
         const reply = waitFor(this.clock, ONE_WAY_MS + (relay?.lateMs ?? 0))
             .then(() => relay?.relay.handleRequest(relay.isEarlierVersion ? dropFences(request) : request))
             .then(answer =>
-                answer === undefined || !relay?.isEarlierVersion ? answer : { ...answer, carriesFences: undefined }
+                answer === undefined || !relay?.isEarlierVersion
+                    ? answer
+                    : { ...answer, carriesFences: undefined, keptEnds: undefined }
             );
         const isInTime = !relay?.isSilent && relay !== undefined;
         return Promise.race([
@@ -160,7 +162,7 @@
 function dropFences(request: RelayRequest): RelayRequest {
     const lengths = [8, 9, 10, 13];
     const calls = (request.calls as unknown[][]).map(row => row.slice(0, lengths[Number(row[1])]));
-    return { ...request, calls };
+    return { ...request, calls, endsOf: undefined };
 }
 
 function createAddress(id: string): WorkerAddress {
