Start interrupted long-running tasks on a worker that is reserved for a larger one, if they fit

Cause: a worker that is reserved for an interrupted long-running task until its ordinary work ends refused every other task, also interrupted ones, for as long as that work takes. Preemption did stop work there for such a task, but the next round reserved the worker for the larger one again, so that the work was stopped for nothing.

Change: an interrupted long-running demand may start on reserved workers (hasCapacity, rankings, gangs, the explanation of waits). Others with room are preferred, so that the larger task keeps its worker where possible. The keys of shared rankings and of unplaceable demands hold whether a demand is interrupted: an equal one that has never run would hide it. Room that is being freed on a reserved worker for one interrupted demand is closed to the next. The larger task still comes first in each round, and work of lower priority is stopped for it. If what has started leaves it too little even after the ordinary work has ended, it needs another worker.

Tests: planStartsExhaustively got the same rules.

--- a/packages/coordinate-work/src/waitExplainer.ts
+++ b/packages/coordinate-work/src/waitExplainer.ts
@@ -90,7 +90,9 @@
         }
         this.withheld ??= this.listWithheld(round.plannedAtMs);
         const { step } = demand;
-        const isWithheld = this.withheld.some(worker => isAllowedOn(step, worker) && hasCapacity(worker, step.spec));
+        const isWithheld = this.withheld.some(worker =>
+            isAllowedOn(step, worker) && hasCapacity(worker, step.spec, false)
+        );
         return isWithheld ? IdleReason.WorkersWithheld : reason;
     }
 
--- a/packages/plan-starts/src/capacityLedger.ts
+++ b/packages/plan-starts/src/capacityLedger.ts
@@ -28,7 +28,7 @@
         this.noteChange(index);
     }
 
-    /** Reserves a worker, which gets no further start in this round, until its present work ends. */
+    /** Reserves a worker until its present work ends: only interrupted long-running tasks still start there in this round. */
     reserve(index: number): void {
         this.workers[index].isReserved = true;
         this.noteChange(index);
--- a/packages/plan-starts/src/explainWait.test.ts
+++ b/packages/plan-starts/src/explainWait.test.ts
@@ -64,6 +64,7 @@
     it.each<[string, Partial<StepSpec>, Partial<WorkerCapacity>, WaitReason]>([
         ["no worker has the label", { requiredLabel: "other" }, {}, WaitReason.NotAllowed],
         ["the workers get no start", {}, { startsLeft: 0 }, WaitReason.WorkersUnusable],
+        ["the workers are reserved", { longRunning: true }, { isReserved: true }, WaitReason.WorkersUnusable],
         ["accelerators are missing", { accelerators: 1 }, {}, WaitReason.Accelerators],
         ["memory is missing", { memoryMb: 70_000 }, {}, WaitReason.Memory],
         ["processor is missing", { cpuMillis: 5300 }, { freeCpuMillis: 3700 }, WaitReason.Processor],
@@ -75,6 +76,13 @@
         expect(explainWait(createDemand(spec), [createWorker(worker)], rules)).toBe(reason);
     });
 
+    it("names what an interrupted long-running task lacks on a reserved worker, where it may start", () => {
+        const demand = createDemand({ longRunning: true, cpuMillis: 5300 });
+        demand.waiting[0].run = 1;
+        const workers = [createWorker({ isReserved: true, freeCpuMillis: 3700 })];
+        expect(explainWait(demand, workers, rules)).toBe(WaitReason.Processor);
+    });
+
     it("names the condition that no worker meets together with those before it", () => {
         const workers = [createWorker({ freeMemoryMb: 0 }), createWorker({ freeCpuMillis: 0 })];
         expect(explainWait(createDemand({ cpuMillis: 1000 }), workers, rules)).toBe(WaitReason.Processor);
--- a/packages/plan-starts/src/explainWait.ts
+++ b/packages/plan-starts/src/explainWait.ts
@@ -1,6 +1,7 @@
 import { countTasksPerWorker } from "./countTasksPerWorker.js";
 import { isAllowedOn } from "./isAllowedOn.js";
 import { isDeferrable } from "./isDeferrable.js";
+import { isInterrupted } from "./isInterrupted.js";
 import { isStepLimitReached } from "./isStepLimitReached.js";
 import { MAX_LATENCY_RATIO } from "./maxLatencyRatio.js";
 import type { StartRules } from "./startRules.js";
@@ -41,9 +42,10 @@
     const { spec } = step;
     const perWorker = countTasksPerWorker(step);
     const canWait = isDeferrable(demand, rules);
+    const mayUseReserved = isInterrupted(demand);
     return [
         [WaitReason.NotAllowed, worker => isAllowedOn(step, worker)],
-        [WaitReason.WorkersUnusable, worker => worker.startsLeft > 0 && !worker.isReserved],
+        [WaitReason.WorkersUnusable, worker => worker.startsLeft > 0 && (!worker.isReserved || mayUseReserved)],
         [WaitReason.Accelerators, worker => worker.freeAccelerators >= spec.accelerators],
         [WaitReason.Memory, worker => worker.freeMemoryMb >= spec.memoryMb],
         [WaitReason.Processor, worker => spec.isBestEffort || worker.freeCpuMillis >= spec.cpuMillis],
--- a/packages/plan-starts/src/planGang.ts
+++ b/packages/plan-starts/src/planGang.ts
@@ -1,8 +1,8 @@
-import type { StepSpec } from "@sardinestage/describe-work";
 import type { CapacityLedger } from "./capacityLedger.js";
 import { EligibleWorkers } from "./eligibleWorkers.js";
 import { hasCapacity } from "./hasCapacity.js";
 import { isAllowedOn } from "./isAllowedOn.js";
+import { isInterrupted } from "./isInterrupted.js";
 import type { PlannedStart } from "./plannedStart.js";
 import type { RankingCache } from "./rankingCache.js";
 import type { StartRules } from "./startRules.js";
@@ -30,7 +30,7 @@
     }
     const allowed = ledger.workers.filter(worker => isAllowedOn(step, worker));
     const usable = allowed.filter(worker =>
-        hasCapacity(worker, step.spec) && rules.isAdvised(waiting[0], worker.workerId)
+        hasCapacity(worker, step.spec, isInterrupted(demand)) && rules.isAdvised(waiting[0], worker.workerId)
     );
     if (!isGangFitting(demand, usable)) {
         return false;
@@ -38,8 +38,8 @@
     const racks = step.spec.sameRack ? [...new Set(allowed.map(worker => worker.rack))] : [];
     const rack = racks.find(each => isGangFitting(demand, usable.filter(worker => worker.rack === each)));
     const ranking = rack === undefined
-        ? rankings.resolve(step, false)
-        : rankings.createRanking(step, false, worker => worker.rack === rack);
+        ? rankings.resolve(demand, false)
+        : rankings.createRanking(demand, false, worker => worker.rack === rack);
     bindMembers(demand, ledger, ranking, new Set(usable), starts);
     return true;
 }
@@ -48,17 +48,19 @@
 function isGangFitting(demand: StepDemand, workers: readonly WorkerCapacity[]): boolean {
     let left = demand.waiting.length;
     return workers.some(worker => {
-        left -= countFitting(worker, demand.step.spec, left);
+        left -= countFitting(worker, demand, left);
         return left <= 0;
     });
 }
 
-/** Counts how many tasks of a step fit on a worker, up to `maxCount`. */
-function countFitting(worker: WorkerCapacity, spec: StepSpec, maxCount: number): number {
+/** Counts how many tasks of a demand fit on a worker, up to `maxCount`. */
+function countFitting(worker: WorkerCapacity, demand: StepDemand, maxCount: number): number {
+    const { spec } = demand.step;
+    const mayUseReserved = isInterrupted(demand);
     const limit = Math.min(maxCount, spec.maxTasksPerWorker === 0 ? maxCount : spec.maxTasksPerWorker);
     const remaining = { ...worker };
     let fitting = 0;
-    while (fitting < limit && hasCapacity(remaining, spec)) {
+    while (fitting < limit && hasCapacity(remaining, spec, mayUseReserved)) {
         remaining.freeCpuMillis -= spec.isBestEffort ? 0 : spec.cpuMillis;
         remaining.freeMemoryMb -= spec.memoryMb;
         remaining.freeAccelerators -= spec.accelerators;
--- a/packages/plan-starts/src/planTasks.ts
+++ b/packages/plan-starts/src/planTasks.ts
@@ -27,7 +27,7 @@
 ): boolean {
     const { step, waiting } = demand;
     const perWorker = countTasksPerWorker(step);
-    const ranking = rankings.resolve(step, isDeferrable(demand, rules));
+    const ranking = rankings.resolve(demand, isDeferrable(demand, rules));
     const eligible = new EligibleWorkers(ranking, ({ index }) => {
         const { workerId } = ledger.workers[index];
         return !isStepLimitReached(step.spec, perWorker.get(workerId)) && rules.isAdvised(waiting[0], workerId);
--- a/packages/plan-starts/src/rankingCache.ts
+++ b/packages/plan-starts/src/rankingCache.ts
@@ -1,13 +1,17 @@
-import type { StepRun } from "@sardinestage/track-jobs";
 import type { CapacityLedger } from "./capacityLedger.js";
 import { computePlacementScore } from "./computePlacementScore.js";
 import { hasCapacity } from "./hasCapacity.js";
 import { isAllowedOn } from "./isAllowedOn.js";
+import { isInterrupted } from "./isInterrupted.js";
 import { MAX_LATENCY_RATIO } from "./maxLatencyRatio.js";
 import type { StartRules } from "./startRules.js";
+import type { StepDemand } from "./stepDemand.js";
 import type { WorkerCapacity } from "./workerCapacity.js";
 import { WorkerRanking } from "./workerRanking.js";
 
+/** Score penalty that leaves reserved workers to the tasks that they are reserved for, as long as another one fits. */
+const RESERVED_WORKER_PENALTY = 5;
+
 /** The worker rankings of a planning round. Steps whose tasks score equally share one ranking. */
 export class RankingCache {
     private readonly rankings = new Map<string, WorkerRanking>();
@@ -15,35 +19,41 @@
     constructor(private readonly ledger: CapacityLedger, private readonly rules: StartRules) {}
 
     /**
-     * Returns the ranking of all workers for a step's tasks, creating it on first use.
+     * Returns the ranking of all workers for a demand's tasks, creating it on first use.
      *
      * @param canWait Whether the tasks wait rather than start where a serving task comes too close to its target.
      */
-    resolve(step: StepRun, canWait: boolean): WorkerRanking {
-        const key = createKey(step, canWait);
-        const ranking = this.rankings.get(key) ?? this.createRanking(step, canWait, () => true);
+    resolve(demand: StepDemand, canWait: boolean): WorkerRanking {
+        const key = createKey(demand, canWait);
+        const ranking = this.rankings.get(key) ?? this.createRanking(demand, canWait, () => true);
         this.rankings.set(key, ranking);
         return ranking;
     }
 
-    /** Creates a ranking of the included workers for a step's tasks, which isn't shared. */
-    createRanking(step: StepRun, canWait: boolean, isIncluded: (worker: WorkerCapacity) => boolean): WorkerRanking {
+    /** Creates a ranking of the included workers for a demand's tasks, which isn't shared. */
+    createRanking(
+        demand: StepDemand,
+        canWait: boolean,
+        isIncluded: (worker: WorkerCapacity) => boolean,
+    ): WorkerRanking {
+        const { step } = demand;
         const { spec } = step;
+        const mayUseReserved = isInterrupted(demand);
         return new WorkerRanking(this.ledger, worker => isAllowedOn(step, worker) && isIncluded(worker), worker => {
-            if (!hasCapacity(worker, spec)) {
+            if (!hasCapacity(worker, spec, mayUseReserved)) {
                 return undefined;
             }
             const view = this.rules.describePlacement(worker, spec);
             return canWait && view.latencyRatio > MAX_LATENCY_RATIO
                 ? undefined
-                : computePlacementScore(worker, spec, view);
+                : computePlacementScore(worker, spec, view) - (worker.isReserved ? RESERVED_WORKER_PENALTY : 0);
         });
     }
 }
 
-/** Builds a key from everything about a step that a worker's score depends on. */
-function createKey(step: StepRun, canWait: boolean): string {
-    const { spec, occurrence } = step;
+/** Builds a key from everything about a demand that a worker's score depends on. */
+function createKey(demand: StepDemand, canWait: boolean): string {
+    const { spec, occurrence } = demand.step;
     return [
         occurrence.job.queue.service,
         spec.requiredLabel,
@@ -55,5 +65,6 @@
         spec.tailLatencyTargetMs,
         spec.isBestEffort,
         canWait,
+        isInterrupted(demand),
     ].join("|");
 }
--- a/packages/plan-starts/src/reserveWorkers.ts
+++ b/packages/plan-starts/src/reserveWorkers.ts
@@ -15,7 +15,8 @@
  * task would never find enough on one worker.
  *
  * Reserved are the workers on which other tasks were preempted for the demand. For an interrupted long-running step,
- * also workers with enough capacity once their run-to-completion tasks have ended.
+ * also workers with enough capacity once their run-to-completion tasks have ended; as these may take long, other
+ * interrupted long-running tasks still start there.
  *
  * @param demand The demand whose tasks wait.
  * @param placed Starts of the demand's tasks in this round; its other tasks still wait.
@@ -37,14 +38,14 @@
     const missingCount = waiting.length - placed.length;
     const perWorker = countTasksPerWorker(step, placed.map(start => start.workerId));
     const eligible = workers.map((_worker, index) => index).filter(index =>
-        workers[index].startsLeft > 0 && !workers[index].isReserved
+        workers[index].startsLeft > 0 && (!workers[index].isReserved || isInterrupted(demand))
         && !isStepLimitReached(step.spec, perWorker.get(workers[index].workerId))
     );
     const chosen = eligible.filter(index => reservedIds.has(workers[index].workerId)).slice(0, missingCount);
     const chosenIds = new Set(chosen.map(index => workers[index].workerId));
     const coveredCount = (demand.reservedWorkerIds ?? []).filter(workerId => chosenIds.has(workerId)).length;
     if (isInterrupted(demand)) {
-        const others = eligible.filter(index => !reservedIds.has(workers[index].workerId))
+        const others = eligible.filter(index => !reservedIds.has(workers[index].workerId) && !workers[index].isReserved)
             .filter(index => isFittingLater(step, workers[index]))
             .filter(index => rules.isAdvised(step.getTask(0), workers[index].workerId))
             .sort((left, right) => workers[right].freeCpuMillis - workers[left].freeCpuMillis);
--- a/packages/plan-starts/src/testing/planStartsExhaustively.ts
+++ b/packages/plan-starts/src/testing/planStartsExhaustively.ts
@@ -14,6 +14,7 @@
 
 const MAX_LATENCY_RATIO = 0.88;
 const FAILED_WORKER_PENALTY = 10;
+const RESERVED_WORKER_PENALTY = 5;
 
 /** Reference implementation of `planStarts`: scores every worker again for every task. */
 export function planStartsExhaustively(
@@ -39,7 +40,7 @@
             for (const worker of eligible) {
                 const reservedCount = demand.reservedWorkerIds?.filter(workerId => workerId === worker.workerId).length
                     ?? 0;
-                const isOpen = worker.startsLeft > 0 && !worker.isReserved;
+                const isOpen = worker.startsLeft > 0 && (!worker.isReserved || isInterrupted(demand));
                 if (remainingWorkers > 0 && isOpen && reservedCount > 0) {
                     worker.startsLeft = 0;
                     left -= reservedCount;
@@ -78,7 +79,7 @@
         const isBetter = !isReserved && (best === undefined || worker.freeCpuMillis > best.freeCpuMillis);
         const expected = { ...worker, freeCpuMillis: worker.freeCpuMillis + worker.runToCompletionCpuMillis };
         const fitsLater = expected.freeCpuMillis >= spec.cpuMillis
-            && hasCapacity({ ...expected, freeCpuMillis: Infinity }, spec);
+            && hasCapacity({ ...expected, freeCpuMillis: Infinity }, spec, false);
         if (isBetter && fitsLater && isAllowedOn(demand.step, worker)) {
             best = worker;
         }
@@ -113,7 +114,7 @@
         if (starts.length >= rules.maxStarts) {
             return true;
         }
-        const worker = chooseWorker(task, usable, perWorker, canWait, rules);
+        const worker = chooseWorker(task, usable, perWorker, { canWait, mayUseReserved: isInterrupted(demand) }, rules);
         if (worker === undefined) {
             return false;
         }
@@ -138,7 +139,7 @@
     task: Task,
     workers: readonly WorkerCapacity[],
     perWorker: ReadonlyMap<string, number>,
-    canWait: boolean,
+    { canWait, mayUseReserved }: { canWait: boolean; mayUseReserved: boolean },
     rules: StartRules,
 ): WorkerCapacity | undefined {
     const { spec } = task.step;
@@ -146,15 +147,16 @@
     let bestScore = -Infinity;
     for (const worker of workers) {
         const isFull = spec.maxTasksPerWorker > 0 && (perWorker.get(worker.workerId) ?? 0) >= spec.maxTasksPerWorker;
-        if (!hasCapacity(worker, spec) || isFull || !rules.isAdvised(task, worker.workerId)) {
+        if (!hasCapacity(worker, spec, mayUseReserved) || isFull || !rules.isAdvised(task, worker.workerId)) {
             continue;
         }
         const view = rules.describePlacement(worker, spec);
         if (canWait && view.latencyRatio > MAX_LATENCY_RATIO) {
             continue;
         }
+        const reserved = worker.isReserved ? RESERVED_WORKER_PENALTY : 0;
         const failed = worker.workerId === task.lastFailedWorkerId ? FAILED_WORKER_PENALTY : 0;
-        const score = computePlacementScore(worker, spec, view) - failed;
+        const score = computePlacementScore(worker, spec, view) - failed - reserved;
         if (score > bestScore) {
             best = worker;
             bestScore = score;
@@ -207,10 +209,11 @@
     }));
     const placed: PlacedTask[] = [];
     const score = (worker: WorkerCapacity) =>
-        computePlacementScore(worker, spec, rules.describePlacement(worker, spec));
+        computePlacementScore(worker, spec, rules.describePlacement(worker, spec))
+        - (worker.isReserved ? RESERVED_WORKER_PENALTY : 0);
     for (const task of demand.waiting) {
         const best = copies
-            .filter(entry => hasCapacity(entry.copy, spec))
+            .filter(entry => hasCapacity(entry.copy, spec, isInterrupted(demand)))
             .filter(entry => spec.maxTasksPerWorker === 0 || entry.taken < spec.maxTasksPerWorker)
             .filter(entry => rules.isAdvised(task, entry.worker.workerId))
             .sort((left, right) => score(right.copy) - score(left.copy))
--- a/packages/plan-starts/src/unplaceableDemands.ts
+++ b/packages/plan-starts/src/unplaceableDemands.ts
@@ -1,4 +1,5 @@
 import { isDeferrable } from "./isDeferrable.js";
+import { isInterrupted } from "./isInterrupted.js";
 import type { StartRules } from "./startRules.js";
 import type { StepDemand } from "./stepDemand.js";
 
@@ -35,12 +36,15 @@
             && spec.cpuMillis >= known.cpuMillis && spec.memoryMb >= known.memoryMb;
     }
 
-    /** Deferrable demands get a key of their own: they accept fewer workers than those that have waited long enough. */
+    /**
+     * Deferrable demands get a key of their own: they accept fewer workers than those that have waited long enough. So
+     * do interrupted ones, which may start on reserved workers too.
+     */
     private createKey(demand: StepDemand): string {
         const { spec, occurrence } = demand.step;
         const { service } = occurrence.job.queue;
         const canWait = isDeferrable(demand, this.rules);
-        return `${service}|${spec.image}|${spec.isBestEffort}|${canWait}|${spec.accelerators}`;
+        return `${service}|${spec.image}|${spec.isBestEffort}|${canWait}|${isInterrupted(demand)}|${spec.accelerators}`;
     }
 }
 
--- a/packages/plan-starts/src/workerCapacity.ts
+++ b/packages/plan-starts/src/workerCapacity.ts
@@ -23,6 +23,9 @@
     readonly bestEffortSpecs: StepSpec[];
     /** How many more tasks may start on the worker in this round; few on a worker on probation. */
     startsLeft: number;
-    /** Whether the worker is reserved for tasks that wait for its present work to end, so that nothing else starts there. */
+    /**
+     * Whether the worker is reserved for tasks that wait for its present work to end. Of others, only interrupted
+     * long-running tasks start there.
+     */
     isReserved: boolean;
 }
