Let only long-running runs pass a worker's trial by work

What users would see: attempts of their jobs are used up by a worker that fails all runs, but only some time after their start.

Cause: since any run that makes progress for 1 s after it was first listed ends the trial of its worker. A worker whose runs fail later than that was healthy again each time, and got as many runs as fit instead of one at a time (40 starts in 20 s with failures after 2.5 s, by the review).

Change: only a long-running run, which never ends as done, passes a trial by work. Other runs do so by their end, as before.

Not covered: a worker on trial gets no second start until a run-to-completion task that it got as its trial has ended, however long that takes. A worker that fails long-running runs after more than a second still passes its trial each time.

--- a/packages/coordinate-work/src/hasPassedTrial.ts
+++ b/packages/coordinate-work/src/hasPassedTrial.ts
@@ -4,18 +4,21 @@
 import type { TrackedWorker } from "./trackedWorker.js";
 
 /**
- * A run that works for so long shows that its worker is sound, in milliseconds: a worker at fault fails its runs soon
- * after their start. With a long poll before and one after it, this is less than long-running tasks may be without a run.
+ * A long-running run that works for so long shows that its worker is sound, in milliseconds. With a long poll before and
+ * one after it, this is less than long-running tasks may be without a run.
  */
 const SOUND_AFTER_MS = 1000;
 const FULL_PERCENT = 100;
 
 /**
- * Whether a worker has passed its trial by a run that is still active. A long-running task never ends as done, so that
- * no end would tell.
+ * Whether a worker has passed its trial by a run that is still active. Only a long-running run counts, which never ends
+ * as done, so that no end would tell; others may still fail.
  */
 export function hasPassedTrial(worker: TrackedWorker, nowMs: number): boolean {
-    return worker.isOnTrial && [...worker.tasks].some(task => isTrialRun(task, worker) && isWorking(task, nowMs));
+    return worker.isOnTrial
+        && [...worker.tasks].some(task =>
+            task.step.spec.longRunning && isTrialRun(task, worker) && isWorking(task, nowMs)
+        );
 }
 
 function isWorking(task: Task, nowMs: number): boolean {
--- a/packages/coordinate-work/src/probation.ts
+++ b/packages/coordinate-work/src/probation.ts
@@ -14,7 +14,7 @@
 
 /**
  * Notes a failed run. A worker on which runs of several jobs fail in a row is put on probation: it gets no work for a
- * while, then one task at a time until a run succeeds or works for a while.
+ * while, then one task at a time until a run succeeds or a long-running one works for a while.
  *
  * @returns Whether this put the worker on probation.
  */
