--- a/packages/accept-jobs/src/pageBudget.ts
+++ b/packages/accept-jobs/src/pageBudget.ts
@@ -1,9 +1,9 @@
 /**
- * Rate limit for the pages of one VM that answer questions, whatever their topic: less than half of the slowest link, which carries 875 KB/s;
- * the rest is for callers, peers and the coordinator.
+ * Rate limit for the pages of one VM that answer questions, whatever their topic: less than half of a link of 7 Mbit/s.
+ * The rest is for callers, peers and the coordinator.
  */
 const BYTES_PER_SECOND = 400_000;
-/** Bytes that may be read ahead of the rate after a pause: half a second of the slowest link. */
+/** Bytes that may be read ahead of the rate after a pause: half a second of such a link. */
 const BURST_BYTES = 400_000;
 
 /** Limits the rate at which several readers together read pages of the store. */
