--- a/packages/coordinate-work/src/cleanupTimer.ts
+++ b/packages/coordinate-work/src/cleanupTimer.ts
@@ -1,10 +1,10 @@
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import { describeFleet } from "./describeFleet.js";
-import type { Fleet } from "./fleet.js";
-import type { JobRegistry } from "./jobRegistry.js";
-import { LearnedEstimates } from "./learnedEstimates.js";
-import type { ProgressWriter } from "./progressWriter.js";
-import type { RecordCleaner } from "./recordCleaner.js";
+import type { JobRegistry } from "./jobs/jobRegistry.js";
+import { LearnedEstimates } from "./records/learnedEstimates.js";
+import type { ProgressWriter } from "./records/progressWriter.js";
+import type { RecordCleaner } from "./records/recordCleaner.js";
+import type { Fleet } from "./workers/fleet.js";
 
 /** Interval between two clean-ups of the records of ended jobs, in milliseconds. */
 const CLEANUP_INTERVAL_MS = 2000;
--- a/packages/coordinate-work/src/coordinator.test.ts
+++ b/packages/coordinate-work/src/coordinator.test.ts
@@ -3,7 +3,7 @@
 import type { JobSpec } from "@sardinestage/describe-work";
 import { JobState } from "@sardinestage/describe-work";
 import { createStep } from "@sardinestage/emulate-platform";
-import { LearnedEstimates } from "./learnedEstimates.js";
+import { LearnedEstimates } from "./records/learnedEstimates.js";
 import { CoordinatorHarness } from "./testing/coordinatorHarness.js";
 import { createQueue } from "./testing/createQueue.js";
 
--- a/packages/coordinate-work/src/describeFleet.ts
+++ b/packages/coordinate-work/src/describeFleet.ts
@@ -1,7 +1,7 @@
 import type { Task } from "@sardinestage/track-jobs";
-import { buildWorkerCapacities } from "./buildWorkerCapacities.js";
-import type { JobRegistry } from "./jobRegistry.js";
-import type { TrackedWorker } from "./trackedWorker.js";
+import type { JobRegistry } from "./jobs/jobRegistry.js";
+import { buildWorkerCapacities } from "./planning/buildWorkerCapacities.js";
+import type { TrackedWorker } from "./workers/trackedWorker.js";
 
 /**
  * Summarizes the load of the fleet for the log. The summary shows whether a slow job waits because the fleet is full.
--- a/packages/coordinate-work/src/explainIdle.test.ts
+++ b/packages/coordinate-work/src/idle/explainIdle.test.ts
@@ -2,10 +2,10 @@
 import type { StepSpec } from "@sardinestage/describe-work";
 import { RunEnd } from "@sardinestage/describe-work";
 import { applyRunEnd, applyRunLost, TaskPhase } from "@sardinestage/track-jobs";
-import { buildWorkerCapacity } from "./buildWorkerCapacity.js";
+import { buildWorkerCapacity } from "../planning/buildWorkerCapacity.js";
+import { createLongRunningTask } from "../testing/createLongRunningTask.js";
+import { IdleScene } from "../testing/idleScene.js";
 import { IdleReason } from "./idleReason.js";
-import { createLongRunningTask } from "./testing/createLongRunningTask.js";
-import { IdleScene } from "./testing/idleScene.js";
 
 const CAPACITY = { cpuMillis: 1000, memoryMb: 1000, accelerators: 0 };
 
--- a/packages/coordinate-work/src/explainIdle.ts
+++ b/packages/coordinate-work/src/idle/explainIdle.ts
@@ -1,9 +1,9 @@
 import type { Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
+import { limits } from "../limits.js";
+import type { TrackedWorker } from "../workers/trackedWorker.js";
 import type { IdleContext } from "./idleContext.js";
 import { IdleReason } from "./idleReason.js";
-import { limits } from "./limits.js";
-import type { TrackedWorker } from "./trackedWorker.js";
 
 /**
  * Explains why a task that is due has no run that is known to be active. There is exactly one reason at a time.
--- a/packages/coordinate-work/src/idleContext.ts
+++ b/packages/coordinate-work/src/idle/idleContext.ts
@@ -1,6 +1,6 @@
 import type { StepRun } from "@sardinestage/track-jobs";
+import type { TrackedWorker } from "../workers/trackedWorker.js";
 import type { IdleReason } from "./idleReason.js";
-import type { TrackedWorker } from "./trackedWorker.js";
 
 /** What `explainIdle` needs to know beside the task. */
 export interface IdleContext {
--- a/packages/coordinate-work/src/idleTaskReporter.test.ts
+++ b/packages/coordinate-work/src/idle/idleTaskReporter.test.ts
@@ -3,10 +3,10 @@
 import type { JobSpec } from "@sardinestage/describe-work";
 import { createStep } from "@sardinestage/emulate-platform";
 import { Job, openDueOccurrences } from "@sardinestage/track-jobs";
+import { CoordinatorHarness } from "../testing/coordinatorHarness.js";
+import { createQueue } from "../testing/createQueue.js";
 import { IdleReason } from "./idleReason.js";
 import { IdleTaskReporter } from "./idleTaskReporter.js";
-import { CoordinatorHarness } from "./testing/coordinatorHarness.js";
-import { createQueue } from "./testing/createQueue.js";
 
 /** A long-running task without a run for so long is due to be reported, in milliseconds. */
 const REPORTED_AFTER_MS = 3000;
--- a/packages/coordinate-work/src/countPending.test.ts
+++ b/packages/coordinate-work/src/jobs/countPending.test.ts
@@ -2,8 +2,8 @@
 import { ReadOutcome, waitFor } from "@sardinestage/describe-ports";
 import type { JobSpec } from "@sardinestage/describe-work";
 import { createStep } from "@sardinestage/emulate-platform";
-import { CoordinatorHarness } from "./testing/coordinatorHarness.js";
-import { createQueue } from "./testing/createQueue.js";
+import { CoordinatorHarness } from "../testing/coordinatorHarness.js";
+import { createQueue } from "../testing/createQueue.js";
 
 const QUEUE = createQueue();
 const RUN_MS = 5000;
--- a/packages/coordinate-work/src/heavyWork.test.ts
+++ b/packages/coordinate-work/src/jobs/heavyWork.test.ts
@@ -2,7 +2,7 @@
 import { execFile } from "node:child_process";
 import { fileURLToPath } from "node:url";
 import { promisify } from "node:util";
-import { HeavyScenario } from "./testing/heavyScenario.js";
+import { HeavyScenario } from "../testing/heavyScenario.js";
 
 /** The memory of an entry VM's process, as the deploy file limits it. */
 const MEMORY_OPTIONS = ["--max-old-space-size=96", "--max-semi-space-size=8"];
@@ -22,7 +22,7 @@
 }
 
 async function runScenario(scenario: HeavyScenario): Promise<HeavyResult> {
-    const program = fileURLToPath(new URL("./testing/runHeavyWork.js", import.meta.url));
+    const program = fileURLToPath(new URL("../testing/runHeavyWork.js", import.meta.url));
     const { stdout } = await promisify(execFile)(process.execPath, [...MEMORY_OPTIONS, program, scenario]);
     return JSON.parse(stdout) as HeavyResult;
 }
--- a/packages/coordinate-work/src/jobFinisher.test.ts
+++ b/packages/coordinate-work/src/jobs/jobFinisher.test.ts
@@ -4,10 +4,10 @@
 import { createStep } from "@sardinestage/emulate-platform";
 import { silentLogger } from "@sardinestage/log-events";
 import { applyCancel, applyRunLost, applyRunStart, Job, openDueOccurrences } from "@sardinestage/track-jobs";
-import type { CoordinatorParts } from "./coordinatorParts.js";
+import type { CoordinatorParts } from "../coordinatorParts.js";
+import { createQueue } from "../testing/createQueue.js";
+import { createTrackedWorker } from "../testing/createTrackedWorker.js";
 import { JobFinisher } from "./jobFinisher.js";
-import { createQueue } from "./testing/createQueue.js";
-import { createTrackedWorker } from "./testing/createTrackedWorker.js";
 
 const TASKS = 50;
 
--- a/packages/coordinate-work/src/jobFinisher.ts
+++ b/packages/coordinate-work/src/jobs/jobFinisher.ts
@@ -1,14 +1,14 @@
 import { JobState } from "@sardinestage/describe-work";
 import type { Job } from "@sardinestage/track-jobs";
 import { applyFailure, PartKey } from "@sardinestage/track-jobs";
-import type { AdviceCache } from "./adviceCache.js";
-import type { CoordinatorParts } from "./coordinatorParts.js";
-import type { Fleet } from "./fleet.js";
-import type { JobRecorder } from "./jobRecorder.js";
+import type { CoordinatorParts } from "../coordinatorParts.js";
+import type { OrderSender } from "../orders/orderSender.js";
+import type { AdviceCache } from "../planning/adviceCache.js";
+import type { JobRecorder } from "../records/jobRecorder.js";
+import type { ProgressWriter } from "../records/progressWriter.js";
+import type { RecordCleaner } from "../records/recordCleaner.js";
+import type { Fleet } from "../workers/fleet.js";
 import type { JobRegistry } from "./jobRegistry.js";
-import type { OrderSender } from "./orderSender.js";
-import type { ProgressWriter } from "./progressWriter.js";
-import type { RecordCleaner } from "./recordCleaner.js";
 
 /** Dependencies of a job finisher. */
 interface JobFinisherParts {
--- a/packages/coordinate-work/src/jobIntake.ts
+++ b/packages/coordinate-work/src/jobs/jobIntake.ts
@@ -1,11 +1,11 @@
 import type { KeyedRecord } from "@sardinestage/describe-ports";
 import type { Job } from "@sardinestage/track-jobs";
-import type { CoordinatorParts } from "./coordinatorParts.js";
-import type { Fleet } from "./fleet.js";
-import type { JobRecorder } from "./jobRecorder.js";
+import type { CoordinatorParts } from "../coordinatorParts.js";
+import type { JobRecorder } from "../records/jobRecorder.js";
+import type { RecordCleaner } from "../records/recordCleaner.js";
+import type { StoredProgress } from "../records/storedProgress.js";
+import type { Fleet } from "../workers/fleet.js";
 import { JobRegistry } from "./jobRegistry.js";
-import type { RecordCleaner } from "./recordCleaner.js";
-import type { StoredProgress } from "./storedProgress.js";
 
 /** Dependencies of a job intake. */
 interface JobIntakeParts {
--- a/packages/coordinate-work/src/jobRegistry.test.ts
+++ b/packages/coordinate-work/src/jobs/jobRegistry.test.ts
@@ -2,8 +2,8 @@
 import { createStep } from "@sardinestage/emulate-platform";
 import type { Task } from "@sardinestage/track-jobs";
 import { applyRunLost, applyRunStart, encodeJobRecord, TaskPhase } from "@sardinestage/track-jobs";
+import { createQueue } from "../testing/createQueue.js";
 import { JobRegistry } from "./jobRegistry.js";
-import { createQueue } from "./testing/createQueue.js";
 
 /** Creates a registry with one job whose tasks are all active. */
 function createRegistry(): { registry: JobRegistry; tasks: Task[] } {
--- a/packages/coordinate-work/src/jobRegistry.ts
+++ b/packages/coordinate-work/src/jobs/jobRegistry.ts
@@ -12,9 +12,9 @@
     openOccurrence,
     PartKey,
 } from "@sardinestage/track-jobs";
+import { StoredProgress } from "../records/storedProgress.js";
 import type { ReadyList } from "./readyList.js";
 import { ReadySteps } from "./readySteps.js";
-import { StoredProgress } from "./storedProgress.js";
 
 const FULL_PACE_PERCENT = 100;
 
--- a/packages/coordinate-work/src/readyStep.ts
+++ b/packages/coordinate-work/src/jobs/readyStep.ts
@@ -1,5 +1,5 @@
 import type { StepRun, Task } from "@sardinestage/track-jobs";
-import { limits } from "./limits.js";
+import { limits } from "../limits.js";
 
 /** A step that has tasks to start. Valid until the step's job has changed. */
 export class ReadyStep {
--- a/packages/coordinate-work/src/readySteps.fuzz.test.ts
+++ b/packages/coordinate-work/src/jobs/readySteps.fuzz.test.ts
@@ -13,9 +13,9 @@
     TaskPhase,
 } from "@sardinestage/track-jobs";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { StoredProgress } from "../records/storedProgress.js";
+import { createQueue } from "../testing/createQueue.js";
 import { JobRegistry } from "./jobRegistry.js";
-import { StoredProgress } from "./storedProgress.js";
-import { createQueue } from "./testing/createQueue.js";
 
 const SEEDS = Array.from({ length: 8 }, (_unused, index) => 20261204 + index);
 const EVENTS = 1500;
--- a/packages/coordinate-work/src/chooseStartPause.test.ts
+++ b/packages/coordinate-work/src/orders/chooseStartPause.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from "@jest/globals";
+import { limits } from "../limits.js";
 import { chooseStartPause } from "./chooseStartPause.js";
-import { limits } from "./limits.js";
 
 describe("chooseStartPause", () => {
     it("makes no pause in a busy process whose loop isn't overloaded", () => {
--- a/packages/coordinate-work/src/chooseStartPause.ts
+++ b/packages/coordinate-work/src/orders/chooseStartPause.ts
@@ -1,4 +1,4 @@
-import { limits } from "./limits.js";
+import { limits } from "../limits.js";
 
 /**
  * Chooses how long the event loop is left to other work after a batch of start orders. The pause is 0 unless the loop's
--- a/packages/coordinate-work/src/manyCancellations.test.ts
+++ b/packages/coordinate-work/src/orders/manyCancellations.test.ts
@@ -8,10 +8,10 @@
 import { silentLogger } from "@sardinestage/log-events";
 import { Job, openDueOccurrences } from "@sardinestage/track-jobs";
 import { applyRunStart } from "@sardinestage/track-jobs";
-import type { CoordinatorParts } from "./coordinatorParts.js";
+import type { CoordinatorParts } from "../coordinatorParts.js";
+import { createQueue } from "../testing/createQueue.js";
+import { createTrackedWorker } from "../testing/createTrackedWorker.js";
 import { OrderSender } from "./orderSender.js";
-import { createQueue } from "./testing/createQueue.js";
-import { createTrackedWorker } from "./testing/createTrackedWorker.js";
 
 const TASKS = 200;
 /** Connections to a worker, and the time that a call takes; a call that waits for a connection for long times out. */
--- a/packages/coordinate-work/src/manyStarts.test.ts
+++ b/packages/coordinate-work/src/orders/manyStarts.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, it } from "@jest/globals";
 import { createStep } from "@sardinestage/emulate-platform";
-import { limits } from "./limits.js";
-import { CoordinatorHarness } from "./testing/coordinatorHarness.js";
-import { createQueue } from "./testing/createQueue.js";
+import { limits } from "../limits.js";
+import { CoordinatorHarness } from "../testing/coordinatorHarness.js";
+import { createQueue } from "../testing/createQueue.js";
 
 const WORKERS = 200;
 const JOBS = 40;
--- a/packages/coordinate-work/src/orderSender.ts
+++ b/packages/coordinate-work/src/orders/orderSender.ts
@@ -3,11 +3,11 @@
 import { formatTaskKey } from "@sardinestage/describe-work";
 import type { Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
-import type { AdviceCache } from "./adviceCache.js";
-import type { CoordinatorParts } from "./coordinatorParts.js";
-import { limits } from "./limits.js";
+import type { CoordinatorParts } from "../coordinatorParts.js";
+import { limits } from "../limits.js";
+import type { AdviceCache } from "../planning/adviceCache.js";
+import type { TrackedWorker } from "../workers/trackedWorker.js";
 import { StartPacer } from "./startPacer.js";
-import type { TrackedWorker } from "./trackedWorker.js";
 
 /** Pause of starts to a worker that refused one because it lacked capacity, in milliseconds. */
 const NO_CAPACITY_PAUSE_MS = 300;
--- a/packages/coordinate-work/src/restartDuringOrders.test.ts
+++ b/packages/coordinate-work/src/orders/restartDuringOrders.test.ts
@@ -1,9 +1,9 @@
 import { describe, expect, it } from "@jest/globals";
 import { createStep } from "@sardinestage/emulate-platform";
-import { computeStartsLeft } from "./computeStartsLeft.js";
-import { CoordinatorHarness } from "./testing/coordinatorHarness.js";
-import { createQueue } from "./testing/createQueue.js";
-import { createTrackedWorker } from "./testing/createTrackedWorker.js";
+import { CoordinatorHarness } from "../testing/coordinatorHarness.js";
+import { createQueue } from "../testing/createQueue.js";
+import { createTrackedWorker } from "../testing/createTrackedWorker.js";
+import { computeStartsLeft } from "../workers/computeStartsLeft.js";
 
 const FIXED_RANDOM = () => 0.5;
 const FOREVER_MS = 600_000;
--- a/packages/coordinate-work/src/startPacer.test.ts
+++ b/packages/coordinate-work/src/orders/startPacer.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from "@jest/globals";
-import { limits } from "./limits.js";
+import { limits } from "../limits.js";
+import { SingleThreadClock } from "../testing/singleThreadClock.js";
 import { StartPacer } from "./startPacer.js";
-import { SingleThreadClock } from "./testing/singleThreadClock.js";
 
 const SENDING_MS = 5;
 const ORDERS = 200;
--- a/packages/coordinate-work/src/startPacer.ts
+++ b/packages/coordinate-work/src/orders/startPacer.ts
@@ -1,6 +1,6 @@
 import type { Clock } from "@sardinestage/describe-ports";
+import { limits } from "../limits.js";
 import { chooseStartPause } from "./chooseStartPause.js";
-import { limits } from "./limits.js";
 
 /**
  * Sends start orders in short batches with pauses for other work between them: a round may order hundreds of starts at
--- a/packages/coordinate-work/src/choosePaceIncreaseDelay.ts
+++ b/packages/coordinate-work/src/pace/choosePaceIncreaseDelay.ts
@@ -1,4 +1,4 @@
-import { computeBusyShare } from "./computeBusyShare.js";
+import { computeBusyShare } from "../computeBusyShare.js";
 
 /**
  * How long a best-effort task keeps its pace before it may go from paused to full speed, in milliseconds: three
--- a/packages/coordinate-work/src/headroomTracker.test.ts
+++ b/packages/coordinate-work/src/pace/headroomTracker.test.ts
@@ -4,9 +4,9 @@
 import { HeadroomEstimator } from "@sardinestage/learn-behaviour";
 import type { Task } from "@sardinestage/track-jobs";
 import { Job, openOccurrence, TaskPhase } from "@sardinestage/track-jobs";
+import { createQueue } from "../testing/createQueue.js";
+import { TrackedWorker } from "../workers/trackedWorker.js";
 import { HeadroomTracker } from "./headroomTracker.js";
-import { createQueue } from "./testing/createQueue.js";
-import { TrackedWorker } from "./trackedWorker.js";
 
 const TARGET_MS = 10_000;
 const SAMPLE_INTERVAL_MS = 400;
--- a/packages/coordinate-work/src/headroomTracker.ts
+++ b/packages/coordinate-work/src/pace/headroomTracker.ts
@@ -1,9 +1,9 @@
 import type { HeadroomEstimator, ServingMeasurement, WeightedNeighbour } from "@sardinestage/learn-behaviour";
 import { HeadroomTrend } from "@sardinestage/learn-behaviour";
 import type { StepRun, Task } from "@sardinestage/track-jobs";
+import type { TrackedWorker } from "../workers/trackedWorker.js";
 import type { HeadroomSample } from "./headroomSample.js";
 import { ReplicaSamples } from "./replicaSamples.js";
-import type { TrackedWorker } from "./trackedWorker.js";
 
 /** Least time between two samples of a worker, in milliseconds: measurements cover the last half second. */
 const MIN_SAMPLE_GAP_MS = 250;
--- a/packages/coordinate-work/src/paceController.test.ts
+++ b/packages/coordinate-work/src/pace/paceController.test.ts
@@ -6,12 +6,12 @@
 import { HeadroomEstimator } from "@sardinestage/learn-behaviour";
 import type { Task } from "@sardinestage/track-jobs";
 import { Job, openOccurrence, TaskPhase } from "@sardinestage/track-jobs";
-import type { CoordinatorParts } from "./coordinatorParts.js";
+import type { CoordinatorParts } from "../coordinatorParts.js";
+import type { OrderSender } from "../orders/orderSender.js";
+import { createQueue } from "../testing/createQueue.js";
+import { TrackedWorker } from "../workers/trackedWorker.js";
 import { HeadroomTracker } from "./headroomTracker.js";
-import type { OrderSender } from "./orderSender.js";
 import { PaceController } from "./paceController.js";
-import { createQueue } from "./testing/createQueue.js";
-import { TrackedWorker } from "./trackedWorker.js";
 
 const HARM_MS = 4500;
 const TARGET_MS = 100;
--- a/packages/coordinate-work/src/paceController.ts
+++ b/packages/coordinate-work/src/pace/paceController.ts
@@ -4,12 +4,12 @@
 import { isPaceDecisionDue, planPace } from "@sardinestage/plan-pace";
 import type { StepRun, Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
+import type { CoordinatorParts } from "../coordinatorParts.js";
+import type { OrderSender } from "../orders/orderSender.js";
+import type { TrackedWorker } from "../workers/trackedWorker.js";
 import { choosePaceIncreaseDelay } from "./choosePaceIncreaseDelay.js";
-import type { CoordinatorParts } from "./coordinatorParts.js";
 import { estimateInterference } from "./estimateInterference.js";
 import type { HeadroomTracker } from "./headroomTracker.js";
-import type { OrderSender } from "./orderSender.js";
-import type { TrackedWorker } from "./trackedWorker.js";
 
 /** The measurements of a worker cover the last half second, in milliseconds. */
 const MEASUREMENT_WINDOW_MS = 500;
--- a/packages/coordinate-work/src/adviceCache.ts
+++ b/packages/coordinate-work/src/planning/adviceCache.ts
@@ -1,5 +1,5 @@
 import type { Task } from "@sardinestage/track-jobs";
-import type { CoordinatorParts } from "./coordinatorParts.js";
+import type { CoordinatorParts } from "../coordinatorParts.js";
 
 /** The most workers that one call asks about: the advice service takes longer for each. */
 const MAX_WORKERS_PER_CALL = 30;
--- a/packages/coordinate-work/src/buildWorkerCapacity.ts
+++ b/packages/coordinate-work/src/planning/buildWorkerCapacity.ts
@@ -1,7 +1,7 @@
 import type { WorkerCapacity } from "@sardinestage/plan-starts";
 import { allocateCapacity } from "@sardinestage/plan-starts";
 import type { Task } from "@sardinestage/track-jobs";
-import type { TrackedWorker } from "./trackedWorker.js";
+import type { TrackedWorker } from "../workers/trackedWorker.js";
 
 /**
  * Computes the free capacity of a worker from its entry and its tasks.
--- a/packages/coordinate-work/src/capacityReservations.test.ts
+++ b/packages/coordinate-work/src/planning/capacityReservations.test.ts
@@ -2,8 +2,8 @@
 import { createStep } from "@sardinestage/emulate-platform";
 import type { StepRun } from "@sardinestage/track-jobs";
 import { Job, openDueOccurrences } from "@sardinestage/track-jobs";
+import { createQueue } from "../testing/createQueue.js";
 import { CapacityReservations } from "./capacityReservations.js";
-import { createQueue } from "./testing/createQueue.js";
 
 function createStepRun(): StepRun {
     const steps = [createStep({ taskCount: 2 })];
--- a/packages/coordinate-work/src/capacityTable.fuzz.test.ts
+++ b/packages/coordinate-work/src/planning/capacityTable.fuzz.test.ts
@@ -5,11 +5,11 @@
 import type { Task } from "@sardinestage/track-jobs";
 import { Job, openOccurrence } from "@sardinestage/track-jobs";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { createQueue } from "../testing/createQueue.js";
+import { createTrackedWorker } from "../testing/createTrackedWorker.js";
+import type { TrackedWorker } from "../workers/trackedWorker.js";
 import { buildWorkerCapacities } from "./buildWorkerCapacities.js";
 import { CapacityTable } from "./capacityTable.js";
-import { createQueue } from "./testing/createQueue.js";
-import { createTrackedWorker } from "./testing/createTrackedWorker.js";
-import type { TrackedWorker } from "./trackedWorker.js";
 
 const SEEDS = Array.from({ length: 8 }, (_unused, index) => 20261204 + index);
 const EVENTS = 1000;
--- a/packages/coordinate-work/src/capacityTable.ts
+++ b/packages/coordinate-work/src/planning/capacityTable.ts
@@ -1,7 +1,7 @@
 import type { WorkerCapacity } from "@sardinestage/plan-starts";
 import type { Task } from "@sardinestage/track-jobs";
+import type { TrackedWorker } from "../workers/trackedWorker.js";
 import { buildWorkerCapacity } from "./buildWorkerCapacity.js";
-import type { TrackedWorker } from "./trackedWorker.js";
 
 /**
  * Headroom estimates of serving tasks are computed again after this, in milliseconds: well within two polls of a
--- a/packages/coordinate-work/src/chooseRoundTime.test.ts
+++ b/packages/coordinate-work/src/planning/chooseRoundTime.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from "@jest/globals";
+import { limits } from "../limits.js";
 import { chooseRoundTime } from "./chooseRoundTime.js";
-import { limits } from "./limits.js";
 
 describe("chooseRoundTime", () => {
     describe("after a round that took at most 1 ms", () => {
--- a/packages/coordinate-work/src/chooseRoundTime.ts
+++ b/packages/coordinate-work/src/planning/chooseRoundTime.ts
@@ -1,4 +1,4 @@
-import { limits } from "./limits.js";
+import { limits } from "../limits.js";
 
 /** The last round. */
 interface LastRound {
--- a/packages/coordinate-work/src/demandSelector.test.ts
+++ b/packages/coordinate-work/src/planning/demandSelector.test.ts
@@ -3,9 +3,9 @@
 import { createStep } from "@sardinestage/emulate-platform";
 import type { StepDemand } from "@sardinestage/plan-starts";
 import { Job, openOccurrence } from "@sardinestage/track-jobs";
+import { limits } from "../limits.js";
+import { createQueue } from "../testing/createQueue.js";
 import { DemandSelector } from "./demandSelector.js";
-import { limits } from "./limits.js";
-import { createQueue } from "./testing/createQueue.js";
 
 const MAX_ROUND_MS = 30;
 const STEP_MS = 1;
--- a/packages/coordinate-work/src/interruptedTasks.test.ts
+++ b/packages/coordinate-work/src/planning/interruptedTasks.test.ts
@@ -3,8 +3,8 @@
 import type { JobSpec, StepSpec } from "@sardinestage/describe-work";
 import { WorkerState } from "@sardinestage/describe-work";
 import { createRandom, createStep } from "@sardinestage/emulate-platform";
-import { CoordinatorHarness } from "./testing/coordinatorHarness.js";
-import { createQueue } from "./testing/createQueue.js";
+import { CoordinatorHarness } from "../testing/coordinatorHarness.js";
+import { createQueue } from "../testing/createQueue.js";
 
 const FOREVER_MS = 600_000;
 const SEED = 35;
--- a/packages/coordinate-work/src/placementScorer.test.ts
+++ b/packages/coordinate-work/src/planning/placementScorer.test.ts
@@ -7,9 +7,9 @@
 import type { StepRun } from "@sardinestage/track-jobs";
 import { Job, openDueOccurrences } from "@sardinestage/track-jobs";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { createQueue } from "../testing/createQueue.js";
+import { ReferencePlacementScorer } from "../testing/referencePlacementScorer.js";
 import { PlacementScorer } from "./placementScorer.js";
-import { createQueue } from "./testing/createQueue.js";
-import { ReferencePlacementScorer } from "./testing/referencePlacementScorer.js";
 
 const SEEDS = Array.from({ length: 40 }, (_unused, index) => 20261204 + index);
 const UINT32_RANGE = 0x1_0000_0000;
--- a/packages/coordinate-work/src/preemptionController.ts
+++ b/packages/coordinate-work/src/planning/preemptionController.ts
@@ -2,11 +2,11 @@
 import { isInterrupted, PreemptionPlanner } from "@sardinestage/plan-starts";
 import type { StepRun } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
+import type { CoordinatorParts } from "../coordinatorParts.js";
+import type { OrderSender } from "../orders/orderSender.js";
+import type { Fleet } from "../workers/fleet.js";
 import type { AdviceCache } from "./adviceCache.js";
 import type { CapacityReservations } from "./capacityReservations.js";
-import type { CoordinatorParts } from "./coordinatorParts.js";
-import type { Fleet } from "./fleet.js";
-import type { OrderSender } from "./orderSender.js";
 import { RoundRobin } from "./roundRobin.js";
 
 /** The most steps for which one round preempts tasks. */
--- a/packages/coordinate-work/src/reservedForLarger.test.ts
+++ b/packages/coordinate-work/src/planning/reservedForLarger.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, it } from "@jest/globals";
 import type { JobSpec, StepSpec } from "@sardinestage/describe-work";
 import { createStep } from "@sardinestage/emulate-platform";
-import { CoordinatorHarness } from "./testing/coordinatorHarness.js";
-import { createQueue } from "./testing/createQueue.js";
+import { CoordinatorHarness } from "../testing/coordinatorHarness.js";
+import { createQueue } from "../testing/createQueue.js";
 
 const FOREVER_MS = 600_000;
 /** A long-running task may be without a run for so long after its worker has gone, in milliseconds. */
--- a/packages/coordinate-work/src/roundTimer.test.ts
+++ b/packages/coordinate-work/src/planning/roundTimer.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from "@jest/globals";
-import { limits } from "./limits.js";
+import { limits } from "../limits.js";
+import { SingleThreadClock } from "../testing/singleThreadClock.js";
 import { RoundTimer } from "./roundTimer.js";
-import { SingleThreadClock } from "./testing/singleThreadClock.js";
 
 const LENGTH_MS = 20_000;
 /** Time between two answers of workers in a large fleet, in milliseconds. */
--- a/packages/coordinate-work/src/roundTimer.ts
+++ b/packages/coordinate-work/src/planning/roundTimer.ts
@@ -1,6 +1,6 @@
 import type { Clock } from "@sardinestage/describe-ports";
+import { limits } from "../limits.js";
 import { chooseRoundTime } from "./chooseRoundTime.js";
-import { limits } from "./limits.js";
 
 /** Runs planning rounds on request, and limits their share of the event loop so that more urgent work isn't delayed. */
 export class RoundTimer {
--- a/packages/coordinate-work/src/waitExplainer.ts
+++ b/packages/coordinate-work/src/planning/waitExplainer.ts
@@ -1,10 +1,10 @@
 import type { StartRules, StepDemand, WorkerCapacity } from "@sardinestage/plan-starts";
 import { explainWait, hasCapacity, isAllowedOn, WaitReason } from "@sardinestage/plan-starts";
 import type { StepRun } from "@sardinestage/track-jobs";
+import { IdleReason } from "../idle/idleReason.js";
+import { computeStartsLeft } from "../workers/computeStartsLeft.js";
+import type { TrackedWorker } from "../workers/trackedWorker.js";
 import { buildWorkerCapacity } from "./buildWorkerCapacity.js";
-import { computeStartsLeft } from "./computeStartsLeft.js";
-import { IdleReason } from "./idleReason.js";
-import type { TrackedWorker } from "./trackedWorker.js";
 
 /** The most steps that are explained after one round; each is compared with every worker. */
 const MAX_STEPS = 24;
--- a/packages/coordinate-work/src/waitReporter.test.ts
+++ b/packages/coordinate-work/src/planning/waitReporter.test.ts
@@ -2,7 +2,7 @@
 import { createStep } from "@sardinestage/emulate-platform";
 import type { StepDemand, WorkerCapacity } from "@sardinestage/plan-starts";
 import { Job, openDueOccurrences } from "@sardinestage/track-jobs";
-import { createQueue } from "./testing/createQueue.js";
+import { createQueue } from "../testing/createQueue.js";
 import { WaitReporter } from "./waitReporter.js";
 
 function createDemand(run: number): StepDemand {
--- a/packages/coordinate-work/src/chooseFlushInterval.test.ts
+++ b/packages/coordinate-work/src/records/chooseFlushInterval.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from "@jest/globals";
+import { limits } from "../limits.js";
 import { chooseFlushInterval } from "./chooseFlushInterval.js";
-import { limits } from "./limits.js";
 
 describe("chooseFlushInterval", () => {
     it("is the shortest while the loop turns freely", () => {
--- a/packages/coordinate-work/src/chooseFlushInterval.ts
+++ b/packages/coordinate-work/src/records/chooseFlushInterval.ts
@@ -1,5 +1,5 @@
-import { computeBusyShare } from "./computeBusyShare.js";
-import { limits } from "./limits.js";
+import { computeBusyShare } from "../computeBusyShare.js";
+import { limits } from "../limits.js";
 
 /**
  * Chooses the interval between two appends of progress. A record holds the progress of a whole job, so in a process
--- a/packages/coordinate-work/src/jobRecorder.ts
+++ b/packages/coordinate-work/src/records/jobRecorder.ts
@@ -1,5 +1,5 @@
 import type { Job, PartKey } from "@sardinestage/track-jobs";
-import type { CoordinatorParts } from "./coordinatorParts.js";
+import type { CoordinatorParts } from "../coordinatorParts.js";
 import type { ProgressWriter } from "./progressWriter.js";
 
 /** Reserve for a record's key within the store's limit of a record, in bytes. */
--- a/packages/coordinate-work/src/largeProgress.test.ts
+++ b/packages/coordinate-work/src/records/largeProgress.test.ts
@@ -2,8 +2,8 @@
 import type { JobSpec } from "@sardinestage/describe-work";
 import { JobState } from "@sardinestage/describe-work";
 import { createStep } from "@sardinestage/emulate-platform";
-import { CoordinatorHarness } from "./testing/coordinatorHarness.js";
-import { createQueue } from "./testing/createQueue.js";
+import { CoordinatorHarness } from "../testing/coordinatorHarness.js";
+import { createQueue } from "../testing/createQueue.js";
 
 const FIXED_RANDOM = () => 0.5;
 const WORKERS = 8;
--- a/packages/coordinate-work/src/learnedEstimates.ts
+++ b/packages/coordinate-work/src/records/learnedEstimates.ts
@@ -1,6 +1,6 @@
 import { HeadroomEstimator } from "@sardinestage/learn-behaviour";
 import { recordEncoder } from "@sardinestage/track-jobs";
-import { DurationEstimator } from "./durationEstimator.js";
+import { DurationEstimator } from "../jobs/durationEstimator.js";
 import type { LearnedState } from "./learnedState.js";
 
 /** Estimates that a coordinator learns from runs, stored for the next coordinator. */
--- a/packages/coordinate-work/src/loadProgress.ts
+++ b/packages/coordinate-work/src/records/loadProgress.ts
@@ -1,6 +1,6 @@
 import type { KeyedRecord } from "@sardinestage/describe-ports";
-import type { CoordinatorParts } from "./coordinatorParts.js";
-import type { JobRegistry } from "./jobRegistry.js";
+import type { CoordinatorParts } from "../coordinatorParts.js";
+import type { JobRegistry } from "../jobs/jobRegistry.js";
 import { LearnedEstimates } from "./learnedEstimates.js";
 import { restoreEstimates } from "./restoreEstimates.js";
 import type { StoredProgress } from "./storedProgress.js";
--- a/packages/coordinate-work/src/progressWriter.test.ts
+++ b/packages/coordinate-work/src/records/progressWriter.test.ts
@@ -4,7 +4,7 @@
 import { AppendOutcome, Topic } from "@sardinestage/describe-ports";
 import { emulatedStoreLimits, MemoryStore, VirtualClock } from "@sardinestage/emulate-platform";
 import { silentLogger } from "@sardinestage/log-events";
-import type { CoordinatorParts } from "./coordinatorParts.js";
+import type { CoordinatorParts } from "../coordinatorParts.js";
 import { ProgressWriter } from "./progressWriter.js";
 
 /**
--- a/packages/coordinate-work/src/progressWriter.ts
+++ b/packages/coordinate-work/src/records/progressWriter.ts
@@ -1,9 +1,9 @@
 import type { AppendAnswer, KeyedRecord } from "@sardinestage/describe-ports";
 import { AppendOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
 import { AdaptiveTimeout } from "@sardinestage/learn-behaviour";
+import type { CoordinatorParts } from "../coordinatorParts.js";
+import { limits } from "../limits.js";
 import { chooseFlushInterval } from "./chooseFlushInterval.js";
-import type { CoordinatorParts } from "./coordinatorParts.js";
-import { limits } from "./limits.js";
 import { RefusedRecord } from "./refusedRecord.js";
 
 const WRITER_NAME = "coordinator";
--- a/packages/coordinate-work/src/recordCleaner.ts
+++ b/packages/coordinate-work/src/records/recordCleaner.ts
@@ -1,7 +1,7 @@
 import { AppendOutcome, Topic } from "@sardinestage/describe-ports";
 import { CANCEL_SUFFIX } from "@sardinestage/track-jobs";
-import type { CoordinatorParts } from "./coordinatorParts.js";
-import type { JobRegistry } from "./jobRegistry.js";
+import type { CoordinatorParts } from "../coordinatorParts.js";
+import type { JobRegistry } from "../jobs/jobRegistry.js";
 import type { ProgressWriter } from "./progressWriter.js";
 
 /** Jobs whose records one append deletes: few enough for the size limit of an append. */
--- a/packages/coordinate-work/src/restoreEstimates.ts
+++ b/packages/coordinate-work/src/records/restoreEstimates.ts
@@ -1,4 +1,4 @@
-import type { CoordinatorParts } from "./coordinatorParts.js";
+import type { CoordinatorParts } from "../coordinatorParts.js";
 import type { LearnedEstimates } from "./learnedEstimates.js";
 
 /**
--- a/packages/coordinate-work/src/chooseLongPollTimeout.test.ts
+++ b/packages/coordinate-work/src/renewals/chooseLongPollTimeout.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from "@jest/globals";
+import { limits } from "../limits.js";
 import { chooseLongPollTimeout } from "./chooseLongPollTimeout.js";
-import { limits } from "./limits.js";
 
 describe("chooseLongPollTimeout", () => {
     describe("while the event loop is on time", () => {
--- a/packages/coordinate-work/src/chooseLongPollTimeout.ts
+++ b/packages/coordinate-work/src/renewals/chooseLongPollTimeout.ts
@@ -1,5 +1,5 @@
-import { computeBusyShare } from "./computeBusyShare.js";
-import { limits } from "./limits.js";
+import { computeBusyShare } from "../computeBusyShare.js";
+import { limits } from "../limits.js";
 
 /**
  * Chooses the long-poll timeout of a lease renewal: how long the worker waits for a run to end before it answers
--- a/packages/coordinate-work/src/chooseRecordWait.test.ts
+++ b/packages/coordinate-work/src/renewals/chooseRecordWait.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from "@jest/globals";
+import { limits } from "../limits.js";
 import { chooseRecordWait } from "./chooseRecordWait.js";
-import { limits } from "./limits.js";
 
 describe("chooseRecordWait", () => {
     it("waits the same for a worker that stays, however busy the process is", () => {
--- a/packages/coordinate-work/src/chooseRecordWait.ts
+++ b/packages/coordinate-work/src/renewals/chooseRecordWait.ts
@@ -1,5 +1,5 @@
-import { computeBusyShare } from "./computeBusyShare.js";
-import { limits } from "./limits.js";
+import { computeBusyShare } from "../computeBusyShare.js";
+import { limits } from "../limits.js";
 
 /**
  * Chooses how long the next lease renewal waits at most for run ends to be recorded. A renewal before that lists them
--- a/packages/coordinate-work/src/chooseRenewalPause.test.ts
+++ b/packages/coordinate-work/src/renewals/chooseRenewalPause.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from "@jest/globals";
+import { limits } from "../limits.js";
 import { chooseLongPollTimeout } from "./chooseLongPollTimeout.js";
 import { chooseRenewalPause } from "./chooseRenewalPause.js";
-import { limits } from "./limits.js";
 
 describe("chooseRenewalPause", () => {
     it("adds no pause while the event loop is on time", () => {
--- a/packages/coordinate-work/src/chooseRenewalPause.ts
+++ b/packages/coordinate-work/src/renewals/chooseRenewalPause.ts
@@ -1,5 +1,5 @@
-import { computeBusyShare } from "./computeBusyShare.js";
-import { limits } from "./limits.js";
+import { computeBusyShare } from "../computeBusyShare.js";
+import { limits } from "../limits.js";
 
 /**
  * Chooses the pause between a lease report and the next renewal. The pause relieves a coordinator that is short of CPU:
--- a/packages/coordinate-work/src/leaseRenewalLoop.test.ts
+++ b/packages/coordinate-work/src/renewals/leaseRenewalLoop.test.ts
@@ -4,9 +4,9 @@
 import { OrderOutcome } from "@sardinestage/describe-ports";
 import { RunEnd } from "@sardinestage/describe-work";
 import { VirtualClock } from "@sardinestage/emulate-platform";
-import type { CoordinatorParts } from "./coordinatorParts.js";
+import type { CoordinatorParts } from "../coordinatorParts.js";
+import { createTrackedWorker } from "../testing/createTrackedWorker.js";
 import { LeaseRenewalLoop } from "./leaseRenewalLoop.js";
-import { createTrackedWorker } from "./testing/createTrackedWorker.js";
 
 const ended = { number: 1, task: { jobId: "job", occurrence: 0, step: 0, index: 0 }, run: 1, end: RunEnd.Done };
 const report: LeaseReport = {
--- a/packages/coordinate-work/src/leaseRenewalLoop.ts
+++ b/packages/coordinate-work/src/renewals/leaseRenewalLoop.ts
@@ -1,14 +1,14 @@
 import type { LeaseReport } from "@sardinestage/describe-ports";
 import { OrderOutcome, waitFor } from "@sardinestage/describe-ports";
 import { formatTaskKey } from "@sardinestage/describe-work";
+import type { CoordinatorParts } from "../coordinatorParts.js";
+import { describeProblem } from "../describeProblem.js";
+import { limits } from "../limits.js";
+import type { TrackedWorker } from "../workers/trackedWorker.js";
 import { chooseLongPollTimeout } from "./chooseLongPollTimeout.js";
 import { chooseRecordWait } from "./chooseRecordWait.js";
 import { chooseRenewalPause } from "./chooseRenewalPause.js";
-import type { CoordinatorParts } from "./coordinatorParts.js";
-import { describeProblem } from "./describeProblem.js";
-import { limits } from "./limits.js";
 import type { ReportRequest } from "./reportRequest.js";
-import type { TrackedWorker } from "./trackedWorker.js";
 
 /** Callbacks of a lease renewal loop. */
 interface LeaseRenewalHandlers {
--- a/packages/coordinate-work/src/compareRuns.ts
+++ b/packages/coordinate-work/src/runs/compareRuns.ts
@@ -2,9 +2,9 @@
 import { formatTaskKey } from "@sardinestage/describe-work";
 import type { Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
-import type { ReportRequest } from "./reportRequest.js";
+import type { ReportRequest } from "../renewals/reportRequest.js";
+import { WorkerLife } from "../workers/workerLife.js";
 import type { RunDifference } from "./runDifference.js";
-import { WorkerLife } from "./workerLife.js";
 
 /** A report with this many ends may be cut off, so that a run missing from it isn't known to be lost. */
 const MAX_REPORTED_ENDS = 500;
--- a/packages/coordinate-work/src/duplicateRun.test.ts
+++ b/packages/coordinate-work/src/runs/duplicateRun.test.ts
@@ -2,7 +2,7 @@
 import { JobState, RunEnd } from "@sardinestage/describe-work";
 import { createStep } from "@sardinestage/emulate-platform";
 import { applyRunEnd, applyRunStart, Job, openDueOccurrences } from "@sardinestage/track-jobs";
-import { createQueue } from "./testing/createQueue.js";
+import { createQueue } from "../testing/createQueue.js";
 
 const MAX_ATTEMPTS = 3;
 
--- a/packages/coordinate-work/src/gangCheckpoint.test.ts
+++ b/packages/coordinate-work/src/runs/gangCheckpoint.test.ts
@@ -3,8 +3,8 @@
 import type { JobSpec } from "@sardinestage/describe-work";
 import { createStep } from "@sardinestage/emulate-platform";
 import { encodeProgress, Job, openDueOccurrences, TaskPhase } from "@sardinestage/track-jobs";
-import { CoordinatorHarness } from "./testing/coordinatorHarness.js";
-import { createQueue } from "./testing/createQueue.js";
+import { CoordinatorHarness } from "../testing/coordinatorHarness.js";
+import { createQueue } from "../testing/createQueue.js";
 
 const FIXED_RANDOM = () => 0.5;
 const MEMBERS = 6;
--- a/packages/coordinate-work/src/runTracker.ts
+++ b/packages/coordinate-work/src/runs/runTracker.ts
@@ -3,17 +3,17 @@
 import { formatTaskKey, RunEnd } from "@sardinestage/describe-work";
 import type { Job, Task } from "@sardinestage/track-jobs";
 import { applyRunEnd, applyRunLost, applyRunStart, TaskPhase } from "@sardinestage/track-jobs";
+import type { CoordinatorParts } from "../coordinatorParts.js";
+import type { DurationEstimator } from "../jobs/durationEstimator.js";
+import type { JobRegistry } from "../jobs/jobRegistry.js";
+import type { OrderSender } from "../orders/orderSender.js";
+import type { ProgressWriter } from "../records/progressWriter.js";
+import type { ReportRequest } from "../renewals/reportRequest.js";
+import { finishProbation } from "../workers/finishProbation.js";
+import { hasPassedTrial } from "../workers/hasPassedTrial.js";
+import { noteFailedRun } from "../workers/probation.js";
+import type { TrackedWorker } from "../workers/trackedWorker.js";
 import { compareRuns } from "./compareRuns.js";
-import type { CoordinatorParts } from "./coordinatorParts.js";
-import type { DurationEstimator } from "./durationEstimator.js";
-import { finishProbation } from "./finishProbation.js";
-import { hasPassedTrial } from "./hasPassedTrial.js";
-import type { JobRegistry } from "./jobRegistry.js";
-import type { OrderSender } from "./orderSender.js";
-import { noteFailedRun } from "./probation.js";
-import type { ProgressWriter } from "./progressWriter.js";
-import type { ReportRequest } from "./reportRequest.js";
-import type { TrackedWorker } from "./trackedWorker.js";
 
 /** Dependencies of a run tracker. */
 interface RunTrackerParts {
--- a/packages/coordinate-work/src/earlierStarts.ts
+++ b/packages/coordinate-work/src/takeover/earlierStarts.ts
@@ -1,4 +1,4 @@
-import type { ProgressWriter } from "./progressWriter.js";
+import type { ProgressWriter } from "../records/progressWriter.js";
 
 /**
  * Tracks whether earlier coordinators may have left unrecorded runs. This coordinator knows these runs once all workers
--- a/packages/coordinate-work/src/startGate.test.ts
+++ b/packages/coordinate-work/src/takeover/startGate.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from "@jest/globals";
+import { createTrackedWorker } from "../testing/createTrackedWorker.js";
+import type { TrackedWorker } from "../workers/trackedWorker.js";
 import { StartGate } from "./startGate.js";
-import { createTrackedWorker } from "./testing/createTrackedWorker.js";
-import type { TrackedWorker } from "./trackedWorker.js";
 
 const OPENED_AT_MS = 1000;
 const LEASE_MS = 4500;
--- a/packages/coordinate-work/src/startGate.ts
+++ b/packages/coordinate-work/src/takeover/startGate.ts
@@ -1,4 +1,4 @@
-import type { TrackedWorker } from "./trackedWorker.js";
+import type { TrackedWorker } from "../workers/trackedWorker.js";
 
 /** Dependencies of a start gate. */
 interface StartGateParts {
--- a/packages/coordinate-work/src/takeoverGate.ts
+++ b/packages/coordinate-work/src/takeover/takeoverGate.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "@sardinestage/describe-ports";
-import { applyInBatches } from "./applyInBatches.js";
+import { applyInBatches } from "../applyInBatches.js";
 
 /** Interval between two checks whether all leases are renewed, in milliseconds; short compared to a takeover. */
 const CHECK_INTERVAL_MS = 20;
--- a/packages/coordinate-work/src/testing/createTrackedWorker.ts
+++ b/packages/coordinate-work/src/testing/createTrackedWorker.ts
@@ -1,6 +1,6 @@
 import type { Capacity } from "@sardinestage/describe-work";
 import { WorkerState } from "@sardinestage/describe-work";
-import { TrackedWorker } from "../trackedWorker.js";
+import { TrackedWorker } from "../workers/trackedWorker.js";
 
 const SMALL_CAPACITY: Capacity = { cpuMillis: 1000, memoryMb: 1000, accelerators: 0 };
 
--- a/packages/coordinate-work/src/testing/measureRounds.ts
+++ b/packages/coordinate-work/src/testing/measureRounds.ts
@@ -11,7 +11,7 @@
 import { Job, openDueOccurrences, type StepRun, type Task, TaskPhase } from "@sardinestage/track-jobs";
 import { performance } from "node:perf_hooks";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { PlacementScorer } from "../placementScorer.js";
+import { PlacementScorer } from "../planning/placementScorer.js";
 import { createQueue } from "./createQueue.js";
 
 const SEED = 20261204;
--- a/packages/coordinate-work/src/testing/referencePlacementScorer.ts
+++ b/packages/coordinate-work/src/testing/referencePlacementScorer.ts
@@ -1,7 +1,7 @@
 import type { StepSpec } from "@sardinestage/describe-work";
 import type { HeadroomEstimator } from "@sardinestage/learn-behaviour";
 import type { PlacementView, WorkerCapacity } from "@sardinestage/plan-starts";
-import { estimateInterference } from "../estimateInterference.js";
+import { estimateInterference } from "../pace/estimateInterference.js";
 
 /** A best-effort task that can take this much headroom from any serving task needs a worker without serving tasks. */
 const HIGH_INTERFERENCE = 0.3;
--- a/packages/coordinate-work/src/expireLeases.ts
+++ b/packages/coordinate-work/src/workers/expireLeases.ts
@@ -1,6 +1,6 @@
+import type { RunTracker } from "../runs/runTracker.js";
 import type { Fleet } from "./fleet.js";
 import { listExpiredTasks } from "./listExpiredTasks.js";
-import type { RunTracker } from "./runTracker.js";
 
 /**
  * Handles the loss of the runs whose leases have expired. Ends that workers told in answers which weren't applied as
--- a/packages/coordinate-work/src/explainUnusable.test.ts
+++ b/packages/coordinate-work/src/workers/explainUnusable.test.ts
@@ -1,11 +1,11 @@
 import { describe, expect, it } from "@jest/globals";
 import { WorkerState } from "@sardinestage/describe-work";
 import { applyRunStart } from "@sardinestage/track-jobs";
+import { limits } from "../limits.js";
+import { createLongRunningTask } from "../testing/createLongRunningTask.js";
+import { createTrackedWorker } from "../testing/createTrackedWorker.js";
 import { computeStartsLeft } from "./computeStartsLeft.js";
 import { explainUnusable } from "./explainUnusable.js";
-import { limits } from "./limits.js";
-import { createLongRunningTask } from "./testing/createLongRunningTask.js";
-import { createTrackedWorker } from "./testing/createTrackedWorker.js";
 import type { TrackedWorker } from "./trackedWorker.js";
 import { UnusableReason } from "./unusableReason.js";
 
--- a/packages/coordinate-work/src/explainUnusable.ts
+++ b/packages/coordinate-work/src/workers/explainUnusable.ts
@@ -1,6 +1,6 @@
 import { WorkerState } from "@sardinestage/describe-work";
+import { limits } from "../limits.js";
 import { isTrialRun } from "./isTrialRun.js";
-import { limits } from "./limits.js";
 import type { TrackedWorker } from "./trackedWorker.js";
 import { UnusableReason } from "./unusableReason.js";
 
--- a/packages/coordinate-work/src/fleet.test.ts
+++ b/packages/coordinate-work/src/workers/fleet.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, it } from "@jest/globals";
 import type { JobSpec } from "@sardinestage/describe-work";
 import { createStep } from "@sardinestage/emulate-platform";
-import { CoordinatorHarness } from "./testing/coordinatorHarness.js";
-import { createQueue } from "./testing/createQueue.js";
+import { CoordinatorHarness } from "../testing/coordinatorHarness.js";
+import { createQueue } from "../testing/createQueue.js";
 
 const FIXED_RANDOM = () => 0.5;
 /** The loss of a coordinator is noticed after 1 s; its check, the candidacy and the wait in turn take another 1.5 s. */
--- a/packages/coordinate-work/src/fleet.ts
+++ b/packages/coordinate-work/src/workers/fleet.ts
@@ -1,8 +1,8 @@
 import type { KeyedRecord } from "@sardinestage/describe-ports";
 import type { WorkerEntry } from "@sardinestage/describe-work";
 import { WorkerState } from "@sardinestage/describe-work";
-import type { CoordinatorParts } from "./coordinatorParts.js";
-import { limits } from "./limits.js";
+import type { CoordinatorParts } from "../coordinatorParts.js";
+import { limits } from "../limits.js";
 import { TrackedWorker } from "./trackedWorker.js";
 
 /** An unlisted worker without tasks is removed after this silence, in milliseconds. */
--- a/packages/coordinate-work/src/restartWithDelayedReports.test.ts
+++ b/packages/coordinate-work/src/workers/restartWithDelayedReports.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from "@jest/globals";
 import { createStep } from "@sardinestage/emulate-platform";
-import { CoordinatorHarness } from "./testing/coordinatorHarness.js";
-import { createQueue } from "./testing/createQueue.js";
+import { CoordinatorHarness } from "../testing/coordinatorHarness.js";
+import { createQueue } from "../testing/createQueue.js";
 
 const DELAYS_MS = [0, 5, 50, 300];
 const FIXED_RANDOM = () => 0.5;
--- a/packages/coordinate-work/src/restartedWorker.test.ts
+++ b/packages/coordinate-work/src/workers/restartedWorker.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, it } from "@jest/globals";
 import type { JobSpec } from "@sardinestage/describe-work";
 import { createStep } from "@sardinestage/emulate-platform";
-import { CoordinatorHarness } from "./testing/coordinatorHarness.js";
-import { createQueue } from "./testing/createQueue.js";
+import { CoordinatorHarness } from "../testing/coordinatorHarness.js";
+import { createQueue } from "../testing/createQueue.js";
 
 const FIXED_RANDOM = () => 0.5;
 const SHORT_MS = 150;
--- a/packages/coordinate-work/src/restarts.fuzz.test.ts
+++ b/packages/coordinate-work/src/workers/restarts.fuzz.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from "@jest/globals";
-import { restartClasses } from "./testing/restartClasses.js";
-import { RestartScenario } from "./testing/restartScenario.js";
+import { restartClasses } from "../testing/restartClasses.js";
+import { RestartScenario } from "../testing/restartScenario.js";
 
 // FUZZ_SEED and FUZZ_RUNS play other seeds; testing/runRestarts.ts plays thousands and counts them.
 const FIRST_SEED = Number(process.env.FUZZ_SEED ?? 20261206);
--- a/packages/coordinate-work/src/trackedWorker.ts
+++ b/packages/coordinate-work/src/workers/trackedWorker.ts
@@ -2,8 +2,8 @@
 import { WorkerState } from "@sardinestage/describe-work";
 import type { PaceState } from "@sardinestage/plan-pace";
 import type { Task } from "@sardinestage/track-jobs";
-import { CallLimiter } from "./callLimiter.js";
-import { limits } from "./limits.js";
+import { limits } from "../limits.js";
+import { CallLimiter } from "../orders/callLimiter.js";
 import { UnappliedEnds } from "./unappliedEnds.js";
 import { WorkerLife } from "./workerLife.js";
 
--- a/packages/coordinate-work/src/workerLife.ts
+++ b/packages/coordinate-work/src/workers/workerLife.ts
@@ -1,5 +1,5 @@
 import type { Task } from "@sardinestage/track-jobs";
-import type { ReportRequest } from "./reportRequest.js";
+import type { ReportRequest } from "../renewals/reportRequest.js";
 
 /**
  * Tells which life of a worker its orders are meant for, and which reports settle them. A worker process that starts
--- a/packages/coordinate-work/src/workerMonitor.ts
+++ b/packages/coordinate-work/src/workers/workerMonitor.ts
@@ -1,9 +1,9 @@
 import type { Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
-import type { CoordinatorParts } from "./coordinatorParts.js";
-import type { DurationEstimator } from "./durationEstimator.js";
+import type { CoordinatorParts } from "../coordinatorParts.js";
+import type { DurationEstimator } from "../jobs/durationEstimator.js";
+import type { OrderSender } from "../orders/orderSender.js";
 import { findStalled } from "./findStalled.js";
-import type { OrderSender } from "./orderSender.js";
 import { noteFailedRun } from "./probation.js";
 import type { TrackedWorker } from "./trackedWorker.js";
 
