Reserve workers for long-running tasks that have waited long for their first start

Cause: only interrupted long-running tasks had workers reserved for them. A task that has never run goes before run-to-completion work after 2 s, but on a full fleet each piece of capacity that comes free is too small for it, and goes to a smaller task in the same round.

Change: a long-running step that has waited 2 s for its first start has workers reserved like an interrupted one, on at most a sixteenth of the workers, so that short tasks keep the rest, and may preempt on a worker that is reserved. Interrupted tasks still come first.

The references of the random fleets follow the new rule.

--- a/packages/plan-starts/src/compareDemands.ts
+++ b/packages/plan-starts/src/compareDemands.ts
@@ -1,4 +1,5 @@
 import { isInterrupted } from "./isInterrupted.js";
+import { isOverdueFirstStart } from "./isOverdueFirstStart.js";
 import type { StepDemand } from "./stepDemand.js";
 
 /**
@@ -7,14 +8,11 @@
  */
 const FIRST_START_SLACK_SHARE = 1;
 
-/** How long a long-running task waits behind run-to-completion tasks, in milliseconds. */
-const MAX_YIELD_MS = 2000;
-
 /** Rank of run-to-completion and long-running steps within one priority; the lowest starts first. */
 enum LifetimeRank {
     /** A long-running step with a task that ran before and waits again, so that its users do without the task. */
     InterruptedLongRunning,
-    /** A long-running step that has waited `MAX_YIELD_MS` behind run-to-completion steps. */
+    /** A long-running step that has waited long enough behind run-to-completion steps. */
     OverdueLongRunning,
     RunToCompletion,
     LongRunning,
@@ -62,7 +60,7 @@
     if (isInterrupted(demand)) {
         return LifetimeRank.InterruptedLongRunning;
     }
-    return demand.waitedMs >= MAX_YIELD_MS ? LifetimeRank.OverdueLongRunning : LifetimeRank.LongRunning;
+    return isOverdueFirstStart(demand) ? LifetimeRank.OverdueLongRunning : LifetimeRank.LongRunning;
 }
 
 function getTimeliness(demand: StepDemand): Timeliness {
--- a/packages/plan-starts/src/preemptionPlanner.ts
+++ b/packages/plan-starts/src/preemptionPlanner.ts
@@ -4,6 +4,7 @@
 import { countTasksPerWorker } from "./countTasksPerWorker.js";
 import { isAllowedOn } from "./isAllowedOn.js";
 import { isInterrupted } from "./isInterrupted.js";
+import { isOverdueFirstStart } from "./isOverdueFirstStart.js";
 import { isStepLimitReached } from "./isStepLimitReached.js";
 import type { Preemption } from "./preemption.js";
 import type { StepDemand } from "./stepDemand.js";
@@ -60,14 +61,14 @@
         const { priority } = occurrence.job.queue;
         const reservedIds = [...demand.reservedWorkerIds ?? [], ...this.plannedWorkerIds.get(demand.step) ?? []];
         const perWorker = countTasksPerWorker(demand.step, reservedIds);
-        const isUrgent = isInterrupted(demand);
+        const isUrgent = isUrgentLongRunning(demand);
         let best: Preemption | undefined;
         let bestCost = Infinity;
         for (const worker of this.workers) {
             const isEligible = isAllowedOn(demand.step, worker)
                 && !isStepLimitReached(spec, perWorker.get(worker.workerId))
                 && this.isAdvised(demand.step.getTask(0), worker.workerId);
-            // The work that a worker is reserved behind may take long to end, too long for an interrupted task.
+            // The work that a worker is reserved behind may take long to end, too long for an urgent task.
             const isOpen = worker.startsLeft > 0 && (!worker.isReserved || isUrgent);
             if (!isEligible || !isOpen) {
                 continue;
@@ -104,10 +105,23 @@
         return demand.step;
     }
     const cpuMillis = spec.isBestEffort ? "fills" : spec.cpuMillis;
-    return [service, priority, isInterrupted(demand), spec.requiredLabel, cpuMillis, spec.memoryMb, spec.accelerators]
+    return [
+        service,
+        priority,
+        isUrgentLongRunning(demand),
+        spec.requiredLabel,
+        cpuMillis,
+        spec.memoryMb,
+        spec.accelerators,
+    ]
         .join("|");
 }
 
+/** Whether workers are reserved for a demand, which then mustn't shut it out of preemption there. */
+function isUrgentLongRunning(demand: StepDemand): boolean {
+    return isInterrupted(demand) || isOverdueFirstStart(demand);
+}
+
 function chooseVictims(
     worker: WorkerCapacity,
     spec: StepSpec,
--- a/packages/plan-starts/src/reserveWorkers.ts
+++ b/packages/plan-starts/src/reserveWorkers.ts
@@ -3,20 +3,24 @@
 import { countTasksPerWorker } from "./countTasksPerWorker.js";
 import { isAllowedOn } from "./isAllowedOn.js";
 import { isInterrupted } from "./isInterrupted.js";
+import { isOverdueFirstStart } from "./isOverdueFirstStart.js";
 import { isStepLimitReached } from "./isStepLimitReached.js";
 import type { PlannedStart } from "./plannedStart.js";
 import type { StartRules } from "./startRules.js";
 import type { StepDemand } from "./stepDemand.js";
 import type { WorkerCapacity } from "./workerCapacity.js";
 
+/** The share of the workers that may be reserved for tasks that have never run, so that short tasks keep the others. */
+const FIRST_START_SHARE = 1 / 16;
+
 /**
  * Reserves workers for waiting tasks that didn't fit: no demand later in the start order starts there in this round.
  * Without reservations, smaller tasks would use each piece of capacity as it comes free on a full fleet, and a larger
  * task would never find enough on one worker.
  *
- * Reserved are the workers on which other tasks were preempted for the demand. For an interrupted long-running step,
- * also workers with enough capacity once their run-to-completion tasks have ended; as these may take long, other
- * interrupted long-running tasks still start there.
+ * Reserved are the workers on which other tasks were preempted for the demand. For a long-running step that was
+ * interrupted, or has waited long for its first start, also workers with enough capacity once their run-to-completion
+ * tasks have ended; as these may take long, interrupted long-running tasks still start there.
  *
  * @param demand The demand whose tasks wait.
  * @param placed Starts of the demand's tasks in this round; its other tasks still wait.
@@ -30,7 +34,8 @@
     rules: StartRules,
 ): void {
     const reservedIds = new Set(demand.reservedWorkerIds);
-    if (reservedIds.size === 0 && !isInterrupted(demand)) {
+    const laterCount = countReservable(demand, ledger);
+    if (reservedIds.size === 0 && laterCount === 0) {
         return;
     }
     const { workers } = ledger;
@@ -44,16 +49,26 @@
     const chosen = eligible.filter(index => reservedIds.has(workers[index].workerId)).slice(0, missingCount);
     const chosenIds = new Set(chosen.map(index => workers[index].workerId));
     const coveredCount = (demand.reservedWorkerIds ?? []).filter(workerId => chosenIds.has(workerId)).length;
-    if (isInterrupted(demand)) {
+    if (laterCount > 0) {
         const others = eligible.filter(index => !reservedIds.has(workers[index].workerId) && !workers[index].isReserved)
             .filter(index => isFittingLater(step, workers[index]))
             .filter(index => rules.isAdvised(step.getTask(0), workers[index].workerId))
             .sort((left, right) => workers[right].freeCpuMillis - workers[left].freeCpuMillis);
-        others.slice(0, Math.max(0, missingCount - coveredCount)).forEach(index => ledger.reserve(index));
+        const otherCount = Math.min(laterCount, Math.max(0, missingCount - coveredCount));
+        others.slice(0, otherCount).forEach(index => ledger.reserve(index));
     }
     chosen.forEach(index => ledger.close(index));
 }
 
+/** Counts the workers that may still be reserved for the demand until their present work ends. */
+function countReservable(demand: StepDemand, ledger: CapacityLedger): number {
+    if (isInterrupted(demand)) {
+        return Infinity;
+    }
+    const firstStarts = Math.ceil(ledger.workers.length * FIRST_START_SHARE);
+    return isOverdueFirstStart(demand) ? Math.max(0, firstStarts - ledger.reservedCount) : 0;
+}
+
 /** Whether a task of the step fits on a worker once the worker's run-to-completion tasks have ended. */
 function isFittingLater(step: StepRun, worker: WorkerCapacity): boolean {
     const { cpuMillis, memoryMb, accelerators } = step.spec;
--- a/packages/plan-starts/src/testing/planPreemptionExhaustively.ts
+++ b/packages/plan-starts/src/testing/planPreemptionExhaustively.ts
@@ -3,6 +3,7 @@
 import { TaskPhase } from "@sardinestage/track-jobs";
 import { isAllowedOn } from "../isAllowedOn.js";
 import { isInterrupted } from "../isInterrupted.js";
+import { isOverdueFirstStart } from "../isOverdueFirstStart.js";
 import type { StepDemand } from "../stepDemand.js";
 import type { WorkerCapacity } from "../workerCapacity.js";
 
@@ -28,7 +29,7 @@
     let bestCost = Infinity;
     for (const worker of workers) {
         const isEligible = isAllowedOn(demand.step, worker) && worker.startsLeft > 0
-            && (!worker.isReserved || isInterrupted(demand))
+            && (!worker.isReserved || isInterrupted(demand) || isOverdueFirstStart(demand))
             && isAdvised(demand.step.tasks[0], worker.workerId);
         if (!isEligible || isLimitReached(demand, worker.workerId)) {
             continue;
--- a/packages/plan-starts/src/testing/planStartsExhaustively.ts
+++ b/packages/plan-starts/src/testing/planStartsExhaustively.ts
@@ -5,6 +5,7 @@
 import { hasCapacity } from "../hasCapacity.js";
 import { isAllowedOn } from "../isAllowedOn.js";
 import { isInterrupted } from "../isInterrupted.js";
+import { isOverdueFirstStart } from "../isOverdueFirstStart.js";
 import type { PlannedStart } from "../plannedStart.js";
 import type { StartPlan } from "../startPlan.js";
 import type { StartRules } from "../startRules.js";
@@ -15,6 +16,8 @@
 const MAX_LATENCY_RATIO = 0.88;
 const FAILED_WORKER_PENALTY = 10;
 const RESERVED_WORKER_PENALTY = 5;
+/** One of this many workers, rounded up, may be reserved for tasks that have never run. */
+const WORKERS_PER_FIRST_START = 16;
 
 /** Reference implementation of `planStarts`: scores every worker again for every task. */
 export function planStartsExhaustively(
@@ -48,7 +51,7 @@
                 }
             }
             const advised = eligible.filter(worker => rules.isAdvised(demand.step.tasks[0], worker.workerId));
-            for (; left > 0 && isInterrupted(demand); left--) {
+            for (; left > 0 && isReservable(demand, workers); left--) {
                 reserveWorker(demand, advised);
             }
         }
@@ -56,6 +59,13 @@
     return { starts, unmet };
 }
 
+/** Whether one more worker may be reserved for a demand until its present work ends. */
+function isReservable(demand: StepDemand, workers: readonly WorkerCapacity[]): boolean {
+    const reservedCount = workers.filter(worker => worker.isReserved).length;
+    return isInterrupted(demand)
+        || (isOverdueFirstStart(demand) && reservedCount < Math.ceil(workers.length / WORKERS_PER_FIRST_START));
+}
+
 /** Lists the workers on which a step is below its limit of tasks per worker. */
 function listBelowLimit(
     demand: StepDemand,
