Count the wait of long-running tasks since their turn came, not since a takeover

Seen: after each takeover a long-running task that had never run yielded to run-to-completion work for 2 s again, and its idle time in the log began at 0, so that no line told how long an accepted job had waited.

Cause: the wait was counted by the coordinator that saw it. With coordinators in quick succession it never ended.

Change: the wait of a step that depends on no other counts from when its occurrence was due, for planning and for long-running-idle.

Test: firstStarts.test.ts with takeovers at 1.8, 3.6 and 5.4 s fails without it (not all of 4 tasks run after 7 s); idleTaskReporter.test.ts.

--- a/packages/coordinate-work/src/idle/idleTaskReporter.test.ts
+++ b/packages/coordinate-work/src/idle/idleTaskReporter.test.ts
@@ -11,6 +11,8 @@
 /** A long-running task without a run for so long is due to be reported, in milliseconds. */
 const REPORTED_AFTER_MS = 3000;
 const CHECK_MS = 250;
+/** Unix milliseconds. */
+const ACCEPTED_AT_MS = 1;
 
 function createSpec(longRunning: boolean, taskCount = 2): JobSpec {
     const steps = [createStep({ longRunning, taskCount })];
@@ -18,19 +20,28 @@
 }
 
 function createJob(longRunning: boolean): Job {
-    const job = new Job("job", createSpec(longRunning), createQueue(), 1);
-    openDueOccurrences(job, 1);
+    const job = new Job("job", createSpec(longRunning), createQueue(), ACCEPTED_AT_MS);
+    openDueOccurrences(job, ACCEPTED_AT_MS);
     const [step] = [...job.openOccurrences.values()][0].steps;
     step.listWaiting(2);
     return job;
 }
 
 /** Collects the lines of checks each 250 ms, for a job whose tasks wait for a reason that may change with time. */
-function collectLines(job: Job, lengthMs: number, getReason: (nowMs: number) => IdleReason): object[] {
+function collectLines(
+    job: Job,
+    lengthMs: number,
+    getReason: (nowMs: number) => IdleReason,
+    acceptedMsAgo = 0,
+): object[] {
     const lines: object[] = [];
     const note = (event: string, fields?: object) => lines.push({ event, ...fields });
     let nowMs = 0;
-    const parts = { logger: { info: note, warn: note, error: note }, metrics: new Metrics() };
+    const parts = {
+        clock: { getWallTime: () => ACCEPTED_AT_MS + acceptedMsAgo + nowMs },
+        logger: { info: note, warn: note, error: note },
+        metrics: new Metrics(),
+    };
     const reporter = new IdleTaskReporter(parts, () => [job], {
         findWorker: () => undefined,
         explainWaiting: () => getReason(nowMs),
@@ -64,6 +75,21 @@
         });
     });
 
+    describe("when tasks that have never run wait since before a takeover", () => {
+        it("tells their age since the job was accepted", () => {
+            const lines = collectLines(createJob(true), 0, () => IdleReason.Processor, 8000);
+            expect(lines).toMatchObject([{ reason: "Processor", idleMs: 8000, reasonMs: 0 }]);
+        });
+
+        it("tells the age in this term of tasks that have run", () => {
+            const job = createJob(true);
+            [...job.openOccurrences.values()][0].steps[0].tasks.forEach(task => task.run = 1);
+            expect(collectLines(job, REPORTED_AFTER_MS, () => IdleReason.Processor, 8000)).toMatchObject([
+                { idleMs: 3000 },
+            ]);
+        });
+    });
+
     describe("when tasks that run to completion wait", () => {
         it("logs nothing", () => {
             expect(collectLines(createJob(false), 10_000, () => IdleReason.Memory)).toEqual([]);
--- a/packages/coordinate-work/src/idle/idleTaskReporter.ts
+++ b/packages/coordinate-work/src/idle/idleTaskReporter.ts
@@ -1,8 +1,10 @@
 import type { Metrics } from "@sardinestage/count-metrics";
+import type { Clock } from "@sardinestage/describe-ports";
 import { formatTaskKey } from "@sardinestage/describe-work";
 import type { EventLogger } from "@sardinestage/log-events";
 import type { Job, StepRun, Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
+import { computeDueAge } from "../jobs/computeDueAge.js";
 import { explainIdle } from "./explainIdle.js";
 import type { IdleContext } from "./idleContext.js";
 import type { IdleReason } from "./idleReason.js";
@@ -28,14 +30,16 @@
 
 /** Dependencies of an idle task reporter. */
 interface IdleTaskReporterParts {
+    readonly clock: Pick<Clock, "getWallTime">;
     readonly logger: EventLogger;
     readonly metrics: Metrics;
 }
 
 /**
  * Watches the long-running tasks that are due: each one either has a run that its worker listed a moment ago, or exactly
- * one reason why not. Reasons that last too long are logged, one line each, and counted. A takeover begins all ages anew,
- * and a task that no round has ever come to has none yet.
+ * one reason why not. Reasons that last too long are logged, one line each, and counted. A task that has never run is idle
+ * since its turn came; the age of one that has run begins anew with a takeover. A task that no round has ever come to has
+ * no age yet.
  */
 export class IdleTaskReporter {
     private readonly idleTimes = new WeakMap<Task, IdleTime>();
@@ -80,11 +84,17 @@
         if (known?.reason === reason) {
             return known;
         }
-        const time = { sinceMs: known?.sinceMs ?? nowMs, reason, reasonSinceMs: nowMs };
+        const sinceMs = known?.sinceMs ?? nowMs - this.computeAge(task);
+        const time = { sinceMs, reason, reasonSinceMs: nowMs };
         this.idleTimes.set(task, time);
         return time;
     }
 
+    /** Computes how long a task that is seen idle for the first time has been so, in milliseconds. */
+    private computeAge(task: Task): number {
+        return task.run === 0 ? computeDueAge(task.step, this.parts.clock.getWallTime()) : 0;
+    }
+
     private reportGroup({ tasks, oldest, oldestTime }: IdleGroup, reason: IdleReason, nowMs: number): void {
         this.parts.metrics.count("long_running_idle_total", reason, tasks);
         this.parts.logger.warn("long-running-idle", {
--- a/packages/coordinate-work/src/planning/firstStarts.test.ts
+++ b/packages/coordinate-work/src/planning/firstStarts.test.ts
@@ -23,6 +23,7 @@
         { shortMs: 1000, takeoversMs: [] },
         { shortMs: 2500, takeoversMs: [] },
         { shortMs: 1000, takeoversMs: [1500] },
+        { shortMs: 1000, takeoversMs: [1800, 3600, 5400] },
     ])("start in time while tasks of $shortMs ms keep coming, takeovers: $takeoversMs", async options => {
         const { shortMs, takeoversMs } = options;
         const harness = new CoordinatorHarness(
--- a/packages/coordinate-work/src/planning/planningRound.ts
+++ b/packages/coordinate-work/src/planning/planningRound.ts
@@ -6,6 +6,7 @@
 import type { CoordinatorParts } from "../coordinatorParts.js";
 import { IdleReason } from "../idle/idleReason.js";
 import { IdleTaskReporter } from "../idle/idleTaskReporter.js";
+import { computeDueAge } from "../jobs/computeDueAge.js";
 import type { DurationEstimator } from "../jobs/durationEstimator.js";
 import type { JobRegistry } from "../jobs/jobRegistry.js";
 import type { ReadyList } from "../jobs/readyList.js";
@@ -173,7 +174,10 @@
         const nowMs = this.parts.clock.getNow();
         const readyAtMs = this.readyAtMs.get(step) ?? nowMs;
         this.readyAtMs.set(step, readyAtMs);
-        const elapsedMs = this.parts.clock.getWallTime() - occurrence.dueMs;
+        const wallNowMs = this.parts.clock.getWallTime();
+        const elapsedMs = wallNowMs - occurrence.dueMs;
+        // A takeover doesn't begin the wait of long-running tasks anew.
+        const dueAgeMs = step.spec.longRunning ? computeDueAge(step, wallNowMs) : 0;
         return {
             step,
             // Listed only for the demands that the round comes to.
@@ -182,7 +186,7 @@
             },
             isStarted: occurrence.isStarted,
             remainingMs,
-            waitedMs: nowMs - readyAtMs,
+            waitedMs: Math.max(nowMs - readyAtMs, dueAgeMs),
             slackMs: objectiveMs - elapsedMs - remainingMs,
             reservedWorkerIds: this.reservations.list(step, nowMs),
             lateSlackMs: objectiveMs * USELESS_AFTER_FACTOR - elapsedMs - remainingMs,
