Let the encoders of a job's progress know the model, and not the other way round

Job, its changes and six encoders imported each other in a circle. JobChanges now tells which records have changed; takeRecords encodes them.

--- a/packages/coordinate-work/src/records/jobRecorder.ts
+++ b/packages/coordinate-work/src/records/jobRecorder.ts
@@ -1,4 +1,5 @@
 import type { Job, PartKey } from "@sardinestage/track-jobs";
+import { takeRecords } from "@sardinestage/track-jobs";
 import type { CoordinatorParts } from "../coordinatorParts.js";
 import type { ProgressWriter } from "./progressWriter.js";
 
@@ -20,6 +21,6 @@
             this.parts.onJobState?.(job.id, job.state);
         }
         const maxBytes = this.parts.rules.storeLimits.maxRecordBytes - KEY_BYTES;
-        job.changes.takeRecords(maxBytes).forEach(({ key, encode }) => this.writer.schedule(key, encode));
+        takeRecords(job, maxBytes).forEach(({ key, encode }) => this.writer.schedule(key, encode));
     }
 }
--- a/packages/track-jobs/src/index.ts
+++ b/packages/track-jobs/src/index.ts
@@ -25,5 +25,6 @@
 export type { RecordChange } from "./recordChange.js";
 export { recordEncoder } from "./recordEncoder.js";
 export type { StepRun } from "./stepRun.js";
+export { takeRecords } from "./takeRecords.js";
 export { Task } from "./task.js";
 export { TaskPhase } from "./taskPhase.js";
--- a/packages/track-jobs/src/jobChanges.ts
+++ b/packages/track-jobs/src/jobChanges.ts
@@ -1,9 +1,8 @@
-import { encodeProgress } from "./encodeProgress.js";
-import { encodeProgressPart } from "./encodeProgressPart.js";
+import type { ChangedRecord } from "./changedRecord.js";
+import { ChangedRecordKind } from "./changedRecordKind.js";
 import type { Job } from "./job.js";
 import type { Occurrence } from "./occurrence.js";
 import { PartKey } from "./partKey.js";
-import type { RecordChange } from "./recordChange.js";
 import type { StepRun } from "./stepRun.js";
 
 /**
@@ -61,29 +60,25 @@
      * Takes the changes since the last call, in the order in which they have to be written. An earlier version kept the
      * tasks in the job's own record, so that one is rewritten only after the parts; and a part is dropped only after
      * the job's own record says that the part is obsolete.
-     *
-     * @param maxBytes The largest record that the store takes, in bytes.
      */
-    takeRecords(maxBytes: number): readonly RecordChange[] {
+    takeChanged(): readonly ChangedRecord[] {
         const { job } = this;
-        const encodeState = { key: job.id, encode: () => encodeProgress(job, maxBytes) };
+        const own = { kind: ChangedRecordKind.Job, key: job.id };
         if (!job.isPartitioned) {
-            return [encodeState];
+            return [own];
         }
         if (job.isFinished) {
             [...this.stored.keys()].forEach(number => this.dropParts(number));
             this.changed.clear();
         }
-        const parts = [...this.changed.values()].map(({ key, step }) => {
-            this.noteStored(key);
-            return { key: key.format(), encode: () => encodeProgressPart(step, key, maxBytes) };
-        });
-        const state = this.isStateChanged ? [encodeState] : [];
-        const dropped = this.obsolete.map(key => ({ key, encode: undefined }));
+        const parts = [...this.changed].map(([key, part]) => ({ kind: ChangedRecordKind.Part, key, part }));
+        parts.forEach(({ part }) => this.noteStored(part.key));
+        const dropped = this.obsolete.map(key => ({ kind: ChangedRecordKind.Dropped, key }));
+        const changed = [...parts, ...this.isStateChanged ? [own] : [], ...dropped];
         this.changed.clear();
         this.obsolete = [];
         this.isStateChanged = false;
-        return [...parts, ...state, ...dropped];
+        return changed;
     }
 
     private noteStored(key: PartKey): void {
--- a/packages/track-jobs/src/largeJob.test.ts
+++ b/packages/track-jobs/src/largeJob.test.ts
@@ -11,6 +11,7 @@
 import { openDueOccurrences } from "./openDueOccurrences.js";
 import { PartKey } from "./partKey.js";
 import { recordEncoder } from "./recordEncoder.js";
+import { takeRecords } from "./takeRecords.js";
 import { TaskPhase } from "./taskPhase.js";
 
 const NOW_MS = 1_800_000_000_000;
@@ -147,7 +148,7 @@
     }
 
     function recordChanges(job: Job, stored: Map<string, Uint8Array>): readonly string[] {
-        const changes = job.changes.takeRecords(MAX_RECORD_BYTES);
+        const changes = takeRecords(job, MAX_RECORD_BYTES);
         changes.forEach(({ key, encode }) => {
             if (encode === undefined) {
                 stored.delete(key);
@@ -251,7 +252,7 @@
             ended.forEach(index =>
                 applyRunEnd(getTask(after, 0, index), { run: 1, end: RunEnd.Done, checkpoint: "" }, NOW_MS)
             );
-            const changes = after.changes.takeRecords(MAX_RECORD_BYTES);
+            const changes = takeRecords(after, MAX_RECORD_BYTES);
             for (let written = 0; written <= changes.length; written++) {
                 const stored = new Map(earlier);
                 changes.slice(0, written).forEach(({ key, encode }) => stored.set(key, encode?.() ?? new Uint8Array()));
