Log answered questions for states and the pages read for them, once a second

What pages cost a VM was only in the lines of unanswered questions.

Cause: only refusals and late answers were logged.

Change: job-states-answered counts a second's answers by source and outcome, with the slowest; store-pages-read has a reader's pages, failures, bytes and slowest page of a second. One timer writes each, also after the last answer; a stopping process writes them at once.

--- a/packages/accept-jobs/src/jobService.ts
+++ b/packages/accept-jobs/src/jobService.ts
@@ -4,10 +4,11 @@
 import { JobState } from "@sardinestage/describe-work";
 import type { EventLogger } from "@sardinestage/log-events";
 import { CANCEL_SUFFIX, encodeJobRecord } from "@sardinestage/track-jobs";
+import { AnswerSource } from "./answerSource.js";
 import { CoordinatorCallKind } from "./coordinatorCallKind.js";
 import type { CoordinatorClient } from "./coordinatorClient.js";
-import type { CoordinatorReply } from "./coordinatorReply.js";
 import { CoordinatorSilence } from "./coordinatorSilence.js";
+import { findSilence } from "./findSilence.js";
 import { GuardedCoordinatorClient } from "./guardedCoordinatorClient.js";
 import type { JobStateAnswer } from "./jobStateAnswer.js";
 import type { JobStateCache } from "./jobStateCache.js";
@@ -15,6 +16,8 @@
 import type { PageTotals } from "./pageTotals.js";
 import { PendingCountCache } from "./pendingCountCache.js";
 import type { RecordAppender } from "./recordAppender.js";
+import type { SourcedAnswer } from "./sourcedAnswer.js";
+import { StateAnswerReporter } from "./stateAnswerReporter.js";
 import { StateQuery } from "./stateQuery.js";
 import { SubmitOutcome } from "./submitOutcome.js";
 import { waitForFirst } from "./waitForFirst.js";
@@ -51,6 +54,7 @@
 export class JobService {
     private readonly coordinator: GuardedCoordinatorClient;
     private readonly pendingCounts: PendingCountCache;
+    private readonly answerReporter: StateAnswerReporter;
 
     constructor(private readonly parts: JobServiceParts) {
         this.coordinator = new GuardedCoordinatorClient({
@@ -59,6 +63,7 @@
             answerTimeoutMs: ANSWER_TIMEOUT_MS,
         });
         this.pendingCounts = new PendingCountCache(parts.clock);
+        this.answerReporter = new StateAnswerReporter(parts.clock, parts.logger);
     }
 
     /**
@@ -113,12 +118,42 @@
      * @param callerTimeoutMs How long the caller waits, in milliseconds.
      */
     async getState(id: string, callerTimeoutMs = DEFAULT_CALLER_TIMEOUT_MS): Promise<JobStateAnswer> {
+        const sentAtMs = this.parts.clock.getNow();
+        const { answer, source } = await this.resolveState(id, callerTimeoutMs, sentAtMs);
+        this.answerReporter.noteAnswer(source, answer, this.parts.clock.getNow() - sentAtMs);
+        return answer;
+    }
+
+    /**
+     * Counts the accepted jobs of a queue of which no task has run yet.
+     *
+     * @param callerTimeoutMs How long the caller waits, in milliseconds.
+     * @returns The coordinator's count or a recent one from the cache; undefined if there is neither.
+     */
+    async getPending(queue: string, callerTimeoutMs = DEFAULT_CALLER_TIMEOUT_MS): Promise<number | undefined> {
+        const fromCoordinator = this.requestPending(queue);
+        const { hedgeDelayMs } = this.coordinator;
+        const usableMs = computeUsableTime(callerTimeoutMs);
+        const earlyMs = Math.min(hedgeDelayMs, usableMs);
+        const early = await this.waitAtMost(fromCoordinator, earlyMs) ?? this.pendingCounts.find(queue);
+        if (early !== undefined || hedgeDelayMs === 0) {
+            return early;
+        }
+        return this.waitAtMost(fromCoordinator, usableMs - earlyMs);
+    }
+
+    /** Writes the counts that aren't logged yet. */
+    close(): void {
+        this.answerReporter.flush();
+        this.parts.stateReader.close();
+    }
+
+    private async resolveState(id: string, callerTimeoutMs: number, sentAtMs: number): Promise<SourcedAnswer> {
         const { clock, jobStateCache, metrics, stateReader } = this.parts;
         const finalState = jobStateCache.findFinalState(id);
         if (finalState !== undefined) {
-            return { state: finalState };
+            return { source: AnswerSource.Remembered, answer: { state: finalState } };
         }
-        const sentAtMs = clock.getNow();
         const untilMs = sentAtMs + computeUsableTime(callerTimeoutMs);
         const query = new StateQuery(id, untilMs);
         const totalsBefore = stateReader.totals;
@@ -135,34 +170,21 @@
         const currentState = jobStateCache.findCurrentState(id);
         if (currentState !== undefined) {
             metrics.count("states_from_memory_total", "current");
-            return { state: currentState };
+            return { source: AnswerSource.Remembered, answer: { state: currentState } };
         }
         // With an open circuit nobody waits for the coordinator: a call only finds out whether it answers again.
         const answer = await (hedgeDelayMs === 0
-            ? stateReader.read(query)
+            ? this.readState(query)
             : this.waitAtMost(
-                waitForFirst([fromCoordinator, stateReader.read(query)]),
+                waitForFirst([fromCoordinator, this.readState(query)]),
                 untilMs - clock.getNow(),
             ));
         return answer ?? this.answerFromMemory(query, totalsBefore, callerTimeoutMs, sentAtMs);
     }
 
-    /**
-     * Counts the accepted jobs of a queue of which no task has run yet.
-     *
-     * @param callerTimeoutMs How long the caller waits, in milliseconds.
-     * @returns The coordinator's count or a recent one from the cache; undefined if there is neither.
-     */
-    async getPending(queue: string, callerTimeoutMs = DEFAULT_CALLER_TIMEOUT_MS): Promise<number | undefined> {
-        const fromCoordinator = this.requestPending(queue);
-        const { hedgeDelayMs } = this.coordinator;
-        const usableMs = computeUsableTime(callerTimeoutMs);
-        const earlyMs = Math.min(hedgeDelayMs, usableMs);
-        const early = await this.waitAtMost(fromCoordinator, earlyMs) ?? this.pendingCounts.find(queue);
-        if (early !== undefined || hedgeDelayMs === 0) {
-            return early;
-        }
-        return this.waitAtMost(fromCoordinator, usableMs - earlyMs);
+    private async readState(query: StateQuery): Promise<SourcedAnswer | undefined> {
+        const answer = await this.parts.stateReader.read(query);
+        return answer && { source: AnswerSource.Store, answer };
     }
 
     private async requestPending(queue: string): Promise<number | undefined> {
@@ -186,7 +208,7 @@
     }
 
     /** Asks the coordinator for a job's state; undefined if the call isn't sent or answered, or the state is unsure. */
-    private async requestState(query: StateQuery): Promise<JobStateAnswer | undefined> {
+    private async requestState(query: StateQuery): Promise<SourcedAnswer | undefined> {
         const { id } = query;
         const reply = await this.coordinator.call({ kind: CoordinatorCallKind.GetState, id });
         const silence = findSilence(reply);
@@ -198,7 +220,8 @@
             // The coordinator reports an end only once it is in the store, except for a cancellation.
             this.parts.jobStateCache.noteState(id, reply.state);
         }
-        return reply.state === undefined ? { isAbsent: true } : { state: reply.state };
+        const answer = reply.state === undefined ? { isAbsent: true as const } : { state: reply.state };
+        return { source: AnswerSource.Coordinator, answer };
     }
 
     /** Answers a question that neither source has answered: with the last state of a job that was certainly accepted. */
@@ -207,11 +230,11 @@
         totalsBefore: PageTotals,
         callerTimeoutMs: number,
         sentAtMs: number,
-    ): JobStateAnswer {
+    ): SourcedAnswer {
         const lastState = this.parts.jobStateCache.findLastState(query.id);
         if (lastState === undefined) {
             this.recordUnavailable(query, totalsBefore, callerTimeoutMs, sentAtMs);
-            return { isUnavailable: true };
+            return { source: AnswerSource.None, answer: { isUnavailable: true } };
         }
         const { coordinator, store, step } = query;
         this.parts.metrics.count("states_from_memory_total", "last-known");
@@ -223,7 +246,7 @@
             storeStep: step,
             tookMs: Math.round(this.parts.clock.getNow() - sentAtMs),
         });
-        return { state: lastState };
+        return { source: AnswerSource.Remembered, answer: { state: lastState } };
     }
 
     /** Logs why neither source has answered; the pages are those that this VM read meanwhile, for all questions. */
@@ -260,17 +283,6 @@
     }
 }
 
-/** Finds out why a reply doesn't answer the call; undefined if it does. */
-function findSilence(reply: CoordinatorReply | undefined): CoordinatorSilence | undefined {
-    if (reply === undefined) {
-        return CoordinatorSilence.Unanswered;
-    }
-    if (reply.isUnsent === true) {
-        return reply.isCircuitOpen === true ? CoordinatorSilence.CircuitOpen : CoordinatorSilence.Unsent;
-    }
-    return reply.isUnsure === true ? CoordinatorSilence.Unsure : undefined;
-}
-
 function computeUsableTime(callerTimeoutMs: number): number {
     return Math.min(MAX_QUESTION_MS, callerTimeoutMs * USABLE_TIMEOUT_SHARE);
 }
--- a/packages/accept-jobs/src/jobStateReader.ts
+++ b/packages/accept-jobs/src/jobStateReader.ts
@@ -103,6 +103,12 @@
         return { state: jobStateCache.isCancelled(query.id) ? JobState.Cancelled : JobState.Queued };
     }
 
+    /** Logs the pages that aren't logged yet. */
+    close(): void {
+        this.progress.close();
+        this.jobs.close();
+    }
+
     /** Reads the progress of a job that isn't among the accepted ones: it may have ended meanwhile. */
     private async readProgressAgain(query: StateQuery): Promise<JobStateAnswer | undefined> {
         query.noteStep(StateReadStep.ProgressAgain);
--- a/packages/accept-jobs/src/keyReader.ts
+++ b/packages/accept-jobs/src/keyReader.ts
@@ -1,6 +1,7 @@
 import type { Clock, NewestRecordsPage, StoredRecord, StorePort, Topic } from "@sardinestage/describe-ports";
 import type { EventLogger } from "@sardinestage/log-events";
 import type { PageBudget } from "./pageBudget.js";
+import { PageReporter } from "./pageReporter.js";
 import { PageTimeTracker } from "./pageTimeTracker.js";
 import type { PageTotals } from "./pageTotals.js";
 
@@ -60,7 +61,11 @@
     private pagesRead = 0;
     private bytesRead = 0;
 
-    constructor(private readonly parts: KeyReaderParts) {}
+    private readonly pageReporter: PageReporter;
+
+    constructor(private readonly parts: KeyReaderParts) {
+        this.pageReporter = new PageReporter(parts.clock, parts.logger, parts.name);
+    }
 
     /** Whether several pages have failed in a row, so that requests no longer wait for the store. */
     get isStoreUnavailable(): boolean {
@@ -98,6 +103,11 @@
         });
     }
 
+    /** Logs the pages that aren't logged yet. */
+    close(): void {
+        this.pageReporter.flush();
+    }
+
     private startPage(): void {
         const { clock } = this.parts;
         const unrequested = [...this.waiting].filter(request => !request.isInFlight);
@@ -129,10 +139,12 @@
         this.pagesRead++;
         requested.forEach(request => request.isInFlight = false);
         this.noteOutcome(page.succeeded, sentAtMs);
+        const tookMs = clock.getNow() - sentAtMs;
+        const bytes = computeBytes(page);
+        this.pageReporter.notePage(page.succeeded ? bytes : undefined, tookMs);
         if (page.succeeded) {
-            const bytes = computeBytes(page);
             this.bytesRead += bytes;
-            this.pageTimes.notePage(clock.getNow() - sentAtMs);
+            this.pageTimes.notePage(tookMs);
             this.parts.budget.notePage(bytes, sentAtMs);
             this.answerRequests(page, first, requested);
         }
--- a/packages/run-entry-vm/src/entryVm.ts
+++ b/packages/run-entry-vm/src/entryVm.ts
@@ -106,6 +106,7 @@
 
     /** Stops all components and closes all connections. */
     close(): void {
+        this.components.jobService.close();
         this.components.loadReporter.close();
         this.components.loopMonitor.stop();
         this.components.membership.close();
