Give pages of the store the time that their questions have

Each page failed, and two failures closed the store.

Cause: the timeout of a page's start was 1 s whatever its questions could wait, and a page that timed out was lost for all of them.

Change: a reader passes the time that its questions have. After 1.5 s without a start the page counts as a failure for now and is requested again; its own answer is still used, and ends the failures. A page that arrives isn't requested again. Chunks keep their 1 s. By the constants a store that never answers is refused at once after 3 s instead of 2.25 s.

--- a/packages/accept-jobs/src/jobService.unanswered.test.ts
+++ b/packages/accept-jobs/src/jobService.unanswered.test.ts
@@ -34,7 +34,7 @@
         it("logs the step and the pages read of a store that is too slow, and a coordinator without an answer", async () => {
             const harness = new JobServiceHarness();
             await harness.append(Topic.Jobs, [createJobRecord(ID)]);
-            harness.beforePage = pages => pages === 2 ? harness.waitUnanswered(4000) : Promise.resolve();
+            harness.beforePage = pages => pages >= 2 ? harness.waitUnanswered(4000) : Promise.resolve();
             expect((await harness.getState(ID)).result).toEqual({ isUnavailable: true });
             expect(harness.events.find(({ event }) => event === "job-state-unavailable")?.fields).toMatchObject({
                 coordinator: "timed-out",
--- a/packages/accept-jobs/src/jobStateReader.test.ts
+++ b/packages/accept-jobs/src/jobStateReader.test.ts
@@ -38,6 +38,39 @@
             expect(answers.result).toEqual(ids.map(() => ({ state: JobState.Running })));
         });
 
+        it("requests a page again that never comes, within the caller's timeout", async () => {
+            const harness = await createHarness(0);
+            await harness.append(Topic.Progress, [createProgress(ID, JobState.Running)]);
+            harness.beforePage = pages => pages === 1 ? harness.waitUnanswered(20_000) : Promise.resolve();
+            const { result, tookMs } = await harness.getState(ID);
+            expect(result).toEqual({ state: JobState.Running });
+            expect(tookMs).toBeLessThan(CALLER_TIMEOUT_MS);
+        });
+
+        it("uses a page that comes after it was requested again", async () => {
+            const harness = await createHarness(0);
+            await harness.append(Topic.Progress, [createProgress(ID, JobState.Running)]);
+            harness.beforePage = pages => harness.waitUnanswered(pages === 1 ? 2000 : 20_000);
+            expect((await harness.getState(ID)).result).toEqual({ state: JobState.Running });
+            expect(harness.pages.length).toBeGreaterThan(1);
+        });
+
+        it("refuses queries at once after pages that never came, and answers again after one that does", async () => {
+            const harness = await createHarness(0);
+            await harness.append(Topic.Progress, [createProgress(ID, JobState.Running)]);
+            harness.beforePage = () => harness.waitUnanswered(4000);
+            await harness.getState(ID);
+            await harness.getState(ID);
+            void harness.jobService.getState(ID, CALLER_TIMEOUT_MS);
+            await harness.clock.runFor(100);
+            const { result, tookMs } = await harness.getState(ID);
+            expect(result).toEqual({ isUnavailable: true });
+            expect(tookMs).toBeLessThan(100);
+            harness.beforePage = () => Promise.resolve();
+            await harness.clock.runFor(5000);
+            expect((await harness.getState(ID)).result).toEqual({ state: JobState.Running });
+        });
+
         it("counts two pages that were in flight together and lost together as one failure", async () => {
             const harness = await createHarness(0);
             await harness.append(Topic.Progress, [createProgress(ID, JobState.Running)]);
--- a/packages/accept-jobs/src/keyReader.ts
+++ b/packages/accept-jobs/src/keyReader.ts
@@ -1,12 +1,21 @@
 import type { Clock, NewestRecordsPage, StoredRecord, StorePort, Topic } from "@sardinestage/describe-ports";
 import type { EventLogger } from "@sardinestage/log-events";
 import type { PageBudget } from "./pageBudget.js";
+import type { PageRead } from "./pageRead.js";
 import { PageReporter } from "./pageReporter.js";
 import { PageTimeTracker } from "./pageTimeTracker.js";
 import type { PageTotals } from "./pageTotals.js";
+import type { ReadRequest } from "./readRequest.js";
 
 /** Pages in flight at a time: a second one if the first is late, so that a lost answer doesn't delay all requests. */
 const MAX_PAGES_IN_FLIGHT = 2;
+/** Pages in flight at a time with those that are overdue, whose answers may be lost. */
+const MAX_PAGES_WITH_OVERDUE = 4;
+/**
+ * Time after which a page may be lost and is requested again, in milliseconds: more than pages take from a slow store,
+ * and early enough for a second page within a caller's usual timeout.
+ */
+const OVERDUE_AFTER_MS = 1500;
 /** Minimum time between two pages, in milliseconds: requests in quick succession share a page. */
 const MIN_PAGE_INTERVAL_MS = 25;
 /** Bytes that one byte of a value takes in a page, which encodes values in base64. */
@@ -32,14 +41,6 @@
     readonly noteRecord?: (record: StoredRecord) => void;
 }
 
-/** A read of one key that waits for a page. */
-interface ReadRequest {
-    readonly key: string;
-    readonly settle: (records: readonly StoredRecord[] | undefined) => void;
-    /** Whether a page in flight will answer the request. */
-    isInFlight: boolean;
-}
-
 /**
  * Reads the newest records of single keys. The store offers only pages of keys, which may be large, so waiting requests
  * share them. Pages cycle through the keys in order, one at a time: two at once would share the network link and
@@ -50,7 +51,7 @@
  */
 export class KeyReader {
     private readonly waiting = new Set<ReadRequest>();
-    private pagesInFlight = 0;
+    private readonly pages = new Set<PageRead>();
     private lastPageSentAtMs = -Infinity;
     private readonly pageTimes = new PageTimeTracker();
     private nextPageAtMs = -Infinity;
@@ -86,7 +87,7 @@
      */
     read(key: string, untilMs: number): Promise<readonly StoredRecord[] | undefined> {
         const { clock } = this.parts;
-        if (this.isStoreUnavailable && (this.pagesInFlight > 0 || clock.getNow() < this.nextPageAtMs)) {
+        if (this.isStoreUnavailable && (this.countPunctual() > 0 || clock.getNow() < this.nextPageAtMs)) {
             return Promise.resolve(undefined);
         }
         return new Promise(resolve => {
@@ -96,7 +97,7 @@
                     resolve(records);
                 }
             };
-            const request: ReadRequest = { key, settle, isInFlight: false };
+            const request: ReadRequest = { key, untilMs, settle, page: undefined };
             const cancel = clock.schedule(Math.max(0, untilMs - clock.getNow()), () => settle(undefined));
             this.waiting.add(request);
             this.startPage();
@@ -110,49 +111,77 @@
 
     private startPage(): void {
         const { clock } = this.parts;
-        const unrequested = [...this.waiting].filter(request => !request.isInFlight);
-        if (unrequested.length === 0 || this.pagesInFlight >= MAX_PAGES_IN_FLIGHT) {
+        const inFlight = this.countPunctual();
+        const isArriving = [...this.pages].some(page => page.isArriving);
+        const isFull = isArriving || inFlight >= MAX_PAGES_IN_FLIGHT || this.pages.size >= MAX_PAGES_WITH_OVERDUE;
+        const unrequested = isFull ? [] : [...this.waiting].filter(({ page }) => page === undefined);
+        if (unrequested.length === 0) {
             return;
         }
-        const lateAtMs = this.pagesInFlight > 0 ? this.lastPageSentAtMs + this.pageTimes.lateAfterMs : -Infinity;
+        const lateAtMs = inFlight > 0 ? this.lastPageSentAtMs + this.pageTimes.lateAfterMs : -Infinity;
         const pauseMs = Math.max(this.nextPageAtMs, this.parts.budget.nextPageAtMs, lateAtMs) - clock.getNow();
         this.cancelNextPage?.();
         if (pauseMs > 0) {
             this.cancelNextPage = clock.schedule(pauseMs, () => this.startPage());
             return;
         }
-        const keys = unrequested.map(request => request.key).sort();
+        const keys = unrequested.map(({ key }) => key).sort();
         const first = keys.find(key => key >= this.cursor) ?? keys[0];
-        void this.readPage(first, unrequested.filter(request => request.key >= first));
+        void this.readPage(first);
         this.startPage();
     }
 
-    private async readPage(first: string, requested: readonly ReadRequest[]): Promise<void> {
+    /** Counts the pages in flight that aren't overdue. */
+    private countPunctual(): number {
+        return [...this.pages].filter(page => !page.isOverdue).length;
+    }
+
+    private async readPage(first: string): Promise<void> {
         const { store, topic, clock } = this.parts;
-        requested.forEach(request => request.isInFlight = true);
-        this.pagesInFlight++;
         const sentAtMs = clock.getNow();
+        const requested = [...this.waiting].filter(({ key }) => key >= first);
+        const page: PageRead = { first, requested, sentAtMs, isArriving: false, isOverdue: false };
+        requested.forEach(request => request.page = page);
+        this.pages.add(page);
         this.lastPageSentAtMs = sentAtMs;
         this.nextPageAtMs = sentAtMs + MIN_PAGE_INTERVAL_MS;
-        const page = await store.readNewest(topic, computeKeyBefore(first));
-        this.pagesInFlight--;
+        const cancelOverdue = clock.schedule(OVERDUE_AFTER_MS, () => this.noteOverdue(page));
+        const untilMs = Math.max(...requested.map(request => request.untilMs));
+        const timeoutMs = Math.max(OVERDUE_AFTER_MS, untilMs - sentAtMs);
+        const onStart = () => void (page.isArriving = true);
+        const answer = await store.readNewest(topic, computeKeyBefore(first), { timeoutMs, onStart });
+        cancelOverdue();
+        this.pages.delete(page);
         this.pagesRead++;
-        requested.forEach(request => request.isInFlight = false);
-        this.noteOutcome(page.succeeded, sentAtMs);
+        const released = releaseRequests(page);
         const tookMs = clock.getNow() - sentAtMs;
-        const bytes = computeBytes(page);
-        this.pageReporter.notePage(page.succeeded ? bytes : undefined, tookMs);
-        if (page.succeeded) {
+        const bytes = computeBytes(answer);
+        this.pageReporter.notePage(answer.succeeded ? bytes : undefined, tookMs);
+        if (answer.succeeded) {
+            this.noteSuccess();
             this.bytesRead += bytes;
             this.pageTimes.notePage(tookMs);
             this.parts.budget.notePage(bytes, sentAtMs);
-            this.answerRequests(page, first, requested);
+            this.answerRequests(answer, first, requested);
         }
-        else {
+        else if (!page.isOverdue) {
+            this.noteFailure(sentAtMs);
             this.nextPageAtMs = clock.getNow() + STORE_CHECK_INTERVAL_MS;
-            const failed = this.isStoreUnavailable ? [...this.waiting] : requested;
-            failed.forEach(request => request.settle(undefined));
+            released.forEach(request => request.settle(undefined));
+            this.refuseIfUnavailable();
+        }
+        this.startPage();
+    }
+
+    /** Lets other pages answer the requests of a page that may be lost. Its own answer is still used if it comes. */
+    private noteOverdue(page: PageRead): void {
+        if (page.isArriving) {
+            return;
         }
+        page.isOverdue = true;
+        releaseRequests(page);
+        this.noteFailure(page.sentAtMs);
+        this.refuseIfUnavailable();
         this.startPage();
     }
 
@@ -168,25 +197,40 @@
         }
     }
 
-    private noteOutcome(succeeded: boolean, sentAtMs: number): void {
+    /** Refuses the requests that wait once the store is unavailable, so that their callers can ask another VM. */
+    private refuseIfUnavailable(): void {
+        if (this.isStoreUnavailable) {
+            [...this.waiting].forEach(request => request.settle(undefined));
+        }
+    }
+
+    private noteSuccess(): void {
+        if (this.isStoreUnavailable) {
+            this.parts.logger.info("store-reads-regained", { topic: this.parts.name });
+        }
+        this.failures = 0;
+    }
+
+    private noteFailure(sentAtMs: number): void {
         const { clock, logger, name } = this.parts;
         const wasUnavailable = this.isStoreUnavailable;
-        if (succeeded) {
-            this.failures = 0;
-        }
-        else if (sentAtMs >= this.lastFailureAtMs) {
+        if (sentAtMs >= this.lastFailureAtMs) {
             this.failures++;
             this.lastFailureAtMs = clock.getNow();
         }
         if (this.isStoreUnavailable && !wasUnavailable) {
             logger.warn("store-reads-lost", { topic: name });
         }
-        else if (wasUnavailable && !this.isStoreUnavailable) {
-            logger.info("store-reads-regained", { topic: name });
-        }
     }
 }
 
+/** Lets another page answer the requests that rely on a page; returns these. */
+function releaseRequests(page: PageRead): readonly ReadRequest[] {
+    const released = page.requested.filter(request => request.page === page);
+    released.forEach(request => request.page = undefined);
+    return released;
+}
+
 /** Computes a key just before the given one, so that a page starts at the given key; keys in between are unlikely. */
 function computeKeyBefore(key: string): string {
     return key.slice(0, -1) + String.fromCharCode(key.charCodeAt(key.length - 1) - 1);
--- a/packages/accept-jobs/src/testing/jobServiceHarness.ts
+++ b/packages/accept-jobs/src/testing/jobServiceHarness.ts
@@ -1,5 +1,5 @@
 import { Metrics } from "@sardinestage/count-metrics";
-import type { KeyedRecord, NewestRecordsPage, StorePort } from "@sardinestage/describe-ports";
+import type { KeyedRecord, NewestRecordsPage, PageOptions, StorePort } from "@sardinestage/describe-ports";
 import { Topic, waitFor } from "@sardinestage/describe-ports";
 import { emulatedStoreLimits, MemoryStore, VirtualClock } from "@sardinestage/emulate-platform";
 import type { EventLogger } from "@sardinestage/log-events";
@@ -69,7 +69,7 @@
         const store: StorePort = {
             append: call => this.store.append(call),
             read: (topic, from, waitMs) => this.store.read(topic, from, waitMs),
-            readNewest: (topic, afterKey) => this.readPage(topic, afterKey),
+            readNewest: (topic, afterKey, options) => this.readPage(topic, afterKey, options),
         };
         this.jobService = new JobService({
             recordAppender: new RecordAppender({
@@ -131,13 +131,17 @@
         this.pagesOnLink--;
     }
 
-    private async readPage(topic: Topic, afterKey: string | undefined): Promise<NewestRecordsPage> {
+    private async readPage(
+        topic: Topic,
+        afterKey: string | undefined,
+        options: PageOptions | undefined,
+    ): Promise<NewestRecordsPage> {
         this.pages.push(topic);
         const inFlight = (this.pagesInFlight.get(topic) ?? 0) + 1;
         this.pagesInFlight.set(topic, inFlight);
         this.maxPagesInFlight = Math.max(this.maxPagesInFlight, inFlight);
         await this.beforePage(this.pages.length);
-        const page = await this.store.readNewest(topic, afterKey);
+        const page = await this.store.readNewest(topic, afterKey, options);
         await this.sendOnLink(page);
         this.pagesInFlight.set(topic, (this.pagesInFlight.get(topic) ?? 0) - 1);
         return page;
--- a/packages/describe-ports/src/index.ts
+++ b/packages/describe-ports/src/index.ts
@@ -14,6 +14,7 @@
 export type { NewestRecordsPage } from "./newestRecordsPage.js";
 export type { OperatorRecord } from "./operatorRecord.js";
 export { OrderOutcome } from "./orderOutcome.js";
+export type { PageOptions } from "./pageOptions.js";
 export type { ReadAnswer } from "./readAnswer.js";
 export { ReadOutcome } from "./readOutcome.js";
 export type { RecordCodec } from "./recordCodec.js";
--- a/packages/emulate-platform/src/memoryStore.ts
+++ b/packages/emulate-platform/src/memoryStore.ts
@@ -3,6 +3,7 @@
     AppendCall,
     Clock,
     NewestRecordsPage,
+    PageOptions,
     ReadAnswer,
     StoredRecord,
     StorePort,
@@ -14,6 +15,8 @@
 
 /** Records per page of `readNewest`, by default: few, so that tests with few records read several pages. */
 const DEFAULT_PAGE_RECORDS = 50;
+/** Default timeout of a page, in milliseconds, as on the platform. */
+const PAGE_TIMEOUT_MS = 1000;
 /** Response time of a nearby store, in milliseconds. */
 const DEFAULT_ANSWER_MS = 4;
 
@@ -85,11 +88,17 @@
     }
 
     /** Reads a page of the newest record of each key, ordered by key. */
-    async readNewest(topic: Topic, afterKey: string | undefined): Promise<NewestRecordsPage> {
-        await waitFor(this.clock, this.faults.answerMs);
-        if (this.faults.isDown) {
+    async readNewest(
+        topic: Topic,
+        afterKey: string | undefined,
+        { timeoutMs, onStart }: PageOptions = { timeoutMs: PAGE_TIMEOUT_MS },
+    ): Promise<NewestRecordsPage> {
+        const { answerMs } = this.faults;
+        await waitFor(this.clock, Math.min(answerMs, timeoutMs));
+        if (this.faults.isDown || answerMs > timeoutMs) {
             return { succeeded: false, records: [], hasMore: false, end: 0 };
         }
+        onStart?.();
         const state = this.getTopicState(topic);
         const newest = new Map(state.records.map(record => [record.key, record]));
         const liveKeys = [...newest.keys()].filter(key => newest.get(key)?.value !== undefined).sort();
