--- a/packages/accept-jobs/src/jobStateReader.test.ts
+++ b/packages/accept-jobs/src/jobStateReader.test.ts
@@ -38,6 +38,39 @@
             expect(answers.result).toEqual(ids.map(() => ({ state: JobState.Running })));
         });
 
+        it("requests a page again that never comes, within the caller's timeout", async () => {
+            const harness = await createHarness(0);
+            await harness.append(Topic.Progress, [createProgress(ID, JobState.Running)]);
+            harness.beforePage = pages => pages === 1 ? harness.waitUnanswered(20_000) : Promise.resolve();
+            const { result, tookMs } = await harness.getState(ID);
+            expect(result).toEqual({ state: JobState.Running });
+            expect(tookMs).toBeLessThan(CALLER_TIMEOUT_MS);
+        });
+
+        it("uses a page that comes after it was requested again", async () => {
+            const harness = await createHarness(0);
+            await harness.append(Topic.Progress, [createProgress(ID, JobState.Running)]);
+            harness.beforePage = pages => harness.waitUnanswered(pages === 1 ? 2000 : 20_000);
+            expect((await harness.getState(ID)).result).toEqual({ state: JobState.Running });
+            expect(harness.pages.length).toBeGreaterThan(1);
+        });
+
+        it("refuses queries at once after pages that never came, and answers again after one that does", async () => {
+            const harness = await createHarness(0);
+            await harness.append(Topic.Progress, [createProgress(ID, JobState.Running)]);
+            harness.beforePage = () => harness.waitUnanswered(4000);
+            await harness.getState(ID);
+            await harness.getState(ID);
+            void harness.jobService.getState(ID, CALLER_TIMEOUT_MS);
+            await harness.clock.runFor(100);
+            const { result, tookMs } = await harness.getState(ID);
+            expect(result).toEqual({ isUnavailable: true });
+            expect(tookMs).toBeLessThan(100);
+            harness.beforePage = () => Promise.resolve();
+            await harness.clock.runFor(5000);
+            expect((await harness.getState(ID)).result).toEqual({ state: JobState.Running });
+        });
+
         it("counts two pages that were in flight together and lost together as one failure", async () => {
             const harness = await createHarness(0);
             await harness.append(Topic.Progress, [createProgress(ID, JobState.Running)]);
@@ -88,6 +121,18 @@
             expect(harness.maxPagesInFlight).toBe(1);
         });
 
+        it("requests no second page for keys that fit in one, however slow it is", async () => {
+            const harness = new JobServiceHarness();
+            harness.store.faults.answerMs = 700;
+            harness.coordinator = () => Promise.resolve({ isUnsent: true });
+            const ids = Array.from({ length: 25 }, (_, index) => createId(index * 300_000_000_000_000));
+            await harness.append(Topic.Progress, ids.map(id => createProgress(id, JobState.Running)));
+            await harness.getState(ids[0]);
+            const pagesBefore = harness.pages.filter(topic => topic === Topic.Progress).length;
+            await harness.runUntilSettled(Promise.all(ids.map(id => harness.jobService.getState(id))));
+            expect(harness.pages.filter(topic => topic === Topic.Progress).length).toBe(pagesBefore + 1);
+        });
+
         it("requests a second page soon if one takes longer than usual, since its answer may be lost", async () => {
             const harness = new JobServiceHarness();
             harness.coordinator = () => Promise.resolve({ isUnsent: true });
