--- a/packages/accept-jobs/src/recordAppender.ts
+++ b/packages/accept-jobs/src/recordAppender.ts
@@ -1,13 +1,13 @@
 import type { Metrics } from "@sardinestage/count-metrics";
 import type { Clock, KeyedRecord, StoreLimits, StorePort } from "@sardinestage/describe-ports";
-import { AppendOutcome, ReadOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
+import { AppendOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
 import { AdaptiveTimeout } from "@sardinestage/learn-behaviour";
 import type { EventLogger } from "@sardinestage/log-events";
 import { CoordinatorCallKind } from "./coordinatorCallKind.js";
 import type { CoordinatorClient } from "./coordinatorClient.js";
 import { GuardedCoordinatorClient } from "./guardedCoordinatorClient.js";
-import { KeyReader } from "./keyReader.js";
-import { PageBudget } from "./pageBudget.js";
+import type { PendingRecord } from "./pendingRecord.js";
+import { RecordConfirmer } from "./recordConfirmer.js";
 import { SubmitOutcome } from "./submitOutcome.js";
 
 /** Bounds of the learned timeout of an append, in milliseconds; after it the append is repeated or falls back. */
@@ -22,8 +22,6 @@
 const STORE_CHECK_INTERVAL_MS = 250;
 /** How long the coordinator may take for an append on behalf of this VM, in milliseconds. */
 const RELAYED_TIMEOUT_MS = 1000;
-/** Pause between two checks whether records of unknown outcome are in the store, in milliseconds. */
-const CONFIRM_INTERVAL_MS = 100;
 /** Bytes of a record's length, and of its key's length. */
 const RECORD_LENGTH_BYTES = 4;
 const KEY_LENGTH_BYTES = 1;
@@ -40,14 +38,6 @@
     readonly limits: StoreLimits;
 }
 
-/** A record whose outcome its caller waits for. */
-interface PendingRecord {
-    readonly record: KeyedRecord;
-    /** When the caller stops waiting, in steady milliseconds. */
-    readonly untilMs: number;
-    readonly settle: (outcome: SubmitOutcome) => void;
-}
-
 /**
  * Appends callers' records to the store in batches. If the store doesn't answer this VM, the coordinator appends the
  * records instead; appending a record twice has no further effect. If an append gets no answer, the records are looked
@@ -64,7 +54,7 @@
     private isStoreUnavailable = false;
     private readonly appendTimeout = new AdaptiveTimeout(APPEND_TIMEOUT_BOUNDS);
     private readonly coordinator: GuardedCoordinatorClient;
-    private readonly jobKeys: KeyReader;
+    private readonly confirmer: RecordConfirmer;
     /** Highest known end offset of the topic; records sent from now on are stored at or after it. */
     private knownEnd: number | undefined;
 
@@ -74,7 +64,7 @@
             purpose: "appends",
             answerTimeoutMs: RELAYED_TIMEOUT_MS,
         });
-        this.jobKeys = new KeyReader({ ...parts, topic: Topic.Jobs, name: "jobs", budget: new PageBudget() });
+        this.confirmer = new RecordConfirmer(parts, records => this.tryAppending(records));
     }
 
     /**
@@ -144,7 +134,7 @@
             return;
         }
         if (outcome === SubmitOutcome.Unknown) {
-            void this.confirmUnknown(batch, { relayed, relayedInTime }, from);
+            void this.confirmer.confirm(batch, { relayed, relayedInTime }, from);
             return;
         }
         batch.forEach(pending => pending.settle(outcome));
@@ -161,45 +151,6 @@
         }
     }
 
-    /**
-     * Settles records that may be in the store: as accepted once they are found there or are appended after all, as
-     * unknown when their callers stop waiting or when neither the store nor the coordinator answers.
-     *
-     * @param appends Outcome of the append by the coordinator: the final one, and the one known within its timeout.
-     * @param from End offset of the topic before the records were first sent; undefined if unknown.
-     */
-    private async confirmUnknown(
-        batch: readonly PendingRecord[],
-        { relayed, relayedInTime }: Readonly<Record<"relayed" | "relayedInTime", Promise<SubmitOutcome>>>,
-        from: number | undefined,
-    ): Promise<void> {
-        const { clock, metrics } = this.parts;
-        const unconfirmed = new Set(batch);
-        const accept = (pending: PendingRecord, way: string) => {
-            if (unconfirmed.delete(pending)) {
-                metrics.count("accept_confirmed_total", way);
-                pending.settle(SubmitOutcome.Accepted);
-            }
-        };
-        const expiries = batch.map(pending =>
-            clock.schedule(Math.max(0, pending.untilMs - clock.getNow()), () => {
-                unconfirmed.delete(pending);
-                pending.settle(SubmitOutcome.Unknown);
-            })
-        );
-        void relayed.then(outcome => {
-            if (outcome === SubmitOutcome.Accepted) {
-                [...unconfirmed].forEach(pending => accept(pending, "relayed"));
-            }
-        });
-        await this.confirmStored(unconfirmed, accept, from);
-        if (unconfirmed.size > 0) {
-            await relayedInTime;
-        }
-        expiries.forEach(cancel => cancel());
-        unconfirmed.forEach(pending => pending.settle(SubmitOutcome.Unknown));
-    }
-
     /** Waits for the outcome of an append by the coordinator; `Unknown` after a timeout. */
     private waitForRelayed(relayed: Promise<SubmitOutcome>): Promise<SubmitOutcome> {
         return new Promise(resolve => {
@@ -211,64 +162,6 @@
         });
     }
 
-    /**
-     * Looks up records in the store and appends the missing ones again, until all are confirmed or the store doesn't
-     * answer.
-     */
-    private async confirmStored(
-        unconfirmed: ReadonlySet<PendingRecord>,
-        accept: (pending: PendingRecord, way: string) => void,
-        from: number | undefined,
-    ): Promise<void> {
-        let next = from;
-        while (unconfirmed.size > 0) {
-            const found = await this.findStored([...unconfirmed], next);
-            if (found === undefined) {
-                return;
-            }
-            next = found.next;
-            [...unconfirmed].filter(pending => found.keys.has(pending.record.key)).forEach(pending =>
-                accept(pending, "found")
-            );
-            const missing = [...unconfirmed];
-            if (
-                missing.length > 0
-                && await this.tryAppending(missing.map(pending => pending.record)) === SubmitOutcome.Accepted
-            ) {
-                missing.forEach(pending => accept(pending, "appended"));
-            }
-            if (unconfirmed.size > 0) {
-                await waitFor(this.parts.clock, CONFIRM_INTERVAL_MS);
-            }
-        }
-    }
-
-    /**
-     * Finds out which records are in the store. Reads the topic from the offset `from` on, which is short; looks up
-     * each key if that offset is unknown or no longer kept.
-     *
-     * @returns The keys that are in the store, and the offset for the next call; undefined if the store didn't answer.
-     */
-    private async findStored(
-        batch: readonly PendingRecord[],
-        from: number | undefined,
-    ): Promise<{ keys: ReadonlySet<string>; next: number | undefined } | undefined> {
-        if (from !== undefined) {
-            const answer = await this.parts.store.read(Topic.Jobs, from, 0);
-            if (answer.outcome === ReadOutcome.Failed) {
-                return undefined;
-            }
-            if (answer.outcome === ReadOutcome.Read) {
-                const stored = answer.records.filter(({ value }) => value !== undefined);
-                return { keys: new Set(stored.map(({ key }) => key)), next: answer.next };
-            }
-        }
-        const read = ({ record, untilMs }: PendingRecord) => this.jobKeys.read(record.key, untilMs);
-        const answers = await Promise.all(batch.map(read));
-        const keys = new Set(answers.flatMap(records => records?.map(({ key }) => key) ?? []));
-        return answers.includes(undefined) && keys.size === 0 ? undefined : { keys, next: undefined };
-    }
-
     /** Appends to the store, and retries if the answer is lost: the records may or may not have been written then. */
     private async appendDirectly(records: readonly KeyedRecord[]): Promise<SubmitOutcome> {
         let isUnknown = false;
