--- a/packages/bench/src/margins/marginCollector.test.ts
+++ b/packages/bench/src/margins/marginCollector.test.ts
@@ -60,6 +60,15 @@
             expect(idle.map(({ reason }) => reason)).toEqual(["Processor", "Memory"]);
         });
 
+        it("takes a fleet that has promised more than it has as free processor below 0", () => {
+            const margins = collectMargins([
+                buildLine(10, "fleet-summary", { freeCpuMillis: -262_850 }),
+                buildIdleLine(11, 4000),
+            ]);
+            expect(margins.idle[0]?.freeCpuMillis).toBe(-262_850);
+            expect(margins.faults.size).toBe(0);
+        });
+
         it("doesn't know the free processor before the first summary", () => {
             expect(collectMargins([buildIdleLine(1, 4000)]).idle[0]?.freeCpuMillis).toBeUndefined();
         });
--- a/packages/bench/src/margins/marginCollector.ts
+++ b/packages/bench/src/margins/marginCollector.ts
@@ -64,8 +64,8 @@
                 return this.noteIdle(line);
             case "fleet-summary": {
                 const { freeCpuMillis } = line.fields;
-                this.freeCpuMillis = isAmount(freeCpuMillis) ? freeCpuMillis : undefined;
-                return isAmount(freeCpuMillis);
+                this.freeCpuMillis = typeof freeCpuMillis === "number" ? freeCpuMillis : undefined;
+                return this.freeCpuMillis !== undefined;
             }
             case "log-lines-dropped": {
                 const { dropped } = line.fields;
