Bind leases by the age of the coordinator's authority, so that its successor waits 5.3 s for a silent worker instead of 6.1 s

Cause: the sum 3 s + authority 1.45 s + lease 4.62 s + first reports, round and record. The successor added the whole time for which an authority lasts to the length of a lease, since a lease could be given at the authority's very end.

Change: no lease ends later than 5.1 s after the coordinator asked for the newest confirmation of its authority. Every confirmation comes before the successor's term, so the successor counts 5.1 s (on the slowest clock, and 50 ms) from its win. Leases are shorter only while the term's renewals are older than 0.6 s: 3.7 s at least. A field in the term's records says that leases are bound, from 1 s after the term was won on; without it (an earlier version) the successor waits as before.

--- a/packages/coordinate-work/src/coordinatorParts.ts
+++ b/packages/coordinate-work/src/coordinatorParts.ts
@@ -2,6 +2,7 @@
 import type { WorkMeter } from "@sardinestage/watch-loop";
 import type { CoordinatorRules } from "./coordinatorRules.js";
 import type { PlatformParts } from "./platformParts.js";
+import type { EarlierTermView } from "./takeover/earlierTermView.js";
 
 /** Dependencies of a coordinator. */
 export interface CoordinatorParts extends PlatformParts {
@@ -15,8 +16,12 @@
     readonly getNewestFence: () => number;
     /** Whether this coordinator may start tasks and renew leases now. Its successor counts on it that it doesn't else. */
     readonly hasAuthority: () => boolean;
-    /** When the earlier coordinators' authority has certainly run out, in steady milliseconds. It may become earlier. */
-    readonly getEarlierAuthorityEnd: () => number;
+    readonly earlierTerm: EarlierTermView;
+    /**
+     * Time since the newest confirmation or promise that this coordinator's authority rests on was asked for, in
+     * milliseconds. No lease goes beyond a bound that counts from then.
+     */
+    readonly getAuthorityAge: () => number;
     /** Time since the last confirmed renewal of the term in the store, in milliseconds. */
     readonly getTermRenewalAge: () => number;
     /** The usual delay of this process's event loop, in milliseconds. */
--- a/packages/coordinate-work/src/limits.ts
+++ b/packages/coordinate-work/src/limits.ts
@@ -19,6 +19,12 @@
     workerSilenceMs: 1800,
     /** After this many renewals without an answer, the worker's lease is left to expire. */
     maxMissedRenewals: 2,
+    /**
+     * A lease ends at most by its length and this much after the coordinator asked for the newest confirmation of its
+     * authority, in milliseconds: the interval between two renewals of the term, and a slow answer. The next coordinator
+     * counts on it.
+     */
+    leaseConfirmationMs: 600,
     /** Slowest rate of a worker's clock relative to the coordinator's. */
     slowestClockRate: 0.975,
     /** The next lease renewal waits at most this long for run ends to be recorded, in milliseconds. */
--- a/packages/coordinate-work/src/orders/orderSender.ts
+++ b/packages/coordinate-work/src/orders/orderSender.ts
@@ -6,6 +6,7 @@
 import type { CoordinatorParts } from "../coordinatorParts.js";
 import { limits } from "../limits.js";
 import type { AdviceCache } from "../planning/adviceCache.js";
+import { computeLeaseLength } from "../renewals/computeLeaseLength.js";
 import type { TrackedWorker } from "../workers/trackedWorker.js";
 import { StartPacer } from "./startPacer.js";
 
@@ -118,7 +119,8 @@
             return;
         }
         const sentAtMs = clock.getNow();
-        const leaseUntilMs = Math.floor(worker.estimateClock(sentAtMs) + rules.leaseMs);
+        const leaseMs = computeLeaseLength(rules.leaseMs, this.parts.getAuthorityAge());
+        const leaseUntilMs = Math.floor(worker.estimateClock(sentAtMs) + leaseMs);
         worker.leaseUntilMs = Math.max(worker.leaseUntilMs, leaseUntilMs);
         worker.noteStart(sentAtMs, rules.maxLeaseMs);
         const fence = worker.life.noteStartSent();
--- a/packages/coordinate-work/src/renewals/leaseRenewalLoop.test.ts
+++ b/packages/coordinate-work/src/renewals/leaseRenewalLoop.test.ts
@@ -27,6 +27,7 @@
         workers,
         term: 1,
         hasAuthority: () => true,
+        getAuthorityAge: () => 0,
         rules: { leaseMs: 4500 },
         metrics: new Metrics(),
         logger: { info: () => undefined },
--- a/packages/coordinate-work/src/renewals/leaseRenewalLoop.ts
+++ b/packages/coordinate-work/src/renewals/leaseRenewalLoop.ts
@@ -8,6 +8,7 @@
 import { chooseLongPollTimeout } from "./chooseLongPollTimeout.js";
 import { chooseRecordWait } from "./chooseRecordWait.js";
 import { chooseRenewalPause } from "./chooseRenewalPause.js";
+import { computeLeaseLength } from "./computeLeaseLength.js";
 import type { ReportRequest } from "./reportRequest.js";
 
 /** Callbacks of a lease renewal loop. */
@@ -194,7 +195,8 @@
         const { worker, parts } = this;
         let leaseUntilMs: number | undefined;
         if (hasLease) {
-            leaseUntilMs = Math.floor(worker.estimateClock(nowMs) + parts.rules.leaseMs);
+            const leaseMs = computeLeaseLength(parts.rules.leaseMs, parts.getAuthorityAge());
+            leaseUntilMs = Math.floor(worker.estimateClock(nowMs) + leaseMs);
             worker.leaseUntilMs = Math.max(worker.leaseUntilMs, leaseUntilMs);
         }
         const longPollMs = chooseLongPollTimeout(worker.hasMixedTasks, parts.getLoopDelay());
--- a/packages/coordinate-work/src/testing/coordinatorHarness.ts
+++ b/packages/coordinate-work/src/testing/coordinatorHarness.ts
@@ -15,10 +15,11 @@
     VirtualClock,
 } from "@sardinestage/emulate-platform";
 import type { EmulatedWorkerTraits } from "@sardinestage/emulate-platform";
-import { EarlierTerm } from "@sardinestage/keep-term";
+import { authorityTimes, EarlierTerm } from "@sardinestage/keep-term";
 import { CANCEL_SUFFIX, encodeJobRecord, PartKey } from "@sardinestage/track-jobs";
 import { WorkMeter } from "@sardinestage/watch-loop";
 import { Coordinator } from "../coordinator.js";
+import { PartitionedFleet } from "./partitionedFleet.js";
 
 const APPEND_TIMEOUT_MS = 1000;
 /** Distance between two terms: the fencing tokens of a term lie between it and the next one. */
@@ -56,6 +57,10 @@
     workerTraits: EmulatedWorkerTraits | undefined;
     /** Whether the coordinators may start tasks and renew leases. */
     hasAuthority = true;
+    /** Whether the authority of a coordinator runs out by itself after its successor's term has begun. */
+    endsAuthority = false;
+    /** Returns whether the coordinator of a term, counted from 1, is cut off from a worker. */
+    isCutOff: (termOrdinal: number, workerId: string) => boolean = () => false;
     /** Answers for the advice service; as a rule, there is none. */
     requestTickets: AdvicePort["requestTickets"] = () => Promise.resolve({ tickets: undefined, validMs: 0 });
     private terms = 0;
@@ -170,16 +175,24 @@
         const ordinal = this.terms;
         const term = ordinal * TERM_DISTANCE;
         let renewals = 0;
+        let renewedAtMs = this.clock.getNow();
         const renewTerm = () => {
-            renewals += this.store.faults.isDown ? 0 : 1;
+            if (!this.store.faults.isDown) {
+                renewals++;
+                // The store confirms no term once a later one has begun.
+                renewedAtMs = ordinal === this.terms ? this.clock.getNow() : renewedAtMs;
+            }
             this.clock.schedule(RENEWAL_INTERVAL_MS, renewTerm);
         };
         this.clock.schedule(RENEWAL_INTERVAL_MS, renewTerm);
-        const earlierTerm = new EarlierTerm(this.clock, this.clock.getNow());
+        // While the store is away, the other VMs' promises extend the authority.
+        const getAuthorityAge = () => this.store.faults.isDown ? 0 : this.clock.getNow() - renewedAtMs;
+        const { confirmedMs } = authorityTimes;
+        const earlierTerm = new EarlierTerm(this.clock, this.clock.getNow(), true);
         const coordinator = new Coordinator({
             store: this.store,
             workers: new SingleThreadWorkerPort(
-                this.fleet,
+                new PartitionedFleet(this.fleet, this.clock, workerId => this.isCutOff(ordinal, workerId)),
                 this.clock,
                 this.callCostMs,
                 () => this.clock.skipTime(this.sendCostMs),
@@ -201,8 +214,9 @@
             term,
             getNewestFence: () => term + renewals,
             hadUnrecordedStarts,
-            hasAuthority: () => this.hasAuthority,
-            getEarlierAuthorityEnd: () => earlierTerm.actsUntilMs,
+            hasAuthority: () => this.hasAuthority && (!this.endsAuthority || getAuthorityAge() < confirmedMs),
+            earlierTerm,
+            getAuthorityAge,
             getTermRenewalAge: () => Infinity,
             getLoopDelay: () => this.loopDelayMs,
             meter: new WorkMeter(this.clock),
--- a/packages/coordinate-work/src/workers/fleet.ts
+++ b/packages/coordinate-work/src/workers/fleet.ts
@@ -10,6 +10,9 @@
 /** The same if it has told ends of jobs that weren't read yet, in milliseconds: the store may be away meanwhile. */
 const REMOVE_WITH_ENDS_MS = 60_000;
 
+/** The earlier coordinator's clock and its estimates of the workers' clocks may be off by this much, in milliseconds. */
+const CLOCK_MARGIN_MS = 50;
+
 /** Unreadable entries that are logged; further ones are only counted. */
 const MAX_UNREADABLE_KEYS = 100;
 
@@ -34,10 +37,16 @@
 
     /**
      * When all leases granted by earlier coordinators have expired, also on workers that can't be reached, in steady
-     * milliseconds. All coordinators ask for the same lease length, although workers would grant longer leases.
+     * milliseconds. All coordinators ask for the same lease length, although workers would grant longer leases, and bind
+     * it by the age of their authority.
      */
     get earlierLeasesExpireAtMs(): number {
-        return this.parts.getEarlierAuthorityEnd() + this.parts.rules.leaseMs / limits.slowestClockRate;
+        const { earlierTerm, rules } = this.parts;
+        const boundMs = rules.leaseMs + limits.leaseConfirmationMs;
+        return Math.min(
+            earlierTerm.actsUntilMs + rules.leaseMs / limits.slowestClockRate,
+            earlierTerm.confirmedBeforeMs + CLOCK_MARGIN_MS + boundMs / limits.slowestClockRate,
+        );
     }
 
     /** Applies a record of the platform's worker list. */
--- a/packages/keep-term/src/earlierTerm.ts
+++ b/packages/keep-term/src/earlierTerm.ts
@@ -9,15 +9,23 @@
     private untilMs: number;
     /** Until when the predecessors of the last coordinator may act, whatever becomes of the last one. */
     private readonly predecessorsUntilMs: number;
+    /**
+     * Before when the earlier coordinators asked for every confirmation that their leases are bound by, in steady
+     * milliseconds; Infinity if their leases may not be bound by any.
+     */
+    readonly confirmedBeforeMs: number;
 
     /**
      * @param clock Steady time.
      * @param knownSinceMs Since when this process has known the last coordinator's term, in steady milliseconds.
+     * @param areLeasesBound Whether the earlier coordinators bind their leases by the age of their authority.
      */
-    constructor(private readonly clock: Clock, knownSinceMs: number) {
+    constructor(private readonly clock: Clock, knownSinceMs: number, areLeasesBound = false) {
         const lengthMs = authorityTimes.confirmedMs + authorityTimes.marginMs;
         this.untilMs = clock.getNow() + lengthMs;
         this.predecessorsUntilMs = knownSinceMs + lengthMs;
+        // The store confirms no earlier term once this one has begun.
+        this.confirmedBeforeMs = areLeasesBound ? clock.getNow() : Infinity;
     }
 
     /** When the authority of the earlier coordinators has certainly run out, in steady milliseconds. */
--- a/packages/keep-term/src/termAuthority.test.ts
+++ b/packages/keep-term/src/termAuthority.test.ts
@@ -79,6 +79,19 @@
         expect(authority.isValid).toBe(false);
         expect(authorityTimes.promisedMs).toBeLessThan(authorityTimes.promiseKeptMs);
     });
+
+    it("is as old as the newest confirmation or promise", () => {
+        const clock = new MachineClock();
+        const authority = createAuthority(clock);
+        clock.runFor(300);
+        expect(authority.ageMs).toBe(300);
+        authority.notePromised(Instant.readNow(clock));
+        clock.runFor(200);
+        expect(authority.ageMs).toBe(200);
+        authority.noteConfirmed(Instant.readNow(clock));
+        clock.wallMs += 50;
+        expect(authority.ageMs).toBe(50);
+    });
 });
 
 describe("An earlier term", () => {
@@ -98,6 +111,16 @@
         expect(earlier.actsUntilMs).toBe(clock.steadyMs);
     });
 
+    it("has asked for its last confirmation before the next term began, if it binds its leases by that", () => {
+        const clock = new MachineClock();
+        const wonAtMs = clock.steadyMs;
+        const bound = new EarlierTerm(clock, 0, true);
+        const unbound = new EarlierTerm(clock, 0);
+        clock.runFor(10);
+        expect(bound.confirmedBeforeMs).toBe(wonAtMs);
+        expect(unbound.confirmedBeforeMs).toBe(Infinity);
+    });
+
     it("may have had predecessors that act on, if it was short", () => {
         const clock = new MachineClock();
         const earlier = new EarlierTerm(clock, clock.steadyMs - 300);
--- a/packages/keep-term/src/termAuthority.ts
+++ b/packages/keep-term/src/termAuthority.ts
@@ -23,6 +23,11 @@
             || (this.promised !== undefined && this.promised.ageMs < authorityTimes.promisedMs);
     }
 
+    /** Time since the newest confirmation or promise that the authority rests on was asked for, in milliseconds. */
+    get ageMs(): number {
+        return Math.min(this.confirmed.ageMs, this.promised?.ageMs ?? Infinity);
+    }
+
     /** Time since the store last confirmed that the term is the newest, in milliseconds. */
     get unconfirmedMs(): number {
         return this.confirmed.ageMs;
--- a/packages/keep-term/src/termLog.test.ts
+++ b/packages/keep-term/src/termLog.test.ts
@@ -54,6 +54,24 @@
         });
     });
 
+    describe("when a holder binds its leases by the age of its authority", () => {
+        it("says so in its renewals, not in the record that wins the term", async () => {
+            const { clock, first, second } = createLogs();
+            const won = first.tryWin(0);
+            await clock.runFor(50);
+            const term = (await won)?.term ?? 0;
+            const seen: (boolean | undefined)[] = [];
+            const read = async () => seen.push((await second.readTerm())?.areLeasesBound);
+            void read();
+            await clock.runFor(50);
+            void first.renew(term, 0, false, true).then(read);
+            await clock.runFor(50);
+            void first.renew(term, 0, false).then(read);
+            await clock.runFor(50);
+            expect(seen).toEqual([false, true, false]);
+        });
+    });
+
     describe("when a holder renews", () => {
         it("finds out that another process has won a term", async () => {
             const { clock, first, second } = createLogs();
--- a/packages/keep-term/src/termLog.ts
+++ b/packages/keep-term/src/termLog.ts
@@ -13,10 +13,11 @@
 const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
 /**
  * A record of the term topic: `[vm, incarnation, host, port, term, written at (Unix milliseconds), strength, number of
- * following VMs, whether there may be started runs that aren't recorded]`. The term is 0 in the record that wins a
+ * following VMs, whether there may be started runs that aren't recorded, whether leases are bound by the age of the
+ * authority]`. Versions that don't bind leases write no such field. The term is 0 in the record that wins a
  * term, since the term follows from that record's offset.
  */
-type TermRow = [string, string, string, number, number, number, number, number, boolean];
+type TermRow = [string, string, string, number, number, number, number, number, boolean, boolean?];
 
 /**
  * The term topic, which decides which process is the coordinator. Every append succeeds only if the topic ends at the
@@ -76,10 +77,12 @@
                 writtenAtMs: 0,
                 followers: 0,
                 hasUnrecordedStarts: false,
+                areLeasesBound: false,
             };
         }
         const row = encoder.decode(record.value) as TermRow;
         const [vm, incarnation, host, port, term, writtenAtMs, strength, followers, hasUnrecordedStarts] = row;
+        const areLeasesBound = row[9] === true;
         const holder: TermHolder = {
             term: term === 0 ? record.offset + 1 : term,
             vm,
@@ -90,7 +93,7 @@
         };
         const recordEnd = record.offset + 1;
         const end = Math.max(page.end, recordEnd);
-        return { holder, end, recordEnd, writtenAtMs, followers, hasUnrecordedStarts };
+        return { holder, end, recordEnd, writtenAtMs, followers, hasUnrecordedStarts, areLeasesBound };
     }
 
     /**
@@ -104,7 +107,7 @@
      */
     async tryWin(end: number): Promise<TermHolder | undefined> {
         this.unsettledTryEnd = end;
-        const answer = await this.append(end, 0, 0, true);
+        const answer = await this.append(end, 0, 0, true, false);
         if (answer.outcome !== AppendOutcome.Unknown) {
             this.unsettledTryEnd = undefined;
         }
@@ -127,9 +130,15 @@
      *
      * @param followers Number of VMs that follow this coordinator.
      * @param hasUnrecordedStarts Whether there may be started runs that aren't recorded in the store yet.
+     * @param areLeasesBound Whether no lease of this term or an earlier one goes beyond the bound by the authority's age.
      */
-    async renew(term: number, followers: number, hasUnrecordedStarts: boolean): Promise<RenewalOutcome> {
-        const answer = await this.append(this.end, term, followers, hasUnrecordedStarts);
+    async renew(
+        term: number,
+        followers: number,
+        hasUnrecordedStarts: boolean,
+        areLeasesBound = false,
+    ): Promise<RenewalOutcome> {
+        const answer = await this.append(this.end, term, followers, hasUnrecordedStarts, areLeasesBound);
         if (answer.outcome === AppendOutcome.Appended) {
             this.end = answer.offset + 1;
             this.noteConfirmed(this.end);
@@ -156,7 +165,13 @@
         this.confirmedEnd = Math.max(this.confirmedEnd, recordEnd);
     }
 
-    private append(at: number, term: number, followers: number, hasUnrecordedStarts: boolean) {
+    private append(
+        at: number,
+        term: number,
+        followers: number,
+        hasUnrecordedStarts: boolean,
+        areLeasesBound: boolean,
+    ) {
         const { vm, incarnation, host, port, strength } = this.candidate;
         const writtenAtMs = this.clock.getWallTime();
         const row: TermRow = [
@@ -169,6 +184,7 @@
             strength,
             followers,
             hasUnrecordedStarts,
+            areLeasesBound,
         ];
         const records = [{ key: TERM_KEY, value: encoder.encode(row) }];
         return this.store.append({ topic: Topic.Term, records, at, timeoutMs: APPEND_TIMEOUT_MS });
--- a/packages/keep-term/src/termView.ts
+++ b/packages/keep-term/src/termView.ts
@@ -15,6 +15,8 @@
      * before its term.
      */
     readonly hasUnrecordedStarts: boolean;
+    /** Whether the holder and those before it give no lease beyond a bound that counts from their authority's age. */
+    readonly areLeasesBound: boolean;
     /** Number of VMs that followed the holder at that time. */
     readonly followers: number;
 }
--- a/packages/run-entry-vm/src/candidacy.ts
+++ b/packages/run-entry-vm/src/candidacy.ts
@@ -72,7 +72,7 @@
         if (isOurs) {
             termLog.acceptTerm(view);
         }
-        const earlierTerm = new EarlierTerm(clock, knownSinceMs);
+        const earlierTerm = new EarlierTerm(clock, knownSinceMs, before.areLeasesBound && view.areLeasesBound);
         this.parts.updateHolder(won);
         void this.parts.authorityKeeper.announceTerm(won, isOurs ? undefined : before.holder, members, earlierTerm);
         const hadUnrecordedStarts = before.holder !== undefined && !isRecorded;
--- a/packages/run-entry-vm/src/createEntryVm.ts
+++ b/packages/run-entry-vm/src/createEntryVm.ts
@@ -40,7 +40,6 @@
                     ...termParts,
                     workers: createWorkerPort(parts, context, termParts.term),
                     rules: parts.coordinatorRules,
-                    getEarlierAuthorityEnd: () => termParts.earlierTerm.actsUntilMs,
                     getLoopDelay: () => context.get(EventLoopMonitor).averageDelayMs,
                     meter: context.get(WorkMeter),
                 }),
--- a/packages/run-entry-vm/src/localCoordinator.test.ts
+++ b/packages/run-entry-vm/src/localCoordinator.test.ts
@@ -77,6 +77,35 @@
         });
     });
 
+    describe("when it renews its term", () => {
+        it("says that leases are bound once those of an earlier version would have ended as early", async () => {
+            const clock = new VirtualClock();
+            const areLeasesBound: (boolean | undefined)[] = [];
+            const termLog: Pick<TermLog, "renew"> = {
+                renew: (...[, , , isBound]) => {
+                    areLeasesBound.push(isBound);
+                    return Promise.resolve(RenewalOutcome.Renewed);
+                },
+            };
+            const coordinator = { open: () => Promise.resolve(true), close: () => undefined };
+            const local = new LocalCoordinator({
+                termLog: termLog as TermLog,
+                store: {} as StorePort,
+                clock,
+                logger: silentLogger,
+                rules: defaultRules,
+                followers: new Followers(),
+                jobStateCache: new JobStateCache(clock, KEEP_MS),
+                getResponsiveTime: () => clock.getNow(),
+                createCoordinator: () => coordinator as unknown as Coordinator,
+            });
+            await local.start(holder, Instant.readNow(clock), false, new EarlierTerm(clock, 0));
+            await clock.runFor(defaultRules.renewMs * 3 + 1);
+            local.stop(holder.term, "end of test");
+            expect(areLeasesBound).toEqual([false, true, true]);
+        });
+    });
+
     describe("when its renewals get no answer in time", () => {
         it("counts the store as lost, so that a VM that has the store takes over", async () => {
             expect(await measureStoreLost(1)).toBeGreaterThan(defaultRules.storeSilenceMs);
--- a/packages/run-entry-vm/src/localCoordinator.ts
+++ b/packages/run-entry-vm/src/localCoordinator.ts
@@ -19,6 +19,11 @@
 const MAX_TAKEOVER_TRIES = 40;
 /** The store counts as unavailable after failures for this long, in milliseconds. */
 const STORE_UNAVAILABLE_MS = 500;
+/**
+ * Leases of an earlier version, which doesn't bind them by its authority's age, end later than those that are bound by at
+ * most this long, in milliseconds: a term that is as old says that leases are bound.
+ */
+const LEASES_BOUND_AFTER_MS = 1000;
 /** Timeout of an append on behalf of a VM that can't reach the store, in milliseconds. */
 const RELAYED_APPEND_TIMEOUT_MS = 500;
 
@@ -144,6 +149,7 @@
                 hadUnrecordedStarts,
                 earlierTerm,
                 hasAuthority: () => this.checkAuthority(holder.term),
+                getAuthorityAge: () => this.termAuthority?.ageMs ?? Infinity,
                 getTermRenewalAge: () => this.renewalAgeMs,
                 getNewestFence: () => this.findNewestFence(holder.term),
                 onTermLost: reason => this.stop(holder.term, reason),
@@ -289,7 +295,12 @@
             const sentAt = Instant.readNow(clock);
             const sentAtMs = clock.getNow();
             const sentAtResponsiveMs = this.parts.getResponsiveTime();
-            const outcome = await termLog.renew(term, followers.countActive(sentAtMs), this.hasUnrecordedStarts);
+            const outcome = await termLog.renew(
+                term,
+                followers.countActive(sentAtMs),
+                this.hasUnrecordedStarts,
+                this.termHeldMs >= LEASES_BOUND_AFTER_MS,
+            );
             if (outcome === RenewalOutcome.TermLost) {
                 this.stop(term, "another-won");
                 return;
--- a/packages/run-entry-vm/src/termParts.ts
+++ b/packages/run-entry-vm/src/termParts.ts
@@ -10,6 +10,8 @@
     readonly earlierTerm: EarlierTerm;
     /** Whether the coordinator may start tasks and renew leases now. */
     readonly hasAuthority: () => boolean;
+    /** Time since the newest confirmation or promise that the authority rests on was asked for, in milliseconds. */
+    readonly getAuthorityAge: () => number;
     /** Time since the last confirmed renewal of the term in the store, in milliseconds. */
     readonly getTermRenewalAge: () => number;
     /** The newest fencing token that the term may use: at least the term, below every later one, and never falling. */
--- a/packages/run-entry-vm/src/testing/takeoverHarness.ts
+++ b/packages/run-entry-vm/src/testing/takeoverHarness.ts
@@ -156,7 +156,6 @@
                     logger,
                     metrics: new Metrics(),
                     rules: coordinatorRules,
-                    getEarlierAuthorityEnd: () => termParts.earlierTerm.actsUntilMs,
                     getLoopDelay: () => 0,
                     meter: new WorkMeter(clock),
                 }),
