Know the runs of a worker by its first answer if it answers no more

Seen (emulated: 246 workers, a call takes 0.5 ms of the thread, 1 in 7 workers without power 0.3 s after a takeover that may find unrecorded runs): no start for 6.5 s (StartGateClosed, 1,400 tasks), although each of those workers had answered.

Cause: a worker's first answer serves only to read its clock, and an answer that waits while the takeover is under way is dropped after 1.5 s. So a worker that went after it counted as unheard, and all starts waited for its lease, 6.2 s from that answer.

Change: the last answer that wasn't applied is kept until a report is applied. If the worker misses a renewal it is applied as a report, once the takeover takes reports and all its jobs are known. The worker has seen this term's token, so nothing of an earlier term is started there after that answer; what it lists waits for its lease as before, and it gets no start while it is silent.

--- a/packages/coordinate-work/src/renewals/leaseRenewalLoop.ts
+++ b/packages/coordinate-work/src/renewals/leaseRenewalLoop.ts
@@ -32,6 +32,8 @@
 export class LeaseRenewalLoop {
     /** Whether the last answer served only to read the worker's clock, so that no report has been applied since. */
     private isReportDue = false;
+    /** The last answer that wasn't applied as a report, if none has been applied in this term. */
+    private unapplied: { readonly report: LeaseReport; readonly request: ReportRequest } | undefined;
     /** How often the loop has waited again for the record of the last end that was applied. */
     private waits = { endNumber: 0, count: 0 };
 
@@ -84,6 +86,7 @@
             else {
                 this.noteLeftAside(report, "unrenewed");
                 this.noteMissedRenewal(report.outcome);
+                this.startApplyingKept();
                 await waitFor(this.parts.clock, limits.renewalRetryMs);
             }
         }
@@ -114,6 +117,7 @@
         if (!hadLease || isOtherLife) {
             this.noteLeftAside(report, isOtherLife ? "other-life" : "no-lease");
             this.readClock(report);
+            this.noteUnapplied(report, request);
             return;
         }
         worker.isLeaseRenewed = true;
@@ -129,6 +133,40 @@
         }
         else {
             this.noteLeftAside(report, "takeover");
+            this.noteUnapplied(report, request);
+        }
+    }
+
+    /** Keeps an answer that tells which runs a worker has, in case that the worker answers no more. */
+    private noteUnapplied(report: LeaseReport, request: ReportRequest): void {
+        this.unapplied = this.worker.hasReported ? undefined : { report, request };
+    }
+
+    /** Has the answer applied that was kept; the loop goes on meanwhile, since the worker may only be hard to reach. */
+    private startApplyingKept(): void {
+        this.applyKept().catch((failure: unknown) => {
+            const fields = { worker: this.worker.entry.id, problem: describeProblem(failure) };
+            this.parts.logger.error("renewal-failed", fields);
+        });
+    }
+
+    /**
+     * Applies the answer that was kept of a worker that is silent now and hasn't reported in this term. Its runs are known
+     * by that answer: since it has seen this term's token, no earlier coordinator has started any more there.
+     */
+    private async applyKept(): Promise<void> {
+        const { worker, unapplied, handlers } = this;
+        if (
+            unapplied === undefined || !await handlers.waitUntilOpen() || !await handlers.hasAllJobs(unapplied.report)
+        ) {
+            return;
+        }
+        const { report, request } = unapplied;
+        const isCurrent = worker.life.bornMs === report.bornMs && worker.life.isReportedBy(request);
+        const isNeeded = !worker.hasReported && worker.missedRenewals > 0 && !handlers.isOver(worker);
+        if (this.unapplied === unapplied && isCurrent && isNeeded) {
+            this.unapplied = undefined;
+            handlers.applyReport(worker, report, request);
         }
     }
 
