--- a/packages/coordinate-work/src/orders/orderSender.ts
+++ b/packages/coordinate-work/src/orders/orderSender.ts
@@ -6,6 +6,7 @@
 import type { CoordinatorParts } from "../coordinatorParts.js";
 import { limits } from "../limits.js";
 import type { AdviceCache } from "../planning/adviceCache.js";
+import { computeLeaseLength } from "../renewals/computeLeaseLength.js";
 import type { TrackedWorker } from "../workers/trackedWorker.js";
 import { StartPacer } from "./startPacer.js";
 
@@ -22,6 +23,8 @@
     readonly handleNotStarted: (task: Task, worker: TrackedWorker) => void;
     /** Called when a worker has accepted a start. */
     readonly handleStarted: (worker: TrackedWorker) => void;
+    /** Called when the outcome of a start has become known. */
+    readonly handleStartSettled: () => void;
     /** Whether the coordinator has closed, after which no order is sent. */
     readonly isClosed: () => boolean;
     /** The advice service's tickets for tasks on workers. */
@@ -31,6 +34,8 @@
 /** Sends start and stop orders to workers, repeats unanswered stops and applies the outcomes to the tasks. */
 export class OrderSender {
     private readonly pacer: StartPacer;
+    /** The number of starts that are under way, without an outcome. */
+    startsUnderWay = 0;
 
     constructor(private readonly parts: CoordinatorParts, private readonly handlers: OrderHandlers) {
         this.pacer = new StartPacer(parts.clock, parts.getLoopDelay);
@@ -48,9 +53,12 @@
         const send = () => {
             worker.startsUnderWay++;
             this.pacer.add(() => {
+                this.startsUnderWay++;
                 void this.callStart(task, run, worker).finally(() => {
+                    this.startsUnderWay--;
                     worker.startsUnderWay--;
                     worker.waitingStarts.shift()?.();
+                    this.handlers.handleStartSettled();
                 });
             });
         };
@@ -111,13 +119,15 @@
             }
             return;
         }
-        if (!this.parts.hasAuthority() || !worker.isLifeReported || worker.missedRenewals > 0) {
+        const isHeard = worker.isLifeReported && worker.missedRenewals === 0 && !worker.hasUnansweredStart;
+        if (!this.parts.hasAuthority() || !isHeard) {
             // A successor may have the worker's tasks started elsewhere, or the worker has gone or restarted meanwhile.
             this.handleRefusal(task, worker, OrderOutcome.Unsent);
             return;
         }
         const sentAtMs = clock.getNow();
-        const leaseUntilMs = Math.floor(worker.estimateClock(sentAtMs) + rules.leaseMs);
+        const leaseMs = computeLeaseLength(rules.leaseMs, this.parts.getAuthorityAge());
+        const leaseUntilMs = Math.floor(worker.estimateClock(sentAtMs) + leaseMs);
         worker.leaseUntilMs = Math.max(worker.leaseUntilMs, leaseUntilMs);
         worker.noteStart(sentAtMs, rules.maxLeaseMs);
         const fence = worker.life.noteStartSent();
@@ -137,6 +147,7 @@
         metrics.recordDuration("start_call", clock.getNow() - sentAtMs);
         metrics.count("starts_total", OrderOutcome[outcome]);
         if (outcome === OrderOutcome.Unknown) {
+            worker.startUnansweredAtMs = clock.getNow();
             const tookMs = Math.round(clock.getNow() - sentAtMs);
             const fields = { task: formatTaskKey(task.ref), run, worker: worker.entry.id, tookMs };
             this.parts.logger.warn("start-unanswered", fields);
