Stand-ins: choose one entry for a request's home domain and its first try

Cause: CallerTraffic chose an entry for the home domain and another one for the first try. Entries that are chosen in turn were thus chosen in pairs, and of two entries one got no request at all: half of the targets' connections, which are divided among the entries, were never used, and that two entries together keep to the limit was never tested. Traced beside load: one entry used 10 ms of processor a second, the other 300, and 40 to 50 requests a second were answered, where the targets can answer 160.

Change: the entry is chosen once for both; later tries choose anew. The test also waits until requests are refused, so that the scheduler is killed under overload. Its bounds are the same.

--- a/packages/prove-promises/src/targetsLeave.test.ts
+++ b/packages/prove-promises/src/targetsLeave.test.ts
@@ -123,9 +123,14 @@
 
 describe("targets under overload", () => {
     it("never have more open requests than their limit, even while a scheduler restarts", async () => {
-        installation = await testHarness.start({ workerConnections: 8 }, { replicas: 2, serviceMs: 100 });
+        // The targets answer 80 requests a second: 16 at once, in 200 ms.
+        installation = await testHarness.start({ workerConnections: 8 }, { replicas: 2, serviceMs: 200 });
         const traffic = startTraffic(250, true, 1);
-        await waitUntil("the overload has begun", () => traffic.totals.answered > 100, testHarness.waitTimeoutMs);
+        await waitUntil(
+            "the overload has begun",
+            () => traffic.totals.answered > 100 && traffic.totals.refused > 0,
+            testHarness.waitTimeoutMs,
+        );
         const [{ scheduler }] = installation.entryVms.values();
         scheduler.sendSignal("SIGKILL");
         await scheduler.waitForExit();
--- a/packages/stand-ins/src/callerTraffic.ts
+++ b/packages/stand-ins/src/callerTraffic.ts
@@ -7,7 +7,7 @@
 interface TrafficOptions {
     readonly service: string;
     readonly requestsPerSecond: number;
-    /** Chooses an entry for each try, as a load balancer does. */
+    /** Chooses an entry, as a load balancer does; called once for each try. The first one's domain is the home domain. */
     readonly chooseEntry: () => { readonly port: number; readonly domain: string };
     readonly isIdempotent: boolean;
     readonly deadlineMs: number;
@@ -61,11 +61,11 @@
         const { service, chooseEntry, isIdempotent, deadlineMs, urgency, bodyBytes, maxTries, key } = this.options;
         const requestId = v7();
         const body = randomBytes(bodyBytes);
-        const homeDomain = chooseEntry().domain;
+        let entry = chooseEntry();
+        const homeDomain = entry.domain;
         for (let tries = 1;; tries++) {
-            const { port } = chooseEntry();
             const answer = await sendRequest({
-                port,
+                port: entry.port,
                 service,
                 requestId,
                 isIdempotent,
@@ -78,6 +78,7 @@
             const mayRetry = answer.outcome === RequestOutcome.Refused || isIdempotent && answer.outcome === undefined;
             if (mayRetry && tries < maxTries) {
                 await new Promise(resolve => setTimeout(resolve, RETRY_DELAY_MS));
+                entry = chooseEntry();
                 continue;
             }
             this.recordOutcome(answer.outcome, answer.reason);
