Let a VM that has just started leave the term to stronger VMs

Cause: a process that has just started took what it didn't know as if it spoke for it. It counted the takeover as long ago, so it waited for half as long as the others, and, knowing no member, it counted as the strongest VM and had no delay.

Change: a takeover counts as recent for 10 s from when a process learns of the term; one that knows no member compares its VM's strength with that of the last coordinator, which the term's record has.

Test: newVm.test.ts, a weak VM that starts as the coordinator dies. Soon after a takeover it won in 3 of 3 runs before, later in 1 of 3 (a race); in 0 of 3 now. That it takes the term if it is alone passes before and after.

--- a/packages/keep-term/src/coordinatorView.ts
+++ b/packages/keep-term/src/coordinatorView.ts
@@ -27,6 +27,9 @@
     readonly followers: number;
     /** Number of members that this process knows. */
     readonly members: number;
-    /** Time since the coordinator took over the term, in milliseconds; infinite if this process saw no takeover. */
+    /**
+     * Time since this process learnt of the coordinator's term, in milliseconds. A process that has just started can't
+     * tell how long ago the takeover was.
+     */
     readonly termAgeMs: number;
 }
--- a/packages/run-entry-vm/src/candidacy.ts
+++ b/packages/run-entry-vm/src/candidacy.ts
@@ -50,7 +50,7 @@
     async run(before: TermView, coordinator: CoordinatorView, members: readonly Candidate[]): Promise<void> {
         const { clock, termLog, localCoordinator, self, promise, mayCompete } = this.parts;
         if (before.holder?.incarnation !== self.incarnation) {
-            await waitFor(clock, this.computeDelay(members));
+            await waitFor(clock, this.computeDelay(before, members));
         }
         const readAt = Instant.readNow(clock);
         const view = await this.parts.readTerm();
@@ -79,10 +79,12 @@
         await localCoordinator.start(won, isOurs ? readAt : triedAt, hadUnrecordedStarts, earlierTerm);
     }
 
-    private computeDelay(members: readonly Candidate[]): number {
+    /** A process that knows no member, such as one that has just started, compares its VM with the last coordinator's. */
+    private computeDelay(before: TermView, members: readonly Candidate[]): number {
         const { rules, self, term } = this.parts;
+        const others = members.length === 0 && before.holder !== undefined ? [before.holder] : members;
         const storeWaitMs = Math.max(0, term.storeLatencyMs - NEAR_STORE_MS) * rules.storeDelayFactor;
-        const weakerWaitMs = rules.maxWeaknessDelayMs * computeWeakness(self, members);
+        const weakerWaitMs = rules.maxWeaknessDelayMs * computeWeakness(self, others);
         return Math.min(rules.maxStoreDelayMs, storeWaitMs) + weakerWaitMs + Math.random() * rules.jitterMs;
     }
 }
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -70,8 +70,6 @@
     private isLeaving = false;
     /** How long the coordinator's calls to the store have failed, by its last answer, in milliseconds. */
     private storeLostMs = 0;
-    /** When another coordinator replaced a known one, in milliseconds of the monotonic clock; -Infinity if none did. */
-    private changedAtMs = -Infinity;
     /** The peer that forwards calls to the coordinator, which this process can't reach directly. */
     private relay: Candidate | undefined;
     /** The VMs that follow the coordinator, as the coordinator last listed them. */
@@ -302,7 +300,6 @@
         const { vm, term } = holder;
         this.parts.localCoordinator.stopAnyTerm("told-of-later-term");
         this.parts.logger.info("coordinator-changed", { vm, term, from: this.holder?.vm, fromTerm: this.holder?.term });
-        this.changedAtMs = this.holder === undefined ? -Infinity : this.parts.clock.getNow();
         this.holderKnownSinceMs = this.parts.clock.getNow();
         this.holder = holder;
         this.isRefused = false;
@@ -335,7 +332,7 @@
             renewalAgeMs: this.term.renewalAgeMs,
             followers: view?.followers ?? 0,
             members: this.members.length,
-            termAgeMs: clock.getNow() - this.changedAtMs,
+            termAgeMs: clock.getNow() - this.holderKnownSinceMs,
         };
         const step = chooseCandidacyStep(coordinator, rules);
         if (step === CandidacyStep.Campaign && view !== undefined && !this.isDraining) {
