Don't count a lease as ended early when an answer that was kept is applied after later renewals

A takeover that reads several pages of jobs takes longer than the reports may wait; a worker carries out the renewals meanwhile, but its answers get lost. Its long-running tasks start elsewhere up to 0.7 s before its lease ends.

Cause: since the last answer that wasn't applied is applied when the worker misses a renewal, beside the loop that goes on renewing. Applying a life's first report sets the end of its lease by that answer's clock, and forgets what later renewals stated.

Change: the latest end of the lease that was stated is kept when such an answer is applied.

--- a/packages/coordinate-work/src/renewals/leaseRenewalLoop.ts
+++ b/packages/coordinate-work/src/renewals/leaseRenewalLoop.ts
@@ -166,7 +166,10 @@
         const isNeeded = !worker.hasReported && worker.missedRenewals > 0 && !handlers.isOver(worker);
         if (this.unapplied === unapplied && isCurrent && isNeeded) {
             this.unapplied = undefined;
+            const { leaseUntilMs } = worker;
             handlers.applyReport(worker, report, request);
+            // Renewals that were sent after this answer may have reached the worker, whose answers to them are missing.
+            worker.leaseUntilMs = Math.max(worker.leaseUntilMs, leaseUntilMs);
         }
     }
 
