Bound the workers reserved for first starts by those of the task's own service and label

Would be seen: a service with few of the fleet's workers runs no short task while long-running tasks of it wait for their first start.

Cause: since a sixteenth of all workers may be reserved, also where all of these are the only ones that the task and the short tasks of its service may use. The work that they are reserved behind may take as long as it likes.

Change: the share counts the workers that the task's service and label allow: one of up to 16.

The reference of the random fleets follows.

--- a/packages/plan-starts/src/capacityLedger.ts
+++ b/packages/plan-starts/src/capacityLedger.ts
@@ -6,7 +6,6 @@
 export class CapacityLedger {
     private readonly versions: Uint32Array;
     private readonly changedIndices: number[] = [];
-    private reserved = 0;
 
     constructor(readonly workers: readonly WorkerCapacity[]) {
         this.versions = new Uint32Array(workers.length);
@@ -17,11 +16,6 @@
         return this.changedIndices.length;
     }
 
-    /** Number of workers that are reserved in this round until their present work ends. */
-    get reservedCount(): number {
-        return this.reserved;
-    }
-
     /** Subtracts one task of a step from a worker's free capacity. */
     allocate(index: number, step: StepRun): void {
         allocateCapacity(this.workers[index], step);
@@ -36,7 +30,6 @@
 
     /** Reserves a worker until its present work ends: only interrupted long-running tasks still start there in this round. */
     reserve(index: number): void {
-        this.reserved += this.workers[index].isReserved ? 0 : 1;
         this.workers[index].isReserved = true;
         this.noteChange(index);
     }
--- a/packages/plan-starts/src/reserveWorkers.ts
+++ b/packages/plan-starts/src/reserveWorkers.ts
@@ -10,7 +10,10 @@
 import type { StepDemand } from "./stepDemand.js";
 import type { WorkerCapacity } from "./workerCapacity.js";
 
-/** The share of the workers that may be reserved for tasks that have never run, so that short tasks keep the others. */
+/**
+ * The share of the workers allowed for a task that may be reserved for tasks that have never run, so that short tasks
+ * keep the others.
+ */
 const FIRST_START_SHARE = 1 / 16;
 
 /**
@@ -65,8 +68,12 @@
     if (isInterrupted(demand)) {
         return Infinity;
     }
-    const firstStarts = Math.ceil(ledger.workers.length * FIRST_START_SHARE);
-    return isOverdueFirstStart(demand) ? Math.max(0, firstStarts - ledger.reservedCount) : 0;
+    if (!isOverdueFirstStart(demand)) {
+        return 0;
+    }
+    const allowed = ledger.workers.filter(worker => isAllowedOn(demand.step, worker));
+    const reservedCount = allowed.filter(worker => worker.isReserved).length;
+    return Math.max(0, Math.ceil(allowed.length * FIRST_START_SHARE) - reservedCount);
 }
 
 /** Whether a task of the step fits on a worker once the worker's run-to-completion tasks have ended. */
--- a/packages/plan-starts/src/testing/planStartsExhaustively.ts
+++ b/packages/plan-starts/src/testing/planStartsExhaustively.ts
@@ -61,9 +61,10 @@
 
 /** Whether one more worker may be reserved for a demand until its present work ends. */
 function isReservable(demand: StepDemand, workers: readonly WorkerCapacity[]): boolean {
-    const reservedCount = workers.filter(worker => worker.isReserved).length;
+    const allowed = workers.filter(worker => isAllowedOn(demand.step, worker));
+    const reservedCount = allowed.filter(worker => worker.isReserved).length;
     return isInterrupted(demand)
-        || (isOverdueFirstStart(demand) && reservedCount < Math.ceil(workers.length / WORKERS_PER_FIRST_START));
+        || (isOverdueFirstStart(demand) && reservedCount < Math.ceil(allowed.length / WORKERS_PER_FIRST_START));
 }
 
 /** Lists the workers on which a step is below its limit of tasks per worker. */
