Wait for the longest lease of a worker that began a new life just before the term and doesn't answer

A worker restarts and gets a start that was sent to its former life; the coordinator goes within the next 0.7 s, and the next one can't reach the worker. Its lasting task starts elsewhere up to 0.7 s before the lease of that life ends.

Cause: a start for a former life states a time of another clock, so the next life grants the longest lease, 6 s from then.

Change: for a worker whose entry says that its life began at most 4 s before the term, the successor counts the longest lease from the end of the earlier coordinators' authority, 7.6 s, or 6.2 s if the predecessor is known to have stopped. All other workers keep 5.3 s.

--- a/packages/coordinate-work/src/workers/fleet.ts
+++ b/packages/coordinate-work/src/workers/fleet.ts
@@ -13,6 +13,12 @@
 /** The earlier coordinator's clock and its estimates of the workers' clocks may be off by this much, in milliseconds. */
 const CLOCK_MARGIN_MS = 50;
 
+/**
+ * A life of a worker that began at most this long before the term, in milliseconds, may have got a start for the former
+ * life: `limits.workerSilenceMs`, the timeout of a call, and a second by which times of day may differ.
+ */
+const RECENT_LIFE_MS = 4000;
+
 /** Unreadable entries that are logged; further ones are only counted. */
 const MAX_UNREADABLE_KEYS = 100;
 
@@ -28,11 +34,14 @@
 export class Fleet {
     readonly workers = new Map<string, TrackedWorker>();
     private readonly openedAtMs: number;
+    /** The time of day when the term began, in Unix milliseconds. */
+    private readonly openedAtWallMs: number;
     /** Keys of the unreadable entries that were logged. */
     private readonly unreadableKeys = new Set<string>();
 
     constructor(private readonly parts: CoordinatorParts, private readonly handlers: FleetHandlers) {
         this.openedAtMs = parts.clock.getNow();
+        this.openedAtWallMs = parts.clock.getWallTime();
     }
 
     /**
@@ -49,6 +58,23 @@
         );
     }
 
+    /**
+     * Computes when the leases of a worker that hasn't answered in this term have expired, in steady milliseconds. A start
+     * that was meant for a former life states a time of another clock, so that the life that gets it grants the longest
+     * lease.
+     *
+     * @param bornMs When the worker's life began, by its entry, in Unix milliseconds.
+     */
+    private computeEarlierLeaseExpiry(bornMs: number): number {
+        const { earlierTerm, rules } = this.parts;
+        return bornMs > this.openedAtWallMs - RECENT_LIFE_MS
+            ? Math.max(
+                this.earlierLeasesExpireAtMs,
+                earlierTerm.actsUntilMs + rules.maxLeaseMs / limits.slowestClockRate,
+            )
+            : this.earlierLeasesExpireAtMs;
+    }
+
     /** Applies a record of the platform's worker list. */
     handleRecord(record: KeyedRecord): void {
         if (record.value === undefined) {
@@ -84,7 +110,7 @@
     private applyEntry(entry: WorkerEntry): void {
         const known = this.workers.get(entry.id);
         if (known === undefined) {
-            const worker = new TrackedWorker(entry, () => this.earlierLeasesExpireAtMs, this.parts.getNewestFence);
+            const worker = this.createWorker(entry);
             this.workers.set(entry.id, worker);
             this.parts.logger.info("worker-listed", { worker: entry.id, domain: entry.domain, bornMs: entry.bornMs });
             this.handlers.noteListed(worker);
@@ -107,6 +133,11 @@
         }
     }
 
+    private createWorker(entry: WorkerEntry): TrackedWorker {
+        const getExpiry = (bornMs: number) => this.computeEarlierLeaseExpiry(bornMs);
+        return new TrackedWorker(entry, getExpiry, this.parts.getNewestFence);
+    }
+
     private addPlaceholder(workerId: string): TrackedWorker {
         const entry: WorkerEntry = {
             id: workerId,
@@ -120,7 +151,7 @@
             rack: "",
             remainingMs: 0,
         };
-        const worker = new TrackedWorker(entry, () => this.earlierLeasesExpireAtMs, this.parts.getNewestFence);
+        const worker = this.createWorker(entry);
         worker.isUnlisted = true;
         this.workers.set(workerId, worker);
         this.parts.logger.warn("worker-unlisted", { worker: workerId });
--- a/packages/coordinate-work/src/workers/trackedWorker.ts
+++ b/packages/coordinate-work/src/workers/trackedWorker.ts
@@ -73,13 +73,14 @@
 
     /**
      * @param entry The worker's entry in the platform's list.
-     * @param getEarlierLeasesExpiry Returns when all leases from earlier coordinators have expired, in steady
-     *   milliseconds; used before the worker's first answer.
+     * @param getEarlierLeasesExpiry Returns when all leases from earlier coordinators have expired on a worker whose life
+     *   began at a time, in Unix milliseconds, by its entry. The result is in steady milliseconds; used before the
+     *   worker's first answer.
      * @param getNewestFence Returns the newest fencing token of the term.
      */
     constructor(
         public entry: WorkerEntry,
-        private readonly getEarlierLeasesExpiry: () => number,
+        private readonly getEarlierLeasesExpiry: (bornMs: number) => number,
         getNewestFence: () => number,
     ) {
         this.life = new WorkerLife(getNewestFence);
@@ -120,7 +121,7 @@
     /** When the worker's lease has certainly expired if no further order renews it, in steady milliseconds. */
     getLeaseExpiry(): number {
         if (this.answeredAtMs === 0) {
-            return this.getEarlierLeasesExpiry();
+            return this.getEarlierLeasesExpiry(this.entry.bornMs);
         }
         const leaseEndMs = this.answeredAtMs
             + Math.max(0, this.leaseUntilMs - this.clockMs) / limits.slowestClockRate;
