Reserve workers for long-running tasks where their work ends soonest

Would be seen (review): long-running tasks wait for their first start on a fleet whose short work ends all the time, as long as one or a few other workers have very long work. Emulated, 32 workers, 8 tasks: 7, 0 and 2 of them run after 7 s with such work on 1, 2 and 4 workers.

Cause: the workers with the most free processor were reserved first. Those behind very long work have it, keep it, and use up the workers that may be reserved. For interrupted tasks the order was the same, without the limit.

Change: workers are reserved in the order in which they will probably have the processor that is needed, by capacity and estimated duration of the work on them. In small services two workers may be reserved for first starts, up to half of them: with one of four at a time the last of four tasks came after 7 s.

--- a/packages/coordinate-work/src/planning/buildWorkerCapacity.ts
+++ b/packages/coordinate-work/src/planning/buildWorkerCapacity.ts
@@ -24,6 +24,7 @@
         capacityCpuMillis: entry.capacity.cpuMillis,
         freeCpuMillis: entry.capacity.cpuMillis,
         runToCompletionCpuMillis: 0,
+        runToCompletionWork: 0,
         freeMemoryMb: entry.capacity.memoryMb,
         freeAccelerators: entry.capacity.accelerators,
         bestEffortCpuMillis: 0,
--- a/packages/coordinate-work/src/planning/placementScorer.test.ts
+++ b/packages/coordinate-work/src/planning/placementScorer.test.ts
@@ -32,6 +32,7 @@
         capacityCpuMillis: 16_000,
         freeCpuMillis: 16_000,
         runToCompletionCpuMillis: 0,
+        runToCompletionWork: 0,
         freeMemoryMb: 64_000,
         freeAccelerators: 0,
         bestEffortCpuMillis: 0,
--- a/packages/coordinate-work/src/testing/measureRounds.ts
+++ b/packages/coordinate-work/src/testing/measureRounds.ts
@@ -97,6 +97,7 @@
         capacityCpuMillis: CAPACITY_CPU_MILLIS,
         freeCpuMillis: CAPACITY_CPU_MILLIS,
         runToCompletionCpuMillis: 0,
+        runToCompletionWork: 0,
         freeMemoryMb: 64_000,
         freeAccelerators: 0,
         bestEffortCpuMillis: 0,
--- a/packages/plan-starts/src/allocateCapacity.ts
+++ b/packages/plan-starts/src/allocateCapacity.ts
@@ -14,7 +14,10 @@
     }
     else {
         worker.freeCpuMillis -= spec.cpuMillis;
-        worker.runToCompletionCpuMillis += spec.longRunning ? 0 : spec.cpuMillis;
+        if (!spec.longRunning) {
+            worker.runToCompletionCpuMillis += spec.cpuMillis;
+            worker.runToCompletionWork += spec.cpuMillis * spec.estimateMs;
+        }
     }
     worker.freeMemoryMb -= spec.memoryMb;
     worker.freeAccelerators -= spec.accelerators;
--- a/packages/plan-starts/src/preemptionPlanner.test.ts
+++ b/packages/plan-starts/src/preemptionPlanner.test.ts
@@ -51,6 +51,7 @@
         capacityCpuMillis: CPU_MILLIS,
         freeCpuMillis: 0,
         runToCompletionCpuMillis: CPU_MILLIS,
+        runToCompletionWork: 0,
         freeMemoryMb: 64_000,
         freeAccelerators: 0,
         bestEffortCpuMillis: 0,
--- a/packages/plan-starts/src/reserveWorkers.ts
+++ b/packages/plan-starts/src/reserveWorkers.ts
@@ -1,6 +1,7 @@
 import type { StepRun } from "@sardinestage/track-jobs";
 import type { CapacityLedger } from "./capacityLedger.js";
 import { countTasksPerWorker } from "./countTasksPerWorker.js";
+import { estimateFreeing } from "./estimateFreeing.js";
 import { isAllowedOn } from "./isAllowedOn.js";
 import { isInterrupted } from "./isInterrupted.js";
 import { isOverdueFirstStart } from "./isOverdueFirstStart.js";
@@ -15,6 +16,10 @@
  * keep the others.
  */
 const FIRST_START_SHARE = 1 / 16;
+/** So many workers may be reserved in any case, so that several tasks start in time in a small service. */
+const MIN_FIRST_START_WORKERS = 2;
+/** The largest share of a small service's workers that may be reserved. */
+const MAX_FIRST_START_SHARE = 1 / 2;
 
 /**
  * Reserves workers for waiting tasks that didn't fit: no demand later in the start order starts there in this round.
@@ -23,7 +28,7 @@
  *
  * Reserved are the workers on which other tasks were preempted for the demand. For a long-running step that was
  * interrupted, or has waited long for its first start, also workers with enough capacity once their run-to-completion
- * tasks have ended; as these may take long, interrupted long-running tasks still start there.
+ * tasks have ended, those first where that takes the shortest time; as it may take long, interrupted long-running tasks still start there.
  *
  * @param demand The demand whose tasks wait.
  * @param placed Starts of the demand's tasks in this round; its other tasks still wait.
@@ -56,9 +61,13 @@
         const others = eligible.filter(index => !reservedIds.has(workers[index].workerId) && !workers[index].isReserved)
             .filter(index => isFittingLater(step, workers[index]))
             .filter(index => rules.isAdvised(step.getTask(0), workers[index].workerId))
-            .sort((left, right) => workers[right].freeCpuMillis - workers[left].freeCpuMillis);
+            .map(index => ({ index, freeingMs: estimateFreeing(workers[index], step.spec.cpuMillis) }))
+            .sort((left, right) =>
+                left.freeingMs - right.freeingMs
+                || workers[right.index].freeCpuMillis - workers[left.index].freeCpuMillis
+            );
         const otherCount = Math.min(laterCount, Math.max(0, missingCount - coveredCount));
-        others.slice(0, otherCount).forEach(index => ledger.reserve(index));
+        others.slice(0, otherCount).forEach(({ index }) => ledger.reserve(index));
     }
     chosen.forEach(index => ledger.close(index));
 }
@@ -73,7 +82,9 @@
     }
     const allowed = ledger.workers.filter(worker => isAllowedOn(demand.step, worker));
     const reservedCount = allowed.filter(worker => worker.isReserved).length;
-    return Math.max(0, Math.ceil(allowed.length * FIRST_START_SHARE) - reservedCount);
+    const most = Math.max(1, Math.floor(allowed.length * MAX_FIRST_START_SHARE));
+    const reservable = Math.max(MIN_FIRST_START_WORKERS, Math.ceil(allowed.length * FIRST_START_SHARE));
+    return Math.max(0, Math.min(most, reservable) - reservedCount);
 }
 
 /** Whether a task of the step fits on a worker once the worker's run-to-completion tasks have ended. */
--- a/packages/plan-starts/src/reservedPreemption.test.ts
+++ b/packages/plan-starts/src/reservedPreemption.test.ts
@@ -44,6 +44,7 @@
         capacityCpuMillis: CAPACITY,
         freeCpuMillis,
         runToCompletionCpuMillis,
+        runToCompletionWork: 0,
         freeMemoryMb: 64_000,
         freeAccelerators: 0,
         bestEffortCpuMillis: 0,
--- a/packages/plan-starts/src/testing/planStartsExhaustively.ts
+++ b/packages/plan-starts/src/testing/planStartsExhaustively.ts
@@ -63,8 +63,10 @@
 function isReservable(demand: StepDemand, workers: readonly WorkerCapacity[]): boolean {
     const allowed = workers.filter(worker => isAllowedOn(demand.step, worker));
     const reservedCount = allowed.filter(worker => worker.isReserved).length;
-    return isInterrupted(demand)
-        || (isOverdueFirstStart(demand) && reservedCount < Math.ceil(allowed.length / WORKERS_PER_FIRST_START));
+    const share = Math.ceil(allowed.length / WORKERS_PER_FIRST_START);
+    // At least two, but no more than half of a small service.
+    const limit = Math.min(Math.max(2, share), Math.max(1, Math.floor(allowed.length / 2)));
+    return isInterrupted(demand) || (isOverdueFirstStart(demand) && reservedCount < limit);
 }
 
 /** Lists the workers on which a step is below its limit of tasks per worker. */
@@ -81,13 +83,13 @@
     );
 }
 
-/** Reserves the worker with the most free CPU among those where a task fits once run-to-completion tasks have ended. */
+/** Reserves the worker that has the CPU for a task soonest; of equal ones the one with the most free CPU. */
 function reserveWorker(demand: StepDemand, workers: readonly WorkerCapacity[]): void {
     const { spec } = demand.step;
     let best: WorkerCapacity | undefined;
     for (const worker of workers) {
         const isReserved = demand.reservedWorkerIds?.includes(worker.workerId) === true;
-        const isBetter = !isReserved && (best === undefined || worker.freeCpuMillis > best.freeCpuMillis);
+        const isBetter = !isReserved && (best === undefined || compareFreeing(worker, best, spec.cpuMillis) < 0);
         const expected = { ...worker, freeCpuMillis: worker.freeCpuMillis + worker.runToCompletionCpuMillis };
         const fitsLater = expected.freeCpuMillis >= spec.cpuMillis
             && hasCapacity({ ...expected, freeCpuMillis: Infinity }, spec, false);
@@ -100,6 +102,14 @@
     }
 }
 
+function compareFreeing(left: WorkerCapacity, right: WorkerCapacity, cpuMillis: number): number {
+    const [leftMs, rightMs] = [left, right].map(worker => {
+        const missing = cpuMillis - worker.freeCpuMillis;
+        return missing > 0 ? missing * worker.runToCompletionWork / worker.runToCompletionCpuMillis ** 2 : 0;
+    });
+    return leftMs - rightMs || right.freeCpuMillis - left.freeCpuMillis;
+}
+
 function planDemand(
     demand: StepDemand,
     workers: readonly WorkerCapacity[],
--- a/packages/plan-starts/src/testing/randomFleet.ts
+++ b/packages/plan-starts/src/testing/randomFleet.ts
@@ -19,6 +19,7 @@
 const CPU_MILLIS = [500, 1000, 2000, 4000];
 const CAPACITY_CPU_MILLIS = 16_000;
 const PRIORITY_COUNT = 4;
+const ESTIMATES_MS = [200, 1000, 20_000];
 const PERCENTS = [0, 5, 40, 90];
 
 /** A fleet with random active tasks and waiting demands; the same seed gives the same fleet. */
@@ -73,6 +74,7 @@
             capacityCpuMillis: CAPACITY_CPU_MILLIS,
             freeCpuMillis: CAPACITY_CPU_MILLIS,
             runToCompletionCpuMillis: 0,
+            runToCompletionWork: 0,
             freeMemoryMb: 30_000,
             freeAccelerators: this.pickBelow(3),
             bestEffortCpuMillis: 0,
@@ -149,6 +151,7 @@
             tailLatencyTargetMs: kind === 0 ? 100 : 0,
             isBestEffort: kind === 1,
             savesProgress: this.pickBelow(2) === 0,
+            estimateMs: this.pick(ESTIMATES_MS),
         });
     }
 
--- a/packages/plan-starts/src/workerCapacity.ts
+++ b/packages/plan-starts/src/workerCapacity.ts
@@ -13,6 +13,8 @@
     freeCpuMillis: number;
     /** Capacity reserved by run-to-completion tasks, which comes free when they end, in thousandths of a core. */
     runToCompletionCpuMillis: number;
+    /** The sum over these tasks of reserved capacity times estimated duration, in thousandths of a core x milliseconds. */
+    runToCompletionWork: number;
     freeMemoryMb: number;
     freeAccelerators: number;
     /** Capacity that best-effort tasks have requested but not reserved, in thousandths of a core. */
