--- a/packages/accept-jobs/src/keyReader.ts
+++ b/packages/accept-jobs/src/keyReader.ts
@@ -68,7 +68,6 @@
     private lastFailureAtMs = -Infinity;
     private pagesRead = 0;
     private bytesRead = 0;
-
     private readonly pageReporter: PageReporter;
 
     constructor(private readonly parts: KeyReaderParts) {
--- a/packages/plan-starts/src/reserveWorkers.ts
+++ b/packages/plan-starts/src/reserveWorkers.ts
@@ -28,7 +28,8 @@
  *
  * Reserved are the workers on which other tasks were preempted for the demand. For a long-running step that was
  * interrupted, or has waited long for its first start, also workers with enough capacity once their run-to-completion
- * tasks have ended, those first where that takes the shortest time; as it may take long, interrupted long-running tasks still start there.
+ * tasks have ended, those first where that takes the shortest time. As it may take long, interrupted long-running tasks
+ * still start there.
  *
  * @param demand The demand whose tasks wait.
  * @param placed Starts of the demand's tasks in this round; its other tasks still wait.
