Settings that turn on optional parts of scheduling

Capacity reservations, shares of capacity, copies of slow tasks and protection of last attempts will each be a part of its own. Nothing reads the features yet.

--- a/packages/bench/src/coordinatorLoad.ts
+++ b/packages/bench/src/coordinatorLoad.ts
@@ -1,4 +1,4 @@
-import { Coordinator } from "@sardinestage/coordinate-work";
+import { Coordinator, noSchedulingFeatures } from "@sardinestage/coordinate-work";
 import { Metrics } from "@sardinestage/count-metrics";
 import type { ActiveRun, LeaseReport, WorkerPort } from "@sardinestage/describe-ports";
 import { OrderOutcome, Topic } from "@sardinestage/describe-ports";
@@ -161,6 +161,7 @@
                 harmMs: 4500,
                 paceMs: 100,
                 entryReturnMs: 2000,
+                features: noSchedulingFeatures,
             },
             term: 1,
             getNewestFence: () => 1,
--- a/packages/coordinate-work/src/coordinatorRules.ts
+++ b/packages/coordinate-work/src/coordinatorRules.ts
@@ -1,4 +1,5 @@
 import type { StoreLimits } from "@sardinestage/describe-ports";
+import type { SchedulingFeatures } from "./schedulingFeatures.js";
 
 /** Times and limits of a coordinator. */
 export interface CoordinatorRules {
@@ -19,4 +20,5 @@
     /** An entry that disappeared while the store was unavailable is listed again within this time, in milliseconds. */
     readonly entryReturnMs: number;
     readonly storeLimits: StoreLimits;
+    readonly features: SchedulingFeatures;
 }
--- a/packages/coordinate-work/src/testing/coordinatorHarness.ts
+++ b/packages/coordinate-work/src/testing/coordinatorHarness.ts
@@ -19,6 +19,7 @@
 import { CANCEL_SUFFIX, encodeJobRecord, PartKey } from "@sardinestage/track-jobs";
 import { WorkMeter } from "@sardinestage/watch-loop";
 import { Coordinator } from "../coordinator.js";
+import { noSchedulingFeatures } from "../noSchedulingFeatures.js";
 import { PartitionedFleet } from "./partitionedFleet.js";
 
 const APPEND_TIMEOUT_MS = 1000;
@@ -34,6 +35,7 @@
     harmMs: 4000,
     paceMs: 100,
     entryReturnMs: 2000,
+    features: noSchedulingFeatures,
 };
 
 /** Test harness: real coordinators with an emulated store and emulated workers, on a virtual clock. */
--- a/packages/run-entry-vm/src/testing/takeoverHarness.ts
+++ b/packages/run-entry-vm/src/testing/takeoverHarness.ts
@@ -1,6 +1,6 @@
 import type { CoordinatorCall, JobService } from "@sardinestage/accept-jobs";
 import { JobStateCache } from "@sardinestage/accept-jobs";
-import { Coordinator } from "@sardinestage/coordinate-work";
+import { Coordinator, noSchedulingFeatures } from "@sardinestage/coordinate-work";
 import { Metrics } from "@sardinestage/count-metrics";
 import type { KeyedRecord, StorePort } from "@sardinestage/describe-ports";
 import { AppendOutcome, ReadOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
@@ -48,6 +48,7 @@
     harmMs: 4000,
     paceMs: 100,
     entryReturnMs: 2000,
+    features: noSchedulingFeatures,
 };
 /** Without the random delay, so that the same seed always gives the same run. */
 const rules = { ...defaultRules, jitterMs: 0 };
