Start no task in a failure domain that the operator evacuates

Workers of an evacuated domain count as unusable in planning. The sender checks again before each start, and a start that falls back from a relay to a direct call does too. The start gate stays shut until the state is known, from the store or from another VM. Leases are renewed meanwhile. explainWait and the idle reasons name the evacuation.

The takeover harness now runs a real ConfigKeeper; its store port has moved to createVmStore.

--- a/packages/bench/src/coordinatorLoad.ts
+++ b/packages/bench/src/coordinatorLoad.ts
@@ -1,4 +1,4 @@
-import { Coordinator, noSchedulingFeatures } from "@sardinestage/coordinate-work";
+import { Coordinator, noEvacuations, noSchedulingFeatures } from "@sardinestage/coordinate-work";
 import { Metrics } from "@sardinestage/count-metrics";
 import type { ActiveRun, LeaseReport, WorkerPort } from "@sardinestage/describe-ports";
 import { OrderOutcome, Topic } from "@sardinestage/describe-ports";
@@ -163,6 +163,7 @@
                 entryReturnMs: 2000,
                 features: noSchedulingFeatures,
             },
+            evacuations: noEvacuations,
             term: 1,
             getNewestFence: () => 1,
             hadUnrecordedStarts: false,
--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -333,6 +333,7 @@
     private runRound(): number {
         const { clock, metrics } = this.parts;
         const startedAtMs = clock.getNow();
+        this.fleet.reportEvacuations();
         const isGateOpen = this.startGate?.tryOpen(startedAtMs) === true;
         const canStart = isGateOpen && this.parts.hasAuthority();
         expireLeases(this.fleet, this.runs, startedAtMs, canStart);
--- a/packages/coordinate-work/src/coordinatorParts.ts
+++ b/packages/coordinate-work/src/coordinatorParts.ts
@@ -1,4 +1,5 @@
 import type { JobState } from "@sardinestage/describe-work";
+import type { EvacuationView } from "@sardinestage/track-evacuations";
 import type { WorkMeter } from "@sardinestage/watch-loop";
 import type { CoordinatorRules } from "./coordinatorRules.js";
 import type { PlatformParts } from "./platformParts.js";
@@ -7,6 +8,8 @@
 /** Dependencies of a coordinator. */
 export interface CoordinatorParts extends PlatformParts {
     readonly rules: CoordinatorRules;
+    /** The failure domains on whose workers the operator lets no task start. */
+    readonly evacuations: EvacuationView;
     /** The coordinator's term: the fencing token of all orders and the epoch of all records. */
     readonly term: number;
     /**
--- a/packages/coordinate-work/src/idle/explainIdle.test.ts
+++ b/packages/coordinate-work/src/idle/explainIdle.test.ts
@@ -74,6 +74,7 @@
         scene => scene.worker.strayRuns.add("stray"),
         scene => scene.worker.strayRuns.clear(),
     ),
+    [IdleReason.Evacuated]: createWaitCase(scene => scene.isEvacuated = true, scene => scene.isEvacuated = false),
     [IdleReason.WorkersReserved]: {
         arrange: scene => {
             const { rules, nowMs, task: { step } } = scene;
--- a/packages/coordinate-work/src/idle/idleReason.ts
+++ b/packages/coordinate-work/src/idle/idleReason.ts
@@ -23,6 +23,8 @@
     Advice = "Advice",
     Headroom = "Headroom",
     Gang = "Gang",
+    /** Workers of an evacuated failure domain would have room. */
+    Evacuated = "Evacuated",
     /** There is a worker; the round's limits left the task to the next round. */
     NextRound = "NextRound",
 
--- a/packages/coordinate-work/src/orders/orderSender.ts
+++ b/packages/coordinate-work/src/orders/orderSender.ts
@@ -125,6 +125,12 @@
             this.handleRefusal(task, worker, OrderOutcome.Unsent);
             return;
         }
+        if (worker.isEvacuated) {
+            // The evacuation has become known since the start was planned.
+            metrics.count("starts_held_back_total", "evacuated");
+            this.handleRefusal(task, worker, OrderOutcome.Unsent);
+            return;
+        }
         const sentAtMs = clock.getNow();
         const leaseMs = computeLeaseLength(rules.leaseMs, this.parts.getAuthorityAge());
         const leaseUntilMs = Math.floor(worker.estimateClock(sentAtMs) + leaseMs);
--- a/packages/coordinate-work/src/planning/planningRound.ts
+++ b/packages/coordinate-work/src/planning/planningRound.ts
@@ -22,6 +22,7 @@
 import { CapacityReservations } from "./capacityReservations.js";
 import { CapacityTable } from "./capacityTable.js";
 import { DemandSelector } from "./demandSelector.js";
+import { listEvacuatedCapacities } from "./listEvacuatedCapacities.js";
 import type { PlacementScorer } from "./placementScorer.js";
 import { PreemptionController } from "./preemptionController.js";
 import { UnusedTaskLimiter } from "./unusedTaskLimiter.js";
@@ -147,7 +148,14 @@
         };
         const plan = planStarts(demands, capacities, rules);
         this.waitReporter.reportUnmet(plan.unmet, capacities, nowMs);
-        this.waitSummary.reportUnmet(plan.unmet, waiting.length - demands.length, capacities, rules, nowMs);
+        this.waitSummary.reportUnmet(
+            plan.unmet,
+            waiting.length - demands.length,
+            capacities,
+            rules,
+            nowMs,
+            () => listEvacuatedCapacities(this.collaborators.fleet.workers.values(), nowMs),
+        );
         this.waitExplainer.noteRound({ unmet: plan.unmet, capacities, rules, plannedAtMs: nowMs });
         this.isStartLimited = plan.starts.length >= maxStarts;
         plan.starts.forEach(({ task, workerId }) => this.startTask(task, workerId, nowMs));
--- a/packages/coordinate-work/src/planning/waitExplainer.ts
+++ b/packages/coordinate-work/src/planning/waitExplainer.ts
@@ -5,6 +5,7 @@
 import { computeStartsLeft } from "../workers/computeStartsLeft.js";
 import type { TrackedWorker } from "../workers/trackedWorker.js";
 import { buildWorkerCapacity } from "./buildWorkerCapacity.js";
+import { listEvacuatedCapacities } from "./listEvacuatedCapacities.js";
 
 /** The most steps that are explained after one round; each is compared with every worker. */
 const MAX_STEPS = 24;
@@ -19,6 +20,7 @@
     [WaitReason.Advice]: IdleReason.Advice,
     [WaitReason.Headroom]: IdleReason.Headroom,
     [WaitReason.Gang]: IdleReason.Gang,
+    [WaitReason.Evacuated]: IdleReason.Evacuated,
     [WaitReason.NextRound]: IdleReason.NextRound,
 };
 
@@ -43,6 +45,7 @@
     private isHeldBack = false;
     private explained = new Map<StepRun, IdleReason>();
     private withheld: readonly WorkerCapacity[] | undefined;
+    private evacuated: readonly WorkerCapacity[] | undefined;
 
     /** @param listWorkers Lists all workers, also those that may get no start. */
     constructor(private readonly listWorkers: () => Iterable<TrackedWorker>) {}
@@ -55,6 +58,7 @@
         this.isHeldBack = false;
         this.explained = new Map();
         this.withheld = undefined;
+        this.evacuated = undefined;
     }
 
     /** Notes a round that planned nothing, since too many starts wait to be sent. */
@@ -84,8 +88,9 @@
     }
 
     private findReason(demand: StepDemand, round: PlannedRound): IdleReason {
-        const reason = REASONS[explainWait(demand, round.capacities, round.rules)];
-        if (reason === IdleReason.NextRound || reason === IdleReason.Advice) {
+        this.evacuated ??= listEvacuatedCapacities(this.listWorkers(), round.plannedAtMs);
+        const reason = REASONS[explainWait(demand, round.capacities, round.rules, this.evacuated)];
+        if (reason === IdleReason.NextRound || reason === IdleReason.Advice || reason === IdleReason.Evacuated) {
             return reason;
         }
         this.withheld ??= this.listWithheld(round.plannedAtMs);
--- a/packages/coordinate-work/src/planning/waitSummary.ts
+++ b/packages/coordinate-work/src/planning/waitSummary.ts
@@ -28,6 +28,8 @@
      * @param capacities The free capacity of the workers after the round.
      * @param rules The round's rules.
      * @param nowMs Steady milliseconds.
+     * @param listEvacuated Lists the free capacity of workers that get no start only because their failure domain is
+     *   evacuated.
      */
     reportUnmet(
         unmet: readonly StepDemand[],
@@ -35,14 +37,16 @@
         capacities: readonly WorkerCapacity[],
         rules: StartRules,
         nowMs: number,
+        listEvacuated: () => readonly WorkerCapacity[],
     ): void {
         if (unmet.length === 0 || nowMs - this.reportedAtMs < REPORT_INTERVAL_MS) {
             return;
         }
         this.reportedAtMs = nowMs;
+        const evacuated = listEvacuated();
         const tasksByReason: Record<string, number> = {};
         for (const demand of unmet.slice(0, MAX_STEPS)) {
-            const name = `for${WaitReason[explainWait(demand, capacities, rules)]}`;
+            const name = `for${WaitReason[explainWait(demand, capacities, rules, evacuated)]}`;
             tasksByReason[name] = (tasksByReason[name] ?? 0) + demand.step.waitingCount;
             this.parts.metrics.count("waiting_tasks_total", name, demand.step.waitingCount);
         }
--- a/packages/coordinate-work/src/takeover/startGate.test.ts
+++ b/packages/coordinate-work/src/takeover/startGate.test.ts
@@ -9,7 +9,12 @@
 
 const EXPIRED_AT_MS = 8000;
 
-function createGate(workers: readonly TrackedWorker[], hadUnrecordedStarts = false, list = { readAtMs: 0 }): StartGate {
+function createGate(
+    workers: readonly TrackedWorker[],
+    hadUnrecordedStarts = false,
+    list = { readAtMs: 0 },
+    evacuations = { isKnown: true },
+): StartGate {
     return new StartGate(workers, {
         listWorkers: () => workers,
         openedAtMs: OPENED_AT_MS,
@@ -18,6 +23,7 @@
         getListReadAt: () => list.readAtMs,
         getExpiredAt: () => EXPIRED_AT_MS,
         hadUnrecordedStarts,
+        evacuations,
     });
 }
 
@@ -42,6 +48,16 @@
         });
     });
 
+    describe("when it isn't known yet which failure domains are evacuated", () => {
+        it("delays starts however long, until it is known", () => {
+            const evacuations = { isKnown: false };
+            const gate = createGate([], false, { readAtMs: 0 }, evacuations);
+            expect(gate.tryOpen(OPENED_AT_MS + LEASE_MS)).toBe(false);
+            evacuations.isKnown = true;
+            expect(gate.tryOpen(OPENED_AT_MS + LEASE_MS)).toBe(true);
+        });
+    });
+
     describe("when the gate has opened", () => {
         it("stays open although a worker has restarted", () => {
             const workers = [createTrackedWorker("extended")];
--- a/packages/coordinate-work/src/takeover/startGate.ts
+++ b/packages/coordinate-work/src/takeover/startGate.ts
@@ -1,3 +1,4 @@
+import type { EvacuationView } from "@sardinestage/track-evacuations";
 import type { TrackedWorker } from "../workers/trackedWorker.js";
 
 /** Dependencies of a start gate. */
@@ -16,13 +17,15 @@
     readonly getExpiredAt: () => number;
     /** Whether an earlier coordinator may have started work without recording it. */
     readonly hadUnrecordedStarts: boolean;
+    /** The evacuations that the store or another VM has told of. */
+    readonly evacuations: Pick<EvacuationView, "isKnown">;
 }
 
 /**
  * Delays the first starts of a term until the lease of each worker that answers is extended: start orders would delay
  * the renewals, and work that runs already is worth more than work that waits. If an earlier coordinator may have
  * started work without recording it, the first starts also wait until each worker has reported its tasks or its lease
- * has expired.
+ * has expired. Nothing starts either before it is known which failure domains are evacuated; leases are renewed meanwhile.
  */
 export class StartGate {
     private areLeasesExtended = false;
@@ -42,7 +45,7 @@
         // After the length of a lease, every lease that could expire has expired.
         this.areLeasesExtended ||= nowMs - openedAtMs >= leaseMs || this.isSettled();
         this.areEarlierRunsKnown ||= this.hasAllReported(nowMs);
-        return this.areLeasesExtended && this.areEarlierRunsKnown;
+        return this.areLeasesExtended && this.areEarlierRunsKnown && this.parts.evacuations.isKnown;
     }
 
     /** Whether each worker has its lease extended, or can't get one now because it doesn't answer or isn't listed. */
--- a/packages/coordinate-work/src/testing/coordinatorHarness.ts
+++ b/packages/coordinate-work/src/testing/coordinatorHarness.ts
@@ -16,6 +16,7 @@
 } from "@sardinestage/emulate-platform";
 import type { EmulatedWorkerTraits } from "@sardinestage/emulate-platform";
 import { authorityTimes, EarlierTerm } from "@sardinestage/keep-term";
+import { EvacuationTable } from "@sardinestage/track-evacuations";
 import { CANCEL_SUFFIX, encodeJobRecord, PartKey } from "@sardinestage/track-jobs";
 import { WorkMeter } from "@sardinestage/watch-loop";
 import { Coordinator } from "../coordinator.js";
@@ -49,6 +50,8 @@
     readonly cancelled = new Set<string>();
     readonly lostTermReasons: string[] = [];
     coordinator: Coordinator | undefined;
+    /** The evacuations that the coordinators know; a test may replace them before a term begins. */
+    evacuations = new EvacuationTable();
     /** Time that each call to a worker, and each answer, occupies the coordinator's thread, in milliseconds. */
     callCostMs = 0;
     /** Time that sending a start order occupies the thread, in milliseconds. */
@@ -72,6 +75,7 @@
      * @param getDuration Returns the duration of a run in milliseconds; negative for a run that fails after that time.
      */
     constructor(random: () => number, private readonly getDuration: (task: TaskRef, run: number) => number) {
+        this.evacuations.noteRead(0);
         this.store = new MemoryStore(this.clock, random);
         this.fleet = new EmulatedFleet(this.clock, random);
         this.runChecker = new RunInvariantChecker(
@@ -213,6 +217,7 @@
             },
             metrics: new Metrics(),
             rules,
+            evacuations: this.evacuations,
             term,
             getNewestFence: () => term + renewals,
             hadUnrecordedStarts,
--- a/packages/coordinate-work/src/testing/createTrackedWorker.ts
+++ b/packages/coordinate-work/src/testing/createTrackedWorker.ts
@@ -8,11 +8,13 @@
  * Creates a tracked worker that is listed and hasn't answered yet.
  *
  * @param earlierLeasesExpireAtMs When all leases from earlier coordinators have expired, in steady milliseconds.
+ * @param isDomainEvacuated Whether a failure domain is evacuated; the worker's is `here`.
  */
 export function createTrackedWorker(
     id: string,
     capacity: Capacity = SMALL_CAPACITY,
     earlierLeasesExpireAtMs = 0,
+    isDomainEvacuated: (domain: string) => boolean = () => false,
 ): TrackedWorker {
     return new TrackedWorker(
         {
@@ -29,5 +31,6 @@
         },
         () => earlierLeasesExpireAtMs,
         () => 1,
+        isDomainEvacuated,
     );
 }
--- a/packages/coordinate-work/src/testing/idleScene.ts
+++ b/packages/coordinate-work/src/testing/idleScene.ts
@@ -22,6 +22,7 @@
     readonly task: Task;
     nowMs = NOW_MS;
     isGateOpen = true;
+    isEvacuated = false;
     hasAuthority = true;
     rules: StartRules = {
         maxStarts: 10,
@@ -32,7 +33,7 @@
     readonly explainer: WaitExplainer;
 
     constructor(changes: Partial<StepSpec> = {}) {
-        this.worker = createTrackedWorker("worker", CAPACITY);
+        this.worker = createTrackedWorker("worker", CAPACITY, 0, () => this.isEvacuated);
         this.worker.hasReported = true;
         this.worker.answeredAtMs = NOW_MS;
         this.explainer = new WaitExplainer(() => [this.worker]);
--- a/packages/coordinate-work/src/workers/explainUnusable.test.ts
+++ b/packages/coordinate-work/src/workers/explainUnusable.test.ts
@@ -25,10 +25,14 @@
         worker.probationUntilMs = PROBATION_UNTIL_MS;
         startTask(worker, PROBATION_UNTIL_MS);
     },
+    [UnusableReason.Evacuated]: () => evacuated.add("here"),
 };
 
+const evacuated = new Set<string>();
+
 function createWorker(): TrackedWorker {
-    const worker = createTrackedWorker("worker");
+    evacuated.clear();
+    const worker = createTrackedWorker("worker", undefined, 0, domain => evacuated.has(domain));
     worker.hasReported = true;
     worker.answeredAtMs = NOW_MS;
     return worker;
--- a/packages/coordinate-work/src/workers/explainUnusable.ts
+++ b/packages/coordinate-work/src/workers/explainUnusable.ts
@@ -30,5 +30,8 @@
     if (nowMs < worker.probationUntilMs) {
         return UnusableReason.Probation;
     }
-    return [...worker.tasks].some(task => isTrialRun(task, worker)) ? UnusableReason.OnTrial : undefined;
+    if ([...worker.tasks].some(task => isTrialRun(task, worker))) {
+        return UnusableReason.OnTrial;
+    }
+    return worker.isEvacuated ? UnusableReason.Evacuated : undefined;
 }
--- a/packages/coordinate-work/src/workers/fleet.ts
+++ b/packages/coordinate-work/src/workers/fleet.ts
@@ -3,6 +3,7 @@
 import { WorkerState } from "@sardinestage/describe-work";
 import type { CoordinatorParts } from "../coordinatorParts.js";
 import { limits } from "../limits.js";
+import { EvacuationReporter } from "./evacuationReporter.js";
 import { TrackedWorker } from "./trackedWorker.js";
 
 /** An unlisted worker without tasks is removed after this silence, in milliseconds. */
@@ -38,8 +39,10 @@
     private readonly openedAtWallMs: number;
     /** Keys of the unreadable entries that were logged. */
     private readonly unreadableKeys = new Set<string>();
+    private readonly evacuationReporter: EvacuationReporter;
 
     constructor(private readonly parts: CoordinatorParts, private readonly handlers: FleetHandlers) {
+        this.evacuationReporter = new EvacuationReporter(parts);
         this.openedAtMs = parts.clock.getNow();
         this.openedAtWallMs = parts.clock.getWallTime();
     }
@@ -75,6 +78,11 @@
             : this.earlierLeasesExpireAtMs;
     }
 
+    /** Reports the evacuations that have started or ended since the last call. */
+    reportEvacuations(): void {
+        this.evacuationReporter.reportChanges(this.workers.values());
+    }
+
     /** Applies a record of the platform's worker list. */
     handleRecord(record: KeyedRecord): void {
         if (record.value === undefined) {
@@ -135,7 +143,8 @@
 
     private createWorker(entry: WorkerEntry): TrackedWorker {
         const getExpiry = (bornMs: number) => this.computeEarlierLeaseExpiry(bornMs);
-        return new TrackedWorker(entry, getExpiry, this.parts.getNewestFence);
+        const { getNewestFence, evacuations } = this.parts;
+        return new TrackedWorker(entry, getExpiry, getNewestFence, domain => evacuations.isEvacuated(domain));
     }
 
     private addPlaceholder(workerId: string): TrackedWorker {
--- a/packages/coordinate-work/src/workers/trackedWorker.ts
+++ b/packages/coordinate-work/src/workers/trackedWorker.ts
@@ -77,11 +77,13 @@
      *   began at a time, in Unix milliseconds, by its entry. The result is in steady milliseconds; used before the
      *   worker's first answer.
      * @param getNewestFence Returns the newest fencing token of the term.
+     * @param isDomainEvacuated Whether no task may start on the workers of a failure domain.
      */
     constructor(
         public entry: WorkerEntry,
         private readonly getEarlierLeasesExpiry: (bornMs: number) => number,
         getNewestFence: () => number,
+        private readonly isDomainEvacuated: (domain: string) => boolean = () => false,
     ) {
         this.life = new WorkerLife(getNewestFence);
     }
@@ -91,6 +93,11 @@
         return this.isUnlisted || this.entry.state === WorkerState.Draining;
     }
 
+    /** Whether the operator lets no task start on the workers of this worker's failure domain. */
+    get isEvacuated(): boolean {
+        return this.isDomainEvacuated(this.entry.domain);
+    }
+
     /** Whether a report of the worker's present life has been applied, so that its runs are known. */
     get isLifeReported(): boolean {
         return this.hasReported && this.bornMs === this.life.bornMs;
--- a/packages/coordinate-work/src/workers/unusableReason.ts
+++ b/packages/coordinate-work/src/workers/unusableReason.ts
@@ -12,4 +12,6 @@
     Probation = "Probation",
     /** Its trial after a probation has a run already. */
     OnTrial = "OnTrial",
+    /** Its failure domain is evacuated, and nothing else keeps it from getting starts. */
+    Evacuated = "Evacuated",
 }
--- a/packages/describe-ports/src/orderOutcome.ts
+++ b/packages/describe-ports/src/orderOutcome.ts
@@ -19,6 +19,6 @@
     OtherInstance,
     /** The worker didn't answer; the order may have been carried out, or may be later. */
     Unknown,
-    /** The order wasn't sent, since the coordinator's authority has run out. */
+    /** The order wasn't sent, since the coordinator's authority has run out or the failure domain is evacuated. */
     Unsent,
 }
--- a/packages/emulate-platform/src/emulatedWorker.ts
+++ b/packages/emulate-platform/src/emulatedWorker.ts
@@ -80,7 +80,7 @@
             bornMs: this.bornMs,
             service: "service",
             address: this.id,
-            domain: "here",
+            domain: this.traits.domain ?? "here",
             state: WorkerState.Ready,
             capacity: { cpuMillis: CPU_MILLIS, memoryMb: MEMORY_MB, accelerators: 0 },
             labels: ["kind", "rack"],
--- a/packages/emulate-platform/src/emulatedWorkerTraits.ts
+++ b/packages/emulate-platform/src/emulatedWorkerTraits.ts
@@ -6,4 +6,6 @@
     readonly clockRate: number;
     /** Returns what a task requests, for a worker that refuses what doesn't fit; undefined to start everything. */
     readonly getDemand: ((task: TaskRef) => { readonly cpuMillis: number; readonly memoryMb: number }) | undefined;
+    /** The worker's failure domain; `here` by default. */
+    readonly domain?: string;
 }
--- a/packages/follow-topic/src/topicFollower.ts
+++ b/packages/follow-topic/src/topicFollower.ts
@@ -26,6 +26,12 @@
      * throws, the record is skipped.
      */
     readonly takeRecord: (record: KeyedRecord, offset: number) => void;
+    /**
+     * Called when all records below an offset have been taken.
+     *
+     * @param isLoad Whether the newest record of each key was read, so that keys without a record are removed.
+     */
+    readonly noteRead?: (readUpTo: number, isLoad: boolean) => void;
 }
 
 /**
@@ -78,8 +84,9 @@
             after = page.records.at(-1)?.key;
             hasMore = page.hasMore && after !== undefined;
         }
-        this.removeMissingKeys(listedKeys);
+        this.removeMissingKeys(listedKeys, end ?? 0);
         this.nextOffset = end ?? 0;
+        this.options.noteRead?.(this.nextOffset, true);
         this.freshAtMs = startedAtMs;
         return true;
     }
@@ -133,6 +140,7 @@
                 }
             }
             this.nextOffset = Math.max(this.nextOffset, answer.next);
+            this.options.noteRead?.(this.nextOffset, false);
         }
         else if (answer.outcome === ReadOutcome.Expired) {
             logger.warn("topic-tail-expired", { topic: name, from });
@@ -178,10 +186,11 @@
         }
     }
 
-    private removeMissingKeys(listedKeys: ReadonlySet<string>): void {
+    /** Reports the keys that are gone. The records that removed them are unknown, but below the topic's end. */
+    private removeMissingKeys(listedKeys: ReadonlySet<string>, end: number): void {
         for (const key of [...this.knownKeys]) {
             if (!listedKeys.has(key)) {
-                this.takeRecord({ key, value: undefined }, this.nextOffset);
+                this.takeRecord({ key, value: undefined }, Math.max(this.nextOffset, end - 1));
             }
         }
     }
--- a/packages/plan-starts/src/explainWait.test.ts
+++ b/packages/plan-starts/src/explainWait.test.ts
@@ -84,6 +84,14 @@
         expect(explainWait(demand, workers, rules)).toBe(WaitReason.Processor);
     });
 
+    it("names the evacuation only if an evacuated worker would have room", () => {
+        const demand = createDemand({ cpuMillis: 5300 });
+        const full = [createWorker({ freeCpuMillis: 3700 })];
+        expect(explainWait(demand, full, rules, [createWorker()])).toBe(WaitReason.Evacuated);
+        expect(explainWait(demand, full, rules, full)).toBe(WaitReason.Processor);
+        expect(explainWait(demand, [createWorker()], rules, [createWorker()])).toBe(WaitReason.NextRound);
+    });
+
     it("names the condition that no worker meets together with those before it", () => {
         const workers = [createWorker({ freeMemoryMb: 0 }), createWorker({ freeCpuMillis: 0 })];
         expect(explainWait(createDemand({ cpuMillis: 1000 }), workers, rules)).toBe(WaitReason.Processor);
--- a/packages/plan-starts/src/explainWait.ts
+++ b/packages/plan-starts/src/explainWait.ts
@@ -1,4 +1,5 @@
 import { countTasksPerWorker } from "./countTasksPerWorker.js";
+import { hasCapacity } from "./hasCapacity.js";
 import { isAllowedOn } from "./isAllowedOn.js";
 import { isDeferrable } from "./isDeferrable.js";
 import { isInterrupted } from "./isInterrupted.js";
@@ -18,11 +19,31 @@
  * @param demand A demand that the round couldn't place as a whole.
  * @param workers The free capacity of the workers after the round.
  * @param rules The round's rules.
+ * @param evacuated The free capacity of workers that get no start only because their failure domain is evacuated.
  */
 export function explainWait(
     demand: StepDemand,
     workers: readonly WorkerCapacity[],
     rules: Pick<StartRules, "maxBestEffortWaitMs" | "isAdvised" | "describePlacement">,
+    evacuated: readonly WorkerCapacity[] = [],
+): WaitReason {
+    const reason = findUnmetCondition(demand, workers, rules);
+    if (reason === WaitReason.NextRound || reason === WaitReason.Advice) {
+        return reason;
+    }
+    const { step } = demand;
+    const perWorker = countTasksPerWorker(step);
+    const hasRoom = evacuated.some(worker =>
+        isAllowedOn(step, worker) && hasCapacity(worker, step.spec, false)
+        && !isStepLimitReached(step.spec, perWorker.get(worker.workerId))
+    );
+    return hasRoom ? WaitReason.Evacuated : reason;
+}
+
+function findUnmetCondition(
+    demand: StepDemand,
+    workers: readonly WorkerCapacity[],
+    rules: Pick<StartRules, "maxBestEffortWaitMs" | "isAdvised" | "describePlacement">,
 ): WaitReason {
     let candidates = workers;
     for (const [reason, isMet] of listConditions(demand, rules)) {
--- a/packages/plan-starts/src/waitReason.ts
+++ b/packages/plan-starts/src/waitReason.ts
@@ -15,6 +15,8 @@
     Headroom,
     /** A gang doesn't fit as a whole. */
     Gang,
+    /** Workers of an evacuated failure domain would have room. */
+    Evacuated,
     /** There is a worker; the round's limits leave the task to the next round. */
     NextRound,
 }
--- a/packages/relay-orders/src/relayedWorkerPort.ts
+++ b/packages/relay-orders/src/relayedWorkerPort.ts
@@ -50,6 +50,11 @@
     readonly getGatherMs: () => number;
     /** Whether this process still holds the term; if not, no call is made. */
     readonly isTermHeld: () => boolean;
+    /**
+     * Whether no task may start on the workers of a failure domain, as may have become known since a start was handed to a
+     * relay; by default none is evacuated.
+     */
+    readonly isEvacuated?: (domain: string) => boolean;
 }
 
 /**
@@ -92,7 +97,11 @@
     /** Starts a run. */
     async start(worker: WorkerAddress, order: StartOrder): Promise<OrderOutcome> {
         const call: RelayedCall = { kind: RelayedCallKind.Start, worker, order };
-        return this.forwardOrder(call, () => this.parts.direct.start(worker, order));
+        const mayStart = () => this.parts.isEvacuated?.(worker.domain) !== true;
+        return this.forwardOrder(
+            call,
+            () => mayStart() ? this.parts.direct.start(worker, order) : Promise.resolve(OrderOutcome.Unsent),
+        );
     }
 
     /** Stops a run. */
--- a/packages/run-entry-vm/src/configKeeper.ts
+++ b/packages/run-entry-vm/src/configKeeper.ts
@@ -4,6 +4,7 @@
 import type { OperatorConfig, UpkeepWave } from "@sardinestage/describe-work";
 import { TopicFollower } from "@sardinestage/follow-topic";
 import type { EventLogger } from "@sardinestage/log-events";
+import { EvacuationKeeper } from "./evacuationKeeper.js";
 
 /**
  * How long a read waits at the store for the next record, in milliseconds. A dead connection is noticed only after this
@@ -21,22 +22,28 @@
     readonly onConfig: (config: OperatorConfig) => void;
 }
 
-/** Keeps the newest configuration, which comes from the store or from another VM, and the operator's upkeep waves. */
+/**
+ * Keeps the newest configuration and the evacuations, which come from the store or from another VM, and the operator's
+ * upkeep waves.
+ */
 export class ConfigKeeper {
     private readonly follower: TopicFollower;
     /** Upkeep waves by number. */
     readonly waves = new Map<number, UpkeepWave>();
+    readonly evacuations: EvacuationKeeper;
     /** The configuration in force; undefined before the first. */
     config: OperatorConfig | undefined;
 
     constructor(private readonly parts: ConfigKeeperParts) {
+        this.evacuations = new EvacuationKeeper(parts.logger);
         this.follower = new TopicFollower({
             ...parts,
             topic: Topic.Operator,
             name: "operator",
             waitMs: READ_WAIT_MS,
             pauseMs: 0,
-            takeRecord: record => this.takeRecord(parts.codec.decodeOperator(record)),
+            takeRecord: (record, offset) => this.takeRecord(parts.codec.decodeOperator(record), offset),
+            noteRead: (readUpTo, isLoad) => this.evacuations.noteRead(readUpTo, isLoad),
         });
     }
 
@@ -70,12 +77,15 @@
         this.parts.onConfig(config);
     }
 
-    private takeRecord(record: OperatorRecord | undefined): void {
+    private takeRecord(record: OperatorRecord | undefined, offset: number): void {
         if (record?.config !== undefined) {
             this.applyConfig(record.config, "store");
         }
         else if (record?.wave !== undefined) {
             this.waves.set(record.wave.number, record.wave);
         }
+        else if (record?.evacuation !== undefined) {
+            this.evacuations.takeRecord(record, offset);
+        }
     }
 }
--- a/packages/run-entry-vm/src/createEntryVm.ts
+++ b/packages/run-entry-vm/src/createEntryVm.ts
@@ -40,6 +40,7 @@
                     ...termParts,
                     workers: createWorkerPort(parts, context, termParts.term),
                     rules: parts.coordinatorRules,
+                    evacuations: context.get(ConfigKeeper).evacuations.view,
                     getLoopDelay: () => context.get(EventLoopMonitor).averageDelayMs,
                     meter: context.get(WorkMeter),
                 }),
@@ -123,6 +124,7 @@
         getGatherMs: () => chooseGatherTime(context.get(EventLoopMonitor).averageDelayMs),
         isTermHeld: () => context.get(LocalCoordinator).holder?.term === term,
         getWorkerCount: () => context.get(LocalCoordinator).workerCount,
+        isEvacuated: domain => context.get(ConfigKeeper).evacuations.view.isEvacuated(domain),
     });
     port.openSessions();
     return port;
--- a/packages/run-entry-vm/src/followReply.ts
+++ b/packages/run-entry-vm/src/followReply.ts
@@ -1,4 +1,5 @@
 import type { Candidate, TermHolder } from "@sardinestage/keep-term";
+import type { EvacuationState } from "@sardinestage/track-evacuations";
 import type { CoordinatorReport } from "./coordinatorReport.js";
 
 /** Answer to a follow request. */
@@ -14,4 +15,6 @@
     readonly configVersion: number;
     /** The configuration, if the request asked for it. */
     readonly config?: unknown;
+    /** What the answering process knows of evacuations; undefined if it doesn't, or is of an earlier version. */
+    readonly evacuations?: EvacuationState;
 }
--- a/packages/run-entry-vm/src/followRequest.ts
+++ b/packages/run-entry-vm/src/followRequest.ts
@@ -1,4 +1,5 @@
 import type { Candidate, TermHolder } from "@sardinestage/keep-term";
+import type { EvacuationState } from "@sardinestage/track-evacuations";
 import type { JobFacts } from "./jobFacts.js";
 
 /** Periodic request of a VM to the coordinator: registers the VM as a follower and asks for the coordinator's state. */
@@ -16,4 +17,6 @@
     readonly needsConfig: boolean;
     /** The configuration, if the coordinator has had an older one for a while. */
     readonly config?: unknown;
+    /** What the sender knows of evacuations; undefined if it doesn't, or is of an earlier version. */
+    readonly evacuations?: EvacuationState;
 }
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -1,7 +1,6 @@
 import type { CoordinatorCall, CoordinatorClient, CoordinatorReply } from "@sardinestage/accept-jobs";
 import type { Clock } from "@sardinestage/describe-ports";
 import { waitFor } from "@sardinestage/describe-ports";
-import type { OperatorConfig } from "@sardinestage/describe-work";
 import { FrameKind } from "@sardinestage/exchange-frames";
 import type { Candidate, CoordinatorView, TermHolder, TermLog, TermView } from "@sardinestage/keep-term";
 import { CandidacyStep, chooseCandidacyStep } from "@sardinestage/keep-term";
@@ -182,13 +181,11 @@
 
     /** Answers a follow request and registers its sender as a follower. */
     answerFollowRequest(request: FollowRequest): FollowReply {
-        const { self, localCoordinator, config, clock, followers } = this.parts;
+        const { self, localCoordinator, clock, followers } = this.parts;
         followers.noteFollower(request.candidate, clock.getNow(), request.isDraining);
         followers.dropSilent(clock.getNow());
         this.updateHolder(request.holder);
-        if (request.config !== undefined) {
-            config.applyConfig(request.config as OperatorConfig, "follower");
-        }
+        this.configExchange.applyRequest(request);
         const membersVersion = `${self.incarnation}/${followers.version}`;
         return {
             holder: localCoordinator.holder ?? this.holder,
@@ -198,8 +195,7 @@
             members: localCoordinator.isActive && request.membersVersion !== membersVersion
                 ? [self, ...followers.list()]
                 : undefined,
-            configVersion: config.version,
-            config: request.needsConfig ? config.config : undefined,
+            ...this.configExchange.buildReply(request),
         };
     }
 
@@ -270,8 +266,7 @@
             isDraining: this.isDraining,
             membersVersion: this.membersVersion,
             jobFacts: this.parts.jobFacts.known,
-            needsConfig: this.configExchange.needsConfig,
-            config: this.configExchange.missingConfig,
+            ...this.configExchange.buildRequest(),
         };
     }
 
--- a/packages/run-entry-vm/src/testing/membershipInstallation.ts
+++ b/packages/run-entry-vm/src/testing/membershipInstallation.ts
@@ -10,6 +10,7 @@
 import { EventLoopMonitor } from "@sardinestage/watch-loop";
 import type { ConfigKeeper } from "../configKeeper.js";
 import { defaultRules } from "../defaultRules.js";
+import { EvacuationKeeper } from "../evacuationKeeper.js";
 import { Followers } from "../followers.js";
 import type { FollowRequest } from "../followRequest.js";
 import { JobFactFollower } from "../jobFactFollower.js";
@@ -91,7 +92,7 @@
             localCoordinator,
             peers: { request: this.request.bind(this, vm) } as unknown as Peers,
             followers,
-            config: { version: 1 } as ConfigKeeper,
+            config: { version: 1, evacuations: new EvacuationKeeper(logger) } as ConfigKeeper,
             jobFacts: new JobFactFollower(jobStateCache),
             clock,
             logger,
--- a/packages/run-entry-vm/src/testing/takeoverHarness.ts
+++ b/packages/run-entry-vm/src/testing/takeoverHarness.ts
@@ -3,7 +3,7 @@
 import { Coordinator, noSchedulingFeatures } from "@sardinestage/coordinate-work";
 import { Metrics } from "@sardinestage/count-metrics";
 import type { KeyedRecord, StorePort } from "@sardinestage/describe-ports";
-import { AppendOutcome, ReadOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
+import { AppendOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
 import type { JobSpec, QueueConfig, TaskRef } from "@sardinestage/describe-work";
 import {
     emulatedCodec,
@@ -23,7 +23,7 @@
 import { OrderRelay, RelayedWorkerPort } from "@sardinestage/relay-orders";
 import { encodeJobRecord } from "@sardinestage/track-jobs";
 import { EventLoopMonitor, WorkMeter } from "@sardinestage/watch-loop";
-import type { ConfigKeeper } from "../configKeeper.js";
+import { ConfigKeeper } from "../configKeeper.js";
 import { defaultRules } from "../defaultRules.js";
 import { Followers } from "../followers.js";
 import type { FollowReply } from "../followReply.js";
@@ -34,6 +34,7 @@
 import type { PeerQuery } from "../peerQuery.js";
 import type { Peers } from "../peers.js";
 import { createJobService } from "./createJobService.js";
+import { createVmStore } from "./createVmStore.js";
 import { ZonedNetwork } from "./zonedNetwork.js";
 
 const APPEND_TIMEOUT_MS = 1000;
@@ -55,6 +56,7 @@
 
 /** A VM's running process. */
 interface VmProcess {
+    readonly config: ConfigKeeper;
     readonly membership: Membership;
     readonly localCoordinator: LocalCoordinator;
     readonly orderRelay: OrderRelay;
@@ -81,6 +83,8 @@
     readonly relayFaults = { lateShare: 0, maxLateMs: 0 };
     /** The links between VMs, workers and the store, which a test may cut. */
     readonly network: ZonedNetwork;
+    /** The VMs that the store doesn't answer when they read the operator's records. */
+    readonly withoutOperatorRecords = new Set<string>();
     private readonly processes = new Map<string, VmProcess>();
     /** Counts the started processes, for their incarnations. */
     private startCount = 0;
@@ -131,6 +135,7 @@
         loopMonitor.start();
         const logger = this.createLogger(vm);
         const jobStateCache = new JobStateCache(clock, coordinatorRules.keepFinishedMs);
+        const config = new ConfigKeeper({ store, codec: emulatedCodec, clock, logger, onConfig: () => undefined });
         const localCoordinator = new LocalCoordinator({
             termLog,
             store,
@@ -157,6 +162,7 @@
                     logger,
                     metrics: new Metrics(),
                     rules: coordinatorRules,
+                    evacuations: config.evacuations.view,
                     getLoopDelay: () => 0,
                     meter: new WorkMeter(clock),
                 }),
@@ -167,7 +173,7 @@
             localCoordinator,
             peers: { request: this.request.bind(this, vm) } as unknown as Peers,
             followers,
-            config: { version: 1 } as ConfigKeeper,
+            config,
             jobFacts: new JobFactFollower(jobStateCache),
             clock,
             logger,
@@ -182,7 +188,8 @@
             getKnownTerm: () => membership.knownTerm,
         });
         const jobService = createJobService({ store, clock, logger, jobStateCache, coordinatorClient: membership });
-        this.processes.set(vm, { membership, localCoordinator, orderRelay, jobStateCache, jobService });
+        this.processes.set(vm, { config, membership, localCoordinator, orderRelay, jobStateCache, jobService });
+        void config.run();
         void membership.run();
     }
 
@@ -190,6 +197,7 @@
     stopVm(vm: string): void {
         const process = this.processes.get(vm);
         this.processes.delete(vm);
+        process?.config.close();
         process?.membership.close();
         process?.localCoordinator.stop(process.localCoordinator.holder?.term ?? -1, "killed");
     }
@@ -204,9 +212,10 @@
         return this.processes.get(vm)?.jobService;
     }
 
-    /** Starts a worker and adds its entry to the list of workers. */
-    addWorker(id: string): void {
-        this.fleet.workers.set(id, new EmulatedWorker(id, this.clock, this.runChecker, this.getDuration));
+    /** Starts a worker, in a failure domain, and adds its entry to the list of workers. */
+    addWorker(id: string, domain?: string): void {
+        const traits = { clockRate: 1, getDemand: undefined, domain };
+        this.fleet.workers.set(id, new EmulatedWorker(id, this.clock, this.runChecker, this.getDuration, traits));
         this.listWorker(id);
     }
 
@@ -221,6 +230,12 @@
         void this.appendUntilConfirmed(Topic.Workers, { key: id, value: undefined });
     }
 
+    /** Writes the operator's record that evacuates a failure domain, or removes it. */
+    setEvacuated(domain: string, isEvacuated: boolean): void {
+        const value = isEvacuated ? Buffer.from("{}") : undefined;
+        void this.appendUntilConfirmed(Topic.Operator, { key: `evacuation/${domain}`, value });
+    }
+
     /** Records an accepted job, as an entry VM would. */
     submit(id: string, spec: JobSpec, queue: QueueConfig): void {
         this.specs.set(id, spec);
@@ -244,37 +259,14 @@
     }
 
     private createStore(vm: string): StorePort {
-        const { store, clock, network } = this;
-        const isCut = () => this.network.isStoreCut(vm);
-        return {
-            append: async call => {
-                if (isCut()) {
-                    await waitFor(clock, call.timeoutMs);
-                    return { outcome: AppendOutcome.Unknown, offset: 0, end: 0 };
-                }
-                if (this.random() < this.lost.share) {
-                    clock.schedule(this.lost.lateMs, () => void store.append(call));
-                    await waitFor(clock, call.timeoutMs);
-                    return { outcome: AppendOutcome.Unknown, offset: 0, end: 0 };
-                }
-                return store.append(call);
-            },
-            read: async (topic, from, waitMs) => {
-                const answer = isCut() ? undefined : await store.read(topic, from, waitMs);
-                if (answer === undefined || isCut()) {
-                    await waitFor(clock, network.timeoutMs);
-                    return { outcome: ReadOutcome.Failed, records: [], next: from };
-                }
-                return answer;
-            },
-            readNewest: async (topic, afterKey) => {
-                if (isCut()) {
-                    await waitFor(clock, network.timeoutMs);
-                    return { succeeded: false, records: [], hasMore: false, end: 0 };
-                }
-                return store.readNewest(topic, afterKey);
-            },
-        };
+        return createVmStore(this.store, {
+            clock: this.clock,
+            network: this.network,
+            lost: this.lost,
+            random: this.random,
+            isCut: () => this.network.isStoreCut(vm),
+            isSilentAbout: topic => topic === Topic.Operator && this.withoutOperatorRecords.has(vm),
+        });
     }
 
     private createWorkerPort(self: Candidate, term: number): RelayedWorkerPort {
@@ -291,6 +283,7 @@
             sendRequest: (relay, request, timeoutMs) => this.sendRelayRequest(self.vm, relay.vm, request, timeoutMs),
             getGatherMs: () => 2,
             isTermHeld: () => getProcess()?.localCoordinator.holder?.term === term,
+            isEvacuated: domain => getProcess()?.config.evacuations.view.isEvacuated(domain) === true,
         });
         port.openSessions();
         return port;
