--- a/packages/relay-orders/src/relayedWorkerPort.test.ts
+++ b/packages/relay-orders/src/relayedWorkerPort.test.ts
@@ -98,6 +98,21 @@
         });
     });
 
+    describe("when a failure domain is evacuated while a relay takes no call", () => {
+        // Guards against starts that were checked before the relay was asked, and are made directly after it gave up.
+        it("makes no start there directly, but other calls", async () => {
+            const harness = new RelayHarness(WORKERS);
+            const port = harness.createCoordinatorPort(1, 0);
+            harness.evacuated.add("here");
+            const outcome = port.start(worker, createStart(1));
+            await harness.clock.runFor(100);
+            expect(await outcome).toBe(OrderOutcome.Unsent);
+            expect(harness.calls.direct).toEqual([]);
+            await harness.renewAll(port, 1);
+            expect(harness.calls.direct).toHaveLength(WORKERS);
+        });
+    });
+
     describe("when the relay falls silent", () => {
         it("says that its calls may have been made, and makes the next ones directly", async () => {
             const harness = new RelayHarness(WORKERS);
--- a/packages/relay-orders/src/testing/relayHarness.ts
+++ b/packages/relay-orders/src/testing/relayHarness.ts
@@ -43,6 +43,8 @@
     requests = 0;
     /** The newest term that the relays' processes know. */
     knownTerm = 0;
+    /** The failure domains that are evacuated. */
+    readonly evacuated = new Set<string>();
 
     constructor(workerCount: number) {
         this.fleet = new EmulatedFleet(this.clock, createRandom(1));
@@ -96,6 +98,7 @@
             sendRequest: ({ vm }, request, timeoutMs) => this.sendRequest(vm, request, timeoutMs),
             getGatherMs: () => 2,
             isTermHeld: () => true,
+            isEvacuated: domain => this.evacuated.has(domain),
         });
     }
 
