--- a/packages/run-entry-vm/src/evacuations.test.ts
+++ b/packages/run-entry-vm/src/evacuations.test.ts
@@ -51,7 +51,7 @@
         await harness.clock.runFor(START_MS);
         const before = countRuns(harness, "a");
         expect(before).toBeGreaterThan(0);
-        harness.setEvacuated("a", true);
+        void harness.setEvacuated("a", true);
         await harness.clock.runFor(EVACUATION_MS);
         submitTasks(harness, "later");
         await harness.clock.runFor(START_MS);
@@ -60,7 +60,7 @@
         await harness.clock.runFor(TAKEOVER_MS);
         expect(countRuns(harness, "a")).toBe(before);
         expect(harness.runChecker.countActiveRuns()).toBe(3 * TASKS);
-        harness.setEvacuated("a", false);
+        void harness.setEvacuated("a", false);
         await harness.clock.runFor(START_MS);
         submitTasks(harness, "after");
         await harness.clock.runFor(START_MS);
@@ -74,14 +74,14 @@
             harness.withoutOperatorRecords.add("first");
             // A read that is under way ends.
             await harness.clock.runFor(START_MS);
-            harness.setEvacuated("a", true);
+            void harness.setEvacuated("a", true);
             await harness.clock.runFor(EVACUATION_MS);
             submitTasks(harness, "job");
             await harness.clock.runFor(START_MS);
             expect(harness.coordinator).toBe("first");
             expect(countRuns(harness, "a")).toBe(0);
             expect(countRuns(harness, "b")).toBe(TASKS);
-            harness.setEvacuated("a", false);
+            void harness.setEvacuated("a", false);
             await harness.clock.runFor(START_MS);
             submitTasks(harness, "after");
             await harness.clock.runFor(START_MS);
@@ -94,7 +94,7 @@
             const harness = await createHarness();
             ["second", "third"].forEach(vm => harness.withoutOperatorRecords.add(vm));
             await harness.clock.runFor(START_MS);
-            harness.setEvacuated("a", true);
+            void harness.setEvacuated("a", true);
             await harness.clock.runFor(EVACUATION_MS);
             harness.stopVm("first");
             submitTasks(harness, "job");
@@ -109,7 +109,7 @@
         it("may be any: nothing starts until another VM has told it", async () => {
             const harness = new TakeoverHarness(createRandom(1), () => FOREVER_MS);
             ["a", "b"].forEach(domain => harness.addWorker(domain, domain));
-            harness.setEvacuated("a", true);
+            void harness.setEvacuated("a", true);
             harness.withoutOperatorRecords.add("first");
             harness.startVm("first");
             submitTasks(harness, "job");
--- a/packages/run-entry-vm/src/testing/takeoverHarness.ts
+++ b/packages/run-entry-vm/src/testing/takeoverHarness.ts
@@ -230,10 +230,10 @@
         void this.appendUntilConfirmed(Topic.Workers, { key: id, value: undefined });
     }
 
-    /** Writes the operator's record that evacuates a failure domain, or removes it. */
-    setEvacuated(domain: string, isEvacuated: boolean): void {
+    /** Writes the operator's record that evacuates a failure domain, or removes it, until the store has acknowledged it. */
+    async setEvacuated(domain: string, isEvacuated: boolean): Promise<void> {
         const value = isEvacuated ? Buffer.from("{}") : undefined;
-        void this.appendUntilConfirmed(Topic.Operator, { key: `evacuation/${domain}`, value });
+        await this.appendUntilConfirmed(Topic.Operator, { key: `evacuation/${domain}`, value });
     }
 
     /** Records an accepted job, as an entry VM would. */
