Share capacity between the queues of one priority (scheduling.shareCapacity)

With the feature on, each round ranks the waiting demands by their queues' shares, and compareDemands reads the rank after priority and lifetime. Without the feature no demand has a rank, so the order is as before.

--- a/packages/coordinate-work/src/planning/planningRound.ts
+++ b/packages/coordinate-work/src/planning/planningRound.ts
@@ -20,6 +20,7 @@
 import type { Fleet } from "../workers/fleet.js";
 import type { AdviceCache } from "./adviceCache.js";
 import { CapacityReservations } from "./capacityReservations.js";
+import { CapacityShares } from "./capacityShares.js";
 import { CapacityTable } from "./capacityTable.js";
 import { DemandSelector } from "./demandSelector.js";
 import type { PlacementScorer } from "./placementScorer.js";
@@ -81,6 +82,8 @@
     private readonly reservations = new CapacityReservations();
     private readonly preemption: PreemptionController;
     private readonly unusedTasks = new UnusedTaskLimiter();
+    /** Undefined if queues don't share capacity. */
+    private readonly shares: CapacityShares | undefined;
 
     constructor(private readonly parts: CoordinatorParts, private readonly collaborators: PlanningRoundParts) {
         this.waitReporter = new WaitReporter(parts.logger);
@@ -90,6 +93,9 @@
             findWorker: workerId => collaborators.fleet.workers.get(workerId),
             explainWaiting: step => this.explainWaiting(step),
         });
+        this.shares = parts.rules.features.sharesCapacity
+            ? new CapacityShares({ ...parts, listWorkers: () => collaborators.fleet.workers.values() })
+            : undefined;
         const maxRoundMs = parts.rules.leaseMs * limits.maxRoundLeaseShare;
         this.demandSelector = new DemandSelector(maxRoundMs);
         this.preemption = new PreemptionController(parts, {
@@ -136,6 +142,7 @@
         );
         const isBusy = computeReservedShare(capacities) >= BUSY_SHARE;
         const waiting = steps.map(ready => this.buildDemand(ready));
+        this.shares?.updateRanks(waiting, capacities, nowMs);
         const demands = this.demandSelector.pickDemands(waiting);
         this.collaborators.placementScorer.startRound();
         const planningStartedAtMs = clock.getNow();
@@ -168,6 +175,7 @@
     reportIdle(nowMs: number, mayStart: boolean): void {
         this.mayStart = mayStart;
         this.idleTasks.reportIdle(nowMs);
+        this.shares?.reportIdle(nowMs);
     }
 
     private explainWaiting(step: StepRun): IdleReason {
--- a/packages/count-metrics/src/metrics.ts
+++ b/packages/count-metrics/src/metrics.ts
@@ -26,14 +26,19 @@
         this.getCounter(name).inc({ reason }, amount);
     }
 
-    /** Sets a gauge. */
-    setGauge(name: string, value: number): void {
+    /**
+     * Sets a gauge.
+     *
+     * @param queue The value of the `queue` label of a gauge that has one value per queue.
+     */
+    setGauge(name: string, value: number, queue?: string): void {
         let gauge = this.gauges.get(name);
         if (gauge === undefined) {
-            gauge = new Gauge({ name, help: name.replaceAll("_", " "), registers: [this.registry] });
+            const labelNames = queue === undefined ? [] : ["queue"];
+            gauge = new Gauge({ name, help: name.replaceAll("_", " "), labelNames, registers: [this.registry] });
             this.gauges.set(name, gauge);
         }
-        gauge.set(value);
+        gauge.set(queue === undefined ? {} : { queue }, value);
     }
 
     /** Records a duration, in milliseconds, in the histogram of this name. */
--- a/packages/plan-starts/src/compareDemands.ts
+++ b/packages/plan-starts/src/compareDemands.ts
@@ -31,8 +31,8 @@
 }
 
 /**
- * Compares two demands by start order: by priority, then by lifetime rank, then by timeliness, then started jobs before
- * new ones, then by slack, the smallest first.
+ * Compares two demands by start order: by priority, then by lifetime rank, then by the rank of their queues' shares if
+ * there are any, then by timeliness, then started jobs before new ones, then by slack, the smallest first.
  *
  * Run-to-completion steps start before long-running ones because they free their capacity again. Long-running steps
  * yield for a limited time only, since they would never start under sustained load. An interrupted long-running step
@@ -44,6 +44,7 @@
 export function compareDemands(left: StepDemand, right: StepDemand): number {
     return getPriority(left) - getPriority(right)
         || getLifetimeRank(left) - getLifetimeRank(right)
+        || (left.shareRank ?? 0) - (right.shareRank ?? 0)
         || getTimeliness(left) - getTimeliness(right)
         || Number(right.isStarted) - Number(left.isStarted)
         || left.slackMs - right.slackMs;
--- a/packages/plan-starts/src/stepDemand.ts
+++ b/packages/plan-starts/src/stepDemand.ts
@@ -16,4 +16,9 @@
     readonly slackMs: number;
     /** How much longer the step can wait until the job's result is no longer useful, in milliseconds. */
     readonly lateSlackMs: number;
+    /**
+     * Rank by the share of the step's queue, the lowest first; undefined if queues don't share capacity. Set once all
+     * demands of the round are known.
+     */
+    shareRank?: number;
 }
