Answer submissions in time and refuse truthfully

Causes, each shown by a test that failed before: - No record was settled at its caller's deadline before its outcome was looked up: with a timeout of 300 ms the answer took up to 1,325 ms. It is settled then; a record that was never sent is refused. - One lost answer of the check whether the store answers kept this VM from it for the check's timeout of 1 s. A second check is sent after 250 ms. - Without a coordinator, a record was refused while the check was under way that showed that the store answers. It waits for the check's answer, up to 100 ms. - While the coordinator doesn't answer, one record a second was sent to it to find out whether it does, and its caller waited to the end. A VM gets less than one submission a second, so that nearly all callers waited. An append without records finds out now, and all callers are refused at once. - A job that was submitted again after an unknown outcome was refused although it ran later. A refusal becomes an unknown outcome then. If the VM knows that the job is accepted, or cancelled, it says so instead of refusing.

--- a/packages/accept-jobs/src/coordinatorCall.ts
+++ b/packages/accept-jobs/src/coordinatorCall.ts
@@ -8,7 +8,7 @@
     readonly id?: string;
     /** Name of the queue, for `GetPending`. */
     readonly queue?: string;
-    /** Records to append, for `Append`. */
+    /** Records to append, for `Append`; none to find out whether the coordinator answers. */
     readonly records?: readonly KeyedRecord[];
     /** Whether a VM has passed the call on already, so that it isn't passed on again. */
     readonly isForwarded?: boolean;
--- a/packages/accept-jobs/src/coordinatorCircuitBreaker.ts
+++ b/packages/accept-jobs/src/coordinatorCircuitBreaker.ts
@@ -30,6 +30,11 @@
         private readonly purpose: string,
     ) {}
 
+    /** Whether several calls in a row got no answer, and none has since. */
+    get isOpen(): boolean {
+        return this.openedAtMs !== undefined;
+    }
+
     /** Wait for an answer before a fallback starts in parallel, in milliseconds; 0 while the circuit is open. */
     get hedgeDelayMs(): number {
         return this.openedAtMs === undefined ? this.answerTimeout.currentMs : 0;
--- a/packages/accept-jobs/src/guardedCoordinatorClient.ts
+++ b/packages/accept-jobs/src/guardedCoordinatorClient.ts
@@ -20,6 +20,11 @@
     readonly purpose: string;
     /** A call that takes longer counts as unanswered for the circuit breaker, in milliseconds. */
     readonly answerTimeoutMs: number;
+    /**
+     * A call without effect that finds out whether a coordinator answers again. Without it, single calls of the callers
+     * find out, whose outcome is unknown if none does.
+     */
+    readonly probe?: CoordinatorCall;
 }
 
 /** Calls the coordinator through a circuit breaker: while the coordinator doesn't answer, few calls are sent to it. */
@@ -37,10 +42,19 @@
 
     /** Calls the coordinator. The reply has `isUnsent` if the circuit is open, and is undefined if no answer comes. */
     async call(call: CoordinatorCall): Promise<CoordinatorReply | undefined> {
-        const { coordinatorClient, clock, answerTimeoutMs } = this.parts;
+        const { probe } = this.parts;
         if (!this.circuitBreaker.admitCall()) {
             return { isUnsent: true, isCircuitOpen: true };
         }
+        if (this.circuitBreaker.isOpen && probe !== undefined) {
+            void this.send(probe);
+            return { isUnsent: true, isCircuitOpen: true };
+        }
+        return this.send(call);
+    }
+
+    private async send(call: CoordinatorCall): Promise<CoordinatorReply | undefined> {
+        const { coordinatorClient, clock, answerTimeoutMs } = this.parts;
         const sentAtMs = clock.getNow();
         const cancel = clock.schedule(answerTimeoutMs, () => this.circuitBreaker.noteTimeout(sentAtMs));
         const reply = await coordinatorClient.call(call, CALL_TIMEOUT_MS);
--- a/packages/accept-jobs/src/jobService.test.ts
+++ b/packages/accept-jobs/src/jobService.test.ts
@@ -2,6 +2,7 @@
 import { Topic } from "@sardinestage/describe-ports";
 import { JobState } from "@sardinestage/describe-work";
 import { CANCEL_SUFFIX } from "@sardinestage/track-jobs";
+import { SubmitOutcome } from "./submitOutcome.js";
 import { jobFixture } from "./testing/jobFixture.js";
 import { JobServiceHarness } from "./testing/jobServiceHarness.js";
 
@@ -97,6 +98,22 @@
         });
     });
 
+    describe("when a request that was accepted is made again while the store is away", () => {
+        // Guards against a refusal of a job that runs: its caller has lost the first answer.
+        it.each(["submission", "cancellation"])("accepts it: %s", async kind => {
+            const harness = new JobServiceHarness();
+            const send = () =>
+                kind === "submission"
+                    ? harness.jobService.submit(ID, queue, spec)
+                    : harness.jobService.cancel(ID, queue);
+            expect((await harness.runUntilSettled(send())).result).toBe(SubmitOutcome.Accepted);
+            harness.store.faults.isDown = true;
+            harness.coordinator = () => Promise.resolve({ isUnsent: true });
+            expect((await harness.runUntilSettled(send())).result).toBe(SubmitOutcome.Accepted);
+            expect((await harness.runUntilSettled(send())).result).toBe(SubmitOutcome.Accepted);
+        });
+    });
+
     describe("when neither the coordinator nor the store answers", () => {
         it("reports the state as unavailable, and after several failures does so immediately", async () => {
             const harness = new JobServiceHarness();
--- a/packages/accept-jobs/src/jobService.ts
+++ b/packages/accept-jobs/src/jobService.ts
@@ -79,12 +79,15 @@
     ): Promise<SubmitOutcome> {
         const sentAtMs = this.parts.clock.getNow();
         const value = encodeJobRecord({ spec, queue, acceptedAtMs: this.parts.clock.getWallTime() });
-        const outcome = await this.parts.recordAppender.append(
+        const appended = await this.parts.recordAppender.append(
             { key: id, value },
             callerTimeoutMs * USABLE_TIMEOUT_SHARE,
         );
+        // Callers submit a job again whose acceptance they haven't heard of.
+        const isKnown = this.parts.jobStateCache.findLastState(id) !== undefined;
+        const outcome = isKnown && appended !== SubmitOutcome.Invalid ? SubmitOutcome.Accepted : appended;
         this.recordOutcome("job-submit", id, queue.name, outcome, sentAtMs);
-        if (outcome === SubmitOutcome.Accepted) {
+        if (appended === SubmitOutcome.Accepted) {
             this.parts.jobStateCache.noteAccepted(id);
         }
         return outcome;
@@ -98,10 +101,11 @@
     async cancel(id: string, queue: QueueConfig, callerTimeoutMs = DEFAULT_CALLER_TIMEOUT_MS): Promise<SubmitOutcome> {
         const sentAtMs = this.parts.clock.getNow();
         const value = new Uint8Array([1]);
-        const outcome = await this.parts.recordAppender.append(
+        const appended = await this.parts.recordAppender.append(
             { key: id + CANCEL_SUFFIX, value },
             callerTimeoutMs * USABLE_TIMEOUT_SHARE,
         );
+        const outcome = this.parts.jobStateCache.isCancelled(id) ? SubmitOutcome.Accepted : appended;
         this.recordOutcome("job-cancel", id, queue.name, outcome, sentAtMs);
         if (outcome === SubmitOutcome.Accepted) {
             this.parts.jobStateCache.noteCancelled(id);
--- a/packages/accept-jobs/src/recordAppender.ts
+++ b/packages/accept-jobs/src/recordAppender.ts
@@ -1,13 +1,15 @@
 import type { Metrics } from "@sardinestage/count-metrics";
 import type { Clock, KeyedRecord, StoreLimits, StorePort } from "@sardinestage/describe-ports";
-import { AppendOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
+import { AppendOutcome, Topic } from "@sardinestage/describe-ports";
 import { AdaptiveTimeout } from "@sardinestage/learn-behaviour";
 import type { EventLogger } from "@sardinestage/log-events";
 import { CoordinatorCallKind } from "./coordinatorCallKind.js";
 import type { CoordinatorClient } from "./coordinatorClient.js";
 import { GuardedCoordinatorClient } from "./guardedCoordinatorClient.js";
 import type { PendingRecord } from "./pendingRecord.js";
+import { PossiblyStoredKeys } from "./possiblyStoredKeys.js";
 import { RecordConfirmer } from "./recordConfirmer.js";
+import { StoreWatch } from "./storeWatch.js";
 import { SubmitOutcome } from "./submitOutcome.js";
 
 /** Bounds of the learned timeout of an append, in milliseconds; after it the append is repeated or falls back. */
@@ -18,8 +20,6 @@
 const MAX_BATCH_DELAY_MS = 40;
 /** Maximum number of unanswered batches at a time. */
 const MAX_BATCHES_IN_FLIGHT = 10;
-/** Pause between two checks whether an unavailable store answers again, in milliseconds. */
-const STORE_CHECK_INTERVAL_MS = 250;
 /** How long the coordinator may take for an append on behalf of this VM, in milliseconds. */
 const RELAYED_TIMEOUT_MS = 1000;
 /** Bytes of a record's length, and of its key's length. */
@@ -43,18 +43,20 @@
  * records instead; appending a record twice has no further effect. If an append gets no answer, the records are looked
  * up in the store until their callers stop waiting.
  *
- * While the store is unavailable, records aren't sent to it to find out whether it answers again: their callers would
- * wait, and then get an unknown outcome.
+ * While the store or the coordinator is unavailable, records aren't sent to it to find out whether it answers again: their
+ * callers would wait, and then get an unknown outcome. A record that was never sent, or that was refused by all that it
+ * was sent to, is refused; it may be in the store in every other case.
  */
 export class RecordAppender {
     private waiting: PendingRecord[] = [];
     /** Whether new records still collect for the next batch, because the last batch was only just sent. */
     private isCollecting = false;
     private batchesInFlight = 0;
-    private isStoreUnavailable = false;
     private readonly appendTimeout = new AdaptiveTimeout(APPEND_TIMEOUT_BOUNDS);
     private readonly coordinator: GuardedCoordinatorClient;
     private readonly confirmer: RecordConfirmer;
+    private readonly storeWatch: StoreWatch;
+    private readonly possiblyStored = new PossiblyStoredKeys();
     /** Highest known end offset of the topic; records sent from now on are stored at or after it. */
     private knownEnd: number | undefined;
 
@@ -63,7 +65,9 @@
             ...parts,
             purpose: "appends",
             answerTimeoutMs: RELAYED_TIMEOUT_MS,
+            probe: { kind: CoordinatorCallKind.Append, records: [] },
         });
+        this.storeWatch = new StoreWatch(parts);
         this.confirmer = new RecordConfirmer(parts, records => this.tryAppending(records));
     }
 
@@ -76,13 +80,37 @@
         if (countBytes(record) > this.parts.limits.maxRecordBytes) {
             return Promise.resolve(SubmitOutcome.Invalid);
         }
+        this.possiblyStored.notePending(record.key);
         return new Promise(resolve => {
-            const untilMs = this.parts.clock.getNow() + timeoutMs;
-            this.waiting.push({ record, untilMs, settle: resolve });
+            this.waiting.push(this.createPending(record, timeoutMs, resolve));
             this.startBatch();
         });
     }
 
+    /** Creates a pending record that is settled when its caller stops waiting, if not before. */
+    private createPending(
+        record: KeyedRecord,
+        timeoutMs: number,
+        resolve: (outcome: SubmitOutcome) => void,
+    ): PendingRecord {
+        const { clock } = this.parts;
+        let isSettled = false;
+        const settle = (outcome: SubmitOutcome) => {
+            if (!isSettled) {
+                isSettled = true;
+                cancel();
+                resolve(this.possiblyStored.noteOutcome(record.key, outcome));
+            }
+        };
+        const cancel = clock.schedule(timeoutMs, () => {
+            const isUnsent = this.waiting.includes(pending);
+            this.waiting = this.waiting.filter(waiting => waiting !== pending);
+            settle(isUnsent ? SubmitOutcome.Refused : SubmitOutcome.Unknown);
+        });
+        const pending = { record, untilMs: clock.getNow() + timeoutMs, settle };
+        return pending;
+    }
+
     /** Sends all waiting records in one append. The next batch follows the answer, or a short delay without one. */
     private startBatch(): void {
         if (this.waiting.length === 0 || this.isCollecting || this.batchesInFlight >= MAX_BATCHES_IN_FLIGHT) {
@@ -114,10 +142,11 @@
     }
 
     /** Appends to the store, or by the coordinator if the store fails; looks up records of unknown outcome. */
-    private async appendWithFallback(batch: readonly PendingRecord[]): Promise<void> {
+    private async appendWithFallback(batch: readonly PendingRecord[], mayWaitForStore = true): Promise<void> {
         const from = this.knownEnd;
         const records = batch.map(pending => pending.record);
-        const direct = this.isStoreUnavailable ? SubmitOutcome.Refused : await this.appendDirectly(records);
+        const isSkipped = this.storeWatch.isUnavailable;
+        const direct = isSkipped ? SubmitOutcome.Refused : await this.appendDirectly(records);
         if (direct === SubmitOutcome.Accepted) {
             batch.forEach(pending => pending.settle(direct));
             return;
@@ -137,6 +166,10 @@
             void this.confirmer.confirm(batch, { relayed, relayedInTime }, from);
             return;
         }
+        if (outcome === SubmitOutcome.Refused && isSkipped && mayWaitForStore && await this.storeWatch.waitForCheck()) {
+            await this.appendWithFallback(batch, false);
+            return;
+        }
         batch.forEach(pending => pending.settle(outcome));
     }
 
@@ -195,28 +228,12 @@
         if (outcome !== SubmitOutcome.Accepted) {
             metrics.count("accept_failures_total", `store-${AppendOutcome[answer.outcome]}`);
             if (outcome !== SubmitOutcome.Invalid) {
-                void this.watchStore();
+                this.storeWatch.noteFailure();
             }
         }
         return outcome;
     }
 
-    /** Marks the store as unavailable, and polls it until it answers again. */
-    private async watchStore(): Promise<void> {
-        const { store, clock, logger } = this.parts;
-        if (this.isStoreUnavailable) {
-            return;
-        }
-        this.isStoreUnavailable = true;
-        const sinceMs = clock.getNow();
-        logger.warn("store-doubted", { topic: "jobs" });
-        while (!(await store.readNewest(Topic.Term, undefined)).succeeded) {
-            await waitFor(clock, STORE_CHECK_INTERVAL_MS);
-        }
-        this.isStoreUnavailable = false;
-        logger.info("store-trusted", { topic: "jobs", afterMs: Math.round(clock.getNow() - sinceMs) });
-    }
-
     private async appendRelayed(records: readonly KeyedRecord[]): Promise<SubmitOutcome> {
         const { metrics } = this.parts;
         const reply = await this.coordinator.call({ kind: CoordinatorCallKind.Append, records });
--- a/packages/run-entry-vm/src/localCoordinator.ts
+++ b/packages/run-entry-vm/src/localCoordinator.ts
@@ -196,6 +196,9 @@
                 return { outcome: AppendOutcome.Refused };
             }
             const records = call.records ?? [];
+            if (records.length === 0) {
+                return { outcome: AppendOutcome.Appended };
+            }
             const answer = await this.parts.store.append({
                 topic: Topic.Jobs,
                 records,
