--- a/packages/run-entry-vm/src/localCoordinator.test.ts
+++ b/packages/run-entry-vm/src/localCoordinator.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, it } from "@jest/globals";
-import { JobStateCache } from "@sardinestage/accept-jobs";
+import { CoordinatorCallKind, JobStateCache } from "@sardinestage/accept-jobs";
 import type { Coordinator } from "@sardinestage/coordinate-work";
 import type { StorePort } from "@sardinestage/describe-ports";
-import { waitFor } from "@sardinestage/describe-ports";
+import { AppendOutcome, waitFor } from "@sardinestage/describe-ports";
 import { VirtualClock } from "@sardinestage/emulate-platform";
 import type { TermLog } from "@sardinestage/keep-term";
 import { EarlierTerm, Instant, RenewalOutcome } from "@sardinestage/keep-term";
@@ -77,6 +77,26 @@
         });
     });
 
+    describe("when another VM finds out whether it answers", () => {
+        // Guards against an append without records, which the store may refuse or take for a change of the writer.
+        it("answers without the store", async () => {
+            const clock = new VirtualClock();
+            const local = new LocalCoordinator({
+                termLog: {} as TermLog,
+                store: {} as StorePort,
+                clock,
+                logger: silentLogger,
+                rules: defaultRules,
+                followers: new Followers(),
+                jobStateCache: new JobStateCache(clock, KEEP_MS),
+                getResponsiveTime: () => clock.getNow(),
+                createCoordinator: () => ({}) as unknown as Coordinator,
+            });
+            const reply = await local.answer({ kind: CoordinatorCallKind.Append, records: [] });
+            expect(reply).toEqual({ outcome: AppendOutcome.Appended });
+        });
+    });
+
     describe("when it renews its term", () => {
         it("says that leases are bound once those of an earlier version would have ended as early", async () => {
             const clock = new VirtualClock();
