Answer the first question from a coordinator that answers again

While several calls in a row have had no answer, a call finds out once a second whether the coordinator answers again. Its question was refused at once if the store was away too, although the answer came a moment later.

--- a/packages/accept-jobs/src/jobService.test.ts
+++ b/packages/accept-jobs/src/jobService.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "@jest/globals";
-import { Topic } from "@sardinestage/describe-ports";
+import { Topic, waitFor } from "@sardinestage/describe-ports";
 import { JobState } from "@sardinestage/describe-work";
 import { CANCEL_SUFFIX } from "@sardinestage/track-jobs";
 import { SubmitOutcome } from "./submitOutcome.js";
@@ -179,6 +179,43 @@
         });
     });
 
+    describe("when a coordinator that hasn't answered several calls answers again", () => {
+        async function createDoubtingHarness(): Promise<JobServiceHarness> {
+            const harness = new JobServiceHarness();
+            harness.store.faults.isDown = true;
+            for (let index = 0; index < 4; index++) {
+                await harness.getState(ID);
+                await harness.clock.runFor(1500);
+            }
+            const reply = { state: JobState.Running, pending: 7 };
+            harness.coordinator = () => waitFor(harness.clock, 20).then(() => reply);
+            return harness;
+        }
+
+        // Guards against a refusal of the first question while its answer is under way.
+        it("answers the first question about a job with its answer", async () => {
+            const harness = await createDoubtingHarness();
+            expect((await harness.getState(ID)).result).toEqual({ state: JobState.Running });
+        });
+
+        it("answers the first question for a count with its answer", async () => {
+            const harness = await createDoubtingHarness();
+            expect((await harness.runUntilSettled(harness.jobService.getPending("queue"))).result).toBe(7);
+        });
+
+        it("still answers at once if there is no answer", async () => {
+            const harness = await createDoubtingHarness();
+            harness.coordinator = (_, timeoutMs) => harness.waitUnanswered(timeoutMs);
+            const { result, tookMs } = await harness.getState(ID);
+            expect(result).toEqual({ isUnavailable: true });
+            expect(tookMs).toBeLessThan(200);
+            await harness.clock.runFor(1500);
+            const pending = await harness.runUntilSettled(harness.jobService.getPending("queue"));
+            expect(pending.result).toBeUndefined();
+            expect(pending.tookMs).toBeLessThan(200);
+        });
+    });
+
     describe("when callers have short timeouts", () => {
         it("doesn't abort calls to the coordinator early, which would fail all calls on the connection", async () => {
             const harness = new JobServiceHarness();
--- a/packages/accept-jobs/src/jobService.ts
+++ b/packages/accept-jobs/src/jobService.ts
@@ -15,6 +15,7 @@
 import type { JobStateReader } from "./jobStateReader.js";
 import type { PageTotals } from "./pageTotals.js";
 import { PendingCountCache } from "./pendingCountCache.js";
+import { PROBE_ANSWER_MS } from "./probeAnswerMs.js";
 import type { RecordAppender } from "./recordAppender.js";
 import type { SourcedAnswer } from "./sourcedAnswer.js";
 import { StateAnswerReporter } from "./stateAnswerReporter.js";
@@ -140,10 +141,11 @@
         const usableMs = computeUsableTime(callerTimeoutMs);
         const earlyMs = Math.min(hedgeDelayMs, usableMs);
         const early = await this.waitAtMost(fromCoordinator, earlyMs) ?? this.pendingCounts.find(queue);
-        if (early !== undefined || hedgeDelayMs === 0) {
+        if (early !== undefined) {
             return early;
         }
-        return this.waitAtMost(fromCoordinator, usableMs - earlyMs);
+        const leftMs = usableMs - earlyMs;
+        return this.waitAtMost(fromCoordinator, hedgeDelayMs === 0 ? Math.min(PROBE_ANSWER_MS, leftMs) : leftMs);
     }
 
     /** Writes the counts that aren't logged yet. */
@@ -176,9 +178,9 @@
             metrics.count("states_from_memory_total", "current");
             return { source: AnswerSource.Remembered, answer: { state: currentState } };
         }
-        // With an open circuit nobody waits for the coordinator: a call only finds out whether it answers again.
+        // With an open circuit nobody waits long for the coordinator: a call finds out whether it answers again.
         const answer = await (hedgeDelayMs === 0
-            ? this.readState(query)
+            ? this.readStateFirst(query, fromCoordinator)
             : this.waitAtMost(
                 waitForFirst([fromCoordinator, this.readState(query)]),
                 untilMs - clock.getNow(),
@@ -186,6 +188,16 @@
         return answer ?? this.answerFromMemory(query, totalsBefore, callerTimeoutMs, sentAtMs);
     }
 
+    /** Reads a job's state from the store, or takes it from a coordinator that answers soon if the store fails. */
+    private async readStateFirst(
+        query: StateQuery,
+        fromCoordinator: Promise<SourcedAnswer | undefined>,
+    ): Promise<SourcedAnswer | undefined> {
+        const leftMs = query.untilMs - this.parts.clock.getNow();
+        const soon = this.waitAtMost(fromCoordinator, Math.min(PROBE_ANSWER_MS, leftMs));
+        return await this.readState(query) ?? soon;
+    }
+
     private async readState(query: StateQuery): Promise<SourcedAnswer | undefined> {
         const answer = await this.parts.stateReader.read(query);
         return answer && { source: AnswerSource.Store, answer };
