--- a/packages/coordinate-work/src/planning/fairShares.test.ts
+++ b/packages/coordinate-work/src/planning/fairShares.test.ts
@@ -21,6 +21,11 @@
 /** A start that waits this long is late, in milliseconds: longer than a task runs, so that capacity has come free. */
 const LATE_START_MS = 800;
 
+/** A long-running task may be without a run for so long, however full the service is, in milliseconds. */
+const MAX_LONG_RUNNING_WAIT_MS = 7000;
+/** About twice the time that the service needs for all jobs of the random bursts, in milliseconds. */
+const RANDOM_DRAINED_MS = 20_000;
+
 /** Submits jobs to queues of one service, and measures how long the jobs wait for their start. */
 class QueueScene {
     readonly harness = new CoordinatorHarness(
@@ -54,6 +59,17 @@
         }
     }
 
+    /** Counts the running tasks of a queue's jobs. */
+    countRunning(queue: string): number {
+        let count = 0;
+        for (const [jobId, spec] of this.harness.specs) {
+            for (let index = 0; jobId.startsWith(queue) && index < spec.steps[0].taskCount; index++) {
+                count += Number(this.harness.runChecker.isRunning({ jobId, occurrence: 0, step: 0, index }));
+            }
+        }
+        return count;
+    }
+
     /** Lists how long each job of a queue waited for its first start, in milliseconds; infinite without a start. */
     listWaits(queue: string): number[] {
         const startedAtMs = new Map<string, number>();
@@ -123,4 +139,52 @@
             expect(starts.length).toBeGreaterThanOrEqual(16);
         });
     });
+
+    describe("when one holds most of the service with long-running tasks and the other has more short ones than fit", () => {
+        // Guards against shares that keep a long-running task without a run (rule 7 of docs/scarce-capacity.md).
+        it.each([true, false])(
+            "have new long-running tasks and interrupted ones run in time: shares %s",
+            async shares => {
+                const scene = new QueueScene();
+                const { harness } = scene;
+                await scene.open(shares);
+                scene.submit("long", { taskCount: 10, longRunning: true, cpuMillis: 2000 });
+                await harness.clock.runFor(3000);
+                scene.submitOften("short", 20, 3 * MAX_LONG_RUNNING_WAIT_MS);
+                await harness.clock.runFor(2000);
+                scene.submit("long", { taskCount: 2, longRunning: true, cpuMillis: 4000 });
+                await harness.clock.runFor(MAX_LONG_RUNNING_WAIT_MS);
+                expect(scene.countRunning("long")).toBe(12);
+                harness.resetWorker("w0");
+                await harness.clock.runFor(MAX_LONG_RUNNING_WAIT_MS);
+                expect(scene.countRunning("long")).toBe(12);
+                expect(harness.runChecker.violations).toEqual([]);
+            },
+        );
+    });
+
+    describe("with random bursts, takeovers and lost workers", () => {
+        // Guards against demands that no round starts, and against more work than a worker's capacity.
+        it.each([1, 2, 3, 4, 5, 6])("have all their jobs started soon after the bursts: seed %i", async seed => {
+            const random = createRandom(seed);
+            const scene = new QueueScene();
+            const { harness } = scene;
+            await scene.open(true);
+            for (const queue of ["north", "south", "west"]) {
+                const changes = { targetLatencyMs: random() * 4000, priority: Number(random() < 0.3) };
+                const step = { taskCount: Math.ceil(random() * 4), cpuMillis: 500 + Math.floor(random() * 3500) };
+                for (let job = 0; job < 40; job++) {
+                    const atMs = random() * BURST_MS;
+                    harness.clock.schedule(atMs, () => scene.submit(queue, step, changes));
+                }
+            }
+            harness.clock.schedule(random() * BURST_MS, () => harness.startTerm(false));
+            harness.clock.schedule(random() * BURST_MS, () => harness.resetWorker("w1"));
+            await harness.clock.runFor(BURST_MS + RANDOM_DRAINED_MS);
+            const waits = ["north", "south", "west"].flatMap(queue => scene.listWaits(queue));
+            expect(waits).toHaveLength(120);
+            expect(waits.filter(waitMs => !Number.isFinite(waitMs))).toEqual([]);
+            expect(harness.runChecker.violations).toEqual([]);
+        });
+    });
 });
