--- a/packages/accept-jobs/src/jobService.test.ts
+++ b/packages/accept-jobs/src/jobService.test.ts
@@ -1,7 +1,8 @@
 import { describe, expect, it } from "@jest/globals";
-import { Topic } from "@sardinestage/describe-ports";
+import { Topic, waitFor } from "@sardinestage/describe-ports";
 import { JobState } from "@sardinestage/describe-work";
 import { CANCEL_SUFFIX } from "@sardinestage/track-jobs";
+import { SubmitOutcome } from "./submitOutcome.js";
 import { jobFixture } from "./testing/jobFixture.js";
 import { JobServiceHarness } from "./testing/jobServiceHarness.js";
 
@@ -97,6 +98,22 @@
         });
     });
 
+    describe("when a request that was accepted is made again while the store is away", () => {
+        // Guards against a refusal of a job that runs: its caller has lost the first answer.
+        it.each(["submission", "cancellation"])("accepts it: %s", async kind => {
+            const harness = new JobServiceHarness();
+            const send = () =>
+                kind === "submission"
+                    ? harness.jobService.submit(ID, queue, spec)
+                    : harness.jobService.cancel(ID, queue);
+            expect((await harness.runUntilSettled(send())).result).toBe(SubmitOutcome.Accepted);
+            harness.store.faults.isDown = true;
+            harness.coordinator = () => Promise.resolve({ isUnsent: true });
+            expect((await harness.runUntilSettled(send())).result).toBe(SubmitOutcome.Accepted);
+            expect((await harness.runUntilSettled(send())).result).toBe(SubmitOutcome.Accepted);
+        });
+    });
+
     describe("when neither the coordinator nor the store answers", () => {
         it("reports the state as unavailable, and after several failures does so immediately", async () => {
             const harness = new JobServiceHarness();
@@ -162,6 +179,43 @@
         });
     });
 
+    describe("when a coordinator that hasn't answered several calls answers again", () => {
+        async function createDoubtingHarness(): Promise<JobServiceHarness> {
+            const harness = new JobServiceHarness();
+            harness.store.faults.isDown = true;
+            for (let index = 0; index < 4; index++) {
+                await harness.getState(ID);
+                await harness.clock.runFor(1500);
+            }
+            const reply = { state: JobState.Running, pending: 7 };
+            harness.coordinator = () => waitFor(harness.clock, 20).then(() => reply);
+            return harness;
+        }
+
+        // Guards against a refusal of the first question while its answer is under way.
+        it("answers the first question about a job with its answer", async () => {
+            const harness = await createDoubtingHarness();
+            expect((await harness.getState(ID)).result).toEqual({ state: JobState.Running });
+        });
+
+        it("answers the first question for a count with its answer", async () => {
+            const harness = await createDoubtingHarness();
+            expect((await harness.runUntilSettled(harness.jobService.getPending("queue"))).result).toBe(7);
+        });
+
+        it("still answers at once if there is no answer", async () => {
+            const harness = await createDoubtingHarness();
+            harness.coordinator = (_, timeoutMs) => harness.waitUnanswered(timeoutMs);
+            const { result, tookMs } = await harness.getState(ID);
+            expect(result).toEqual({ isUnavailable: true });
+            expect(tookMs).toBeLessThan(200);
+            await harness.clock.runFor(1500);
+            const pending = await harness.runUntilSettled(harness.jobService.getPending("queue"));
+            expect(pending.result).toBeUndefined();
+            expect(pending.tookMs).toBeLessThan(200);
+        });
+    });
+
     describe("when callers have short timeouts", () => {
         it("doesn't abort calls to the coordinator early, which would fail all calls on the connection", async () => {
             const harness = new JobServiceHarness();
--- a/packages/coordinate-work/src/planning/planningRound.ts
+++ b/packages/coordinate-work/src/planning/planningRound.ts
@@ -20,6 +20,7 @@
 import type { Fleet } from "../workers/fleet.js";
 import type { AdviceCache } from "./adviceCache.js";
 import { CapacityReservations } from "./capacityReservations.js";
+import { CapacityShares } from "./capacityShares.js";
 import { CapacityTable } from "./capacityTable.js";
 import { DemandSelector } from "./demandSelector.js";
 import { listEvacuatedCapacities } from "./listEvacuatedCapacities.js";
@@ -82,6 +83,8 @@
     private readonly reservations = new CapacityReservations();
     private readonly preemption: PreemptionController;
     private readonly unusedTasks = new UnusedTaskLimiter();
+    /** Undefined if queues don't share capacity. */
+    private readonly shares: CapacityShares | undefined;
 
     constructor(private readonly parts: CoordinatorParts, private readonly collaborators: PlanningRoundParts) {
         this.waitReporter = new WaitReporter(parts.logger);
@@ -91,6 +94,9 @@
             findWorker: workerId => collaborators.fleet.workers.get(workerId),
             explainWaiting: step => this.explainWaiting(step),
         });
+        this.shares = parts.rules.features.sharesCapacity
+            ? new CapacityShares({ ...parts, listWorkers: () => collaborators.fleet.workers.values() })
+            : undefined;
         const maxRoundMs = parts.rules.leaseMs * limits.maxRoundLeaseShare;
         this.demandSelector = new DemandSelector(maxRoundMs);
         this.preemption = new PreemptionController(parts, {
@@ -137,6 +143,7 @@
         );
         const isBusy = computeReservedShare(capacities) >= BUSY_SHARE;
         const waiting = steps.map(ready => this.buildDemand(ready));
+        this.shares?.updateRanks(waiting, capacities, nowMs);
         const demands = this.demandSelector.pickDemands(waiting);
         this.collaborators.placementScorer.startRound();
         const planningStartedAtMs = clock.getNow();
@@ -176,6 +183,7 @@
     reportIdle(nowMs: number, mayStart: boolean): void {
         this.mayStart = mayStart;
         this.idleTasks.reportIdle(nowMs);
+        this.shares?.reportIdle(nowMs);
     }
 
     private explainWaiting(step: StepRun): IdleReason {
--- a/packages/coordinate-work/src/testing/coordinatorHarness.ts
+++ b/packages/coordinate-work/src/testing/coordinatorHarness.ts
@@ -21,6 +21,7 @@
 import { WorkMeter } from "@sardinestage/watch-loop";
 import { Coordinator } from "../coordinator.js";
 import { noSchedulingFeatures } from "../noSchedulingFeatures.js";
+import type { SchedulingFeatures } from "../schedulingFeatures.js";
 import { PartitionedFleet } from "./partitionedFleet.js";
 
 const APPEND_TIMEOUT_MS = 1000;
@@ -36,7 +37,6 @@
     harmMs: 4000,
     paceMs: 100,
     entryReturnMs: 2000,
-    features: noSchedulingFeatures,
 };
 
 /** Test harness: real coordinators with an emulated store and emulated workers, on a virtual clock. */
@@ -52,6 +52,8 @@
     coordinator: Coordinator | undefined;
     /** The evacuations that the coordinators know; a test may replace them before a term begins. */
     evacuations = new EvacuationTable();
+    /** Parts of scheduling that are on in coordinators whose term begins from now on. */
+    features: SchedulingFeatures = noSchedulingFeatures;
     /** Time that each call to a worker, and each answer, occupies the coordinator's thread, in milliseconds. */
     callCostMs = 0;
     /** Time that sending a start order occupies the thread, in milliseconds. */
@@ -216,7 +218,7 @@
                 error: (event, fields) => this.recordEvent(ordinal, event, fields),
             },
             metrics: new Metrics(),
-            rules,
+            rules: { ...rules, features: this.features },
             evacuations: this.evacuations,
             term,
             getNewestFence: () => term + renewals,
