Pack tasks by the smallest usable remainder where capacity is planned ahead

The usual score groups serving tasks by sensitivity to interference and puts short tasks on the emptiest workers, so that free capacity is left in pieces that fit no large task. With the feature reservesCapacity, tasks that reserve processor go where they leave the smallest usable remainder; memory counts too. The score is a function in StartRules. Without the feature plans are unchanged (randomFleet.test.ts compares both scores with a reference).

--- a/packages/coordinate-work/src/planning/planningRound.ts
+++ b/packages/coordinate-work/src/planning/planningRound.ts
@@ -1,6 +1,6 @@
 import { formatTaskKey } from "@sardinestage/describe-work";
 import type { StartRules, StepDemand, WorkerCapacity } from "@sardinestage/plan-starts";
-import { planStarts } from "@sardinestage/plan-starts";
+import { computePackingScore, planStarts } from "@sardinestage/plan-starts";
 import type { StepRun, Task } from "@sardinestage/track-jobs";
 import { applyRunStart, computeCriticalPath, computeRemainingCriticalPath, TaskPhase } from "@sardinestage/track-jobs";
 import type { CoordinatorParts } from "../coordinatorParts.js";
@@ -144,6 +144,7 @@
             maxBestEffortWaitMs: isBusy ? Infinity : MAX_BEST_EFFORT_WAIT_MS,
             isAdvised: (task, workerId) => this.collaborators.advice.isAdvised(task, workerId),
             describePlacement: (capacity, spec) => this.collaborators.placementScorer.describePlacement(capacity, spec),
+            ...this.parts.rules.features.reservesCapacity ? { computeScore: computePackingScore } : {},
         };
         const plan = planStarts(demands, capacities, rules);
         this.waitReporter.reportUnmet(plan.unmet, capacities, nowMs);
--- a/packages/plan-starts/src/index.ts
+++ b/packages/plan-starts/src/index.ts
@@ -1,5 +1,6 @@
 export { allocateCapacity } from "./allocateCapacity.js";
 export { compareDemands } from "./compareDemands.js";
+export { computePackingScore } from "./computePackingScore.js";
 export { explainWait } from "./explainWait.js";
 export { hasCapacity } from "./hasCapacity.js";
 export { isAllowedOn } from "./isAllowedOn.js";
--- a/packages/plan-starts/src/randomFleet.test.ts
+++ b/packages/plan-starts/src/randomFleet.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from "@jest/globals";
 import { formatTaskKey } from "@sardinestage/describe-work";
 import { TaskPhase } from "@sardinestage/track-jobs";
+import { computePackingScore } from "./computePackingScore.js";
 import { hasCapacity } from "./hasCapacity.js";
 import { isAllowedOn } from "./isAllowedOn.js";
 import { isInterrupted } from "./isInterrupted.js";
@@ -29,6 +30,11 @@
     };
 }
 
+const SCORES = [
+    { name: "usual", changes: {} },
+    { name: "packing", changes: { computeScore: computePackingScore } },
+];
+
 function describePlan(plan: StartPlan): string[] {
     return [
         ...plan.starts.map(start => `${formatTaskKey(start.task.ref)} on ${start.workerId}`),
@@ -54,12 +60,18 @@
 
 describe("planStarts on random fleets", () => {
     describe("when equal steps share one ranking of workers", () => {
-        it("plans the same starts as scoring every worker again for every task", () => {
+        it.each(SCORES)("plans the same starts as scoring every worker again for every task: $name", ({ changes }) => {
             for (const seed of SEEDS) {
                 const [fleet, reference] = [new RandomFleet(seed), new RandomFleet(seed)];
-                const plan = describePlan(planStarts(fleet.demands, fleet.workers, buildRules(fleet, seed)));
+                const plan = describePlan(
+                    planStarts(fleet.demands, fleet.workers, { ...buildRules(fleet, seed), ...changes }),
+                );
                 const expected = describePlan(
-                    planStartsExhaustively(reference.demands, reference.workers, buildRules(reference, seed)),
+                    planStartsExhaustively(
+                        reference.demands,
+                        reference.workers,
+                        { ...buildRules(reference, seed), ...changes },
+                    ),
                 );
                 expect({ seed, plan }).toEqual({ seed, plan: expected });
                 expect(fleet.workers.map(describeCapacity)).toEqual(reference.workers.map(describeCapacity));
--- a/packages/plan-starts/src/rankingCache.ts
+++ b/packages/plan-starts/src/rankingCache.ts
@@ -16,7 +16,11 @@
 export class RankingCache {
     private readonly rankings = new Map<string, WorkerRanking>();
 
-    constructor(private readonly ledger: CapacityLedger, private readonly rules: StartRules) {}
+    private readonly computeScore: NonNullable<StartRules["computeScore"]>;
+
+    constructor(private readonly ledger: CapacityLedger, private readonly rules: StartRules) {
+        this.computeScore = rules.computeScore ?? computePlacementScore;
+    }
 
     /**
      * Returns the ranking of all workers for a demand's tasks, creating it on first use.
@@ -46,7 +50,7 @@
             const view = this.rules.describePlacement(worker, spec);
             return canWait && view.latencyRatio > MAX_LATENCY_RATIO
                 ? undefined
-                : computePlacementScore(worker, spec, view) - (worker.isReserved ? RESERVED_WORKER_PENALTY : 0);
+                : this.computeScore(worker, spec, view) - (worker.isReserved ? RESERVED_WORKER_PENALTY : 0);
         });
     }
 }
--- a/packages/plan-starts/src/startRules.ts
+++ b/packages/plan-starts/src/startRules.ts
@@ -13,4 +13,6 @@
     readonly isAdvised: (task: Task, workerId: string) => boolean;
     /** Estimates the interference of a task with the tasks on a worker; equal for tasks of one image, size and kind. */
     readonly describePlacement: (worker: WorkerCapacity, spec: StepSpec) => PlacementView;
+    /** Scores a placement; the highest score wins. `computePlacementScore` if left out. */
+    readonly computeScore?: (worker: WorkerCapacity, spec: StepSpec, view: PlacementView) => number;
 }
--- a/packages/plan-starts/src/testing/planStartsExhaustively.ts
+++ b/packages/plan-starts/src/testing/planStartsExhaustively.ts
@@ -177,7 +177,7 @@
         }
         const reserved = worker.isReserved ? RESERVED_WORKER_PENALTY : 0;
         const failed = worker.workerId === task.lastFailedWorkerId ? FAILED_WORKER_PENALTY : 0;
-        const score = computePlacementScore(worker, spec, view) - failed - reserved;
+        const score = (rules.computeScore ?? computePlacementScore)(worker, spec, view) - failed - reserved;
         if (score > bestScore) {
             best = worker;
             bestScore = score;
@@ -230,7 +230,7 @@
     }));
     const placed: PlacedTask[] = [];
     const score = (worker: WorkerCapacity) =>
-        computePlacementScore(worker, spec, rules.describePlacement(worker, spec))
+        (rules.computeScore ?? computePlacementScore)(worker, spec, rules.describePlacement(worker, spec))
         - (worker.isReserved ? RESERVED_WORKER_PENALTY : 0);
     for (const task of demand.waiting) {
         const best = copies
