Reserve starts for large tasks over time, and let smaller ones backfill

With the feature reservesCapacity, ReservationPlanner takes the place of reserveWorkers. Gangs, large run-to-completion tasks, interrupted long-running tasks and overdue first starts get a worker where there will be room soonest, by the expected ends of what runs there. Other tasks start on such a worker only if they end before or use none of the reserved capacity. Work of higher priority and long-running tasks aren't held back. Reservations are kept over rounds, lapse after their expected start plus a margin, and aren't stored.

A run's end is expected by its progress or its learned duration; an overdue run's end moves on. explainWait tells tasks that wait for their own reserved start from those that wait for another's. Counter capacity_reservations_total, gauge capacity_reservations, log line reservation-missed. Without the feature plans are unchanged.

--- a/packages/coordinate-work/src/idle/explainIdle.test.ts
+++ b/packages/coordinate-work/src/idle/explainIdle.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from "@jest/globals";
 import type { StepSpec } from "@sardinestage/describe-work";
 import { RunEnd } from "@sardinestage/describe-work";
+import { ReservationPlanner } from "@sardinestage/plan-starts";
 import { applyRunEnd, applyRunLost, TaskPhase } from "@sardinestage/track-jobs";
 import { buildWorkerCapacity } from "../planning/buildWorkerCapacity.js";
 import { createLongRunningTask } from "../testing/createLongRunningTask.js";
@@ -97,6 +98,22 @@
     ),
     [IdleReason.Memory]: createCapacityCase({ cpuMillis: 100 }),
     [IdleReason.Processor]: createCapacityCase({ memoryMb: 100 }),
+    [IdleReason.OwnReservation]: {
+        arrange: scene => {
+            const other = createLongRunningTask();
+            scene.startRun(other);
+            other.phase = TaskPhase.Stopping;
+            scene.task.run = 1;
+            const reservations = new ReservationPlanner({ estimateDuration: () => 1, noteOutcome: () => undefined });
+            scene.rules = { ...scene.rules, reservations };
+            scene.planRound();
+        },
+        end: scene => {
+            scene.worker.tasks.clear();
+            scene.planRound();
+        },
+        next: IdleReason.RecordPending,
+    },
     [IdleReason.StepLimit]: {
         changes: { cpuMillis: 100, memoryMb: 100, maxTasksPerWorker: 1, taskCount: 2 },
         arrange: scene => {
--- a/packages/coordinate-work/src/idle/idleReason.ts
+++ b/packages/coordinate-work/src/idle/idleReason.ts
@@ -19,6 +19,8 @@
     Accelerators = "Accelerators",
     Memory = "Memory",
     Processor = "Processor",
+    /** The task waits for its own reserved start. */
+    OwnReservation = "OwnReservation",
     StepLimit = "StepLimit",
     Advice = "Advice",
     Headroom = "Headroom",
--- a/packages/coordinate-work/src/planning/buildWorkerCapacity.ts
+++ b/packages/coordinate-work/src/planning/buildWorkerCapacity.ts
@@ -1,5 +1,6 @@
+import type { ExpectedEnd } from "@sardinestage/plan-capacity";
 import type { WorkerCapacity } from "@sardinestage/plan-starts";
-import { allocateCapacity } from "@sardinestage/plan-starts";
+import { allocateCapacity, describeNeed } from "@sardinestage/plan-starts";
 import type { Task } from "@sardinestage/track-jobs";
 import type { TrackedWorker } from "../workers/trackedWorker.js";
 
@@ -9,11 +10,13 @@
  * @param worker The worker.
  * @param startsLeft How many starts the worker may get now.
  * @param estimateHeadroom Estimates a serving task's headroom without best-effort tasks; undefined while unknown.
+ * @param estimateEnd Estimates when a task ends, in steady milliseconds; left out if capacity isn't planned ahead.
  */
 export function buildWorkerCapacity(
     worker: TrackedWorker,
     startsLeft: number,
     estimateHeadroom: (task: Task) => number | undefined,
+    estimateEnd?: (task: Task) => number,
 ): WorkerCapacity {
     const { entry } = worker;
     const capacity: WorkerCapacity = {
@@ -32,6 +35,7 @@
         bestEffortSpecs: [],
         startsLeft,
         isReserved: false,
+        ...estimateEnd === undefined ? {} : { ahead: { ends: listEnds(worker, estimateEnd), reservations: [] } },
     };
     for (const task of worker.tasks) {
         allocateCapacity(capacity, task.step, estimateHeadroom(task));
@@ -39,3 +43,14 @@
     capacity.startsLeft = startsLeft;
     return capacity;
 }
+
+function listEnds(worker: TrackedWorker, estimateEnd: (task: Task) => number): ExpectedEnd[] {
+    const ends: ExpectedEnd[] = [];
+    for (const task of worker.tasks) {
+        const atMs = estimateEnd(task);
+        if (atMs < Infinity) {
+            ends.push({ ...describeNeed(task.step.spec), atMs });
+        }
+    }
+    return ends;
+}
--- a/packages/coordinate-work/src/planning/capacityTable.ts
+++ b/packages/coordinate-work/src/planning/capacityTable.ts
@@ -32,18 +32,20 @@
      * @param nowMs Steady milliseconds.
      * @param getStartsLeft How many starts a worker may get now.
      * @param estimateHeadroom Estimates a serving task's headroom without best-effort tasks; undefined while unknown.
+     * @param estimateEnd Estimates when a task ends, in steady milliseconds; left out if capacity isn't planned ahead.
      */
     updateCapacities(
         workers: Iterable<TrackedWorker>,
         nowMs: number,
         getStartsLeft: (worker: TrackedWorker) => number,
         estimateHeadroom: (task: Task) => number | undefined,
+        estimateEnd?: (task: Task) => number,
     ): WorkerCapacity[] {
         const capacities: WorkerCapacity[] = [];
         for (const worker of workers) {
             const startsLeft = getStartsLeft(worker);
             if (startsLeft > 0) {
-                const cached = this.updateCapacity(worker, nowMs, estimateHeadroom);
+                const cached = this.updateCapacity(worker, nowMs, estimateHeadroom, estimateEnd);
                 cached.startsLeft = startsLeft;
                 cached.capacity.startsLeft = startsLeft;
                 cached.capacity.isReserved = false;
@@ -57,6 +59,7 @@
         worker: TrackedWorker,
         nowMs: number,
         estimateHeadroom: (task: Task) => number | undefined,
+        estimateEnd?: (task: Task) => number,
     ): CachedCapacity {
         const { entry, tasks } = worker;
         const cached = this.cached.get(worker);
@@ -66,7 +69,7 @@
         if (isSame && nowMs - cached.builtAtMs <= MAX_AGE_MS) {
             return cached;
         }
-        const capacity = buildWorkerCapacity(worker, 0, estimateHeadroom);
+        const capacity = buildWorkerCapacity(worker, 0, estimateHeadroom, estimateEnd);
         const built = { capacity, entry, tasks: [...tasks], builtAtMs: nowMs, startsLeft: 0 };
         this.cached.set(worker, built);
         return built;
--- a/packages/coordinate-work/src/planning/demandSelector.ts
+++ b/packages/coordinate-work/src/planning/demandSelector.ts
@@ -20,8 +20,14 @@
     private readonly roundRobin = new RoundRobin<StepRun>();
     private maxSteps = INITIAL_STEPS;
 
-    /** @param maxRoundMs The time limit of a round, in milliseconds. */
-    constructor(private readonly maxRoundMs: number) {}
+    /**
+     * @param maxRoundMs The time limit of a round, in milliseconds.
+     * @param hasReservation Whether a step has a reserved start.
+     */
+    constructor(
+        private readonly maxRoundMs: number,
+        private readonly hasReservation: (step: StepRun) => boolean = () => false,
+    ) {}
 
     /** Picks the demands that a round handles and records the others as skipped. */
     pickDemands(demands: readonly StepDemand[]): readonly StepDemand[] {
@@ -30,8 +36,8 @@
             this.roundRobin.recordSkipped([]);
             return demands;
         }
-        const prioritized = demands.filter(hasPriority);
-        const others = demands.filter(demand => !hasPriority(demand));
+        const prioritized = demands.filter(demand => this.hasPriority(demand));
+        const others = demands.filter(demand => !this.hasPriority(demand));
         const maxCount = Math.max(Math.ceil(this.maxSteps * PRIORITY_SHARE), this.maxSteps - others.length);
         const first = pickInTurn(prioritized, this.priorityRoundRobin, maxCount);
         return [...first, ...pickInTurn(others, this.roundRobin, this.maxSteps - first.length)];
@@ -41,10 +47,10 @@
     recordRound(steps: number, tookMs: number): void {
         this.maxSteps = chooseRoundSize({ maxSteps: this.maxSteps, steps, tookMs }, this.maxRoundMs);
     }
-}
 
-function hasPriority(demand: StepDemand): boolean {
-    return isInterrupted(demand) || (demand.reservedWorkerIds ?? []).length > 0;
+    private hasPriority(demand: StepDemand): boolean {
+        return isInterrupted(demand) || (demand.reservedWorkerIds ?? []).length > 0 || this.hasReservation(demand.step);
+    }
 }
 
 function pickInTurn(
--- a/packages/coordinate-work/src/planning/planningRound.ts
+++ b/packages/coordinate-work/src/planning/planningRound.ts
@@ -1,6 +1,6 @@
 import { formatTaskKey } from "@sardinestage/describe-work";
 import type { StartRules, StepDemand, WorkerCapacity } from "@sardinestage/plan-starts";
-import { computePackingScore, planStarts } from "@sardinestage/plan-starts";
+import { computePackingScore, planStarts, ReservationPlanner } from "@sardinestage/plan-starts";
 import type { StepRun, Task } from "@sardinestage/track-jobs";
 import { applyRunStart, computeCriticalPath, computeRemainingCriticalPath, TaskPhase } from "@sardinestage/track-jobs";
 import type { CoordinatorParts } from "../coordinatorParts.js";
@@ -22,8 +22,10 @@
 import { CapacityReservations } from "./capacityReservations.js";
 import { CapacityTable } from "./capacityTable.js";
 import { DemandSelector } from "./demandSelector.js";
+import { estimateRunEnd } from "./estimateRunEnd.js";
 import type { PlacementScorer } from "./placementScorer.js";
 import { PreemptionController } from "./preemptionController.js";
+import { ReservationReporter } from "./reservationReporter.js";
 import { UnusedTaskLimiter } from "./unusedTaskLimiter.js";
 import { WaitExplainer } from "./waitExplainer.js";
 import { WaitReporter } from "./waitReporter.js";
@@ -82,7 +84,17 @@
     private readonly preemption: PreemptionController;
     private readonly unusedTasks = new UnusedTaskLimiter();
 
+    private readonly reservationReporter: ReservationReporter;
+    private readonly reservationPlanner: ReservationPlanner;
+    /** The rules by which capacity is planned ahead; empty if it isn't. */
+    private readonly aheadRules: Pick<StartRules, "computeScore" | "reservations">;
+
     constructor(private readonly parts: CoordinatorParts, private readonly collaborators: PlanningRoundParts) {
+        this.reservationReporter = new ReservationReporter(parts, () => this.reservationPlanner.count);
+        this.reservationPlanner = new ReservationPlanner({
+            estimateDuration: step => this.estimateDuration(step),
+            noteOutcome: (outcome, reservation) => this.reservationReporter.noteOutcome(outcome, reservation),
+        });
         this.waitReporter = new WaitReporter(parts.logger);
         this.waitSummary = new WaitSummary(parts);
         this.waitExplainer = new WaitExplainer(() => collaborators.fleet.workers.values());
@@ -91,7 +103,11 @@
             explainWaiting: step => this.explainWaiting(step),
         });
         const maxRoundMs = parts.rules.leaseMs * limits.maxRoundLeaseShare;
-        this.demandSelector = new DemandSelector(maxRoundMs);
+        const { reservationPlanner } = this;
+        this.demandSelector = new DemandSelector(maxRoundMs, step => reservationPlanner.has(step));
+        this.aheadRules = parts.rules.features.reservesCapacity
+            ? { computeScore: computePackingScore, reservations: reservationPlanner }
+            : {};
         this.preemption = new PreemptionController(parts, {
             ...collaborators,
             reservations: this.reservations,
@@ -133,6 +149,9 @@
             nowMs,
             worker => computeStartsLeft(worker, nowMs),
             task => this.collaborators.headroomTracker.estimatePlacementHeadroom(task, nowMs + PLACEMENT_LOOKAHEAD_MS),
+            this.parts.rules.features.reservesCapacity
+                ? task => estimateRunEnd(task, this.estimateDuration(task.step), nowMs)
+                : undefined,
         );
         const isBusy = computeReservedShare(capacities) >= BUSY_SHARE;
         const waiting = steps.map(ready => this.buildDemand(ready));
@@ -144,9 +163,11 @@
             maxBestEffortWaitMs: isBusy ? Infinity : MAX_BEST_EFFORT_WAIT_MS,
             isAdvised: (task, workerId) => this.collaborators.advice.isAdvised(task, workerId),
             describePlacement: (capacity, spec) => this.collaborators.placementScorer.describePlacement(capacity, spec),
-            ...this.parts.rules.features.reservesCapacity ? { computeScore: computePackingScore } : {},
+            ...this.aheadRules,
         };
+        rules.reservations?.startRound(capacities, nowMs);
         const plan = planStarts(demands, capacities, rules);
+        this.reservationReporter.reportCount();
         this.waitReporter.reportUnmet(plan.unmet, capacities, nowMs);
         this.waitSummary.reportUnmet(plan.unmet, waiting.length - demands.length, capacities, rules, nowMs);
         this.waitExplainer.noteRound({ unmet: plan.unmet, capacities, rules, plannedAtMs: nowMs });
@@ -208,6 +229,10 @@
         };
     }
 
+    private estimateDuration({ spec, occurrence }: StepRun): number {
+        return this.collaborators.durations.estimateDuration(occurrence.job.queue.name, spec);
+    }
+
     private startTask(task: Task, workerId: string, nowMs: number): void {
         const worker = this.collaborators.fleet.workers.get(workerId);
         if (worker === undefined) {
--- a/packages/coordinate-work/src/planning/waitExplainer.ts
+++ b/packages/coordinate-work/src/planning/waitExplainer.ts
@@ -15,6 +15,8 @@
     [WaitReason.Accelerators]: IdleReason.Accelerators,
     [WaitReason.Memory]: IdleReason.Memory,
     [WaitReason.Processor]: IdleReason.Processor,
+    [WaitReason.ReservedForOthers]: IdleReason.WorkersReserved,
+    [WaitReason.OwnReservation]: IdleReason.OwnReservation,
     [WaitReason.StepLimit]: IdleReason.StepLimit,
     [WaitReason.Advice]: IdleReason.Advice,
     [WaitReason.Headroom]: IdleReason.Headroom,
--- a/packages/coordinate-work/src/testing/idleScene.ts
+++ b/packages/coordinate-work/src/testing/idleScene.ts
@@ -7,6 +7,7 @@
 import { IdleReason } from "../idle/idleReason.js";
 import { limits } from "../limits.js";
 import { buildWorkerCapacity } from "../planning/buildWorkerCapacity.js";
+import { estimateRunEnd } from "../planning/estimateRunEnd.js";
 import { WaitExplainer } from "../planning/waitExplainer.js";
 import { computeStartsLeft } from "../workers/computeStartsLeft.js";
 import type { TrackedWorker } from "../workers/trackedWorker.js";
@@ -58,7 +59,11 @@
             return;
         }
         const startsLeft = computeStartsLeft(this.worker, this.nowMs);
-        const capacities = startsLeft > 0 ? [buildWorkerCapacity(this.worker, startsLeft, () => undefined)] : [];
+        const estimateEnd = (task: Task) => estimateRunEnd(task, 1000, this.nowMs);
+        const capacities = startsLeft > 0
+            ? [buildWorkerCapacity(this.worker, startsLeft, () => undefined, estimateEnd)]
+            : [];
+        this.rules.reservations?.startRound(capacities, this.nowMs);
         const demands = [...others, this.task].map(task => ({
             step: task.step,
             waiting: task.step.listWaiting(10),
--- a/packages/plan-capacity/src/planReservations.ts
+++ b/packages/plan-capacity/src/planReservations.ts
@@ -24,7 +24,7 @@
         .filter(({ fromMs }) => fromMs < horizonMs)
         .sort((left, right) => left.fromMs - right.fromMs)
         .slice(0, request.count);
-    return request.isGang ? alignStarts(request, found, forecasts) : found;
+    return request.isGang ? listCommonStarts(request, found, forecasts) : found;
 }
 
 /** Lists the starts of as many of the tasks as one worker can take, one after another. */
@@ -51,7 +51,7 @@
 }
 
 /** Lets all members of a gang start when the last one can, if each of them still fits then. */
-function alignStarts(
+function listCommonStarts(
     request: ReservationRequest,
     found: readonly PlannedReservation[],
     forecasts: readonly (CapacityForecast | undefined)[],
--- a/packages/plan-starts/src/capacityLedger.ts
+++ b/packages/plan-starts/src/capacityLedger.ts
@@ -1,5 +1,6 @@
 import type { StepRun } from "@sardinestage/track-jobs";
 import { allocateCapacity } from "./allocateCapacity.js";
+import type { ReservationPlanner } from "./reservationPlanner.js";
 import type { WorkerCapacity } from "./workerCapacity.js";
 
 /** The workers of a planning round and a log of their capacity changes, so that only changed workers are rescored. */
@@ -7,7 +8,11 @@
     private readonly versions: Uint32Array;
     private readonly changedIndices: number[] = [];
 
-    constructor(readonly workers: readonly WorkerCapacity[]) {
+    /**
+     * @param workers Free capacity of the workers.
+     * @param reservations Plans reserved starts; undefined if capacity isn't planned ahead.
+     */
+    constructor(readonly workers: readonly WorkerCapacity[], private readonly reservations?: ReservationPlanner) {
         this.versions = new Uint32Array(workers.length);
     }
 
@@ -19,6 +24,7 @@
     /** Subtracts one task of a step from a worker's free capacity. */
     allocate(index: number, step: StepRun): void {
         allocateCapacity(this.workers[index], step);
+        this.reservations?.notePlanned(this.workers[index], step);
         this.noteChange(index);
     }
 
@@ -44,7 +50,8 @@
         return this.changedIndices[position];
     }
 
-    private noteChange(index: number): void {
+    /** Notes that a worker has to be scored again. */
+    noteChange(index: number): void {
         this.versions[index]++;
         this.changedIndices.push(index);
     }
--- a/packages/plan-starts/src/explainWait.ts
+++ b/packages/plan-starts/src/explainWait.ts
@@ -12,6 +12,13 @@
 /** A condition that a worker has to meet, and the reason to wait if no worker does. */
 type Condition = readonly [reason: WaitReason, isMet: (worker: WorkerCapacity) => boolean];
 
+const ROOM_REASONS: readonly WaitReason[] = [
+    WaitReason.Accelerators,
+    WaitReason.Memory,
+    WaitReason.Processor,
+    WaitReason.ReservedForOthers,
+];
+
 /**
  * Explains why a demand's tasks wait after a round.
  *
@@ -22,21 +29,30 @@
 export function explainWait(
     demand: StepDemand,
     workers: readonly WorkerCapacity[],
-    rules: Pick<StartRules, "maxBestEffortWaitMs" | "isAdvised" | "describePlacement">,
+    rules: Pick<StartRules, "maxBestEffortWaitMs" | "isAdvised" | "describePlacement" | "reservations">,
 ): WaitReason {
     let candidates = workers;
     for (const [reason, isMet] of listConditions(demand, rules)) {
         candidates = candidates.filter(isMet);
         if (candidates.length === 0) {
-            return reason;
+            return isWaitingForRoom(reason) && rules.reservations?.has(demand.step) === true
+                ? WaitReason.OwnReservation
+                : reason;
         }
     }
-    return demand.step.spec.gang ? WaitReason.Gang : WaitReason.NextRound;
+    if (!demand.step.spec.gang) {
+        return WaitReason.NextRound;
+    }
+    return rules.reservations?.has(demand.step) === true ? WaitReason.OwnReservation : WaitReason.Gang;
+}
+
+function isWaitingForRoom(reason: WaitReason): boolean {
+    return ROOM_REASONS.includes(reason);
 }
 
 function listConditions(
     demand: StepDemand,
-    rules: Pick<StartRules, "maxBestEffortWaitMs" | "isAdvised" | "describePlacement">,
+    rules: Pick<StartRules, "maxBestEffortWaitMs" | "isAdvised" | "describePlacement" | "reservations">,
 ): readonly Condition[] {
     const { step, waiting } = demand;
     const { spec } = step;
@@ -49,6 +65,7 @@
         [WaitReason.Accelerators, worker => worker.freeAccelerators >= spec.accelerators],
         [WaitReason.Memory, worker => worker.freeMemoryMb >= spec.memoryMb],
         [WaitReason.Processor, worker => spec.isBestEffort || worker.freeCpuMillis >= spec.cpuMillis],
+        [WaitReason.ReservedForOthers, worker => rules.reservations?.checkStart(worker, demand) !== false],
         [WaitReason.StepLimit, worker => !isStepLimitReached(spec, perWorker.get(worker.workerId))],
         [WaitReason.Advice, worker => rules.isAdvised(waiting[0], worker.workerId)],
         [
--- a/packages/plan-starts/src/planGang.ts
+++ b/packages/plan-starts/src/planGang.ts
@@ -31,6 +31,7 @@
     const allowed = ledger.workers.filter(worker => isAllowedOn(step, worker));
     const usable = allowed.filter(worker =>
         hasCapacity(worker, step.spec, isInterrupted(demand)) && rules.isAdvised(waiting[0], worker.workerId)
+        && rules.reservations?.checkStart(worker, demand, countMostThere(demand)) !== false
     );
     if (!isGangFitting(demand, usable)) {
         return false;
@@ -53,6 +54,12 @@
     });
 }
 
+/** Counts the most tasks of a gang that may start on one worker. */
+function countMostThere({ step, waiting }: StepDemand): number {
+    const { maxTasksPerWorker } = step.spec;
+    return maxTasksPerWorker === 0 ? waiting.length : Math.min(waiting.length, maxTasksPerWorker);
+}
+
 /** Counts how many tasks of a demand fit on a worker, up to `maxCount`. */
 function countFitting(worker: WorkerCapacity, demand: StepDemand, maxCount: number): number {
     const { spec } = demand.step;
--- a/packages/plan-starts/src/planStarts.ts
+++ b/packages/plan-starts/src/planStarts.ts
@@ -26,7 +26,7 @@
     const starts: PlannedStart[] = [];
     const unmet: StepDemand[] = [];
     const unplaceable = new UnplaceableDemands(rules);
-    const ledger = new CapacityLedger(workers);
+    const ledger = new CapacityLedger(workers, rules.reservations);
     const rankings = new RankingCache(ledger, rules);
     for (const demand of [...demands].sort(compareDemands)) {
         if (starts.length >= rules.maxStarts) {
@@ -34,11 +34,20 @@
         }
         const before = starts.length;
         const plan = demand.step.spec.gang ? planGang : planTasks;
-        const isMet = !unplaceable.has(demand) && plan(demand, ledger, rankings, rules, starts);
+        // A reserved start needs the same room as others that didn't fit, but may use what these may not.
+        const mayFit = !unplaceable.has(demand) || rules.reservations?.has(demand.step) === true;
+        const isMet = mayFit && plan(demand, ledger, rankings, rules, starts);
+        const placed = starts.slice(before);
+        rules.reservations?.releaseStarted(demand, placed, ledger);
         if (!isMet) {
             unplaceable.add(demand);
             unmet.push(demand);
-            reserveWorkers(demand, starts.slice(before), ledger, rules);
+            if (rules.reservations === undefined) {
+                reserveWorkers(demand, placed, ledger, rules);
+            }
+            else {
+                rules.reservations.reserve(demand, placed, ledger, rules);
+            }
         }
     }
     return { starts, unmet };
--- a/packages/plan-starts/src/planTasks.ts
+++ b/packages/plan-starts/src/planTasks.ts
@@ -29,8 +29,10 @@
     const perWorker = countTasksPerWorker(step);
     const ranking = rankings.resolve(demand, isDeferrable(demand, rules));
     const eligible = new EligibleWorkers(ranking, ({ index }) => {
-        const { workerId } = ledger.workers[index];
-        return !isStepLimitReached(step.spec, perWorker.get(workerId)) && rules.isAdvised(waiting[0], workerId);
+        const worker = ledger.workers[index];
+        return !isStepLimitReached(step.spec, perWorker.get(worker.workerId))
+            && rules.isAdvised(waiting[0], worker.workerId)
+            && rules.reservations?.checkStart(worker, demand) !== false;
     });
     const startable = waiting.slice(0, rules.maxStarts - starts.length);
     const isMet = startable.every(task => {
--- a/packages/plan-starts/src/rankingCache.ts
+++ b/packages/plan-starts/src/rankingCache.ts
@@ -50,11 +50,15 @@
             const view = this.rules.describePlacement(worker, spec);
             return canWait && view.latencyRatio > MAX_LATENCY_RATIO
                 ? undefined
-                : this.computeScore(worker, spec, view) - (worker.isReserved ? RESERVED_WORKER_PENALTY : 0);
+                : this.computeScore(worker, spec, view) - (hasReservation(worker) ? RESERVED_WORKER_PENALTY : 0);
         });
     }
 }
 
+function hasReservation(worker: WorkerCapacity): boolean {
+    return worker.isReserved || (worker.ahead !== undefined && worker.ahead.reservations.length > 0);
+}
+
 /** Builds a key from everything about a demand that a worker's score depends on. */
 function createKey(demand: StepDemand, canWait: boolean): string {
     const { spec, occurrence } = demand.step;
--- /dev/null
+++ b/packages/plan-starts/src/reservationPlanner.ts
@@ -0,0 +1,246 @@
+import type { CapacityForecast } from "@sardinestage/plan-capacity";
+import { isFitting, planReservations } from "@sardinestage/plan-capacity";
+import type { StepRun } from "@sardinestage/track-jobs";
+import type { CapacityLedger } from "./capacityLedger.js";
+import { countReservable } from "./countReservable.js";
+import { countTasksPerWorker } from "./countTasksPerWorker.js";
+import { describeForecast } from "./describeForecast.js";
+import { describeNeed } from "./describeNeed.js";
+import type { HeldReservation } from "./heldReservation.js";
+import { isAllowedOn } from "./isAllowedOn.js";
+import { isStepLimitReached } from "./isStepLimitReached.js";
+import type { PlannedStart } from "./plannedStart.js";
+import { ReservationOutcome } from "./reservationOutcome.js";
+import type { StartRules } from "./startRules.js";
+import type { StepDemand } from "./stepDemand.js";
+import type { WorkerCapacity } from "./workerCapacity.js";
+
+/** Room that comes free only after this time isn't reserved, in milliseconds: expected ends are too uncertain by then. */
+const HORIZON_MS = 60_000;
+/** A reservation is given up so long after its expected start at the earliest, in milliseconds. */
+const MIN_MARGIN_MS = 1000;
+/** A task that uses room ahead of a reservation may take this many times as long as expected. */
+const BACKFILL_SAFETY = 1.25;
+/** How long room that preemption frees is kept for the demand, in milliseconds, as far as other work is concerned. */
+const PREEMPTION_MS = 2000;
+
+/** Dependencies of a reservation planner. */
+interface ReservationPlannerParts {
+    /** Estimates the duration of a step's tasks, in milliseconds. */
+    readonly estimateDuration: (step: StepRun) => number;
+    readonly noteOutcome: (outcome: ReservationOutcome, reservation: HeldReservation) => void;
+}
+
+/**
+ * Keeps reservations over planning rounds: where and when waiting tasks that need much room will start. Smaller tasks
+ * start on their workers only if they are expected to end before or use none of the reserved capacity. Reservations hold
+ * back neither work of higher priority nor long-running tasks, and lapse if there is no room at the expected time.
+ */
+export class ReservationPlanner {
+    private readonly held = new Map<StepRun, readonly HeldReservation[]>();
+    private readonly lapsedWorkerIds = new WeakMap<StepRun, Set<string>>();
+    private nowMs = 0;
+
+    constructor(private readonly parts: ReservationPlannerParts) {}
+
+    /** Number of present reservations. */
+    get count(): number {
+        return [...this.held.values()].reduce((sum, held) => sum + held.length, 0);
+    }
+
+    /**
+     * Starts a round: gives up reservations that have lapsed or whose worker gets no start now.
+     *
+     * @param workers Free capacity of the workers, to which the other reservations are added.
+     * @param nowMs Steady milliseconds.
+     */
+    startRound(workers: readonly WorkerCapacity[], nowMs: number): void {
+        this.nowMs = nowMs;
+        workers.forEach(worker => setReservations(worker, []));
+        if (this.held.size === 0) {
+            return;
+        }
+        const byId = new Map(workers.map(worker => [worker.workerId, worker]));
+        for (const [step, held] of this.held) {
+            const isWaiting = step.waitingCount > 0 && !step.occurrence.job.isFinished;
+            const kept = held.filter(reservation => isWaiting && this.isValid(reservation, byId));
+            held.filter(reservation => !kept.includes(reservation)).forEach(each => this.drop(each, isWaiting));
+            this.setHeld(step, kept);
+            kept.forEach(reservation => addReservation(byId.get(reservation.workerId), reservation));
+        }
+    }
+
+    /** Whether capacity is reserved for a step. */
+    has(step: StepRun): boolean {
+        return this.held.has(step);
+    }
+
+    /**
+     * Whether tasks of a demand may start on a worker without delaying a reservation that they have to respect.
+     *
+     * @param count Number of tasks that would start there at once.
+     */
+    checkStart(worker: WorkerCapacity, demand: StepDemand, count = 1): boolean {
+        const { spec, occurrence } = demand.step;
+        const { priority } = occurrence.job.queue;
+        if (spec.longRunning || worker.ahead === undefined || worker.ahead.reservations.length === 0) {
+            return true;
+        }
+        const respected = worker.ahead.reservations.filter(({ step }) =>
+            step !== demand.step && step.occurrence.job.queue.priority <= priority
+        );
+        const durationMs = this.parts.estimateDuration(demand.step) * BACKFILL_SAFETY;
+        return respected.length === 0
+            || isFitting(describeForecast(worker, respected), describeNeed(spec, count), durationMs, this.nowMs);
+    }
+
+    /** Notes that a task of a step is planned on a worker, so that its end is expected. */
+    notePlanned(worker: WorkerCapacity, step: StepRun): void {
+        if (!step.spec.longRunning) {
+            const atMs = this.nowMs + this.parts.estimateDuration(step);
+            worker.ahead?.ends.push({ ...describeNeed(step.spec), atMs });
+        }
+    }
+
+    /** Ends reservations of a demand for tasks that start now, or of one that has nothing to wait for. */
+    releaseStarted(demand: StepDemand, placed: readonly PlannedStart[], ledger: CapacityLedger): void {
+        const held = this.held.get(demand.step);
+        if (held === undefined || placed.length === 0) {
+            return;
+        }
+        const startedIds = new Set(placed.map(({ workerId }) => workerId));
+        const ordered = [...held].sort((left, right) =>
+            Number(startedIds.has(right.workerId)) - Number(startedIds.has(left.workerId)) || left.fromMs - right.fromMs
+        );
+        const released = ordered.slice(0, placed.length);
+        released.forEach(reservation => this.parts.noteOutcome(ReservationOutcome.Kept, reservation));
+        this.setHeld(demand.step, ordered.slice(placed.length));
+        ledger.workers.forEach((worker, index) => {
+            const { reservations } = worker.ahead ?? { reservations: [] };
+            if (reservations.some(reservation => released.includes(reservation))) {
+                setReservations(worker, reservations.filter(reservation => !released.includes(reservation)));
+                ledger.noteChange(index);
+            }
+        });
+    }
+
+    /**
+     * Reserves capacity for the tasks of a demand that didn't fit.
+     *
+     * @param demand The demand whose tasks wait.
+     * @param placed Starts of the demand's tasks in this round.
+     * @param ledger Free capacity of the workers.
+     * @param rules Limits of the planning round.
+     */
+    reserve(
+        demand: StepDemand,
+        placed: readonly PlannedStart[],
+        ledger: CapacityLedger,
+        rules: Pick<StartRules, "isAdvised">,
+    ): void {
+        const { step, waiting } = demand;
+        const preemptedIds = this.reservePreempted(demand, ledger);
+        const held = this.held.get(step) ?? [];
+        const missingCount = waiting.length - placed.length - held.length - preemptedIds.length;
+        if (missingCount <= 0 || (step.spec.gang && held.length > 0)) {
+            return;
+        }
+        const reservableCount = countReservable(demand, ledger);
+        if (reservableCount === 0 || (step.spec.gang && reservableCount < missingCount)) {
+            return;
+        }
+        const takenIds = [...placed, ...held].map(({ workerId }) => workerId).concat(preemptedIds);
+        const durationMs = step.spec.longRunning ? Infinity : this.parts.estimateDuration(step);
+        const request = {
+            need: describeNeed(step.spec),
+            durationMs,
+            count: Math.min(missingCount, reservableCount),
+            maxPerWorker: step.spec.maxTasksPerWorker,
+            isGang: step.spec.gang,
+        };
+        const forecasts = this.listForecasts(demand, ledger, takenIds, rules);
+        const planned = planReservations(request, forecasts, this.nowMs, this.nowMs + HORIZON_MS);
+        const made = planned.map(({ index, ...reservation }) => {
+            const lapsesAtMs = reservation.fromMs + Math.max(MIN_MARGIN_MS, reservation.fromMs - this.nowMs);
+            const { workerId } = ledger.workers[index];
+            const added: HeldReservation = { ...reservation, step, workerId, lapsesAtMs };
+            addReservation(ledger.workers[index], added);
+            ledger.noteChange(index);
+            this.parts.noteOutcome(ReservationOutcome.Made, added);
+            return added;
+        });
+        if (made.length === 0) {
+            this.lapsedWorkerIds.delete(step);
+        }
+        this.setHeld(step, [...held, ...made]);
+    }
+
+    /** Keeps the room that preemption frees for the demand, and returns the workers, one entry a task. */
+    private reservePreempted(demand: StepDemand, ledger: CapacityLedger): readonly string[] {
+        const { step } = demand;
+        const ids = demand.reservedWorkerIds ?? [];
+        ledger.workers.forEach((worker, index) => {
+            const count = ids.filter(id => id === worker.workerId).length;
+            if (count > 0 && step.spec.longRunning) {
+                ledger.close(index);
+            }
+            else if (count > 0) {
+                const [fromMs, untilMs] = [this.nowMs, this.nowMs + PREEMPTION_MS];
+                const reservation = { ...describeNeed(step.spec, count), fromMs, untilMs };
+                addReservation(worker, { ...reservation, step, workerId: worker.workerId, lapsesAtMs: untilMs });
+                ledger.noteChange(index);
+            }
+        });
+        return ids;
+    }
+
+    private listForecasts(
+        demand: StepDemand,
+        ledger: CapacityLedger,
+        takenIds: readonly string[],
+        rules: Pick<StartRules, "isAdvised">,
+    ): (CapacityForecast | undefined)[] {
+        const { step } = demand;
+        const perWorker = countTasksPerWorker(step, takenIds);
+        const lapsedIds = this.lapsedWorkerIds.get(step);
+        return ledger.workers.map(worker => {
+            const isUsable = worker.startsLeft > 0 && isAllowedOn(step, worker)
+                && lapsedIds?.has(worker.workerId) !== true
+                && !isStepLimitReached(step.spec, perWorker.get(worker.workerId))
+                && rules.isAdvised(step.getTask(0), worker.workerId);
+            return isUsable ? describeForecast(worker, worker.ahead?.reservations ?? []) : undefined;
+        });
+    }
+
+    private isValid(reservation: HeldReservation, workers: ReadonlyMap<string, WorkerCapacity>): boolean {
+        return this.nowMs < reservation.lapsesAtMs && workers.has(reservation.workerId);
+    }
+
+    private drop(reservation: HeldReservation, isWaiting: boolean): void {
+        const isMissed = isWaiting && this.nowMs >= reservation.lapsesAtMs;
+        if (isMissed) {
+            const lapsedIds = this.lapsedWorkerIds.get(reservation.step) ?? new Set();
+            this.lapsedWorkerIds.set(reservation.step, lapsedIds.add(reservation.workerId));
+        }
+        this.parts.noteOutcome(isMissed ? ReservationOutcome.Missed : ReservationOutcome.Dropped, reservation);
+    }
+
+    private setHeld(step: StepRun, held: readonly HeldReservation[]): void {
+        if (held.length > 0) {
+            this.held.set(step, held);
+        }
+        else {
+            this.held.delete(step);
+        }
+    }
+}
+
+function addReservation(worker: WorkerCapacity | undefined, reservation: HeldReservation): void {
+    setReservations(worker, [...worker?.ahead?.reservations ?? [], reservation]);
+}
+
+function setReservations(worker: WorkerCapacity | undefined, reservations: readonly HeldReservation[]): void {
+    if (worker?.ahead !== undefined) {
+        worker.ahead.reservations = reservations;
+    }
+}
--- a/packages/plan-starts/src/startRules.ts
+++ b/packages/plan-starts/src/startRules.ts
@@ -1,6 +1,7 @@
 import type { StepSpec } from "@sardinestage/describe-work";
 import type { Task } from "@sardinestage/track-jobs";
 import type { PlacementView } from "./placementView.js";
+import type { ReservationPlanner } from "./reservationPlanner.js";
 import type { WorkerCapacity } from "./workerCapacity.js";
 
 /** Limits of a planning round, and its access to placement data. */
@@ -15,4 +16,6 @@
     readonly describePlacement: (worker: WorkerCapacity, spec: StepSpec) => PlacementView;
     /** Scores a placement; the highest score wins. `computePlacementScore` if left out. */
     readonly computeScore?: (worker: WorkerCapacity, spec: StepSpec, view: PlacementView) => number;
+    /** Plans reserved starts; if left out, workers are reserved as a whole (`reserveWorkers`). */
+    readonly reservations?: ReservationPlanner;
 }
--- a/packages/plan-starts/src/unplaceableDemands.ts
+++ b/packages/plan-starts/src/unplaceableDemands.ts
@@ -20,6 +20,10 @@
 
     /** Records a demand that didn't fit; constrained steps are ignored, as other demands may still fit. */
     add(demand: StepDemand): void {
+        // A shorter task may still fit ahead of a reservation.
+        if ((this.rules.reservations?.count ?? 0) > 0) {
+            return;
+        }
         const { spec } = demand.step;
         const key = this.createKey(demand);
         const known = this.sizes.get(key);
--- a/packages/plan-starts/src/waitReason.ts
+++ b/packages/plan-starts/src/waitReason.ts
@@ -7,6 +7,10 @@
     Accelerators,
     Memory,
     Processor,
+    /** Workers with room keep it for reserved starts of other tasks. */
+    ReservedForOthers,
+    /** The task waits for its own reserved start. */
+    OwnReservation,
     /** The step has as many tasks on each worker as it may have there. */
     StepLimit,
     /** The advice service allows none of the workers, or hasn't answered yet. */
--- a/packages/plan-starts/src/workerCapacity.ts
+++ b/packages/plan-starts/src/workerCapacity.ts
@@ -1,4 +1,5 @@
 import type { StepSpec } from "@sardinestage/describe-work";
+import type { CapacityAhead } from "./capacityAhead.js";
 import type { ServingPlacement } from "./servingPlacement.js";
 
 /** A worker's free capacity in a planning round, which subtracts the tasks that it plans. */
@@ -30,4 +31,6 @@
      * long-running tasks start there.
      */
     isReserved: boolean;
+    /** What is expected after now; undefined if capacity isn't planned ahead. */
+    readonly ahead?: CapacityAhead;
 }
