--- a/packages/coordinate-work/src/planning/estimateRunEnd.ts
+++ b/packages/coordinate-work/src/planning/estimateRunEnd.ts
@@ -1,16 +1,14 @@
 import type { Task } from "@sardinestage/track-jobs";
 import { TaskPhase } from "@sardinestage/track-jobs";
 
-/** From this progress on, in percent, a run's own progress tells more about its end than the estimate. */
-const MIN_PROGRESS_PERCENT = 20;
 /** A run that should have ended is expected to run on for this share of the time that it has run. */
 const OVERRUN_SHARE = 0.25;
 /** A run that is being stopped is expected to end after this, in milliseconds: a stop takes up to 900 ms. */
 const STOP_MS = 1000;
 
 /**
- * Estimates when the run of a task ends, in steady milliseconds: by its progress once there is enough of it, else by its
- * expected duration. Estimates may be wrong by a factor, so the end of an overdue run moves on with the time it has run.
+ * Estimates when the run of a task ends, in steady milliseconds. Estimates may be wrong by a factor, so the end of an
+ * overdue run moves on with the time it has run.
  *
  * @param expectedMs Expected duration of the task, in milliseconds.
  * @param nowMs Steady milliseconds.
@@ -24,7 +22,5 @@
         return Infinity;
     }
     const startedAtMs = task.firstSeenAtMs > 0 ? task.firstSeenAtMs : task.orderedAtMs;
-    const hasProgress = task.checkpoint === "" && task.percent >= MIN_PROGRESS_PERCENT;
-    const durationMs = hasProgress ? (task.progressAtMs - startedAtMs) * 100 / task.percent : expectedMs;
-    return Math.max(startedAtMs + durationMs, nowMs + (nowMs - startedAtMs) * OVERRUN_SHARE);
+    return Math.max(startedAtMs + expectedMs, nowMs + (nowMs - startedAtMs) * OVERRUN_SHARE);
 }
--- a/packages/coordinate-work/src/planning/firstStarts.test.ts
+++ b/packages/coordinate-work/src/planning/firstStarts.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from "@jest/globals";
 import type { JobSpec, StepSpec } from "@sardinestage/describe-work";
 import { createRandom, createStep } from "@sardinestage/emulate-platform";
+import { noSchedulingFeatures } from "../noSchedulingFeatures.js";
 import { CoordinatorHarness } from "../testing/coordinatorHarness.js";
 import { createQueue } from "../testing/createQueue.js";
 
@@ -18,18 +19,21 @@
 
 // Guards against a long-running task that never starts, as smaller tasks of its priority take each piece of capacity.
 describe("Long-running tasks that have never run, on a fleet that is full of smaller tasks of the same priority", () => {
-    it.each([
-        { shortMs: 500, takeoversMs: [] },
-        { shortMs: 1000, takeoversMs: [] },
-        { shortMs: 2500, takeoversMs: [] },
-        { shortMs: 1000, takeoversMs: [1500] },
-        { shortMs: 1000, takeoversMs: [1800, 3600, 5400] },
-    ])("start in time while tasks of $shortMs ms keep coming, takeovers: $takeoversMs", async options => {
-        const { shortMs, takeoversMs } = options;
+    it.each([false, true].flatMap(reservesCapacity =>
+        [
+            { shortMs: 500, takeoversMs: [] },
+            { shortMs: 1000, takeoversMs: [] },
+            { shortMs: 2500, takeoversMs: [] },
+            { shortMs: 1000, takeoversMs: [1500] },
+            { shortMs: 1000, takeoversMs: [1800, 3600, 5400] },
+        ].map(each => ({ ...each, reservesCapacity }))
+    ))("start in time while tasks keep coming: %j", async options => {
+        const { shortMs, takeoversMs, reservesCapacity } = options;
         const harness = new CoordinatorHarness(
             createRandom(SEED),
             ({ jobId, index }) => jobId === "short" ? shortMs * (0.5 + (index * 37 % 100) / 100) : FOREVER_MS,
         );
+        harness.features = { ...noSchedulingFeatures, reservesCapacity };
         WORKERS.forEach(id => void harness.addWorker(id));
         await harness.clock.runFor(50);
         harness.startTerm(false);
--- a/packages/coordinate-work/src/planning/firstStartsBesideLongWork.test.ts
+++ b/packages/coordinate-work/src/planning/firstStartsBesideLongWork.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from "@jest/globals";
 import type { JobSpec, StepSpec, TaskRef } from "@sardinestage/describe-work";
 import { createRandom, createStep } from "@sardinestage/emulate-platform";
+import { noSchedulingFeatures } from "../noSchedulingFeatures.js";
 import { CoordinatorHarness } from "../testing/coordinatorHarness.js";
 import { createQueue } from "../testing/createQueue.js";
 
@@ -22,8 +23,16 @@
 
 // Guards against workers that stay reserved behind very long work, while other workers would have room much sooner.
 describe("Long-running tasks that have never run, on a fleet full of short tasks where some work takes very long", () => {
-    it.each([0, 1, 2, 4])("start in time on the other workers, workers with long work: %d", async longTasks => {
+    it.each([
+        { longTasks: 0, reservesCapacity: false },
+        { longTasks: 1, reservesCapacity: false },
+        { longTasks: 2, reservesCapacity: false },
+        { longTasks: 4, reservesCapacity: false },
+        { longTasks: 0, reservesCapacity: true },
+        { longTasks: 4, reservesCapacity: true },
+    ])("start in time on the other workers: %j", async ({ longTasks, reservesCapacity }) => {
         const harness = new CoordinatorHarness(createRandom(SEED), getDuration);
+        harness.features = { ...noSchedulingFeatures, reservesCapacity };
         const { clock, runChecker } = harness;
         for (let index = 0; index < WORKERS; index++) {
             void harness.addWorker(`w${index}`);
--- a/packages/coordinate-work/src/planning/shortTasksBesideFirstStarts.test.ts
+++ b/packages/coordinate-work/src/planning/shortTasksBesideFirstStarts.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from "@jest/globals";
 import type { JobSpec, StepSpec, TaskRef } from "@sardinestage/describe-work";
 import { createRandom, createStep } from "@sardinestage/emulate-platform";
+import { noSchedulingFeatures } from "../noSchedulingFeatures.js";
 import { CoordinatorHarness } from "../testing/coordinatorHarness.js";
 import { createQueue } from "../testing/createQueue.js";
 
@@ -24,6 +25,7 @@
     /** Number of long-running tasks that wait for their first start. */
     readonly lastingTasks: number;
     readonly lastingCpuMillis: number;
+    readonly reservesCapacity: boolean;
 }
 
 function createSpec(changes: Partial<StepSpec>): JobSpec {
@@ -35,8 +37,9 @@
 }
 
 /** Starts a fleet that is full of short tasks, of which some workers are of the service that has all work. */
-async function startFleet(serviceWorkers: number): Promise<CoordinatorHarness> {
+async function startFleet(serviceWorkers: number, reservesCapacity: boolean): Promise<CoordinatorHarness> {
     const harness = new CoordinatorHarness(createRandom(SEED), getDuration);
+    harness.features = { ...noSchedulingFeatures, reservesCapacity };
     for (let index = 0; index < WORKERS; index++) {
         const id = `w${index}`;
         void harness.addWorker(id);
@@ -54,8 +57,9 @@
 }
 
 /** Measures how many short tasks are done in a second while long-running tasks wait for their first start. */
-async function measureShortTasks({ serviceWorkers, longTasks, lastingTasks, lastingCpuMillis }: Scene) {
-    const harness = await startFleet(serviceWorkers);
+async function measureShortTasks(scene: Scene) {
+    const { serviceWorkers, longTasks, lastingTasks, lastingCpuMillis, reservesCapacity } = scene;
+    const harness = await startFleet(serviceWorkers, reservesCapacity);
     const { clock, runChecker } = harness;
     const submit = async (id: string, changes: Partial<StepSpec>, waitMs: number) => {
         if (changes.taskCount !== 0) {
@@ -80,17 +84,32 @@
 }
 
 // Guards against workers that are kept for long-running tasks which can't start there for long.
-describe("Short tasks, while long-running tasks of their priority wait for their first start", () => {
+describe.each([
+    { reservesCapacity: false },
+    { reservesCapacity: true },
+])("Short tasks, while long-running tasks of their priority wait for their first start, %j", features => {
     describe("on a fleet where these tasks never fit", () => {
         it("lose nothing", async () => {
-            const scene = { serviceWorkers: WORKERS, longTasks: 0, lastingTasks: 0, lastingCpuMillis: 8000 };
+            const scene = {
+                ...features,
+                serviceWorkers: WORKERS,
+                longTasks: 0,
+                lastingTasks: 0,
+                lastingCpuMillis: 8000,
+            };
             expect(await measureShortTasks({ ...scene, lastingTasks: 8 })).toBe(await measureShortTasks(scene));
         });
     });
 
     describe("on a fleet where these tasks fit only after work that takes very long", () => {
         it("lose a tenth at most", async () => {
-            const scene = { serviceWorkers: WORKERS, longTasks: WORKERS, lastingTasks: 0, lastingCpuMillis: 5000 };
+            const scene = {
+                ...features,
+                serviceWorkers: WORKERS,
+                longTasks: WORKERS,
+                lastingTasks: 0,
+                lastingCpuMillis: 5000,
+            };
             const usual = await measureShortTasks(scene);
             expect(await measureShortTasks({ ...scene, lastingTasks: 8 })).toBeGreaterThan(usual * 0.9);
         });
@@ -98,7 +117,13 @@
 
     describe("on the few workers of their service in a large fleet, where these tasks fit only after such work", () => {
         it.each([2, 4, 8])("lose those of one worker at most, workers: %d", async serviceWorkers => {
-            const scene = { serviceWorkers, longTasks: serviceWorkers, lastingTasks: 0, lastingCpuMillis: 5000 };
+            const scene = {
+                ...features,
+                serviceWorkers,
+                longTasks: serviceWorkers,
+                lastingTasks: 0,
+                lastingCpuMillis: 5000,
+            };
             const usual = await measureShortTasks(scene);
             expect(usual).toBeGreaterThan(0);
             expect(await measureShortTasks({ ...scene, lastingTasks: 8 })).toBeGreaterThan(
--- a/packages/coordinate-work/src/testing/coordinatorHarness.ts
+++ b/packages/coordinate-work/src/testing/coordinatorHarness.ts
@@ -20,6 +20,7 @@
 import { WorkMeter } from "@sardinestage/watch-loop";
 import { Coordinator } from "../coordinator.js";
 import { noSchedulingFeatures } from "../noSchedulingFeatures.js";
+import type { SchedulingFeatures } from "../schedulingFeatures.js";
 import { PartitionedFleet } from "./partitionedFleet.js";
 
 const APPEND_TIMEOUT_MS = 1000;
@@ -49,6 +50,8 @@
     readonly cancelled = new Set<string>();
     readonly lostTermReasons: string[] = [];
     coordinator: Coordinator | undefined;
+    /** The optional parts of scheduling that are on in terms that begin from now on. */
+    features: SchedulingFeatures = noSchedulingFeatures;
     /** Time that each call to a worker, and each answer, occupies the coordinator's thread, in milliseconds. */
     callCostMs = 0;
     /** Time that sending a start order occupies the thread, in milliseconds. */
@@ -212,7 +215,7 @@
                 error: (event, fields) => this.recordEvent(ordinal, event, fields),
             },
             metrics: new Metrics(),
-            rules,
+            rules: { ...rules, features: this.features },
             term,
             getNewestFence: () => term + renewals,
             hadUnrecordedStarts,
--- a/packages/plan-starts/src/countReservable.ts
+++ b/packages/plan-starts/src/countReservable.ts
@@ -20,23 +20,25 @@
 const USELESS_WAIT_MS = 10_000;
 
 /**
- * Counts the tasks of a demand for which capacity may still be reserved, of those that don't fit now: any number of
- * interrupted long-running ones; within a share of the workers also overdue first starts of long-running tasks, gangs
- * and large run-to-completion tasks.
+ * Counts the workers that may still be reserved for a demand whose tasks don't fit now: any number for interrupted
+ * long-running tasks; within a share of the workers also some for overdue first starts of long-running tasks, for gangs
+ * and for large run-to-completion tasks.
+ *
+ * @returns Undefined if nothing is reserved for such a demand.
  */
-export function countReservable(demand: StepDemand, ledger: CapacityLedger): number {
+export function countReservable(demand: StepDemand, ledger: CapacityLedger): number | undefined {
     const { spec } = demand.step;
     if (isInterrupted(demand)) {
         return Infinity;
     }
     const isUseful = demand.lateSlackMs >= 0 || demand.waitedMs >= USELESS_WAIT_MS;
     if (spec.longRunning ? !isOverdueFirstStart(demand) : spec.isBestEffort || !isUseful) {
-        return 0;
+        return undefined;
     }
     const allowed = ledger.workers.filter(worker => isAllowedOn(demand.step, worker));
     const largestCpuMillis = allowed.reduce((largest, worker) => Math.max(largest, worker.capacityCpuMillis), 0);
     if (!spec.longRunning && !spec.gang && spec.cpuMillis < largestCpuMillis * LARGE_SHARE) {
-        return 0;
+        return undefined;
     }
     const most = Math.max(1, Math.floor(allowed.length * MAX_RESERVABLE_SHARE));
     const reservable = Math.max(MIN_RESERVABLE_WORKERS, Math.ceil(allowed.length * RESERVABLE_SHARE));
--- a/packages/plan-starts/src/reservationPlanner.ts
+++ b/packages/plan-starts/src/reservationPlanner.ts
@@ -18,7 +18,7 @@
 /** Room that comes free only after this time isn't reserved, in milliseconds: expected ends are too uncertain by then. */
 const HORIZON_MS = 60_000;
 /** A reservation is given up so long after its expected start at the earliest, in milliseconds. */
-const MIN_MARGIN_MS = 1000;
+const MIN_MARGIN_MS = 2000;
 /** A task that uses room ahead of a reservation may take this many times as long as expected. */
 const BACKFILL_SAFETY = 1.25;
 /** How long room that preemption frees is kept for the demand, in milliseconds, as far as other work is concerned. */
@@ -65,8 +65,9 @@
             const isWaiting = step.waitingCount > 0 && !step.occurrence.job.isFinished;
             const kept = held.filter(reservation => isWaiting && this.isValid(reservation, byId));
             held.filter(reservation => !kept.includes(reservation)).forEach(each => this.drop(each, isWaiting));
-            this.setHeld(step, kept);
-            kept.forEach(reservation => addReservation(byId.get(reservation.workerId), reservation));
+            const present = kept.map(reservation => extendToNow(reservation, nowMs));
+            this.setHeld(step, present);
+            present.forEach(reservation => addReservation(byId.get(reservation.workerId), reservation));
         }
     }
 
@@ -86,8 +87,10 @@
         if (spec.longRunning || worker.ahead === undefined || worker.ahead.reservations.length === 0) {
             return true;
         }
-        const respected = worker.ahead.reservations.filter(({ step }) =>
-            step !== demand.step && step.occurrence.job.queue.priority <= priority
+        // Of two reservations on a worker, the later one waits for the earlier one.
+        const ownMs = worker.ahead.reservations.find(({ step }) => step === demand.step)?.plannedMs ?? Infinity;
+        const respected = worker.ahead.reservations.filter(({ step, plannedMs }) =>
+            step !== demand.step && plannedMs <= ownMs && step.occurrence.job.queue.priority <= priority
         );
         const durationMs = this.parts.estimateDuration(demand.step) * BACKFILL_SAFETY;
         return respected.length === 0
@@ -145,34 +148,62 @@
         if (missingCount <= 0 || (step.spec.gang && held.length > 0)) {
             return;
         }
-        const reservableCount = countReservable(demand, ledger);
-        if (reservableCount === 0 || (step.spec.gang && reservableCount < missingCount)) {
+        const mostCount = countReservable(demand, ledger);
+        if (mostCount === undefined || (step.spec.gang && mostCount < missingCount)) {
             return;
         }
         const takenIds = [...placed, ...held].map(({ workerId }) => workerId).concat(preemptedIds);
-        const durationMs = step.spec.longRunning ? Infinity : this.parts.estimateDuration(step);
+        const forecasts = this.listForecasts(demand, ledger, takenIds, rules);
+        const made: HeldReservation[] = [];
+        let count = mostCount;
+        let added: HeldReservation[];
+        do {
+            added = this.addSoonest(demand, Math.min(missingCount - made.length, count), forecasts, ledger);
+            made.push(...added);
+            // Several starts on one worker leave others to reserve.
+            count = countReservable(demand, ledger) ?? 0;
+        }
+        while (added.length > 0 && made.length < missingCount);
+        if (!step.spec.gang && made.length < missingCount) {
+            // Workers that are reserved anyway may take more tasks, so that these don't wait for each other.
+            const reserved = forecasts.map(forecast => forecast?.reservations.length === 0 ? undefined : forecast);
+            made.push(...this.addSoonest(demand, missingCount - made.length, reserved, ledger));
+        }
+        if (made.length === 0) {
+            this.lapsedWorkerIds.delete(step);
+        }
+        this.setHeld(step, [...held, ...made]);
+    }
+
+    /** Reserves the soonest starts for a number of a demand's tasks. */
+    private addSoonest(
+        { step }: StepDemand,
+        count: number,
+        forecasts: (CapacityForecast | undefined)[],
+        ledger: CapacityLedger,
+    ): HeldReservation[] {
+        const { spec } = step;
+        const durationMs = spec.longRunning ? Infinity : this.parts.estimateDuration(step);
         const request = {
-            need: describeNeed(step.spec),
+            need: describeNeed(spec),
             durationMs,
-            count: Math.min(missingCount, reservableCount),
-            maxPerWorker: step.spec.maxTasksPerWorker,
-            isGang: step.spec.gang,
+            count,
+            maxPerWorker: spec.maxTasksPerWorker,
+            isGang: spec.gang,
         };
-        const forecasts = this.listForecasts(demand, ledger, takenIds, rules);
-        const planned = planReservations(request, forecasts, this.nowMs, this.nowMs + HORIZON_MS);
-        const made = planned.map(({ index, ...reservation }) => {
+        const planned = count === 0 ? [] : planReservations(request, forecasts, this.nowMs, this.nowMs + HORIZON_MS);
+        return planned.map(({ index, ...reservation }) => {
             const lapsesAtMs = reservation.fromMs + Math.max(MIN_MARGIN_MS, reservation.fromMs - this.nowMs);
-            const { workerId } = ledger.workers[index];
-            const added: HeldReservation = { ...reservation, step, workerId, lapsesAtMs };
-            addReservation(ledger.workers[index], added);
+            const worker = ledger.workers[index];
+            const { workerId } = worker;
+            const added = { ...reservation, step, workerId, plannedMs: reservation.fromMs, lapsesAtMs };
+            addReservation(worker, added);
             ledger.noteChange(index);
+            // A further plan for the demand sees it.
+            forecasts[index] = describeForecast(worker, worker.ahead?.reservations ?? []);
             this.parts.noteOutcome(ReservationOutcome.Made, added);
             return added;
         });
-        if (made.length === 0) {
-            this.lapsedWorkerIds.delete(step);
-        }
-        this.setHeld(step, [...held, ...made]);
     }
 
     /** Keeps the room that preemption frees for the demand, and returns the workers, one entry a task. */
@@ -185,9 +216,9 @@
                 ledger.close(index);
             }
             else if (count > 0) {
-                const [fromMs, untilMs] = [this.nowMs, this.nowMs + PREEMPTION_MS];
-                const reservation = { ...describeNeed(step.spec, count), fromMs, untilMs };
-                addReservation(worker, { ...reservation, step, workerId: worker.workerId, lapsesAtMs: untilMs });
+                const [plannedMs, lapsesAtMs] = [this.nowMs, this.nowMs + PREEMPTION_MS];
+                const reservation = { ...describeNeed(step.spec, count), fromMs: plannedMs, untilMs: lapsesAtMs };
+                addReservation(worker, { ...reservation, step, workerId: worker.workerId, plannedMs, lapsesAtMs });
                 ledger.noteChange(index);
             }
         });
@@ -235,6 +266,12 @@
     }
 }
 
+/** An overdue reservation is for the present time on, for as long as the task is expected to take. */
+function extendToNow(reservation: HeldReservation, nowMs: number): HeldReservation {
+    const { fromMs, untilMs } = reservation;
+    return fromMs >= nowMs ? reservation : { ...reservation, fromMs: nowMs, untilMs: untilMs + nowMs - fromMs };
+}
+
 function addReservation(worker: WorkerCapacity | undefined, reservation: HeldReservation): void {
     setReservations(worker, [...worker?.ahead?.reservations ?? [], reservation]);
 }
