--- a/packages/plan-starts/src/randomFleet.test.ts
+++ b/packages/plan-starts/src/randomFleet.test.ts
@@ -1,12 +1,14 @@
 import { describe, expect, it } from "@jest/globals";
 import { formatTaskKey } from "@sardinestage/describe-work";
 import { TaskPhase } from "@sardinestage/track-jobs";
+import type { CapacityAhead } from "./capacityAhead.js";
 import { computePackingScore } from "./computePackingScore.js";
 import { hasCapacity } from "./hasCapacity.js";
 import { isAllowedOn } from "./isAllowedOn.js";
 import { isInterrupted } from "./isInterrupted.js";
 import { planStarts } from "./planStarts.js";
 import { PreemptionPlanner } from "./preemptionPlanner.js";
+import { ReservationPlanner } from "./reservationPlanner.js";
 import type { StartPlan } from "./startPlan.js";
 import type { StartRules } from "./startRules.js";
 import type { StepDemand } from "./stepDemand.js";
@@ -125,6 +127,41 @@
     });
 });
 
+describe("planStarts on random fleets", () => {
+    describe("when capacity is reserved ahead", () => {
+        // Guards against long-running tasks that are held back for reserved starts.
+        it("leaves no worker with enough capacity for a long-running task that waits", () => {
+            let reservedCount = 0;
+            let unmetCount = 0;
+            for (const seed of SEEDS) {
+                const fleet = new RandomFleet(seed);
+                const workers = fleet.workers.map(worker => ({ ...worker, ahead: buildAhead(worker) }));
+                const reservations = new ReservationPlanner({
+                    estimateDuration: step => step.spec.estimateMs,
+                    noteOutcome: () => reservedCount++,
+                });
+                reservations.startRound(workers, 0);
+                const rules = { ...buildRules(fleet, seed), computeScore: computePackingScore, reservations };
+                const plan = planStarts(fleet.demands, workers, rules);
+                const unmet = plan.unmet.filter(({ step }) => step.spec.longRunning && !step.spec.gang);
+                const overlooked = unmet.flatMap(demand =>
+                    workers.filter(worker => isOverlooked(demand, worker, plan, fleet, rules))
+                );
+                expect({ seed, workers: overlooked.map(({ workerId }) => workerId) }).toEqual({ seed, workers: [] });
+                unmetCount += unmet.length;
+            }
+            expect(reservedCount).toBeGreaterThan(SEEDS.length);
+            expect(unmetCount).toBeGreaterThan(SEEDS.length);
+        });
+    });
+});
+
+/** All run-to-completion tasks on the worker end after a second. */
+function buildAhead({ runToCompletionCpuMillis }: WorkerCapacity): CapacityAhead {
+    const end = { cpuMillis: runToCompletionCpuMillis, memoryMb: 0, accelerators: 0, atMs: 1000 };
+    return { ends: [end], reservations: [] };
+}
+
 describe("PreemptionPlanner on random fleets", () => {
     describe("when the possible victims of a worker are summed up once a round", () => {
         it("chooses the same victims as checking every task for every demand", () => {
--- a/packages/plan-starts/src/reservationPlanner.ts
+++ b/packages/plan-starts/src/reservationPlanner.ts
@@ -40,6 +40,7 @@
     private readonly held = new Map<StepRun, readonly HeldReservation[]>();
     private readonly lapsedWorkerIds = new WeakMap<StepRun, Set<string>>();
     private nowMs = 0;
+    private isHoldingBack = false;
 
     constructor(private readonly parts: ReservationPlannerParts) {}
 
@@ -48,6 +49,11 @@
         return [...this.held.values()].reduce((sum, held) => sum + held.length, 0);
     }
 
+    /** Whether any worker has reservations in this round, so that a demand may not fit where an equal one does. */
+    get hasReservedWorkers(): boolean {
+        return this.isHoldingBack;
+    }
+
     /**
      * Starts a round: gives up reservations that have lapsed or whose worker gets no start now.
      *
@@ -56,6 +62,7 @@
      */
     startRound(workers: readonly WorkerCapacity[], nowMs: number): void {
         this.nowMs = nowMs;
+        this.isHoldingBack = this.held.size > 0;
         workers.forEach(worker => setReservations(worker, []));
         if (this.held.size === 0) {
             return;
@@ -198,6 +205,7 @@
             const { workerId } = worker;
             const added = { ...reservation, step, workerId, plannedMs: reservation.fromMs, lapsesAtMs };
             addReservation(worker, added);
+            this.isHoldingBack = true;
             ledger.noteChange(index);
             // A further plan for the demand sees it.
             forecasts[index] = describeForecast(worker, worker.ahead?.reservations ?? []);
@@ -219,6 +227,7 @@
                 const [plannedMs, lapsesAtMs] = [this.nowMs, this.nowMs + PREEMPTION_MS];
                 const reservation = { ...describeNeed(step.spec, count), fromMs: plannedMs, untilMs: lapsesAtMs };
                 addReservation(worker, { ...reservation, step, workerId: worker.workerId, plannedMs, lapsesAtMs });
+                this.isHoldingBack = true;
                 ledger.noteChange(index);
             }
         });
--- a/packages/plan-starts/src/unplaceableDemands.ts
+++ b/packages/plan-starts/src/unplaceableDemands.ts
@@ -20,8 +20,8 @@
 
     /** Records a demand that didn't fit; constrained steps are ignored, as other demands may still fit. */
     add(demand: StepDemand): void {
-        // A shorter task may still fit ahead of a reservation.
-        if ((this.rules.reservations?.count ?? 0) > 0) {
+        // A shorter or long-running task may still fit on a worker with reservations.
+        if (this.rules.reservations?.hasReservedWorkers === true) {
             return;
         }
         const { spec } = demand.step;
