--- a/packages/coordinate-work/src/testing/coordinatorHarness.ts
+++ b/packages/coordinate-work/src/testing/coordinatorHarness.ts
@@ -52,7 +52,7 @@
     coordinator: Coordinator | undefined;
     /** The evacuations that the coordinators know; a test may replace them before a term begins. */
     evacuations = new EvacuationTable();
-    /** Parts of scheduling that are on in coordinators whose term begins from now on. */
+    /** The optional parts of scheduling that are on in terms that begin from now on. */
     features: SchedulingFeatures = noSchedulingFeatures;
     /** Time that each call to a worker, and each answer, occupies the coordinator's thread, in milliseconds. */
     callCostMs = 0;
--- a/packages/plan-starts/src/randomFleet.test.ts
+++ b/packages/plan-starts/src/randomFleet.test.ts
@@ -1,11 +1,14 @@
 import { describe, expect, it } from "@jest/globals";
 import { formatTaskKey } from "@sardinestage/describe-work";
 import { TaskPhase } from "@sardinestage/track-jobs";
+import type { CapacityAhead } from "./capacityAhead.js";
+import { computePackingScore } from "./computePackingScore.js";
 import { hasCapacity } from "./hasCapacity.js";
 import { isAllowedOn } from "./isAllowedOn.js";
 import { isInterrupted } from "./isInterrupted.js";
 import { planStarts } from "./planStarts.js";
 import { PreemptionPlanner } from "./preemptionPlanner.js";
+import { ReservationPlanner } from "./reservationPlanner.js";
 import type { StartPlan } from "./startPlan.js";
 import type { StartRules } from "./startRules.js";
 import type { StepDemand } from "./stepDemand.js";
@@ -29,6 +32,11 @@
     };
 }
 
+const SCORES = [
+    { name: "usual", changes: {} },
+    { name: "packing", changes: { computeScore: computePackingScore } },
+];
+
 function describePlan(plan: StartPlan): string[] {
     return [
         ...plan.starts.map(start => `${formatTaskKey(start.task.ref)} on ${start.workerId}`),
@@ -54,12 +62,18 @@
 
 describe("planStarts on random fleets", () => {
     describe("when equal steps share one ranking of workers", () => {
-        it("plans the same starts as scoring every worker again for every task", () => {
+        it.each(SCORES)("plans the same starts as scoring every worker again for every task: $name", ({ changes }) => {
             for (const seed of SEEDS) {
                 const [fleet, reference] = [new RandomFleet(seed), new RandomFleet(seed)];
-                const plan = describePlan(planStarts(fleet.demands, fleet.workers, buildRules(fleet, seed)));
+                const plan = describePlan(
+                    planStarts(fleet.demands, fleet.workers, { ...buildRules(fleet, seed), ...changes }),
+                );
                 const expected = describePlan(
-                    planStartsExhaustively(reference.demands, reference.workers, buildRules(reference, seed)),
+                    planStartsExhaustively(
+                        reference.demands,
+                        reference.workers,
+                        { ...buildRules(reference, seed), ...changes },
+                    ),
                 );
                 expect({ seed, plan }).toEqual({ seed, plan: expected });
                 expect(fleet.workers.map(describeCapacity)).toEqual(reference.workers.map(describeCapacity));
@@ -113,6 +127,41 @@
     });
 });
 
+describe("planStarts on random fleets", () => {
+    describe("when capacity is reserved ahead", () => {
+        // Guards against long-running tasks that are held back for reserved starts.
+        it("leaves no worker with enough capacity for a long-running task that waits", () => {
+            let reservedCount = 0;
+            let unmetCount = 0;
+            for (const seed of SEEDS) {
+                const fleet = new RandomFleet(seed);
+                const workers = fleet.workers.map(worker => ({ ...worker, ahead: buildAhead(worker) }));
+                const reservations = new ReservationPlanner({
+                    estimateDuration: step => step.spec.estimateMs,
+                    noteOutcome: () => reservedCount++,
+                });
+                reservations.startRound(workers, 0);
+                const rules = { ...buildRules(fleet, seed), computeScore: computePackingScore, reservations };
+                const plan = planStarts(fleet.demands, workers, rules);
+                const unmet = plan.unmet.filter(({ step }) => step.spec.longRunning && !step.spec.gang);
+                const overlooked = unmet.flatMap(demand =>
+                    workers.filter(worker => isOverlooked(demand, worker, plan, fleet, rules))
+                );
+                expect({ seed, workers: overlooked.map(({ workerId }) => workerId) }).toEqual({ seed, workers: [] });
+                unmetCount += unmet.length;
+            }
+            expect(reservedCount).toBeGreaterThan(SEEDS.length);
+            expect(unmetCount).toBeGreaterThan(SEEDS.length);
+        });
+    });
+});
+
+/** All run-to-completion tasks on the worker end after a second. */
+function buildAhead({ runToCompletionCpuMillis }: WorkerCapacity): CapacityAhead {
+    const end = { cpuMillis: runToCompletionCpuMillis, memoryMb: 0, accelerators: 0, atMs: 1000 };
+    return { ends: [end], reservations: [] };
+}
+
 describe("PreemptionPlanner on random fleets", () => {
     describe("when the possible victims of a worker are summed up once a round", () => {
         it("chooses the same victims as checking every task for every demand", () => {
