Peer server: bounds for connections without the shared key

Cause: a connection without a key could send a frame of 4 MB, and stay open without sending anything; 50 of them took 303 to 391 MB. Change: the first frame is 1,024 bytes at most and has to arrive within 5 s; of more than 128 connections without it the oldest is closed.

--- a/packages/exchange-frames/src/frameReader.ts
+++ b/packages/exchange-frames/src/frameReader.ts
@@ -12,9 +12,13 @@
 /** Splits a byte stream into frames. Buffers at most one incomplete frame and one chunk. */
 export class FrameReader {
     private pending: Buffer = Buffer.alloc(0);
+    private isFirst = true;
 
-    /** @param maxFrameBytes Largest frame accepted; a longer one is refused before its bytes are buffered. */
-    constructor(private readonly maxFrameBytes: number) {}
+    /**
+     * @param maxFrameBytes Largest frame accepted; a longer one is refused before its bytes are buffered.
+     * @param maxFirstFrameBytes The same for the first frame, which may come from an unknown sender.
+     */
+    constructor(private readonly maxFrameBytes: number, private readonly maxFirstFrameBytes = maxFrameBytes) {}
 
     /**
      * Adds the next bytes of the stream and returns the frames that they complete.
@@ -27,7 +31,7 @@
         const frames: Frame[] = [];
         while (this.pending.length >= HEADER_BYTES) {
             const length = this.pending.readUInt32BE(0);
-            if (length > this.maxFrameBytes) {
+            if (length > (this.isFirst ? this.maxFirstFrameBytes : this.maxFrameBytes)) {
                 return Err(createFrameError(ErrorKind.FrameTooLarge, `A frame of ${length} bytes exceeds the limit.`));
             }
             if (this.pending.length < HEADER_BYTES + length) {
@@ -38,6 +42,7 @@
                 return frame;
             }
             frames.push(frame.val);
+            this.isFirst = false;
             this.pending = this.pending.subarray(HEADER_BYTES + length);
         }
         return Ok(frames);
--- a/packages/exchange-frames/src/peerClient.test.ts
+++ b/packages/exchange-frames/src/peerClient.test.ts
@@ -2,7 +2,7 @@
 import { Metrics } from "@sardinestage/count-metrics";
 import { stopEventLoop } from "@sardinestage/emulate-platform";
 import { ErrorKind } from "@sardinestage/errors";
-import { createServer } from "node:net";
+import { createConnection, createServer } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
 import { FrameKind } from "./frameKind.js";
 import { PeerClient } from "./peerClient.js";
@@ -11,6 +11,8 @@
 const ADDRESS = "127.0.0.1";
 const MAX_FRAME_BYTES = 4096;
 const TIMEOUT_MS = 300;
+/** As many connections without a key as a server keeps. */
+const STRANGERS = 128;
 const closers: (() => void)[] = [];
 
 afterEach(() => {
@@ -40,6 +42,17 @@
     return client;
 }
 
+/** Opens a connection that isn't a peer's. Returns what resolves once the server has closed it. */
+async function openStranger(port: number, bytes: Buffer): Promise<Promise<void>[]> {
+    const socket = createConnection({ host: ADDRESS, port });
+    closers.push(() => socket.destroy());
+    const closed = new Promise<void>(resolve => socket.on("error", () => undefined).on("close", () => resolve()));
+    await new Promise<void>(resolve => socket.once("connect", resolve));
+    socket.resume();
+    socket.write(bytes);
+    return [closed];
+}
+
 async function findFreePort(): Promise<number> {
     const server = createServer();
     await listenOnAnyPort(server);
@@ -86,6 +99,29 @@
         });
     });
 
+    describe("when strangers hold connections without a key", () => {
+        it("refuses a first frame that is larger than a key before its bytes arrive", async () => {
+            const port = await findFreePort();
+            const metrics = new Metrics();
+            await startServer(port, metrics);
+            const [closed] = await openStranger(port, Buffer.from([0, 0, 8, 0]));
+            await closed;
+            expect(await metrics.writeText()).toContain("peer_frames_refused_total{reason=\"frame-too-large\"} 1");
+        });
+
+        it("closes the oldest of too many, and answers a peer", async () => {
+            const port = await findFreePort();
+            await startServer(port, new Metrics());
+            const [oldest] = await openStranger(port, Buffer.alloc(0));
+            for (let count = 0; count < STRANGERS; count++) {
+                await openStranger(port, Buffer.alloc(0));
+            }
+            await oldest;
+            const reply = await createClient(port, "secret").request(FrameKind.ShareStatus, {}, TIMEOUT_MS);
+            expect(reply.ok).toBe(true);
+        });
+    });
+
     describe("when no process listens at the address", () => {
         it("reports a refused connection and not an unreachable peer", async () => {
             const reply = await createClient(await findFreePort(), "secret").request(
--- a/packages/exchange-frames/src/peerServer.ts
+++ b/packages/exchange-frames/src/peerServer.ts
@@ -1,5 +1,6 @@
 import type { Metrics } from "@sardinestage/count-metrics";
 import { describeFailure } from "@sardinestage/errors";
+import { scheduleTimeout } from "@sardinestage/watch-loop";
 import { timingSafeEqual } from "node:crypto";
 import { createServer } from "node:net";
 import type { Server, Socket } from "node:net";
@@ -9,6 +10,13 @@
 import { FrameKind } from "./frameKind.js";
 import { FrameReader } from "./frameReader.js";
 
+/** Largest first frame, in bytes. It has nothing but the shared key. */
+const MAX_HELLO_BYTES = 1024;
+/** Time in which a connection's first frame has to arrive, in milliseconds. */
+const HELLO_TIMEOUT_MS = 5000;
+/** Limit of connections without a first frame: more than all peers of an installation that connect at once. */
+const MAX_UNKNOWN_CONNECTIONS = 128;
+
 /** Limits, shared key and request handlers of a peer server. */
 interface PeerServerOptions {
     /** Shared secret that the first frame of a connection must carry. */
@@ -27,6 +35,8 @@
 export class PeerServer {
     private readonly server: Server;
     private readonly sockets = new Set<Socket>();
+    /** Connections whose first frame hasn't arrived, the oldest first. Each with what cancels its timeout. */
+    private readonly unknown = new Map<Socket, () => void>();
 
     constructor(private readonly options: PeerServerOptions) {
         this.server = createServer(socket => this.acceptConnection(socket));
@@ -50,11 +60,15 @@
     }
 
     private acceptConnection(socket: Socket): void {
-        const reader = new FrameReader(this.options.maxFrameBytes);
+        const reader = new FrameReader(this.options.maxFrameBytes, MAX_HELLO_BYTES);
         let isAuthenticated = false;
         this.sockets.add(socket);
+        this.watchUnknown(socket);
         socket.setNoDelay(true);
-        socket.on("close", () => this.sockets.delete(socket));
+        socket.on("close", () => {
+            this.sockets.delete(socket);
+            this.dropUnknown(socket);
+        });
         socket.on("error", () => socket.destroy());
         socket.on("data", chunk => {
             const frames = reader.readFrames(chunk);
@@ -69,6 +83,7 @@
                 }
                 else if (this.checkHello(frame)) {
                     isAuthenticated = true;
+                    this.dropUnknown(socket);
                 }
                 else {
                     this.options.metrics.count("peer_frames_refused_total", "unauthenticated");
@@ -79,6 +94,26 @@
         });
     }
 
+    /** Closes a connection that doesn't say who it is, at its timeout or when there are too many of them. */
+    private watchUnknown(socket: Socket): void {
+        this.unknown.set(socket, scheduleTimeout(() => this.refuseUnknown(socket, "hello-missing"), HELLO_TIMEOUT_MS));
+        if (this.unknown.size > MAX_UNKNOWN_CONNECTIONS) {
+            const [oldest] = this.unknown.keys();
+            this.refuseUnknown(oldest, "too-many-unknown");
+        }
+    }
+
+    private refuseUnknown(socket: Socket, reason: string): void {
+        this.options.metrics.count("peer_frames_refused_total", reason);
+        this.dropUnknown(socket);
+        socket.destroy();
+    }
+
+    private dropUnknown(socket: Socket): void {
+        this.unknown.get(socket)?.();
+        this.unknown.delete(socket);
+    }
+
     private checkHello(frame: Frame): boolean {
         const key = (frame.body as { key?: unknown } | undefined)?.key;
         if (frame.kind !== FrameKind.Hello || typeof key !== "string") {
