Bound the time that planning of reserved starts takes in a round

Only the workers with the soonest first starts are planned in full, a worker has 4 reservations at most, and a round ends its search after 8 demands for which there is no room; such a demand is tried again after 0.5 s.

--- a/packages/plan-capacity/src/findStartTime.ts
+++ b/packages/plan-capacity/src/findStartTime.ts
@@ -17,7 +17,29 @@
     durationMs: number,
     nowMs: number,
 ): number {
+    if (forecast.reservations.length === 0) {
+        return findFirstRoom(forecast, need, nowMs);
+    }
     const changes = [...forecast.ends.map(end => end.atMs), ...forecast.reservations.map(each => each.untilMs)];
     const later = changes.filter(atMs => atMs > nowMs && atMs < Infinity).sort((left, right) => left - right);
     return [nowMs, ...later].find(atMs => isFitting(forecast, need, durationMs, atMs)) ?? Infinity;
 }
+
+/** Finds the earliest start on a worker without reservations, where capacity only comes free. */
+function findFirstRoom({ free, ends }: CapacityForecast, need: Resources, nowMs: number): number {
+    let cpuMillis = free.cpuMillis - need.cpuMillis;
+    let memoryMb = free.memoryMb - need.memoryMb;
+    let accelerators = free.accelerators - need.accelerators;
+    let atMs = nowMs;
+    const later = [...ends].sort((left, right) => left.atMs - right.atMs);
+    for (const end of later) {
+        if (end.atMs > atMs && cpuMillis >= 0 && memoryMb >= 0 && accelerators >= 0) {
+            return atMs;
+        }
+        atMs = Math.max(atMs, end.atMs);
+        cpuMillis += end.cpuMillis;
+        memoryMb += end.memoryMb;
+        accelerators += end.accelerators;
+    }
+    return cpuMillis >= 0 && memoryMb >= 0 && accelerators >= 0 ? atMs : Infinity;
+}
--- a/packages/plan-capacity/src/planReservations.ts
+++ b/packages/plan-capacity/src/planReservations.ts
@@ -19,11 +19,23 @@
     nowMs: number,
     horizonMs = Infinity,
 ): PlannedReservation[] {
-    const found = forecasts
-        .flatMap((forecast, index) => forecast === undefined ? [] : listStarts(request, forecast, index, nowMs))
+    const { need, count, isGang, durationMs } = request;
+    // Further starts on a worker aren't sooner than its first one, so that only the soonest workers matter.
+    const soonest = forecasts
+        .map((forecast, index) => {
+            const fromMs = forecast === undefined
+                ? Infinity
+                : findStartTime(forecast, need, isGang ? Infinity : durationMs, nowMs);
+            return { forecast, index, fromMs };
+        })
         .filter(({ fromMs }) => fromMs < horizonMs)
         .sort((left, right) => left.fromMs - right.fromMs)
-        .slice(0, request.count);
+        .slice(0, count);
+    const found = soonest
+        .flatMap(({ forecast, index }) => forecast === undefined ? [] : listStarts(request, forecast, index, nowMs))
+        .filter(({ fromMs }) => fromMs < horizonMs)
+        .sort((left, right) => left.fromMs - right.fromMs)
+        .slice(0, count);
     return request.isGang ? listCommonStarts(request, found, forecasts) : found;
 }
 
--- a/packages/plan-starts/src/reservationPlanner.ts
+++ b/packages/plan-starts/src/reservationPlanner.ts
@@ -21,6 +21,12 @@
 const MIN_MARGIN_MS = 2000;
 /** A task that uses room ahead of a reservation may take this many times as long as expected. */
 const BACKFILL_SAFETY = 1.25;
+/** The most reservations of one worker, gangs aside: later ones would follow on too uncertain ends. */
+const MAX_PER_WORKER = 4;
+/** The most demands in a round for which planning finds no room; it looks at every worker. */
+const MAX_VAIN_PLANS_PER_ROUND = 8;
+/** A demand for which planning has found no room isn't planned again before this, in milliseconds. */
+const RETRY_MS = 500;
 /** How long room that preemption frees is kept for the demand, in milliseconds, as far as other work is concerned. */
 const PREEMPTION_MS = 2000;
 
@@ -41,6 +47,8 @@
     private readonly lapsedWorkerIds = new WeakMap<StepRun, Set<string>>();
     private nowMs = 0;
     private isHoldingBack = false;
+    private vainPlans = 0;
+    private readonly vainAtMs = new WeakMap<StepRun, number>();
 
     constructor(private readonly parts: ReservationPlannerParts) {}
 
@@ -63,6 +71,7 @@
     startRound(workers: readonly WorkerCapacity[], nowMs: number): void {
         this.nowMs = nowMs;
         this.isHoldingBack = this.held.size > 0;
+        this.vainPlans = 0;
         workers.forEach(worker => setReservations(worker, []));
         if (this.held.size === 0) {
             return;
@@ -152,7 +161,9 @@
         const preemptedIds = this.reservePreempted(demand, ledger);
         const held = this.held.get(step) ?? [];
         const missingCount = waiting.length - placed.length - held.length - preemptedIds.length;
-        if (missingCount <= 0 || (step.spec.gang && held.length > 0)) {
+        const isTried = this.vainPlans >= MAX_VAIN_PLANS_PER_ROUND
+            || this.nowMs - (this.vainAtMs.get(step) ?? -Infinity) < RETRY_MS;
+        if (missingCount <= 0 || isTried || (step.spec.gang && held.length > 0)) {
             return;
         }
         const mostCount = countReservable(demand, ledger);
@@ -160,7 +171,7 @@
             return;
         }
         const takenIds = [...placed, ...held].map(({ workerId }) => workerId).concat(preemptedIds);
-        const forecasts = this.listForecasts(demand, ledger, takenIds, rules);
+        const forecasts = this.listForecasts(demand, ledger, takenIds, rules, mostCount > 0);
         const made: HeldReservation[] = [];
         let count = mostCount;
         let added: HeldReservation[];
@@ -176,6 +187,10 @@
             const reserved = forecasts.map(forecast => forecast?.reservations.length === 0 ? undefined : forecast);
             made.push(...this.addSoonest(demand, missingCount - made.length, reserved, ledger));
         }
+        if (made.length < missingCount) {
+            this.vainPlans++;
+            this.vainAtMs.set(step, this.nowMs);
+        }
         if (made.length === 0) {
             this.lapsedWorkerIds.delete(step);
         }
@@ -195,7 +210,7 @@
             need: describeNeed(spec),
             durationMs,
             count,
-            maxPerWorker: spec.maxTasksPerWorker,
+            maxPerWorker: spec.gang ? spec.maxTasksPerWorker : computeMostPerWorker(spec.maxTasksPerWorker),
             isGang: spec.gang,
         };
         const planned = count === 0 ? [] : planReservations(request, forecasts, this.nowMs, this.nowMs + HORIZON_MS);
@@ -239,12 +254,15 @@
         ledger: CapacityLedger,
         takenIds: readonly string[],
         rules: Pick<StartRules, "isAdvised">,
+        mayUseUnreserved: boolean,
     ): (CapacityForecast | undefined)[] {
         const { step } = demand;
         const perWorker = countTasksPerWorker(step, takenIds);
         const lapsedIds = this.lapsedWorkerIds.get(step);
         return ledger.workers.map(worker => {
-            const isUsable = worker.startsLeft > 0 && isAllowedOn(step, worker)
+            const reservedCount = worker.ahead?.reservations.length ?? 0;
+            const isUsable = (reservedCount === 0 ? mayUseUnreserved : reservedCount < MAX_PER_WORKER)
+                && worker.startsLeft > 0 && isAllowedOn(step, worker)
                 && lapsedIds?.has(worker.workerId) !== true
                 && !isStepLimitReached(step.spec, perWorker.get(worker.workerId))
                 && rules.isAdvised(step.getTask(0), worker.workerId);
@@ -281,6 +299,10 @@
     return fromMs >= nowMs ? reservation : { ...reservation, fromMs: nowMs, untilMs: untilMs + nowMs - fromMs };
 }
 
+function computeMostPerWorker(maxTasksPerWorker: number): number {
+    return maxTasksPerWorker === 0 ? MAX_PER_WORKER : Math.min(MAX_PER_WORKER, maxTasksPerWorker);
+}
+
 function addReservation(worker: WorkerCapacity | undefined, reservation: HeldReservation): void {
     setReservations(worker, [...worker?.ahead?.reservations ?? [], reservation]);
 }
