Remember demands that don't fit also while capacity is reserved

Only a demand that a reserved worker has room for, but keeps it for others, tells nothing about demands of its size.

--- a/packages/plan-starts/src/planStarts.ts
+++ b/packages/plan-starts/src/planStarts.ts
@@ -40,7 +40,9 @@
         const placed = starts.slice(before);
         rules.reservations?.releaseStarted(demand, placed, ledger);
         if (!isMet) {
-            unplaceable.add(demand);
+            if (rules.reservations?.isHeldBack(demand, workers) !== true) {
+                unplaceable.add(demand);
+            }
             unmet.push(demand);
             if (rules.reservations === undefined) {
                 reserveWorkers(demand, placed, ledger, rules);
--- a/packages/plan-starts/src/reservationPlanner.ts
+++ b/packages/plan-starts/src/reservationPlanner.ts
@@ -6,6 +6,7 @@
 import { countTasksPerWorker } from "./countTasksPerWorker.js";
 import { describeForecast } from "./describeForecast.js";
 import { describeNeed } from "./describeNeed.js";
+import { hasCapacity } from "./hasCapacity.js";
 import type { HeldReservation } from "./heldReservation.js";
 import { isAllowedOn } from "./isAllowedOn.js";
 import { isStepLimitReached } from "./isStepLimitReached.js";
@@ -46,7 +47,6 @@
     private readonly held = new Map<StepRun, readonly HeldReservation[]>();
     private readonly lapsedWorkerIds = new WeakMap<StepRun, Set<string>>();
     private nowMs = 0;
-    private isHoldingBack = false;
     private vainPlans = 0;
     private readonly vainAtMs = new WeakMap<StepRun, number>();
 
@@ -57,11 +57,6 @@
         return [...this.held.values()].reduce((sum, held) => sum + held.length, 0);
     }
 
-    /** Whether any worker has reservations in this round, so that a demand may not fit where an equal one does. */
-    get hasReservedWorkers(): boolean {
-        return this.isHoldingBack;
-    }
-
     /**
      * Starts a round: gives up reservations that have lapsed or whose worker gets no start now.
      *
@@ -70,7 +65,6 @@
      */
     startRound(workers: readonly WorkerCapacity[], nowMs: number): void {
         this.nowMs = nowMs;
-        this.isHoldingBack = this.held.size > 0;
         this.vainPlans = 0;
         workers.forEach(worker => setReservations(worker, []));
         if (this.held.size === 0) {
@@ -113,6 +107,14 @@
             || isFitting(describeForecast(worker, respected), describeNeed(spec, count), durationMs, this.nowMs);
     }
 
+    /** Whether a worker has room for a demand, but keeps it for others, so that other demands of its size may fit there. */
+    isHeldBack(demand: StepDemand, workers: readonly WorkerCapacity[]): boolean {
+        return workers.some(worker =>
+            worker.ahead !== undefined && worker.ahead.reservations.length > 0 && isAllowedOn(demand.step, worker)
+            && hasCapacity(worker, demand.step.spec, false) && !this.checkStart(worker, demand)
+        );
+    }
+
     /** Notes that a task of a step is planned on a worker, so that its end is expected. */
     notePlanned(worker: WorkerCapacity, step: StepRun): void {
         if (!step.spec.longRunning) {
@@ -220,7 +222,6 @@
             const { workerId } = worker;
             const added = { ...reservation, step, workerId, plannedMs: reservation.fromMs, lapsesAtMs };
             addReservation(worker, added);
-            this.isHoldingBack = true;
             ledger.noteChange(index);
             // A further plan for the demand sees it.
             forecasts[index] = describeForecast(worker, worker.ahead?.reservations ?? []);
@@ -242,7 +243,6 @@
                 const [plannedMs, lapsesAtMs] = [this.nowMs, this.nowMs + PREEMPTION_MS];
                 const reservation = { ...describeNeed(step.spec, count), fromMs: plannedMs, untilMs: lapsesAtMs };
                 addReservation(worker, { ...reservation, step, workerId: worker.workerId, plannedMs, lapsesAtMs });
-                this.isHoldingBack = true;
                 ledger.noteChange(index);
             }
         });
--- a/packages/plan-starts/src/unplaceableDemands.ts
+++ b/packages/plan-starts/src/unplaceableDemands.ts
@@ -20,10 +20,6 @@
 
     /** Records a demand that didn't fit; constrained steps are ignored, as other demands may still fit. */
     add(demand: StepDemand): void {
-        // A shorter or long-running task may still fit on a worker with reservations.
-        if (this.rules.reservations?.hasReservedWorkers === true) {
-            return;
-        }
         const { spec } = demand.step;
         const key = this.createKey(demand);
         const known = this.sizes.get(key);
