--- a/packages/coordinate-work/src/planning/buildWorkerCapacity.ts
+++ b/packages/coordinate-work/src/planning/buildWorkerCapacity.ts
@@ -1,8 +1,8 @@
-import type { ExpectedEnd } from "@sardinestage/plan-capacity";
 import type { WorkerCapacity } from "@sardinestage/plan-starts";
-import { allocateCapacity, describeNeed } from "@sardinestage/plan-starts";
+import { allocateCapacity } from "@sardinestage/plan-starts";
 import type { Task } from "@sardinestage/track-jobs";
 import type { TrackedWorker } from "../workers/trackedWorker.js";
+import { WorkerAhead } from "./workerAhead.js";
 
 /**
  * Computes the free capacity of a worker from its entry and its tasks.
@@ -35,7 +35,7 @@
         bestEffortSpecs: [],
         startsLeft,
         isReserved: false,
-        ...estimateEnd === undefined ? {} : { ahead: { ends: listEnds(worker, estimateEnd), reservations: [] } },
+        ...estimateEnd === undefined ? {} : { ahead: new WorkerAhead(worker, estimateEnd) },
     };
     for (const task of worker.tasks) {
         allocateCapacity(capacity, task.step, estimateHeadroom(task));
@@ -43,14 +43,3 @@
     capacity.startsLeft = startsLeft;
     return capacity;
 }
-
-function listEnds(worker: TrackedWorker, estimateEnd: (task: Task) => number): ExpectedEnd[] {
-    const ends: ExpectedEnd[] = [];
-    for (const task of worker.tasks) {
-        const atMs = estimateEnd(task);
-        if (atMs < Infinity) {
-            ends.push({ ...describeNeed(task.step.spec), atMs });
-        }
-    }
-    return ends;
-}
--- a/packages/plan-starts/src/describeForecast.ts
+++ b/packages/plan-starts/src/describeForecast.ts
@@ -10,7 +10,7 @@
             memoryMb: worker.freeMemoryMb,
             accelerators: worker.freeAccelerators,
         },
-        ends: worker.ahead?.ends ?? [],
+        ends: worker.ahead === undefined ? [] : [...worker.ahead.ends, ...worker.ahead.plannedEnds],
         reservations,
     };
 }
--- a/packages/plan-starts/src/randomFleet.test.ts
+++ b/packages/plan-starts/src/randomFleet.test.ts
@@ -159,7 +159,7 @@
 /** All run-to-completion tasks on the worker end after a second. */
 function buildAhead({ runToCompletionCpuMillis }: WorkerCapacity): CapacityAhead {
     const end = { cpuMillis: runToCompletionCpuMillis, memoryMb: 0, accelerators: 0, atMs: 1000 };
-    return { ends: [end], reservations: [] };
+    return { ends: [end], plannedEnds: [], reservations: [] };
 }
 
 describe("PreemptionPlanner on random fleets", () => {
--- a/packages/plan-starts/src/reservationPlanner.test.ts
+++ b/packages/plan-starts/src/reservationPlanner.test.ts
@@ -14,7 +14,7 @@
 /** A worker whose free processor is some of 16 cores, and whose other tasks end at some time. */
 function createBusyWorker(workerId: string, freeCpuMillis: number, atMs: number): WorkerCapacity {
     const ends: ExpectedEnd[] = [{ cpuMillis: 16_000 - freeCpuMillis, memoryMb: 0, accelerators: 0, atMs }];
-    return createWorker(workerId, { freeCpuMillis, ahead: { ends, reservations: [] } });
+    return createWorker(workerId, { freeCpuMillis, ahead: { ends, plannedEnds: [], reservations: [] } });
 }
 
 /** Plans rounds with one reservation planner, and notes its outcomes. */
--- a/packages/plan-starts/src/reservationPlanner.ts
+++ b/packages/plan-starts/src/reservationPlanner.ts
@@ -66,7 +66,11 @@
     startRound(workers: readonly WorkerCapacity[], nowMs: number): void {
         this.nowMs = nowMs;
         this.vainPlans = 0;
-        workers.forEach(worker => setReservations(worker, []));
+        for (const worker of workers) {
+            if (worker.ahead !== undefined && worker.ahead.reservations.length > 0) {
+                setReservations(worker, []);
+            }
+        }
         if (this.held.size === 0) {
             return;
         }
@@ -119,7 +123,7 @@
     notePlanned(worker: WorkerCapacity, step: StepRun): void {
         if (!step.spec.longRunning) {
             const atMs = this.nowMs + this.parts.estimateDuration(step);
-            worker.ahead?.ends.push({ ...describeNeed(step.spec), atMs });
+            worker.ahead?.plannedEnds.push({ ...describeNeed(step.spec), atMs });
         }
     }
 
@@ -234,6 +238,9 @@
     private reservePreempted(demand: StepDemand, ledger: CapacityLedger): readonly string[] {
         const { step } = demand;
         const ids = demand.reservedWorkerIds ?? [];
+        if (ids.length === 0) {
+            return ids;
+        }
         ledger.workers.forEach((worker, index) => {
             const count = ids.filter(id => id === worker.workerId).length;
             if (count > 0 && step.spec.longRunning) {
