Last attempts: wait for a worker that recent runs prove sound

With the feature protectsLastAttempts, a task with one attempt left starts only on a worker that has ended a run as done since its last failure, the one with the newest proof first, until waiting would make its job useless. While its job can still meet its target, the proof has to be newer than the task's failed run, because faults begin on several workers at once. Queues with a single attempt only avoid suspect workers. A worker is put on probation after 2 failures where the queue has at most 2 attempts, and the end of a run that was started before a failure no longer ends the probation.

Independent of the feature, a failure of an older run is now noted with the worker that reported it. It was noted with the worker of the newest run.

--- a/packages/coordinate-work/src/planning/planningRound.ts
+++ b/packages/coordinate-work/src/planning/planningRound.ts
@@ -1,6 +1,6 @@
 import { formatTaskKey } from "@sardinestage/describe-work";
 import type { StartRules, StepDemand, WorkerCapacity } from "@sardinestage/plan-starts";
-import { planStarts } from "@sardinestage/plan-starts";
+import { planStarts, WorkerTrust } from "@sardinestage/plan-starts";
 import type { StepRun, Task } from "@sardinestage/track-jobs";
 import { applyRunStart, computeCriticalPath, computeRemainingCriticalPath, TaskPhase } from "@sardinestage/track-jobs";
 import type { CoordinatorParts } from "../coordinatorParts.js";
@@ -144,6 +144,7 @@
             maxBestEffortWaitMs: isBusy ? Infinity : MAX_BEST_EFFORT_WAIT_MS,
             isAdvised: (task, workerId) => this.collaborators.advice.isAdvised(task, workerId),
             describePlacement: (capacity, spec) => this.collaborators.placementScorer.describePlacement(capacity, spec),
+            ...this.parts.rules.features.protectsLastAttempts && this.buildTrustRules(nowMs),
         };
         const plan = planStarts(demands, capacities, rules);
         this.waitReporter.reportUnmet(plan.unmet, capacities, nowMs);
@@ -170,6 +171,14 @@
         this.idleTasks.reportIdle(nowMs);
     }
 
+    private buildTrustRules(nowMs: number): Pick<StartRules, "estimateTrust" | "getProvenAt"> {
+        const { workers } = this.collaborators.fleet;
+        return {
+            estimateTrust: workerId => workers.get(workerId)?.recentEnds.estimateTrust(nowMs) ?? WorkerTrust.Unknown,
+            getProvenAt: workerId => workers.get(workerId)?.recentEnds.provenAtMs ?? -Infinity,
+        };
+    }
+
     private explainWaiting(step: StepRun): IdleReason {
         if (!this.mayStart) {
             return IdleReason.StartGateClosed;
--- a/packages/coordinate-work/src/runs/runTracker.ts
+++ b/packages/coordinate-work/src/runs/runTracker.ts
@@ -26,6 +26,9 @@
     readonly noteChanged: (job: Job) => void;
 }
 
+/** With so few attempts a queue's jobs are spared further failures on a worker that may be faulty. */
+const FEW_ATTEMPTS = 2;
+
 /** Applies the workers' reports to the jobs: which runs are active, which have ended and which are lost. */
 export class RunTracker {
     constructor(private readonly parts: CoordinatorParts, private readonly collaborators: RunTrackerParts) {}
@@ -169,6 +172,9 @@
         }
         const assignedWorker = this.collaborators.findWorker(task.workerId);
         applyRunEnd(task, { ...row, isDuplicate: isElsewhere && row.run === task.run }, this.parts.clock.getWallTime());
+        if (row.end === RunEnd.Failed) {
+            task.lastFailedWorkerId = worker.entry.id;
+        }
         if (!task.isActive) {
             worker.tasks.delete(task);
             assignedWorker?.tasks.delete(task);
@@ -203,13 +209,18 @@
     private updateWorkerHealth(worker: TrackedWorker, task: Task, row: EndedRun): void {
         const nowMs = this.parts.clock.getNow();
         const { job } = task.step.occurrence;
+        const { protectsLastAttempts } = this.parts.rules.features;
         if (row.end === RunEnd.Done) {
-            finishProbation(worker);
+            const isTelling = row.run === task.run && worker.recentEnds.noteDone(task.orderedAtMs, nowMs);
+            if (isTelling || !protectsLastAttempts) {
+                finishProbation(worker);
+            }
             if (task.firstSeenAtMs > 0 && task.checkpoint === "" && task.pace === 100 && row.run === task.run) {
                 this.collaborators.durations.learnDuration(job.queue.name, task.step.spec, nowMs - task.orderedAtMs);
             }
         }
-        if (row.end === RunEnd.Failed && noteFailedRun(worker, job.id, nowMs)) {
+        const isEarly = protectsLastAttempts && job.queue.maxAttempts <= FEW_ATTEMPTS;
+        if (row.end === RunEnd.Failed && noteFailedRun(worker, job.id, nowMs, isEarly)) {
             this.parts.metrics.count("probations_total", "failures");
             const untilMs = Math.round(worker.probationUntilMs - nowMs);
             this.parts.logger.warn("worker-probation", { worker: worker.entry.id, reason: "failures", untilMs });
--- a/packages/coordinate-work/src/testing/coordinatorHarness.ts
+++ b/packages/coordinate-work/src/testing/coordinatorHarness.ts
@@ -57,6 +57,8 @@
     loopDelayMs = 0;
     /** In what workers added from now on differ from others. */
     workerTraits: EmulatedWorkerTraits | undefined;
+    /** The features of coordinators whose term begins from now on. */
+    features = noSchedulingFeatures;
     /** Whether the coordinators may start tasks and renew leases. */
     hasAuthority = true;
     /** Whether the authority of a coordinator runs out by itself after its successor's term has begun. */
@@ -212,7 +214,7 @@
                 error: (event, fields) => this.recordEvent(ordinal, event, fields),
             },
             metrics: new Metrics(),
-            rules,
+            rules: { ...rules, features: this.features },
             term,
             getNewestFence: () => term + renewals,
             hadUnrecordedStarts,
--- a/packages/coordinate-work/src/workers/trackedWorker.ts
+++ b/packages/coordinate-work/src/workers/trackedWorker.ts
@@ -4,6 +4,7 @@
 import type { Task } from "@sardinestage/track-jobs";
 import { limits } from "../limits.js";
 import { CallLimiter } from "../orders/callLimiter.js";
+import { RecentEnds } from "./recentEnds.js";
 import { UnappliedEnds } from "./unappliedEnds.js";
 import { WorkerLife } from "./workerLife.js";
 
@@ -64,6 +65,8 @@
     readonly failedJobs = new Set<string>();
     /** Number of consecutive failed runs. */
     consecutiveFailures = 0;
+    /** What the ends of the life's recent runs tell. */
+    recentEnds = new RecentEnds();
     /** How often the worker has been put on probation. */
     probationCount = 0;
     /** No new work before this, in steady milliseconds. */
@@ -143,6 +146,7 @@
         this.answeredAtMs = 0;
         this.startUnansweredAtMs = -Infinity;
         this.consecutiveFailures = 0;
+        this.recentEnds = new RecentEnds();
         this.failedJobs.clear();
         this.isOnTrial = false;
         this.probationUntilMs = 0;
--- a/packages/emulate-platform/src/emulatedWorker.ts
+++ b/packages/emulate-platform/src/emulatedWorker.ts
@@ -140,7 +140,8 @@
         if (!this.hasRoom(order.task)) {
             return OrderOutcome.NoRoom;
         }
-        const duration = this.getDuration(order.task, order.run);
+        const usual = this.getDuration(order.task, order.run);
+        const duration = this.traits.changeDuration?.(usual) ?? usual;
         const end = duration < 0 ? RunEnd.Failed : RunEnd.Done;
         const cancelEnd = this.clock.schedule(Math.abs(duration), () => this.finishRun(key, end));
         this.runs.set(key, {
--- a/packages/emulate-platform/src/emulatedWorkerTraits.ts
+++ b/packages/emulate-platform/src/emulatedWorkerTraits.ts
@@ -4,6 +4,11 @@
 export interface EmulatedWorkerTraits {
     /** Rate of the worker's steady clock, on which its lease is measured; 0.98 for a clock that is 2% slow. */
     readonly clockRate: number;
+    /**
+     * Changes the duration of a run that starts here, in milliseconds, as a faulty or slow worker does; the result is
+     * negative if the run fails after that time. Undefined to leave it as it is.
+     */
+    readonly changeDuration?: (durationMs: number) => number;
     /** Returns what a task requests, for a worker that refuses what doesn't fit; undefined to start everything. */
     readonly getDemand: ((task: TaskRef) => { readonly cpuMillis: number; readonly memoryMb: number }) | undefined;
 }
--- /dev/null
+++ b/packages/plan-starts/src/lastAttempt.test.ts
@@ -0,0 +1,64 @@
+import { describe, expect, it } from "@jest/globals";
+import { planStarts } from "./planStarts.js";
+import { planFixture } from "./testing/planFixture.js";
+import { WorkerTrust } from "./workerTrust.js";
+
+const { createDemand, createWorker, rules } = planFixture;
+const FAILED_AT_MS = 100;
+/** Ratings and the start of the newest run done, by worker. */
+const ends: Readonly<Record<string, readonly [WorkerTrust, number]>> = {
+    suspect: [WorkerTrust.Suspect, 90],
+    unknown: [WorkerTrust.Unknown, -Infinity],
+    older: [WorkerTrust.Proven, FAILED_AT_MS - 1],
+    newer: [WorkerTrust.Proven, FAILED_AT_MS + 1],
+};
+const trustRules = {
+    ...rules,
+    estimateTrust: (id: string) => ends[id][0],
+    getProvenAt: (id: string) => ends[id][1],
+};
+
+/** Plans a task that has failed on the worker `failedOn`; returns where it starts and whether it counts as unmet. */
+function planLastAttempt(workerIds: readonly string[], slack: { slackMs: number; lateSlackMs: number }, failedOn = "") {
+    const demand = createDemand({}, slack, { maxAttempts: 2 });
+    const [task] = demand.waiting;
+    task.failedRuns.add(1);
+    task.orderedAtMs = FAILED_AT_MS;
+    task.lastFailedWorkerId = failedOn;
+    const plan = planStarts([demand], workerIds.map(id => createWorker(id)), trustRules);
+    return { startsOn: plan.starts.map(start => start.workerId), unmet: plan.unmet.length };
+}
+
+// Guards against a last attempt on a worker that fails everything, and against one that waits until its job is useless.
+describe("A task with one attempt left", () => {
+    const early = { slackMs: 1000, lateSlackMs: 5000 };
+    const late = { slackMs: -1000, lateSlackMs: 3000 };
+    const useless = { slackMs: -9000, lateSlackMs: -1 };
+
+    it("takes the worker with the newest proof", () => {
+        expect(planLastAttempt(["suspect", "unknown", "older", "newer"], late).startsOn).toEqual(["newer"]);
+    });
+
+    it("waits for proof newer than its failure only while its job can meet its target", () => {
+        expect(planLastAttempt(["older", "unknown"], early)).toEqual({ startsOn: [], unmet: 0 });
+        expect(planLastAttempt(["older", "unknown"], late).startsOn).toEqual(["older"]);
+    });
+
+    it("takes no worker that isn't proven until waiting would make its job useless", () => {
+        const full = createWorker("newer", { freeCpuMillis: 0 });
+        const demand = createDemand({}, late, { maxAttempts: 2 });
+        demand.waiting[0].failedRuns.add(1);
+        expect(planStarts([demand], [full, createWorker("unknown")], trustRules)).toEqual({ starts: [], unmet: [] });
+        expect(planLastAttempt(["suspect"], useless).startsOn).toEqual(["suspect"]);
+    });
+
+    it("takes the worker where it failed only if no other has room and its job would become useless", () => {
+        expect(planLastAttempt(["newer", "suspect"], useless, "newer").startsOn).toEqual(["suspect"]);
+        expect(planLastAttempt(["newer"], late, "newer").startsOn).toEqual([]);
+        expect(planLastAttempt(["newer"], useless, "newer").startsOn).toEqual(["newer"]);
+    });
+
+    it("counts as unmet if no worker has room, so that capacity is freed for it", () => {
+        expect(planLastAttempt([], late)).toEqual({ startsOn: [], unmet: 1 });
+    });
+});
--- a/packages/plan-starts/src/planGang.ts
+++ b/packages/plan-starts/src/planGang.ts
@@ -1,4 +1,5 @@
 import type { CapacityLedger } from "./capacityLedger.js";
+import { chooseRequiredTrust } from "./chooseRequiredTrust.js";
 import { EligibleWorkers } from "./eligibleWorkers.js";
 import { hasCapacity } from "./hasCapacity.js";
 import { isAllowedOn } from "./isAllowedOn.js";
@@ -15,7 +16,8 @@
  * is tried on each rack first.
  *
  * @param starts Receives the starts when the whole gang fits.
- * @returns False when the gang doesn't fit; true also when not all of its tasks are waiting, so that nothing is placed.
+ * @returns False when the gang doesn't fit; true also when not all of its tasks are waiting, or it waits
+ *   for trusted workers, so that nothing is placed.
  */
 export function planGang(
     demand: StepDemand,
@@ -29,12 +31,19 @@
         return true;
     }
     const allowed = ledger.workers.filter(worker => isAllowedOn(step, worker));
-    const usable = allowed.filter(worker =>
+    const withRoom = allowed.filter(worker =>
         hasCapacity(worker, step.spec, isInterrupted(demand)) && rules.isAdvised(waiting[0], worker.workerId)
     );
-    if (!isGangFitting(demand, usable)) {
+    if (!isGangFitting(demand, withRoom)) {
         return false;
     }
+    const requiredTrust = chooseRequiredTrust(demand, waiting[0], ledger.workers, rules);
+    const usable = withRoom.filter(({ workerId }) =>
+        (rules.estimateTrust?.(workerId) ?? requiredTrust) >= requiredTrust
+    );
+    if (!isGangFitting(demand, usable)) {
+        return true;
+    }
     const racks = step.spec.sameRack ? [...new Set(allowed.map(worker => worker.rack))] : [];
     const rack = racks.find(each => isGangFitting(demand, usable.filter(worker => worker.rack === each)));
     const ranking = rack === undefined
--- a/packages/plan-starts/src/planTasks.ts
+++ b/packages/plan-starts/src/planTasks.ts
@@ -1,13 +1,18 @@
 import type { Task } from "@sardinestage/track-jobs";
 import type { CapacityLedger } from "./capacityLedger.js";
+import { chooseRequiredTrust } from "./chooseRequiredTrust.js";
 import { countTasksPerWorker } from "./countTasksPerWorker.js";
 import { EligibleWorkers } from "./eligibleWorkers.js";
+import { hasOneAttemptLeft } from "./hasOneAttemptLeft.js";
+import { HELD_BACK } from "./heldBack.js";
 import { isDeferrable } from "./isDeferrable.js";
 import { isStepLimitReached } from "./isStepLimitReached.js";
 import type { PlannedStart } from "./plannedStart.js";
 import type { RankingCache } from "./rankingCache.js";
 import type { StartRules } from "./startRules.js";
 import type { StepDemand } from "./stepDemand.js";
+import { takeTrusted } from "./takeTrusted.js";
+import { WorkerTrust } from "./workerTrust.js";
 
 /** Score penalty that makes the worker on which the task last failed its last choice. */
 const FAILED_WORKER_PENALTY = 10;
@@ -16,7 +21,8 @@
  * Places the tasks of a step one by one, as many as fit.
  *
  * @param starts Receives the starts.
- * @returns Whether all tasks that the round may still start were placed.
+ * @returns Whether all tasks that the round may still start were placed, or wait only for a trusted worker: such a wait
+ *   is no reason to reserve or free capacity.
  */
 export function planTasks(
     demand: StepDemand,
@@ -32,9 +38,15 @@
         const { workerId } = ledger.workers[index];
         return !isStepLimitReached(step.spec, perWorker.get(workerId)) && rules.isAdvised(waiting[0], workerId);
     });
-    const startable = waiting.slice(0, rules.maxStarts - starts.length);
+    const startable = listByAttemptsLeft(waiting.slice(0, rules.maxStarts - starts.length), rules);
     const isMet = startable.every(task => {
-        const index = takeBest(task, ledger, eligible);
+        const requiredTrust = chooseRequiredTrust(demand, task, ledger.workers, rules);
+        const index = requiredTrust === WorkerTrust.Suspect
+            ? takeBest(task, ledger, eligible)
+            : takeTrusted(task, { requiredTrust, canWaitForProof: demand.slackMs > 0 }, ledger, eligible, rules);
+        if (index === HELD_BACK) {
+            return true;
+        }
         if (index === undefined) {
             return false;
         }
@@ -48,6 +60,13 @@
     return isMet;
 }
 
+/** Lists the tasks with one attempt left first, which have the smallest choice of workers. */
+function listByAttemptsLeft(tasks: readonly Task[], { estimateTrust }: StartRules): readonly Task[] {
+    return estimateTrust === undefined
+        ? tasks
+        : [...tasks].sort((left, right) => Number(hasOneAttemptLeft(right)) - Number(hasOneAttemptLeft(left)));
+}
+
 /** Removes the best worker for a task. The worker on which the task last failed is avoided, as it may be the cause. */
 function takeBest(task: Task, ledger: CapacityLedger, eligible: EligibleWorkers): number | undefined {
     const best = eligible.removeBest();
--- a/packages/plan-starts/src/startRules.ts
+++ b/packages/plan-starts/src/startRules.ts
@@ -2,6 +2,7 @@
 import type { Task } from "@sardinestage/track-jobs";
 import type { PlacementView } from "./placementView.js";
 import type { WorkerCapacity } from "./workerCapacity.js";
+import type { WorkerTrust } from "./workerTrust.js";
 
 /** Limits of a planning round, and its access to placement data. */
 export interface StartRules {
@@ -13,4 +14,8 @@
     readonly isAdvised: (task: Task, workerId: string) => boolean;
     /** Estimates the interference of a task with the tasks on a worker; equal for tasks of one image, size and kind. */
     readonly describePlacement: (worker: WorkerCapacity, spec: StepSpec) => PlacementView;
+    /** Estimates the soundness of a worker for tasks with one attempt left; undefined if these are placed like all others. */
+    readonly estimateTrust?: (workerId: string) => WorkerTrust;
+    /** Returns when the newest run was started that proves a worker, in steady milliseconds; with `estimateTrust`. */
+    readonly getProvenAt?: (workerId: string) => number;
 }
