Durations: learn their spread, and the slowness of workers

DurationEstimator keeps a decaying histogram of actual over expected durations by queue and image, which tells how long a run is expected to go on. It is stored with the learned state and restored by a successor; records without it are still read. Workers that are more than twice as slow get tasks only when no other has room. All of this takes effect only with copiesSlowTasks or protectsLastAttempts.

--- a/packages/coordinate-work/src/planning/planningRound.ts
+++ b/packages/coordinate-work/src/planning/planningRound.ts
@@ -49,6 +49,8 @@
  */
 const MAX_BEST_EFFORT_WAIT_MS = 2000;
 
+/** Workers on which tasks take more than this many times as long as expected are avoided while others have room. */
+const MAX_SLOWNESS = 2;
 /** Placements use the headroom predicted this far ahead, in milliseconds: a task takes this long to start and load. */
 const PLACEMENT_LOOKAHEAD_MS = 1500;
 
@@ -144,7 +146,7 @@
             maxBestEffortWaitMs: isBusy ? Infinity : MAX_BEST_EFFORT_WAIT_MS,
             isAdvised: (task, workerId) => this.collaborators.advice.isAdvised(task, workerId),
             describePlacement: (capacity, spec) => this.collaborators.placementScorer.describePlacement(capacity, spec),
-            ...this.parts.rules.features.protectsLastAttempts && this.buildTrustRules(nowMs),
+            ...this.buildFeatureRules(nowMs),
         };
         const plan = planStarts(demands, capacities, rules);
         this.waitReporter.reportUnmet(plan.unmet, capacities, nowMs);
@@ -171,12 +173,19 @@
         this.idleTasks.reportIdle(nowMs);
     }
 
-    private buildTrustRules(nowMs: number): Pick<StartRules, "estimateTrust" | "getProvenAt"> {
+    private buildFeatureRules(nowMs: number): Partial<StartRules> {
         const { workers } = this.collaborators.fleet;
-        return {
+        const { copiesSlowTasks, protectsLastAttempts } = this.parts.rules.features;
+        const isSlow = (workerId: string) =>
+            (workers.get(workerId)?.slowness.estimateSlowness(nowMs) ?? 1) > MAX_SLOWNESS;
+        const trustRules: Partial<StartRules> = {
             estimateTrust: workerId => workers.get(workerId)?.recentEnds.estimateTrust(nowMs) ?? WorkerTrust.Unknown,
             getProvenAt: workerId => workers.get(workerId)?.recentEnds.provenAtMs ?? -Infinity,
         };
+        return {
+            ...(copiesSlowTasks || protectsLastAttempts) && { isSlow },
+            ...protectsLastAttempts && trustRules,
+        };
     }
 
     private explainWaiting(step: StepRun): IdleReason {
--- a/packages/coordinate-work/src/records/learnedEstimates.ts
+++ b/packages/coordinate-work/src/records/learnedEstimates.ts
@@ -20,7 +20,13 @@
         const headroom = this.headroom.describeState();
         const durations = this.durations.describeState();
         const none = { harms: {}, usual: {}, lowest: {} };
-        const states: LearnedState[] = [{ headroom, durations }, { headroom: none, durations }];
+        const spreads = this.durations.describeSpreads();
+        const learnedSpreads = Object.keys(spreads).length > 0 ? { spreads } : {};
+        const states: LearnedState[] = [
+            { headroom, durations, ...learnedSpreads },
+            { headroom: none, durations, ...learnedSpreads },
+            { headroom: none, durations },
+        ];
         const records = states.map(state => recordEncoder.encode(state));
         const empty: LearnedState = { headroom: none, durations: {} };
         return records.find(record => record.length <= maxBytes) ?? recordEncoder.encode(empty);
@@ -31,5 +37,6 @@
         const state = recordEncoder.decode(record) as LearnedState;
         this.headroom.restoreState(state.headroom);
         this.durations.restoreState(state.durations);
+        this.durations.restoreSpreads(state.spreads ?? {});
     }
 }
--- a/packages/coordinate-work/src/runs/runTracker.ts
+++ b/packages/coordinate-work/src/runs/runTracker.ts
@@ -219,6 +219,9 @@
                 this.collaborators.durations.learnDuration(job.queue.name, task.step.spec, nowMs - task.orderedAtMs);
             }
         }
+        if (row.end === RunEnd.Done && row.run === task.run) {
+            this.learnSpread(worker, task, nowMs);
+        }
         const isEarly = protectsLastAttempts && job.queue.maxAttempts <= FEW_ATTEMPTS;
         if (row.end === RunEnd.Failed && noteFailedRun(worker, job.id, nowMs, isEarly)) {
             this.parts.metrics.count("probations_total", "failures");
@@ -227,6 +230,22 @@
         }
     }
 
+    /**
+     * Learns how the duration of a run that is done compares with what was expected. Runs that were adopted are left out,
+     * as their beginning isn't known, and those that had a head start or were slowed down by order.
+     */
+    private learnSpread(worker: TrackedWorker, task: Task, nowMs: number): void {
+        const { copiesSlowTasks, protectsLastAttempts } = this.parts.rules.features;
+        const isAdopted = task.orderedAtMs === task.firstSeenAtMs;
+        const isUsual = task.isActive && !isAdopted && task.checkpoint === "" && task.pace === 100;
+        if (isUsual && (copiesSlowTasks || protectsLastAttempts)) {
+            const { step } = task;
+            const { queue } = step.occurrence.job;
+            const ratio = this.collaborators.durations.learnSpread(queue.name, step.spec, nowMs - task.orderedAtMs);
+            worker.slowness.learnRatio(ratio, nowMs);
+        }
+    }
+
     private updateTask(task: Task, row: ActiveRun, nowMs: number): void {
         if (task.phase === TaskPhase.Ordered) {
             task.phase = TaskPhase.Running;
--- a/packages/coordinate-work/src/workers/trackedWorker.ts
+++ b/packages/coordinate-work/src/workers/trackedWorker.ts
@@ -1,5 +1,6 @@
 import type { WorkerEntry } from "@sardinestage/describe-work";
 import { WorkerState } from "@sardinestage/describe-work";
+import { WorkerSlowness } from "@sardinestage/learn-behaviour";
 import type { PaceState } from "@sardinestage/plan-pace";
 import type { Task } from "@sardinestage/track-jobs";
 import { limits } from "../limits.js";
@@ -67,6 +68,8 @@
     consecutiveFailures = 0;
     /** What the ends of the life's recent runs tell. */
     recentEnds = new RecentEnds();
+    /** How slow the life's recent runs were. */
+    slowness = new WorkerSlowness();
     /** How often the worker has been put on probation. */
     probationCount = 0;
     /** No new work before this, in steady milliseconds. */
@@ -147,6 +150,7 @@
         this.startUnansweredAtMs = -Infinity;
         this.consecutiveFailures = 0;
         this.recentEnds = new RecentEnds();
+        this.slowness = new WorkerSlowness();
         this.failedJobs.clear();
         this.isOnTrial = false;
         this.probationUntilMs = 0;
--- a/packages/learn-behaviour/src/index.ts
+++ b/packages/learn-behaviour/src/index.ts
@@ -1,4 +1,5 @@
 export { AdaptiveTimeout } from "./adaptiveTimeout.js";
+export { DurationSpread } from "./durationSpread.js";
 export { HeadroomEstimator } from "./headroomEstimator.js";
 export type { HeadroomState } from "./headroomState.js";
 export { HeadroomTrend } from "./headroomTrend.js";
@@ -8,3 +9,4 @@
 export { SizeEstimator } from "./sizeEstimator.js";
 export type { WeightedNeighbour } from "./weightedNeighbour.js";
 export { WorkerHealth } from "./workerHealth.js";
+export { WorkerSlowness } from "./workerSlowness.js";
--- a/packages/plan-starts/src/planTasks.ts
+++ b/packages/plan-starts/src/planTasks.ts
@@ -34,16 +34,26 @@
     const { step, waiting } = demand;
     const perWorker = countTasksPerWorker(step);
     const ranking = rankings.resolve(demand, isDeferrable(demand, rules));
+    let avoidsSlow = rules.isSlow !== undefined;
     const eligible = new EligibleWorkers(ranking, ({ index }) => {
         const { workerId } = ledger.workers[index];
-        return !isStepLimitReached(step.spec, perWorker.get(workerId)) && rules.isAdvised(waiting[0], workerId);
+        return !isStepLimitReached(step.spec, perWorker.get(workerId)) && rules.isAdvised(waiting[0], workerId)
+            && !(avoidsSlow && rules.isSlow?.(workerId) === true);
     });
-    const startable = listByAttemptsLeft(waiting.slice(0, rules.maxStarts - starts.length), rules);
-    const isMet = startable.every(task => {
+    const take = (task: Task) => {
         const requiredTrust = chooseRequiredTrust(demand, task, ledger.workers, rules);
-        const index = requiredTrust === WorkerTrust.Suspect
+        return requiredTrust === WorkerTrust.Suspect
             ? takeBest(task, ledger, eligible)
             : takeTrusted(task, { requiredTrust, canWaitForProof: demand.slackMs > 0 }, ledger, eligible, rules);
+    };
+    const startable = listByAttemptsLeft(waiting.slice(0, rules.maxStarts - starts.length), rules);
+    const isMet = startable.every(task => {
+        let index = take(task);
+        if (index === undefined && avoidsSlow) {
+            avoidsSlow = false;
+            eligible.close();
+            index = take(task);
+        }
         if (index === HELD_BACK) {
             return true;
         }
--- a/packages/plan-starts/src/startRules.ts
+++ b/packages/plan-starts/src/startRules.ts
@@ -14,6 +14,8 @@
     readonly isAdvised: (task: Task, workerId: string) => boolean;
     /** Estimates the interference of a task with the tasks on a worker; equal for tasks of one image, size and kind. */
     readonly describePlacement: (worker: WorkerCapacity, spec: StepSpec) => PlacementView;
+    /** Whether a worker is so slow that it is avoided while others have room; undefined if speeds don't matter. */
+    readonly isSlow?: (workerId: string) => boolean;
     /** Estimates the soundness of a worker for tasks with one attempt left; undefined if these are placed like all others. */
     readonly estimateTrust?: (workerId: string) => WorkerTrust;
     /** Returns when the newest run was started that proves a worker, in steady milliseconds; with `estimateTrust`. */
--- a/packages/plan-starts/src/lastAttempt.test.ts
+++ b/packages/plan-starts/src/unevenWorkers.test.ts
@@ -62,3 +62,15 @@
         expect(planLastAttempt([], late)).toEqual({ startsOn: [], unmet: 1 });
     });
 });
+
+// Guards against tasks that take 8 times as long on a slow worker although another has room.
+describe("A slow worker", () => {
+    const slowRules = { ...rules, isSlow: (id: string) => id === "slow" };
+
+    it("gets tasks only when no other worker has room", () => {
+        const demand = createDemand({ taskCount: 3 });
+        const workers = [createWorker("slow"), createWorker("usual", { freeCpuMillis: 2000 })];
+        const { starts } = planStarts([demand], workers, slowRules);
+        expect(starts.map(start => start.workerId)).toEqual(["usual", "usual", "slow"]);
+    });
+});
