Copies of slow tasks in speculative steps

With the feature copiesSlowTasks, a task of a speculative step gets a second run on another worker when its run is expected to go on for over 1.3 times as long as a new one takes. A copy is a Task whose original is the task of the step: capacity, orders, loss and ends go through the same code. The first end as done counts and the other run is stopped; each failure counts once. The record names the newest run, which a successor keeps.

The run checker allows two runs at a time, and starts until 1 s after an acknowledged end, in speculative steps only. Other steps are checked as strictly as before. It counts failures and acknowledged failures, which the fuzz compares with the states of jobs.

Cause of another fault found by the load test: two ends of a job's last runs that were recorded together closed the job twice, so that its end was logged and counted twice.

--- a/packages/coordinate-work/src/cleanupTimer.ts
+++ b/packages/coordinate-work/src/cleanupTimer.ts
@@ -1,5 +1,6 @@
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import { describeFleet } from "./describeFleet.js";
+import { describeSlowness } from "./describeSlowness.js";
 import type { JobRegistry } from "./jobs/jobRegistry.js";
 import { LearnedEstimates } from "./records/learnedEstimates.js";
 import type { ProgressWriter } from "./records/progressWriter.js";
@@ -44,7 +45,11 @@
     private run(): void {
         const { jobs, fleet, writer, learned, recordCleaner } = this.collaborators;
         const { logger, clock } = this.parts;
-        logger.info("fleet-summary", describeFleet(jobs, [...fleet.workers.values()], clock.getWallTime()));
+        const workers = [...fleet.workers.values()];
+        logger.info("fleet-summary", {
+            ...describeFleet(jobs, workers, clock.getWallTime()),
+            ...this.parts.rules.features.copiesSlowTasks && describeSlowness(workers, clock.getNow()),
+        });
         const maxBytes = this.parts.rules.storeLimits.maxRecordBytes - RECORD_RESERVE_BYTES;
         writer.schedule(LearnedEstimates.KEY, () => learned.encodeState(maxBytes));
         void recordCleaner.dropObsolete().finally(() => this.start());
--- a/packages/coordinate-work/src/jobs/jobFinisher.ts
+++ b/packages/coordinate-work/src/jobs/jobFinisher.ts
@@ -74,7 +74,8 @@
     }
 
     private stopTasks(job: Job): void {
-        for (const task of job.listKnownTasks()) {
+        const tasks = [...job.listKnownTasks()];
+        for (const task of [...tasks, ...tasks.flatMap(({ copy }) => copy ?? [])]) {
             const worker = this.collaborators.fleet.workers.get(task.workerId);
             if (worker !== undefined && task.isActive) {
                 this.collaborators.orders.sendStop(task, worker, "job-ended");
@@ -84,6 +85,10 @@
 
     private closeJob(job: Job): void {
         const { jobs, advice, recordCleaner } = this.collaborators;
+        if (jobs.live.get(job.id) !== job) {
+            // The ends of several runs after the job's own end are often recorded together; the first closed the job.
+            return;
+        }
         if (!this.recorded.has(job.id)) {
             this.recorded.add(job.id);
             this.parts.onJobState?.(job.id, job.state);
@@ -91,7 +96,7 @@
             this.parts.metrics.count("jobs_ended_total", job.state);
             this.parts.logger.info("job-ended", { job: job.id, state: job.state, queue: job.queue.name, tookMs });
         }
-        if (!job.hasActiveTask && jobs.live.has(job.id)) {
+        if (!job.hasActiveTask) {
             jobs.finishJob(job);
             advice.dropJob(job.id);
             recordCleaner.noteObsolete(job.id);
--- a/packages/coordinate-work/src/planning/planningRound.ts
+++ b/packages/coordinate-work/src/planning/planningRound.ts
@@ -2,7 +2,13 @@
 import type { StartRules, StepDemand, WorkerCapacity } from "@sardinestage/plan-starts";
 import { planStarts, WorkerTrust } from "@sardinestage/plan-starts";
 import type { StepRun, Task } from "@sardinestage/track-jobs";
-import { applyRunStart, computeCriticalPath, computeRemainingCriticalPath, TaskPhase } from "@sardinestage/track-jobs";
+import {
+    applyRunStart,
+    chooseNextRun,
+    computeCriticalPath,
+    computeRemainingCriticalPath,
+    TaskPhase,
+} from "@sardinestage/track-jobs";
 import type { CoordinatorParts } from "../coordinatorParts.js";
 import { IdleReason } from "../idle/idleReason.js";
 import { IdleTaskReporter } from "../idle/idleTaskReporter.js";
@@ -21,6 +27,7 @@
 import type { AdviceCache } from "./adviceCache.js";
 import { CapacityReservations } from "./capacityReservations.js";
 import { CapacityTable } from "./capacityTable.js";
+import { CopyStarter } from "./copyStarter.js";
 import { DemandSelector } from "./demandSelector.js";
 import type { PlacementScorer } from "./placementScorer.js";
 import { PreemptionController } from "./preemptionController.js";
@@ -83,6 +90,7 @@
     private readonly reservations = new CapacityReservations();
     private readonly preemption: PreemptionController;
     private readonly unusedTasks = new UnusedTaskLimiter();
+    private readonly copies: CopyStarter;
 
     constructor(private readonly parts: CoordinatorParts, private readonly collaborators: PlanningRoundParts) {
         this.waitReporter = new WaitReporter(parts.logger);
@@ -94,6 +102,11 @@
         });
         const maxRoundMs = parts.rules.leaseMs * limits.maxRoundLeaseShare;
         this.demandSelector = new DemandSelector(maxRoundMs);
+        this.copies = new CopyStarter(parts, {
+            ...collaborators,
+            sendWhenRecorded: (copy, workerId) =>
+                collaborators.writer.runWhenRecorded(() => this.sendStart(copy, copy.run, workerId), true),
+        });
         this.preemption = new PreemptionController(parts, {
             ...collaborators,
             reservations: this.reservations,
@@ -128,14 +141,12 @@
             this.waitExplainer.noteHeldBack();
         }
         if (steps.length === 0 || maxStarts <= 0) {
+            if (steps.length === 0) {
+                this.copies.startCopies([], () => this.listCapacities(nowMs));
+            }
             return nextDueMs;
         }
-        const capacities = this.capacityTable.updateCapacities(
-            this.collaborators.fleet.workers.values(),
-            nowMs,
-            worker => computeStartsLeft(worker, nowMs),
-            task => this.collaborators.headroomTracker.estimatePlacementHeadroom(task, nowMs + PLACEMENT_LOOKAHEAD_MS),
-        );
+        const capacities = this.listCapacities(nowMs);
         const isBusy = computeReservedShare(capacities) >= BUSY_SHARE;
         const waiting = steps.map(ready => this.buildDemand(ready));
         const demands = this.demandSelector.pickDemands(waiting);
@@ -159,6 +170,9 @@
         this.preemption.runPreemption(plan.unmet, capacities, planningStartedAtMs);
         this.unusedTasks.noteListed(demands.map(demand => demand.step));
         const isPartial = demands.length < waiting.length;
+        if (!isPartial && !this.isStartLimited) {
+            this.copies.startCopies(plan.unmet, () => capacities);
+        }
         return isPartial ? clock.getWallTime() : nextDueMs;
     }
 
@@ -173,6 +187,15 @@
         this.idleTasks.reportIdle(nowMs);
     }
 
+    private listCapacities(nowMs: number): WorkerCapacity[] {
+        return this.capacityTable.updateCapacities(
+            this.collaborators.fleet.workers.values(),
+            nowMs,
+            worker => computeStartsLeft(worker, nowMs),
+            task => this.collaborators.headroomTracker.estimatePlacementHeadroom(task, nowMs + PLACEMENT_LOOKAHEAD_MS),
+        );
+    }
+
     private buildFeatureRules(nowMs: number): Partial<StartRules> {
         const { workers } = this.collaborators.fleet;
         const { copiesSlowTasks, protectsLastAttempts } = this.parts.rules.features;
@@ -248,7 +271,7 @@
     private chooseRun(task: Task): number {
         const { step } = task;
         if (!step.spec.gang) {
-            return task.run + 1;
+            return chooseNextRun(task);
         }
         let highestRun = 0;
         for (const member of step.listKnown()) {
--- a/packages/coordinate-work/src/runs/compareRuns.ts
+++ b/packages/coordinate-work/src/runs/compareRuns.ts
@@ -63,8 +63,9 @@
 /**
  * Whether a reported run is newer than the newest known run of its task. An earlier coordinator started such a run
  * after the known ones had ended, and couldn't record it. A run with the same number counts as newer too if the task
- * has been set back to waiting.
+ * has been set back to waiting. A copy that was given up isn't needed while the task's own run is active.
  */
 function isNewer(task: Task, run: number): boolean {
-    return run > task.run || (task.phase === TaskPhase.Waiting && run === task.run);
+    const isFormerCopy = task.isActive && run <= task.lastCopyRun;
+    return (run > task.run && !isFormerCopy) || (task.phase === TaskPhase.Waiting && run === task.run);
 }
--- a/packages/coordinate-work/src/runs/runTracker.ts
+++ b/packages/coordinate-work/src/runs/runTracker.ts
@@ -14,6 +14,8 @@
 import { noteFailedRun } from "../workers/probation.js";
 import type { TrackedWorker } from "../workers/trackedWorker.js";
 import { compareRuns } from "./compareRuns.js";
+import { CopyTracker } from "./copyTracker.js";
+import { describeRunTimes } from "./describeRunTimes.js";
 
 /** Dependencies of a run tracker. */
 interface RunTrackerParts {
@@ -31,7 +33,11 @@
 
 /** Applies the workers' reports to the jobs: which runs are active, which have ended and which are lost. */
 export class RunTracker {
-    constructor(private readonly parts: CoordinatorParts, private readonly collaborators: RunTrackerParts) {}
+    private readonly copies: CopyTracker;
+
+    constructor(private readonly parts: CoordinatorParts, private readonly collaborators: RunTrackerParts) {
+        this.copies = new CopyTracker(parts, collaborators);
+    }
 
     /**
      * Applies a worker's lease report.
@@ -52,9 +58,10 @@
             worker.tasks,
             report,
             request,
-            row => this.collaborators.jobs.findTask(row.task),
+            row => this.findTask(worker, row),
         );
         difference.matched.forEach(({ task, row }) => this.updateTask(task, row, nowMs));
+        difference.matched.forEach(({ task }) => this.copies.stopUnneeded(task));
         difference.adopted.forEach(({ task, row }) => this.acceptRun(task, row, worker, nowMs));
         worker.strayRuns.clear();
         difference.unneeded.forEach(row => this.stopUnneeded(row, worker));
@@ -96,8 +103,11 @@
             worker: worker.entry.id,
             reason,
             phase: TaskPhase[task.phase],
-            ...describeTimes(task, this.parts.clock.getNow(), askedAtMs),
+            ...describeRunTimes(task, this.parts.clock.getNow(), askedAtMs),
         });
+        if (task.original !== undefined) {
+            this.copies.reportEnd(task, worker, "lost");
+        }
         applyRunLost(task);
         this.collaborators.noteChanged(task.step.occurrence.job);
     }
@@ -155,7 +165,7 @@
     }
 
     private applyEnd(worker: TrackedWorker, row: EndedRun): void {
-        const task = this.collaborators.jobs.findTask(row.task);
+        const task = this.findTask(worker, row);
         this.parts.metrics.count("run_ends_total", RunEnd[row.end]);
         if (task === undefined) {
             return;
@@ -164,6 +174,10 @@
         const fields = { task: formatTaskKey(row.task), run: row.run, worker: worker.entry.id };
         this.parts.logger.info("run-end", { ...fields, end: RunEnd[row.end], number: row.number });
         this.updateWorkerHealth(worker, task, row);
+        if (task.original !== undefined) {
+            this.copies.applyEnd(worker, task, task.original, row);
+            return;
+        }
         const activeBefore = this.listActiveRuns(task, row.end);
         const isHere = worker.tasks.has(task) && row.run === task.run;
         const isElsewhere = task.isActive && !isHere && row.run <= task.run;
@@ -171,7 +185,9 @@
             return;
         }
         const assignedWorker = this.collaborators.findWorker(task.workerId);
-        applyRunEnd(task, { ...row, isDuplicate: isElsewhere && row.run === task.run }, this.parts.clock.getWallTime());
+        const isDuplicate = isElsewhere && row.run === task.run;
+        const isCopy = task.isActive && row.run > task.run && row.run <= task.lastCopyRun;
+        applyRunEnd(task, { ...row, isDuplicate, isCopy }, this.parts.clock.getWallTime());
         if (row.end === RunEnd.Failed) {
             task.lastFailedWorkerId = worker.entry.id;
         }
@@ -180,9 +196,15 @@
             assignedWorker?.tasks.delete(task);
         }
         this.stopOtherRuns(activeBefore, row);
+        this.copies.stopUnneeded(task.copy);
         this.collaborators.noteChanged(job);
     }
 
+    /** Finds the task of a reported run: the copy that the worker has, if the run is one. */
+    private findTask(worker: TrackedWorker, row: ActiveRun | EndedRun): Task | undefined {
+        return this.copies.findCopy(worker, row) ?? this.collaborators.jobs.findTask(row.task);
+    }
+
     /** Lists the active runs of the task, or of its whole gang, that aren't needed after a successful end. */
     private listActiveRuns(task: Task, end: RunEnd): { task: Task; workerId: string; run: number }[] {
         if (end !== RunEnd.Done) {
@@ -288,7 +310,7 @@
     }
 
     private stopUnneeded(row: ActiveRun, worker: TrackedWorker): void {
-        const task = this.collaborators.jobs.findTask(row.task);
+        const task = this.findTask(worker, row);
         if (task !== undefined && worker.tasks.has(task) && task.run <= row.run) {
             return;
         }
@@ -328,14 +350,6 @@
     }
 }
 
-/** Describes how long ago the outcome of a run's last order became known, and the report was asked for. */
-function describeTimes(task: Task, nowMs: number, askedAtMs: number | undefined) {
-    return {
-        settledMsAgo: Number.isFinite(task.orderSettledAtMs) ? Math.round(nowMs - task.orderSettledAtMs) : undefined,
-        askedMsAgo: askedAtMs === undefined ? undefined : Math.round(nowMs - askedAtMs),
-    };
-}
-
 function formatRunKey(ref: TaskRef, run: number): string {
     return `${formatTaskKey(ref)}#${run}`;
 }
--- a/packages/coordinate-work/src/testing/coordinatorHarness.ts
+++ b/packages/coordinate-work/src/testing/coordinatorHarness.ts
@@ -79,6 +79,7 @@
         this.runChecker = new RunInvariantChecker(
             () => this.clock.getNow(),
             task => listPrerequisiteTasks(this.specs.get(task.jobId), task),
+            task => this.specs.get(task.jobId)?.steps[task.step].speculative === true,
         );
     }
 
--- a/packages/emulate-platform/src/emulatedWorker.ts
+++ b/packages/emulate-platform/src/emulatedWorker.ts
@@ -189,6 +189,9 @@
             if (ended.end === RunEnd.Done) {
                 this.invariantChecker.noteAcknowledged(ended.task, this.startCounts.get(ended.number));
             }
+            if (ended.end === RunEnd.Failed) {
+                this.invariantChecker.noteFailureAcknowledged(ended.task);
+            }
             this.startCounts.delete(ended.number);
         }
         this.unacknowledgedEnds = this.unacknowledgedEnds.filter(ended => ended.number > order.lastRecordedEnd);
@@ -271,7 +274,7 @@
             end,
             checkpoint: run.checkpoint,
         });
-        this.invariantChecker.noteEnd(run.task, end === RunEnd.Done);
+        this.invariantChecker.noteEnd(run.task, end === RunEnd.Done, end === RunEnd.Failed);
         this.waiters.forEach(wake => wake());
     }
 
--- a/packages/emulate-platform/src/runInvariantChecker.ts
+++ b/packages/emulate-platform/src/runInvariantChecker.ts
@@ -1,15 +1,24 @@
 import type { TaskRef } from "@sardinestage/describe-work";
 import { formatTaskKey } from "@sardinestage/describe-work";
 
+/** How long after an acknowledged end as done a run of a speculative step may still start, in milliseconds. */
+const SPECULATIVE_START_MS = 1000;
+
 /**
  * Is notified by the emulated workers of every run's start and end, and records violations of invariants: two
  * concurrent runs of a task, a start after a successful end of the task that was acknowledged then or is acknowledged
- * later, a start before a task that it depends on is done.
+ * later, a start before a task that it depends on is done. A task of a speculative step may have two runs at a time, and
+ * one may start until shortly after an end was acknowledged.
  */
 export class RunInvariantChecker {
     readonly violations: string[] = [];
     readonly completedTasks = new Set<string>();
-    private readonly acknowledgedTasks = new Set<string>();
+    /** When the end as done of each task was first acknowledged. */
+    private readonly acknowledgedTasks = new Map<string, number>();
+    /** How many runs of each task have failed. */
+    readonly failureCounts = new Map<string, number>();
+    /** Of how many of these a coordinator has acknowledged the end. */
+    readonly acknowledgedFailureCounts = new Map<string, number>();
     /** Tasks of which a start was carried out late. */
     private readonly lateTasks = new Set<string>();
     private readonly startCounts = new Map<string, number>();
@@ -18,10 +27,12 @@
     /**
      * @param getNow Returns the test's time in milliseconds, for the violation messages.
      * @param listPrerequisites Returns the keys of the tasks that must be done before a task starts.
+     * @param isSpeculative Whether the step of a task allows copies.
      */
     constructor(
         private readonly getNow: () => number,
         private readonly listPrerequisites: (task: TaskRef) => readonly string[],
+        private readonly isSpeculative: (task: TaskRef) => boolean = () => false,
     ) {}
 
     /** Records that a run starts, and checks the invariants. Violations say whether the task had a late start. */
@@ -33,10 +44,12 @@
         const count = (this.activeRunCounts.get(key) ?? 0) + 1;
         this.activeRunCounts.set(key, count);
         this.startCounts.set(key, this.countStarts(task) + 1);
-        if (count > 1) {
+        const isSpeculative = this.isSpeculative(task);
+        if (count > (isSpeculative ? 2 : 1)) {
             this.addViolation(`${key} runs twice, now on ${worker}`, key);
         }
-        if (this.acknowledgedTasks.has(key)) {
+        const acknowledgedAtMs = this.acknowledgedTasks.get(key) ?? Infinity;
+        if (this.getNow() >= acknowledgedAtMs + (isSpeculative ? SPECULATIVE_START_MS : 0)) {
             this.addViolation(`${key} starts on ${worker} after it was done`, key);
         }
         for (const prerequisite of this.listPrerequisites(task)) {
@@ -47,9 +60,12 @@
     }
 
     /** Records that a run ends. */
-    noteEnd(task: TaskRef, isDone: boolean): void {
+    noteEnd(task: TaskRef, isDone: boolean, hasFailed = false): void {
         const key = formatTaskKey(task);
         this.activeRunCounts.set(key, (this.activeRunCounts.get(key) ?? 1) - 1);
+        if (hasFailed) {
+            this.failureCounts.set(key, (this.failureCounts.get(key) ?? 0) + 1);
+        }
         if (isDone) {
             this.completedTasks.add(key);
         }
@@ -63,10 +79,19 @@
      */
     noteAcknowledged(task: TaskRef, startCount: number | undefined): void {
         const key = formatTaskKey(task);
-        if (startCount !== undefined && !this.acknowledgedTasks.has(key) && this.countStarts(task) > startCount) {
+        if (
+            !this.isSpeculative(task) && startCount !== undefined && !this.acknowledgedTasks.has(key)
+            && this.countStarts(task) > startCount
+        ) {
             this.addViolation(`${key} was started after an end as done that is acknowledged now`, key);
         }
-        this.acknowledgedTasks.add(key);
+        this.acknowledgedTasks.set(key, Math.min(this.getNow(), this.acknowledgedTasks.get(key) ?? Infinity));
+    }
+
+    /** Records that a coordinator acknowledged the end of a failed run. */
+    noteFailureAcknowledged(task: TaskRef): void {
+        const key = formatTaskKey(task);
+        this.acknowledgedFailureCounts.set(key, (this.acknowledgedFailureCounts.get(key) ?? 0) + 1);
     }
 
     /** Returns how many runs of a task have started so far. */
--- a/packages/plan-starts/src/countTasksPerWorker.ts
+++ b/packages/plan-starts/src/countTasksPerWorker.ts
@@ -11,7 +11,8 @@
     if (step.spec.maxTasksPerWorker === 0) {
         return counts;
     }
-    const activeWorkerIds = [...step.listKnown()].filter(task => task.isActive).map(task => task.workerId);
+    const activeWorkerIds = [...step.listKnown()].flatMap(task => task.copy === undefined ? [task] : [task, task.copy])
+        .filter(task => task.isActive).map(task => task.workerId);
     [...activeWorkerIds, ...plannedWorkerIds].forEach(workerId =>
         counts.set(workerId, (counts.get(workerId) ?? 0) + 1)
     );
--- a/packages/plan-starts/src/index.ts
+++ b/packages/plan-starts/src/index.ts
@@ -1,10 +1,12 @@
 export { allocateCapacity } from "./allocateCapacity.js";
 export { compareDemands } from "./compareDemands.js";
+export { countTasksPerWorker } from "./countTasksPerWorker.js";
 export { explainWait } from "./explainWait.js";
 export { hasCapacity } from "./hasCapacity.js";
 export { hasOneAttemptLeft } from "./hasOneAttemptLeft.js";
 export { isAllowedOn } from "./isAllowedOn.js";
 export { isInterrupted } from "./isInterrupted.js";
+export { isStepLimitReached } from "./isStepLimitReached.js";
 export type { PlacementView } from "./placementView.js";
 export type { PlannedStart } from "./plannedStart.js";
 export { planStarts } from "./planStarts.js";
--- a/packages/track-jobs/src/applyRunEnd.ts
+++ b/packages/track-jobs/src/applyRunEnd.ts
@@ -12,6 +12,8 @@
      * without recording it, so that its successor gave the number once more. The active run goes on.
      */
     readonly isDuplicate?: boolean;
+    /** Whether the run was a copy of the task, so that its end leaves the task's own run alone unless it is done. */
+    readonly isCopy?: boolean;
 }
 
 /**
@@ -25,7 +27,7 @@
     if (task.phase === TaskPhase.Done) {
         return;
     }
-    const isNewest = reported.run >= task.run && reported.isDuplicate !== true;
+    const isNewest = reported.run >= task.run && reported.isDuplicate !== true && reported.isCopy !== true;
     if (reported.end === RunEnd.Done && !task.step.spec.longRunning) {
         finishTask(task);
         finishOccurrence(task, wallNowMs);
--- a/packages/track-jobs/src/encodeTaskRows.ts
+++ b/packages/track-jobs/src/encodeTaskRows.ts
@@ -34,7 +34,9 @@
     if (task.phase === TaskPhase.Done) {
         return [task.index, TaskPhase.Done, task.run];
     }
-    const phase = task.isActive ? TaskPhase.Ordered : TaskPhase.Waiting;
+    const { copy } = task;
+    const newest = copy !== undefined && copy.isActive && copy.run > task.run ? copy : task;
+    const phase = newest.isActive ? TaskPhase.Ordered : TaskPhase.Waiting;
     const checkpoint = hasCheckpoints ? task.checkpoint : "";
-    return [task.index, phase, task.run, [...task.failedRuns], task.workerId, checkpoint];
+    return [task.index, phase, newest.run, [...task.failedRuns], newest.workerId, checkpoint];
 }
--- a/packages/track-jobs/src/stepRun.ts
+++ b/packages/track-jobs/src/stepRun.ts
@@ -174,6 +174,19 @@
         job.noteChanged();
     }
 
+    /** Updates the active runs for a copy that has changed its phase; a copy that isn't active any more is dropped. */
+    noteCopyPhase(copy: Task, before: TaskPhase, after: TaskPhase): void {
+        const { job } = this.occurrence;
+        job.noteActive(Number(isActivePhase(after)) - Number(isActivePhase(before)));
+        if (isActivePhase(before) !== isActivePhase(after)) {
+            this.noteRecordChanged(copy.index);
+        }
+        if (!isActivePhase(after) && copy.original?.copy === copy) {
+            copy.original.copy = undefined;
+        }
+        job.noteChanged();
+    }
+
     private findUnknown(): number {
         while (this.known.has(this.nextUnknown) || this.forgotten.has(this.nextUnknown)) {
             this.nextUnknown = this.forgotten.findMissingFrom(this.nextUnknown + 1);
--- a/packages/track-jobs/src/task.ts
+++ b/packages/track-jobs/src/task.ts
@@ -44,11 +44,20 @@
     isStartUnconfirmed = false;
     /** Last reported measurement: tail latency in milliseconds of a serving task, otherwise CPU usage in millicores. */
     measurement = 0;
+    /** The active copy of the task: a second run beside the task's own; only in speculative steps. */
+    copy: Task | undefined;
+    /** Number of the newest copy; 0 if the task has had none in this term. */
+    lastCopyRun = 0;
     private currentPace = FULL_PERCENT;
     /** When the pace was last changed, in steady milliseconds. */
     pacedAtMs = 0;
 
-    constructor(readonly step: StepRun, readonly index: number) {}
+    /**
+     * @param step The step.
+     * @param index Index of the task in the step.
+     * @param original The task of which this is a copy, that is, another run; undefined for a task of the step.
+     */
+    constructor(readonly step: StepRun, readonly index: number, readonly original?: Task) {}
 
     /** Creates a task that stands for a done one of which the step keeps no object. No reported run is newer. */
     static createForgotten(step: StepRun, index: number): Task {
@@ -67,7 +76,12 @@
         const before = this.currentPhase;
         if (phase !== before) {
             this.currentPhase = phase;
-            this.step.notePhase(this, before, phase);
+            if (this.original === undefined) {
+                this.step.notePhase(this, before, phase);
+            }
+            else {
+                this.step.noteCopyPhase(this, before, phase);
+            }
         }
     }
 
@@ -83,7 +97,7 @@
         if (isNew) {
             this.step.noteRecordChanged(this.index);
         }
-        if (change !== 0) {
+        if (change !== 0 && this.original === undefined) {
             this.step.occurrence.noteStarted(change);
         }
     }
