--- a/packages/coordinate-work/src/planning/planningRound.ts
+++ b/packages/coordinate-work/src/planning/planningRound.ts
@@ -1,8 +1,14 @@
 import { formatTaskKey } from "@sardinestage/describe-work";
 import type { StartRules, StepDemand, WorkerCapacity } from "@sardinestage/plan-starts";
-import { computePackingScore, planStarts, ReservationPlanner } from "@sardinestage/plan-starts";
+import { computePackingScore, planStarts, ReservationPlanner, WorkerTrust } from "@sardinestage/plan-starts";
 import type { StepRun, Task } from "@sardinestage/track-jobs";
-import { applyRunStart, computeCriticalPath, computeRemainingCriticalPath, TaskPhase } from "@sardinestage/track-jobs";
+import {
+    applyRunStart,
+    chooseNextRun,
+    computeCriticalPath,
+    computeRemainingCriticalPath,
+    TaskPhase,
+} from "@sardinestage/track-jobs";
 import type { CoordinatorParts } from "../coordinatorParts.js";
 import { IdleReason } from "../idle/idleReason.js";
 import { IdleTaskReporter } from "../idle/idleTaskReporter.js";
@@ -22,6 +28,7 @@
 import { CapacityReservations } from "./capacityReservations.js";
 import { CapacityShares } from "./capacityShares.js";
 import { CapacityTable } from "./capacityTable.js";
+import { CopyStarter } from "./copyStarter.js";
 import { DemandSelector } from "./demandSelector.js";
 import { estimateRunEnd } from "./estimateRunEnd.js";
 import { listEvacuatedCapacities } from "./listEvacuatedCapacities.js";
@@ -53,6 +60,8 @@
  */
 const MAX_BEST_EFFORT_WAIT_MS = 2000;
 
+/** Workers on which tasks take more than this many times as long as expected are avoided while others have room. */
+const MAX_SLOWNESS = 2;
 /** Placements use the headroom predicted this far ahead, in milliseconds: a task takes this long to start and load. */
 const PLACEMENT_LOOKAHEAD_MS = 1500;
 
@@ -92,6 +101,7 @@
     private readonly reservationPlanner: ReservationPlanner;
     /** The rules by which capacity is planned ahead; empty if it isn't. */
     private readonly aheadRules: Pick<StartRules, "computeScore" | "reservations">;
+    private readonly copies: CopyStarter;
 
     constructor(private readonly parts: CoordinatorParts, private readonly collaborators: PlanningRoundParts) {
         this.reservationReporter = new ReservationReporter(parts, () => this.reservationPlanner.count);
@@ -115,6 +125,11 @@
         this.aheadRules = parts.rules.features.reservesCapacity
             ? { computeScore: computePackingScore, reservations: reservationPlanner }
             : {};
+        this.copies = new CopyStarter(parts, {
+            ...collaborators,
+            sendWhenRecorded: (copy, workerId) =>
+                collaborators.writer.runWhenRecorded(() => this.sendStart(copy, copy.run, workerId), true),
+        });
         this.preemption = new PreemptionController(parts, {
             ...collaborators,
             reservations: this.reservations,
@@ -149,17 +164,12 @@
             this.waitExplainer.noteHeldBack();
         }
         if (steps.length === 0 || maxStarts <= 0) {
+            if (steps.length === 0) {
+                this.copies.startCopies([], () => this.listCapacities(nowMs));
+            }
             return nextDueMs;
         }
-        const capacities = this.capacityTable.updateCapacities(
-            this.collaborators.fleet.workers.values(),
-            nowMs,
-            worker => computeStartsLeft(worker, nowMs),
-            task => this.collaborators.headroomTracker.estimatePlacementHeadroom(task, nowMs + PLACEMENT_LOOKAHEAD_MS),
-            this.parts.rules.features.reservesCapacity
-                ? task => estimateRunEnd(task, this.estimateDuration(task.step), nowMs)
-                : undefined,
-        );
+        const capacities = this.listCapacities(nowMs);
         const isBusy = computeReservedShare(capacities) >= BUSY_SHARE;
         const waiting = steps.map(ready => this.buildDemand(ready));
         this.shares?.updateRanks(waiting, capacities, nowMs);
@@ -172,6 +182,7 @@
             isAdvised: (task, workerId) => this.collaborators.advice.isAdvised(task, workerId),
             describePlacement: (capacity, spec) => this.collaborators.placementScorer.describePlacement(capacity, spec),
             ...this.aheadRules,
+            ...this.buildFeatureRules(nowMs),
         };
         rules.reservations?.startRound(capacities, nowMs);
         const plan = planStarts(demands, capacities, rules);
@@ -193,6 +204,9 @@
         this.preemption.runPreemption(plan.unmet, capacities, planningStartedAtMs);
         this.unusedTasks.noteListed(demands.map(demand => demand.step));
         const isPartial = demands.length < waiting.length;
+        if (!isPartial && !this.isStartLimited) {
+            this.copies.startCopies(plan.unmet, () => capacities);
+        }
         return isPartial ? clock.getWallTime() : nextDueMs;
     }
 
@@ -208,6 +222,33 @@
         this.shares?.reportIdle(nowMs);
     }
 
+    private listCapacities(nowMs: number): WorkerCapacity[] {
+        return this.capacityTable.updateCapacities(
+            this.collaborators.fleet.workers.values(),
+            nowMs,
+            worker => computeStartsLeft(worker, nowMs),
+            task => this.collaborators.headroomTracker.estimatePlacementHeadroom(task, nowMs + PLACEMENT_LOOKAHEAD_MS),
+            this.parts.rules.features.reservesCapacity
+                ? task => estimateRunEnd(task, this.estimateDuration(task.step), nowMs)
+                : undefined,
+        );
+    }
+
+    private buildFeatureRules(nowMs: number): Partial<StartRules> {
+        const { workers } = this.collaborators.fleet;
+        const { copiesSlowTasks, protectsLastAttempts } = this.parts.rules.features;
+        const isSlow = (workerId: string) =>
+            (workers.get(workerId)?.slowness.estimateSlowness(nowMs) ?? 1) > MAX_SLOWNESS;
+        const trustRules: Partial<StartRules> = {
+            estimateTrust: workerId => workers.get(workerId)?.recentEnds.estimateTrust(nowMs) ?? WorkerTrust.Unknown,
+            getProvenAt: workerId => workers.get(workerId)?.recentEnds.provenAtMs ?? -Infinity,
+        };
+        return {
+            ...(copiesSlowTasks || protectsLastAttempts) && { isSlow },
+            ...protectsLastAttempts && trustRules,
+        };
+    }
+
     private explainWaiting(step: StepRun): IdleReason {
         if (!this.mayStart) {
             return IdleReason.StartGateClosed;
@@ -272,7 +313,7 @@
     private chooseRun(task: Task): number {
         const { step } = task;
         if (!step.spec.gang) {
-            return task.run + 1;
+            return chooseNextRun(task);
         }
         let highestRun = 0;
         for (const member of step.listKnown()) {
--- a/packages/emulate-platform/src/emulatedWorker.ts
+++ b/packages/emulate-platform/src/emulatedWorker.ts
@@ -140,7 +140,8 @@
         if (!this.hasRoom(order.task)) {
             return OrderOutcome.NoRoom;
         }
-        const duration = this.getDuration(order.task, order.run);
+        const usual = this.getDuration(order.task, order.run);
+        const duration = this.traits.changeDuration?.(usual) ?? usual;
         const end = duration < 0 ? RunEnd.Failed : RunEnd.Done;
         const cancelEnd = this.clock.schedule(Math.abs(duration), () => this.finishRun(key, end));
         this.runs.set(key, {
@@ -188,6 +189,9 @@
             if (ended.end === RunEnd.Done) {
                 this.invariantChecker.noteAcknowledged(ended.task, this.startCounts.get(ended.number));
             }
+            if (ended.end === RunEnd.Failed) {
+                this.invariantChecker.noteFailureAcknowledged(ended.task);
+            }
             this.startCounts.delete(ended.number);
         }
         this.unacknowledgedEnds = this.unacknowledgedEnds.filter(ended => ended.number > order.lastRecordedEnd);
@@ -270,7 +274,7 @@
             end,
             checkpoint: run.checkpoint,
         });
-        this.invariantChecker.noteEnd(run.task, end === RunEnd.Done);
+        this.invariantChecker.noteEnd(run.task, end === RunEnd.Done, end === RunEnd.Failed);
         this.waiters.forEach(wake => wake());
     }
 
