--- a/packages/coordinate-work/src/planning/planningRound.ts
+++ b/packages/coordinate-work/src/planning/planningRound.ts
@@ -1,21 +1,13 @@
 import { formatTaskKey } from "@sardinestage/describe-work";
 import type { StartRules, StepDemand, WorkerCapacity } from "@sardinestage/plan-starts";
-import { computePackingScore, planStarts, ReservationPlanner, WorkerTrust } from "@sardinestage/plan-starts";
+import { computePackingScore, planStarts, ReservationPlanner } from "@sardinestage/plan-starts";
 import type { StepRun, Task } from "@sardinestage/track-jobs";
-import {
-    applyRunStart,
-    chooseNextRun,
-    computeCriticalPath,
-    computeRemainingCriticalPath,
-    TaskPhase,
-} from "@sardinestage/track-jobs";
+import { applyRunStart, chooseNextRun, TaskPhase } from "@sardinestage/track-jobs";
 import type { CoordinatorParts } from "../coordinatorParts.js";
 import { IdleReason } from "../idle/idleReason.js";
 import { IdleTaskReporter } from "../idle/idleTaskReporter.js";
-import { computeDueAge } from "../jobs/computeDueAge.js";
 import type { DurationEstimator } from "../jobs/durationEstimator.js";
 import type { JobRegistry } from "../jobs/jobRegistry.js";
-import type { ReadyList } from "../jobs/readyList.js";
 import { limits } from "../limits.js";
 import type { OrderSender } from "../orders/orderSender.js";
 import type { HeadroomTracker } from "../pace/headroomTracker.js";
@@ -25,10 +17,12 @@
 import { computeStartsLeft } from "../workers/computeStartsLeft.js";
 import type { Fleet } from "../workers/fleet.js";
 import type { AdviceCache } from "./adviceCache.js";
+import { buildWorkerRules } from "./buildWorkerRules.js";
 import { CapacityReservations } from "./capacityReservations.js";
 import { CapacityShares } from "./capacityShares.js";
 import { CapacityTable } from "./capacityTable.js";
 import { CopyStarter } from "./copyStarter.js";
+import { DemandBuilder } from "./demandBuilder.js";
 import { DemandSelector } from "./demandSelector.js";
 import { estimateRunEnd } from "./estimateRunEnd.js";
 import { listEvacuatedCapacities } from "./listEvacuatedCapacities.js";
@@ -40,9 +34,6 @@
 import { WaitReporter } from "./waitReporter.js";
 import { WaitSummary } from "./waitSummary.js";
 
-/** A job's result is worth nothing once the job takes longer than this many times its allowed duration. */
-const USELESS_AFTER_FACTOR = 3;
-
 /** The most best-effort tasks that one round stops in order to move them. */
 const MAX_MOVES_PER_ROUND = 4;
 /** A best-effort task at this pace or below counts as throttled, in percent of full speed. */
@@ -60,8 +51,6 @@
  */
 const MAX_BEST_EFFORT_WAIT_MS = 2000;
 
-/** Workers on which tasks take more than this many times as long as expected are avoided while others have room. */
-const MAX_SLOWNESS = 2;
 /** Placements use the headroom predicted this far ahead, in milliseconds: a task takes this long to start and load. */
 const PLACEMENT_LOOKAHEAD_MS = 1500;
 
@@ -81,7 +70,6 @@
 
 /** Runs planning rounds: matches waiting tasks with free capacity, records the starts and sends the start orders. */
 export class PlanningRound {
-    private readonly readyAtMs = new WeakMap<StepRun, number>();
     private readonly demandSelector: DemandSelector;
     private readonly waitReporter: WaitReporter;
     private readonly waitExplainer: WaitExplainer;
@@ -102,6 +90,7 @@
     /** The rules by which capacity is planned ahead; empty if it isn't. */
     private readonly aheadRules: Pick<StartRules, "computeScore" | "reservations">;
     private readonly copies: CopyStarter;
+    private readonly demandBuilder: DemandBuilder;
 
     constructor(private readonly parts: CoordinatorParts, private readonly collaborators: PlanningRoundParts) {
         this.reservationReporter = new ReservationReporter(parts, () => this.reservationPlanner.count);
@@ -109,6 +98,7 @@
             estimateDuration: step => this.estimateDuration(step),
             noteOutcome: (outcome, reservation) => this.reservationReporter.noteOutcome(outcome, reservation),
         });
+        this.demandBuilder = new DemandBuilder(parts.clock, collaborators.durations, this.reservations);
         this.waitReporter = new WaitReporter(parts.logger);
         this.waitSummary = new WaitSummary(parts);
         this.waitExplainer = new WaitExplainer(() => collaborators.fleet.workers.values());
@@ -171,7 +161,7 @@
         }
         const capacities = this.listCapacities(nowMs);
         const isBusy = computeReservedShare(capacities) >= BUSY_SHARE;
-        const waiting = steps.map(ready => this.buildDemand(ready));
+        const waiting = steps.map(ready => this.demandBuilder.buildDemand(ready));
         this.shares?.updateRanks(waiting, capacities, nowMs);
         const demands = this.demandSelector.pickDemands(waiting);
         this.collaborators.placementScorer.startRound();
@@ -182,7 +172,7 @@
             isAdvised: (task, workerId) => this.collaborators.advice.isAdvised(task, workerId),
             describePlacement: (capacity, spec) => this.collaborators.placementScorer.describePlacement(capacity, spec),
             ...this.aheadRules,
-            ...this.buildFeatureRules(nowMs),
+            ...buildWorkerRules(this.collaborators.fleet.workers, this.parts.rules.features, nowMs),
         };
         rules.reservations?.startRound(capacities, nowMs);
         const plan = planStarts(demands, capacities, rules);
@@ -234,21 +224,6 @@
         );
     }
 
-    private buildFeatureRules(nowMs: number): Partial<StartRules> {
-        const { workers } = this.collaborators.fleet;
-        const { copiesSlowTasks, protectsLastAttempts } = this.parts.rules.features;
-        const isSlow = (workerId: string) =>
-            (workers.get(workerId)?.slowness.estimateSlowness(nowMs) ?? 1) > MAX_SLOWNESS;
-        const trustRules: Partial<StartRules> = {
-            estimateTrust: workerId => workers.get(workerId)?.recentEnds.estimateTrust(nowMs) ?? WorkerTrust.Unknown,
-            getProvenAt: workerId => workers.get(workerId)?.recentEnds.provenAtMs ?? -Infinity,
-        };
-        return {
-            ...(copiesSlowTasks || protectsLastAttempts) && { isSlow },
-            ...protectsLastAttempts && trustRules,
-        };
-    }
-
     private explainWaiting(step: StepRun): IdleReason {
         if (!this.mayStart) {
             return IdleReason.StartGateClosed;
@@ -256,36 +231,6 @@
         return this.parts.hasAuthority() ? this.waitExplainer.explainWaiting(step) : IdleReason.NoAuthority;
     }
 
-    private buildDemand(ready: ReadyList["steps"][number]): StepDemand {
-        const { step } = ready;
-        const { occurrence } = step;
-        const { queue } = occurrence.job;
-        const estimate = (spec: StepRun["spec"]) => this.collaborators.durations.estimateDuration(queue.name, spec);
-        const remainingMs = computeRemainingCriticalPath(occurrence, estimate);
-        const criticalPathMs = computeCriticalPath(occurrence, each => estimate(each.spec));
-        const objectiveMs = queue.stretch * criticalPathMs + queue.targetLatencyMs;
-        const nowMs = this.parts.clock.getNow();
-        const readyAtMs = this.readyAtMs.get(step) ?? nowMs;
-        this.readyAtMs.set(step, readyAtMs);
-        const wallNowMs = this.parts.clock.getWallTime();
-        const elapsedMs = wallNowMs - occurrence.dueMs;
-        // A takeover doesn't begin the wait of long-running tasks anew.
-        const dueAgeMs = step.spec.longRunning ? computeDueAge(step, wallNowMs) : 0;
-        return {
-            step,
-            // Listed only for the demands that the round comes to.
-            get waiting() {
-                return ready.waiting;
-            },
-            isStarted: occurrence.isStarted,
-            remainingMs,
-            waitedMs: Math.max(nowMs - readyAtMs, dueAgeMs),
-            slackMs: objectiveMs - elapsedMs - remainingMs,
-            reservedWorkerIds: this.reservations.list(step, nowMs),
-            lateSlackMs: objectiveMs * USELESS_AFTER_FACTOR - elapsedMs - remainingMs,
-        };
-    }
-
     private estimateDuration({ spec, occurrence }: StepRun): number {
         return this.collaborators.durations.estimateDuration(occurrence.job.queue.name, spec);
     }
