Copies: look for a reported copy without building keys

Reports are compared many times a second. The key of a reported run is built only beside a copy with its number, and waiting tasks are sorted only if one of them has a single attempt left.

69 tests of runs, copies, last attempts and plan-starts pass.

--- a/packages/coordinate-work/src/runs/copyTracker.ts
+++ b/packages/coordinate-work/src/runs/copyTracker.ts
@@ -23,10 +23,15 @@
         if (!this.parts.rules.features.copiesSlowTasks) {
             return undefined;
         }
-        const key = formatTaskKey(row.task);
-        return [...worker.tasks].find(task =>
-            task.original !== undefined && task.run === row.run && formatTaskKey(task.ref) === key
-        );
+        for (const task of worker.tasks) {
+            if (
+                task.original !== undefined && task.run === row.run
+                && formatTaskKey(task.ref) === formatTaskKey(row.task)
+            ) {
+                return task;
+            }
+        }
+        return undefined;
     }
 
     /** Applies the end of a copy, or of the run that a copy has outrun. The first end as done counts. */
--- a/packages/plan-starts/src/planTasks.ts
+++ b/packages/plan-starts/src/planTasks.ts
@@ -72,7 +72,7 @@
 
 /** Lists the tasks with one attempt left first, which have the smallest choice of workers. */
 function listByAttemptsLeft(tasks: readonly Task[], { estimateTrust }: StartRules): readonly Task[] {
-    return estimateTrust === undefined
+    return estimateTrust === undefined || !tasks.some(hasOneAttemptLeft)
         ? tasks
         : [...tasks].sort((left, right) => Number(hasOneAttemptLeft(right)) - Number(hasOneAttemptLeft(left)));
 }
