--- a/packages/limit-callers/src/growingBuffer.ts
+++ b/packages/limit-callers/src/growingBuffer.ts
@@ -36,10 +36,16 @@
             return false;
         }
         // A part of a larger buffer would keep all of it.
-        if (chunk.length >= MIN_KEPT_BYTES && chunk.buffer.byteLength <= chunk.length * 2) {
+        const isWhole = chunk.buffer.byteLength <= chunk.length * 2;
+        if (isWhole && chunk.length >= MIN_KEPT_BYTES) {
             this.finishBlock();
             this.addPart(chunk);
         }
+        else if (isWhole && this.block === undefined) {
+            // Most bodies are one small chunk, which is kept without a copy. It is full, so that nothing is added to it.
+            this.block = chunk;
+            this.blockBytes = chunk.length;
+        }
         else {
             this.appendChunk(chunk);
         }
