--- a/packages/plan-starts/src/computePackingScore.ts
+++ b/packages/plan-starts/src/computePackingScore.ts
@@ -18,8 +18,11 @@
 const TOLERATED_LATENCY_RATIO = 0.65;
 /** Weight of the latency ratio above `TOLERATED_LATENCY_RATIO`. */
 const LATENCY_RATIO_PENALTY = 4;
-/** Prefers serving tasks of the same sensitivity to interference among workers whose remainders differ by one core. */
-const SIMILAR_SENSITIVITY_BONUS = 0.02;
+/**
+ * Weight of the share of the worker's serving tasks with the same sensitivity to interference. Above the largest
+ * difference between two remainders: best-effort tasks find no worker where sensitive tasks are spread over all workers.
+ */
+const SIMILAR_SENSITIVITY_BONUS = 3;
 
 /**
  * Scores the placement of one task of a step on a worker so that free capacity stays in large pieces; the highest score
