Copies: apply the outcome of a start that is under way as a copy ends

When a copy ends as done, another object stands for the task's own run until it is stopped. A start of that run that was still under way left this object marked as such for ever, since its outcome was applied to the task only. No report could then show the run as lost: its capacity counted on the worker and its job stayed open for the rest of the term.

The outcome is now applied to the object that stands for the run.

--- a/packages/coordinate-work/src/orders/orderSender.ts
+++ b/packages/coordinate-work/src/orders/orderSender.ts
@@ -158,9 +158,10 @@
             const fields = { task: formatTaskKey(task.ref), run, worker: worker.entry.id, tookMs };
             this.parts.logger.warn("start-unanswered", fields);
         }
-        if (task.run === run && task.isActive) {
-            task.isStartUnderWay = false;
-            this.applyStartOutcome(task, worker, outcome, fence);
+        const started = findStarted(task, run, worker);
+        if (started !== undefined) {
+            started.isStartUnderWay = false;
+            this.applyStartOutcome(started, worker, outcome, fence);
         }
     }
 
@@ -241,3 +242,11 @@
         return false;
     }
 }
+
+/** Finds the object that stands for a run: another than the task's own if a copy ended as done meanwhile. */
+function findStarted(task: Task, run: number, worker: TrackedWorker): Task | undefined {
+    if (task.phase === TaskPhase.Done) {
+        return [...worker.tasks].find(({ original, run: other }) => original === task && other === run);
+    }
+    return task.run === run && task.isActive ? task : undefined;
+}
--- a/packages/coordinate-work/src/runs/copyTracker.test.ts
+++ b/packages/coordinate-work/src/runs/copyTracker.test.ts
@@ -93,6 +93,20 @@
         await checkEnd(harness, JobState.Completed);
     });
 
+    // Guards against a run that counts on its worker for the rest of the term, and a job that stays open as long.
+    it("is closed although the start of its own next run was under way as the copy ended", async () => {
+        const harness = await startCopy([-1500, 900, FOREVER_MS]);
+        const { faults } = harness.fleet;
+        await harness.clock.runFor(100);
+        Object.assign(faults, { delayedShare: 1, minDelayMs: 60_000, maxDelayMs: 60_000 });
+        await harness.clock.runFor(700);
+        faults.delayedShare = 0;
+        await checkEnd(harness, JobState.Completed);
+        expect(hasEvent(harness, "start-unanswered")).toBe(true);
+        const summary = harness.events.filter(event => event.includes("fleet-summary")).at(-1);
+        expect(summary).toContain(`"jobs":1,"waiting":0,"tasks":${BACKGROUND_TASKS}`);
+    });
+
     it("has a copy that would start late prevented or stopped", async () => {
         const harness = await startCopy([2000, FOREVER_MS]);
         const { faults } = harness.fleet;
