Copies: skip the look-up of a worker for runs that are no copies

stopUnneeded is called with each run of each report, also where copies are off, and looked the run's worker up before it saw that the run is no copy. The order of the checks is turned round; what they decide is the same. Not measured: one look-up in a map a run and report is saved. copyTracker.test.js passes.

--- a/packages/coordinate-work/src/runs/copyTracker.ts
+++ b/packages/coordinate-work/src/runs/copyTracker.ts
@@ -59,8 +59,12 @@
 
     /** Stops a copy, or the run that a copy has outrun, if its task is done. */
     stopUnneeded(copy: Task | undefined): void {
-        const worker = copy === undefined ? undefined : this.collaborators.findWorker(copy.workerId);
-        if (worker !== undefined && copy?.original?.phase === TaskPhase.Done) {
+        // Called with each run of each report, almost none of which is a copy.
+        if (copy?.original?.phase !== TaskPhase.Done) {
+            return;
+        }
+        const worker = this.collaborators.findWorker(copy.workerId);
+        if (worker !== undefined) {
             this.collaborators.orders.sendStop(copy, worker, "copy-unneeded");
         }
     }
