Last attempts: take a proven worker that is slow instead of waiting

A task with one attempt left that found room only on workers it doesn't trust was held back without a look at slow workers, which are left out at first. It waited until its job was nearly useless, and then started on any worker, also a suspect one, although a proven slow one had room all the time. Slow workers are now looked at before a task is held back; other tasks of the step go on to avoid them.

--- a/packages/plan-starts/src/planTasks.ts
+++ b/packages/plan-starts/src/planTasks.ts
@@ -51,10 +51,13 @@
     const startable = listByAttemptsLeft(waiting.slice(0, rules.maxStarts - starts.length), rules);
     const isMet = startable.every(task => {
         let index = take(task);
-        if (index === undefined && avoidsSlow) {
+        if (avoidsSlow && (index === undefined || index === HELD_BACK)) {
+            // A last attempt takes a trusted slow worker rather than wait. Other tasks go on to avoid slow ones meanwhile.
+            const wasHeldBack = index === HELD_BACK;
             avoidsSlow = false;
             eligible.close();
             index = take(task);
+            avoidsSlow = wasHeldBack;
         }
         if (index === HELD_BACK) {
             return true;
--- a/packages/plan-starts/src/unevenWorkers.test.ts
+++ b/packages/plan-starts/src/unevenWorkers.test.ts
@@ -58,6 +58,18 @@
         expect(planLastAttempt(["newer"], useless, "newer").startsOn).toEqual(["newer"]);
     });
 
+    // Guards against a last attempt that waits, and then starts on a suspect worker, while a proven one has room.
+    it("takes a proven worker that is slow, while other tasks still avoid it", () => {
+        const demand = createDemand({ taskCount: 2 }, late, { maxAttempts: 2 });
+        demand.waiting[1].failedRuns.add(1);
+        const slowRules = { ...trustRules, isSlow: (id: string) => id === "newer" };
+        const workers = ["newer", "suspect"].map(id => createWorker(id));
+        expect(planStarts([demand], workers, slowRules).starts).toEqual([
+            { task: demand.waiting[1], workerId: "newer" },
+            { task: demand.waiting[0], workerId: "suspect" },
+        ]);
+    });
+
     it("counts as unmet if no worker has room, so that capacity is freed for it", () => {
         expect(planLastAttempt([], late)).toEqual({ startsOn: [], unmet: 1 });
     });
