stagectl explain: show where a job's tasks would start now, and why

Operators had no way to ask why a task waits or where a job would go without submitting it. It changes nothing that rounds use; an answer has at most 8 steps and 200 placed tasks, and comes at most every 250 ms. stagectl asks over the peer port of any VM.

reserveWorkers and ReservationPlanner.reserve ask for advice with the first waiting task instead of task 0 of the step, which is equal for all tasks of a step and creates no task.

With the reservation planner shared instead of copied, the test of unchanged state fails.

--- a/packages/accept-jobs/src/coordinatorCall.ts
+++ b/packages/accept-jobs/src/coordinatorCall.ts
@@ -1,13 +1,16 @@
 import type { KeyedRecord } from "@sardinestage/describe-ports";
+import type { JobSpec } from "@sardinestage/describe-work";
 import type { CoordinatorCallKind } from "./coordinatorCallKind.js";
 
 /** A call to the coordinator. Each kind of call sets only its own fields. */
 export interface CoordinatorCall {
     readonly kind: CoordinatorCallKind;
-    /** Id of the job, for `GetState` and `Cancel`. */
+    /** Id of the job, for `GetState`, `Cancel` and `Explain`. */
     readonly id?: string;
-    /** Name of the queue, for `GetPending`. */
+    /** Name of the queue, for `GetPending`, and for `Explain` of a job that isn't submitted. */
     readonly queue?: string;
+    /** The job that isn't submitted, for `Explain` without an id. */
+    readonly spec?: JobSpec;
     /** Records to append, for `Append`; none to find out whether the coordinator answers. */
     readonly records?: readonly KeyedRecord[];
     /** Whether a VM has passed the call on already, so that it isn't passed on again. */
--- a/packages/accept-jobs/src/coordinatorCallKind.ts
+++ b/packages/accept-jobs/src/coordinatorCallKind.ts
@@ -8,4 +8,6 @@
     Append = 3,
     /** Notifies the coordinator of a cancellation that is already in the store. */
     Cancel = 4,
+    /** Asks where the tasks of a job would start now, and why. */
+    Explain = 5,
 }
--- a/packages/accept-jobs/src/coordinatorReply.ts
+++ b/packages/accept-jobs/src/coordinatorReply.ts
@@ -1,5 +1,5 @@
 import type { AppendOutcome } from "@sardinestage/describe-ports";
-import type { JobState } from "@sardinestage/describe-work";
+import type { JobState, PlacementExplanation } from "@sardinestage/describe-work";
 
 /** The coordinator's reply. Each kind of call sets only its own fields. */
 export interface CoordinatorReply {
@@ -9,6 +9,8 @@
     readonly isUnsure?: boolean;
     /** Number of accepted jobs of the queue of which no task has run yet. */
     readonly pending?: number;
+    /** Where the tasks of the job would start. */
+    readonly explanation?: PlacementExplanation;
     /** Outcome of the append. */
     readonly outcome?: AppendOutcome;
     /** Set if the call wasn't sent, because no coordinator is known or the circuit is open. */
--- a/packages/accept-jobs/src/index.ts
+++ b/packages/accept-jobs/src/index.ts
@@ -6,5 +6,6 @@
 export type { JobStateAnswer } from "./jobStateAnswer.js";
 export { JobStateCache } from "./jobStateCache.js";
 export { JobStateReader } from "./jobStateReader.js";
+export { parseJobSpec } from "./parseJobSpec.js";
 export { RecordAppender } from "./recordAppender.js";
 export { SubmitOutcome } from "./submitOutcome.js";
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -2,6 +2,7 @@
 import { ErrorDetailSchema } from "@sardinestage/operator-rpc";
 import { Command } from "commander";
 import { addConfigCommand } from "./commands/config/index.js";
+import { addExplainCommand } from "./commands/explain/index.js";
 import { addLogbookCommand } from "./commands/logbook/index.js";
 import { addServiceCommand } from "./commands/service/index.js";
 import { addStatusCommand } from "./commands/status/index.js";
@@ -40,6 +41,7 @@
     addTaskCommand,
     addWorkerCommand,
     addLogbookCommand,
+    addExplainCommand,
 ];
 commandAdders.forEach(add => add(program, openClient));
 
--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -8,6 +8,7 @@
 import { CleanupTimer } from "./cleanupTimer.js";
 import type { CoordinatorParts } from "./coordinatorParts.js";
 import { describeProblem } from "./describeProblem.js";
+import { PlacementExplainer } from "./explaining/placementExplainer.js";
 import { countPending } from "./jobs/countPending.js";
 import { JobFinisher } from "./jobs/jobFinisher.js";
 import { JobIntake } from "./jobs/jobIntake.js";
@@ -56,6 +57,8 @@
     private readonly monitor: WorkerMonitor;
     private readonly fleet: Fleet;
     private readonly planningRound: PlanningRound;
+    /** Explains where the ready tasks of a job would start now, or why they wait. */
+    readonly explainer: PlacementExplainer;
     private readonly jobsFollower: TopicFollower;
     private readonly workersFollower: TopicFollower;
     private readonly finisher: JobFinisher;
@@ -118,8 +121,7 @@
             learned: this.learned,
             recordCleaner,
         });
-        const { headroom } = this.learned;
-        const headroomTracker = new HeadroomTracker(headroom);
+        const headroomTracker = new HeadroomTracker(this.learned.headroom);
         this.finisher = new JobFinisher(parts, {
             jobs: this.jobs,
             fleet: this.fleet,
@@ -129,7 +131,7 @@
             advice: this.advice,
             recordCleaner,
         });
-        this.pace = new PaceController(parts, this.orders, headroom, headroomTracker);
+        this.pace = new PaceController(parts, this.orders, this.learned.headroom, headroomTracker);
         this.planningRound = new PlanningRound(parts, {
             jobs: this.jobs,
             fleet: this.fleet,
@@ -138,10 +140,11 @@
             orders: this.orders,
             runs: this.runs,
             advice: this.advice,
-            placementScorer: new PlacementScorer(headroom),
+            placementScorer: new PlacementScorer(this.learned.headroom),
             headroomTracker,
             durations: this.learned.durations,
         });
+        this.explainer = new PlacementExplainer(parts.clock, this.jobs, this.fleet, this.planningRound, this.learned);
         this.jobsFollower = new TopicFollower({
             ...parts,
             ...followedTopics.jobs,
--- a/packages/coordinate-work/src/planning/demandBuilder.ts
+++ b/packages/coordinate-work/src/planning/demandBuilder.ts
@@ -20,8 +20,15 @@
         private readonly reservations: CapacityReservations,
     ) {}
 
-    /** Builds the demand of a step that has waiting tasks. */
+    /** Builds the demand of a step that has waiting tasks, and notes since when the step is ready. */
     buildDemand(ready: ReadyList["steps"][number]): StepDemand {
+        const { step } = ready;
+        this.readyAtMs.set(step, this.readyAtMs.get(step) ?? this.clock.getNow());
+        return this.describeDemand(ready);
+    }
+
+    /** Describes the demand of a step that has waiting tasks, without changing anything. */
+    describeDemand(ready: ReadyList["steps"][number]): StepDemand {
         const { step } = ready;
         const { occurrence } = step;
         const { queue } = occurrence.job;
@@ -31,7 +38,6 @@
         const objectiveMs = queue.stretch * criticalPathMs + queue.targetLatencyMs;
         const nowMs = this.clock.getNow();
         const readyAtMs = this.readyAtMs.get(step) ?? nowMs;
-        this.readyAtMs.set(step, readyAtMs);
         const wallNowMs = this.clock.getWallTime();
         const elapsedMs = wallNowMs - occurrence.dueMs;
         // A takeover doesn't begin the wait of long-running tasks anew.
--- a/packages/coordinate-work/src/planning/planningRound.ts
+++ b/packages/coordinate-work/src/planning/planningRound.ts
@@ -8,6 +8,7 @@
 import { IdleTaskReporter } from "../idle/idleTaskReporter.js";
 import type { DurationEstimator } from "../jobs/durationEstimator.js";
 import type { JobRegistry } from "../jobs/jobRegistry.js";
+import type { ReadyStep } from "../jobs/readyStep.js";
 import { limits } from "../limits.js";
 import type { OrderSender } from "../orders/orderSender.js";
 import type { HeadroomTracker } from "../pace/headroomTracker.js";
@@ -17,14 +18,17 @@
 import { computeStartsLeft } from "../workers/computeStartsLeft.js";
 import type { Fleet } from "../workers/fleet.js";
 import type { AdviceCache } from "./adviceCache.js";
+import { buildWorkerCapacity } from "./buildWorkerCapacity.js";
 import { buildWorkerRules } from "./buildWorkerRules.js";
 import { CapacityReservations } from "./capacityReservations.js";
 import { CapacityShares } from "./capacityShares.js";
 import { CapacityTable } from "./capacityTable.js";
+import { chooseBestEffortWait } from "./chooseBestEffortWait.js";
 import { CopyStarter } from "./copyStarter.js";
 import { DemandBuilder } from "./demandBuilder.js";
 import { DemandSelector } from "./demandSelector.js";
 import { estimateRunEnd } from "./estimateRunEnd.js";
+import { isMovable } from "./isMovable.js";
 import { listEvacuatedCapacities } from "./listEvacuatedCapacities.js";
 import type { PlacementScorer } from "./placementScorer.js";
 import { PreemptionController } from "./preemptionController.js";
@@ -36,20 +40,6 @@
 
 /** The most best-effort tasks that one round stops in order to move them. */
 const MAX_MOVES_PER_ROUND = 4;
-/** A best-effort task at this pace or below counts as throttled, in percent of full speed. */
-const THROTTLED_PERCENT = 20;
-/** A best-effort task that is throttled for this long is moved to another worker, in milliseconds. */
-const MIN_THROTTLED_MS = 800;
-/** A task without checkpoints starts over when it is moved, so it is moved only up to this progress, in percent. */
-const CHEAP_PROGRESS_PERCENT = 10;
-
-/** Reserved share of the fleet's processor from which the fleet is busy: best-effort tasks then wait without limit. */
-const BUSY_SHARE = 0.55;
-/**
- * How long a best-effort task waits for a placement that leaves serving tasks more headroom if the fleet isn't busy, in
- * milliseconds.
- */
-const MAX_BEST_EFFORT_WAIT_MS = 2000;
 
 /** Placements use the headroom predicted this far ahead, in milliseconds: a task takes this long to start and load. */
 const PLACEMENT_LOOKAHEAD_MS = 1500;
@@ -75,6 +65,8 @@
     private readonly waitExplainer: WaitExplainer;
     private readonly idleTasks: IdleTaskReporter;
     private mayStart = false;
+    /** The free capacity of the workers in the last round that planned starts. */
+    private lastCapacities: readonly WorkerCapacity[] = [];
     /** Whether the last round planned as many starts as it might, so that others may be possible. */
     private isStartLimited = false;
     private readonly waitSummary: WaitSummary;
@@ -160,7 +152,6 @@
             return nextDueMs;
         }
         const capacities = this.listCapacities(nowMs);
-        const isBusy = computeReservedShare(capacities) >= BUSY_SHARE;
         const waiting = steps.map(ready => this.demandBuilder.buildDemand(ready));
         this.shares?.updateRanks(waiting, capacities, nowMs);
         const demands = this.demandSelector.pickDemands(waiting);
@@ -168,7 +159,7 @@
         const planningStartedAtMs = clock.getNow();
         const rules: StartRules = {
             maxStarts,
-            maxBestEffortWaitMs: isBusy ? Infinity : MAX_BEST_EFFORT_WAIT_MS,
+            maxBestEffortWaitMs: chooseBestEffortWait(capacities),
             isAdvised: (task, workerId) => this.collaborators.advice.isAdvised(task, workerId),
             describePlacement: (capacity, spec) => this.collaborators.placementScorer.describePlacement(capacity, spec),
             ...this.aheadRules,
@@ -186,6 +177,7 @@
             nowMs,
             () => listEvacuatedCapacities(this.collaborators.fleet.workers.values(), nowMs),
         );
+        this.lastCapacities = capacities;
         this.waitExplainer.noteRound({ unmet: plan.unmet, capacities, rules, plannedAtMs: nowMs });
         this.isStartLimited = plan.starts.length >= maxStarts;
         plan.starts.forEach(({ task, workerId }) => this.startTask(task, workerId, nowMs));
@@ -212,16 +204,67 @@
         this.shares?.reportIdle(nowMs);
     }
 
+    /** Whether tasks may be started now. */
+    get canStart(): boolean {
+        return this.mayStart && this.parts.hasAuthority();
+    }
+
+    /**
+     * Describes the rules of a round for a plan that isn't carried out and may change nothing that rounds use.
+     *
+     * @param capacities The free capacity of the workers, built for this plan.
+     * @param scorer A scorer for this plan.
+     */
+    describeRules(capacities: readonly WorkerCapacity[], scorer: PlacementScorer, nowMs: number): StartRules {
+        const reservations = this.aheadRules.reservations?.createCopy();
+        return {
+            maxStarts: limits.maxStartsPerRound,
+            maxBestEffortWaitMs: chooseBestEffortWait(capacities),
+            isAdvised: (task, workerId) => this.collaborators.advice.isAdvised(task, workerId),
+            describePlacement: (capacity, spec) => scorer.describePlacement(capacity, spec),
+            ...this.aheadRules,
+            ...reservations === undefined ? {} : { reservations },
+            ...buildWorkerRules(this.collaborators.fleet.workers, this.parts.rules.features, nowMs),
+        };
+    }
+
+    /** Describes the demand of a step, with the time since rounds know that it is ready. */
+    describeDemand(ready: Pick<ReadyStep, "step" | "waiting">): StepDemand {
+        return this.demandBuilder.describeDemand(ready);
+    }
+
+    /** Builds the free capacity of the workers that may get a start now, for a plan that isn't carried out. */
+    buildCapacities(nowMs: number): readonly WorkerCapacity[] {
+        const reservedIds = new Set(
+            this.lastCapacities.filter(worker => worker.isReserved).map(({ workerId }) => workerId),
+        );
+        return [...this.collaborators.fleet.workers.values()]
+            .map(worker => ({ worker, startsLeft: computeStartsLeft(worker, nowMs) }))
+            .filter(({ startsLeft }) => startsLeft > 0)
+            .map(({ worker, startsLeft }) => ({
+                ...buildWorkerCapacity(worker, startsLeft, ...this.createEstimates(nowMs)),
+                isReserved: reservedIds.has(worker.entry.id),
+            }));
+    }
+
     private listCapacities(nowMs: number): WorkerCapacity[] {
         return this.capacityTable.updateCapacities(
             this.collaborators.fleet.workers.values(),
             nowMs,
             worker => computeStartsLeft(worker, nowMs),
-            task => this.collaborators.headroomTracker.estimatePlacementHeadroom(task, nowMs + PLACEMENT_LOOKAHEAD_MS),
+            ...this.createEstimates(nowMs),
+        );
+    }
+
+    /** Creates the estimates of a serving task's headroom and of a task's end, from which capacities are built. */
+    private createEstimates(nowMs: number): [(task: Task) => number | undefined, ((task: Task) => number)?] {
+        const { headroomTracker } = this.collaborators;
+        return [
+            task => headroomTracker.estimatePlacementHeadroom(task, nowMs + PLACEMENT_LOOKAHEAD_MS),
             this.parts.rules.features.reservesCapacity
                 ? task => estimateRunEnd(task, this.estimateDuration(task.step), nowMs)
                 : undefined,
-        );
+        ];
     }
 
     private explainWaiting(step: StepRun): IdleReason {
@@ -316,16 +359,3 @@
     const checkpoint = members.find(member => member.checkpoint !== "")?.checkpoint ?? "";
     members.forEach(member => member.checkpoint = checkpoint);
 }
-
-function isMovable(task: Task, nowMs: number): boolean {
-    const { spec } = task.step;
-    return spec.isBestEffort && task.phase === TaskPhase.Running && task.pace <= THROTTLED_PERCENT
-        && nowMs - Math.max(task.pacedAtMs, task.firstSeenAtMs) >= MIN_THROTTLED_MS
-        && (spec.savesProgress || task.percent <= CHEAP_PROGRESS_PERCENT);
-}
-
-function computeReservedShare(capacities: readonly WorkerCapacity[]): number {
-    const totalCpuMillis = capacities.reduce((sum, capacity) => sum + capacity.capacityCpuMillis, 0);
-    const freeCpuMillis = capacities.reduce((sum, capacity) => sum + capacity.freeCpuMillis, 0);
-    return totalCpuMillis === 0 ? 0 : 1 - freeCpuMillis / totalCpuMillis;
-}
--- a/packages/describe-work/src/index.ts
+++ b/packages/describe-work/src/index.ts
@@ -1,13 +1,17 @@
 export type { AdvicePolicy } from "./advicePolicy.js";
 export type { CallerLimits } from "./callerLimits.js";
 export type { Capacity } from "./capacity.js";
+export { ExplainOutcome } from "./explainOutcome.js";
 export { formatTaskKey } from "./formatTaskKey.js";
 export type { JobSpec } from "./jobSpec.js";
 export { JobState } from "./jobState.js";
 export type { OperatorConfig } from "./operatorConfig.js";
+export type { PlacementExplanation } from "./placementExplanation.js";
+export type { PlacementQuestion } from "./placementQuestion.js";
 export type { QueueConfig } from "./queueConfig.js";
 export { RunEnd } from "./runEnd.js";
 export type { ServiceConfig } from "./serviceConfig.js";
+export type { StepExplanation } from "./stepExplanation.js";
 export type { StepSpec } from "./stepSpec.js";
 export type { TaskRef } from "./taskRef.js";
 export type { UpkeepWave } from "./upkeepWave.js";
--- a/packages/errors/src/errorKind.ts
+++ b/packages/errors/src/errorKind.ts
@@ -18,5 +18,9 @@
     PeerRefusedConnection = "peer-refused-connection",
     FrameInvalid = "frame-invalid",
     FrameTooLarge = "frame-too-large",
+    UnknownJob = "unknown-job",
+    JobFinished = "job-finished",
+    NoCoordinator = "no-coordinator",
+    FileUnreadable = "file-unreadable",
     TooManyPending = "too-many-pending",
 }
--- a/packages/plan-starts/src/index.ts
+++ b/packages/plan-starts/src/index.ts
@@ -2,6 +2,7 @@
 export type { CapacityAhead } from "./capacityAhead.js";
 export { compareDemands } from "./compareDemands.js";
 export { computePackingScore } from "./computePackingScore.js";
+export { countRuledOut } from "./countRuledOut.js";
 export { countTasksPerWorker } from "./countTasksPerWorker.js";
 export { describeNeed } from "./describeNeed.js";
 export { explainWait } from "./explainWait.js";
--- a/packages/plan-starts/src/reservationPlanner.ts
+++ b/packages/plan-starts/src/reservationPlanner.ts
@@ -57,6 +57,13 @@
         return [...this.held.values()].reduce((sum, held) => sum + held.length, 0);
     }
 
+    /** Copies the planner for a plan that isn't carried out: what the copy reserves or gives up isn't reported. */
+    createCopy(): ReservationPlanner {
+        const copy = new ReservationPlanner({ ...this.parts, noteOutcome: () => undefined });
+        this.held.forEach((held, step) => copy.held.set(step, held));
+        return copy;
+    }
+
     /**
      * Starts a round: gives up reservations that have lapsed or whose worker gets no start now.
      *
@@ -272,7 +279,7 @@
                 && worker.startsLeft > 0 && isAllowedOn(step, worker)
                 && lapsedIds?.has(worker.workerId) !== true
                 && !isStepLimitReached(step.spec, perWorker.get(worker.workerId))
-                && rules.isAdvised(step.getTask(0), worker.workerId);
+                && rules.isAdvised(demand.waiting[0], worker.workerId);
             return isUsable ? describeForecast(worker, worker.ahead?.reservations ?? []) : undefined;
         });
     }
--- a/packages/plan-starts/src/reserveWorkers.ts
+++ b/packages/plan-starts/src/reserveWorkers.ts
@@ -61,7 +61,7 @@
     if (laterCount > 0) {
         const others = eligible.filter(index => !reservedIds.has(workers[index].workerId) && !workers[index].isReserved)
             .filter(index => isFittingLater(step, workers[index]))
-            .filter(index => rules.isAdvised(step.getTask(0), workers[index].workerId))
+            .filter(index => rules.isAdvised(waiting[0], workers[index].workerId))
             .map(index => ({ index, freeingMs: estimateFreeing(workers[index], step.spec.cpuMillis) }))
             .sort((left, right) =>
                 left.freeingMs - right.freeingMs
--- a/packages/run-entry-vm/src/createEntryVm.ts
+++ b/packages/run-entry-vm/src/createEntryVm.ts
@@ -34,6 +34,7 @@
             followers: context.get(Followers),
             jobStateCache: context.get(JobStateCache),
             getResponsiveTime: () => context.get(EventLoopMonitor).getResponsiveTime(),
+            findQueue: name => context.get(ConfigKeeper).config?.queues.find(queue => queue.name === name),
             createCoordinator: termParts =>
                 new Coordinator({
                     ...parts,
--- a/packages/run-entry-vm/src/localCoordinator.test.ts
+++ b/packages/run-entry-vm/src/localCoordinator.test.ts
@@ -3,6 +3,8 @@
 import type { Coordinator } from "@sardinestage/coordinate-work";
 import type { StorePort } from "@sardinestage/describe-ports";
 import { AppendOutcome, waitFor } from "@sardinestage/describe-ports";
+import type { JobSpec, QueueConfig } from "@sardinestage/describe-work";
+import { ExplainOutcome } from "@sardinestage/describe-work";
 import { VirtualClock } from "@sardinestage/emulate-platform";
 import type { TermLog } from "@sardinestage/keep-term";
 import { EarlierTerm, Instant, RenewalOutcome } from "@sardinestage/keep-term";
@@ -97,6 +99,50 @@
         });
     });
 
+    describe("when it is asked to explain a placement", () => {
+        // Guards against a job or queue from outside that reaches the planning rules unchecked.
+        it("passes accepted ids on, and refuses an unknown queue and an invalid job", async () => {
+            const clock = new VirtualClock();
+            const queue = { name: "known" } as QueueConfig;
+            const explanation = { outcome: ExplainOutcome.Explained, mayStart: true, steps: [], leftOutCount: 0 };
+            const questions: object[] = [];
+            const explain = (question: object) => {
+                questions.push(question);
+                return explanation;
+            };
+            const local = new LocalCoordinator({
+                termLog: { renew: () => Promise.resolve(RenewalOutcome.Renewed) } as unknown as TermLog,
+                store: {} as StorePort,
+                clock,
+                logger: silentLogger,
+                rules: defaultRules,
+                followers: new Followers(),
+                jobStateCache: new JobStateCache(clock, KEEP_MS),
+                getResponsiveTime: () => clock.getNow(),
+                findQueue: name => name === queue.name ? queue : undefined,
+                createCoordinator: () => ({
+                    open: () => Promise.resolve(true),
+                    close: () => undefined,
+                    isReady: true,
+                    explainer: { explain },
+                } as unknown as Coordinator),
+            });
+            await local.start(holder, Instant.readNow(clock), false, new EarlierTerm(clock, 0));
+            const kind = CoordinatorCallKind.Explain;
+            const spec = { steps: [{}] } as unknown as JobSpec;
+            const invalid = { steps: [{ dependsOn: [3] }] } as unknown as JobSpec;
+            expect(await local.answer({ kind, id: "job" })).toEqual({ explanation });
+            expect(await local.answer({ kind, spec, queue: "known" })).toEqual({ explanation });
+            expect((await local.answer({ kind, spec, queue: "other" })).explanation?.outcome)
+                .toBe(ExplainOutcome.UnknownQueue);
+            expect((await local.answer({ kind, spec: invalid, queue: "known" })).explanation?.outcome)
+                .toBe(ExplainOutcome.InvalidJob);
+            expect(questions).toMatchObject([{ id: "job" }, { queue }]);
+            local.stop(holder.term, "end of test");
+            expect(await local.answer({ kind, id: "job" })).toEqual({ isUnsure: true });
+        });
+    });
+
     describe("when it renews its term", () => {
         it("says that leases are bound once those of an earlier version would have ended as early", async () => {
             const clock = new VirtualClock();
--- a/packages/run-entry-vm/src/localCoordinator.ts
+++ b/packages/run-entry-vm/src/localCoordinator.ts
@@ -1,8 +1,10 @@
 import type { CoordinatorCall, CoordinatorReply, JobStateCache } from "@sardinestage/accept-jobs";
-import { CoordinatorCallKind } from "@sardinestage/accept-jobs";
+import { CoordinatorCallKind, parseJobSpec } from "@sardinestage/accept-jobs";
 import type { Coordinator } from "@sardinestage/coordinate-work";
 import type { Clock, StorePort } from "@sardinestage/describe-ports";
 import { AppendOutcome, Topic, waitFor } from "@sardinestage/describe-ports";
+import type { PlacementExplanation, QueueConfig } from "@sardinestage/describe-work";
+import { ExplainOutcome } from "@sardinestage/describe-work";
 import type { EarlierTerm, TermHolder, TermLog } from "@sardinestage/keep-term";
 import { Instant, RenewalOutcome, TermAuthority } from "@sardinestage/keep-term";
 import type { EventLogger } from "@sardinestage/log-events";
@@ -39,6 +41,8 @@
     readonly jobStateCache: JobStateCache;
     /** Monotonic time without the stalls of this process's event loop, in milliseconds. */
     readonly getResponsiveTime: () => number;
+    /** Finds a queue of the configuration in force by its name; without it, no job that isn't submitted is explained. */
+    readonly findQueue?: (name: string) => QueueConfig | undefined;
     /** Creates the coordinator of a term. */
     readonly createCoordinator: (termParts: TermParts) => Coordinator;
 }
@@ -219,12 +223,29 @@
                 const pending = coordinator.getPending(call.queue ?? "");
                 return pending === undefined ? { isUnsure: true } : { pending };
             }
+            case CoordinatorCallKind.Explain:
+                return { explanation: this.explainPlacement(coordinator, call) };
             case CoordinatorCallKind.Cancel:
                 coordinator.cancelJob(call.id ?? "");
                 return {};
         }
     }
 
+    private explainPlacement(coordinator: Coordinator, call: CoordinatorCall): PlacementExplanation {
+        if (call.id !== undefined) {
+            return coordinator.explainer.explain({ id: call.id });
+        }
+        const queue = this.parts.findQueue?.(call.queue ?? "");
+        const spec = parseJobSpec(call.spec);
+        const refused = { mayStart: false, steps: [], leftOutCount: 0 };
+        if (queue === undefined) {
+            return { ...refused, outcome: ExplainOutcome.UnknownQueue };
+        }
+        return spec.ok
+            ? coordinator.explainer.explain({ spec: spec.val, queue })
+            : { ...refused, outcome: ExplainOutcome.InvalidJob, problem: spec.val };
+    }
+
     /** Stops coordinating, whatever the term; does nothing if this process doesn't coordinate. */
     stopAnyTerm(reason: string): void {
         this.stop(this.holder?.term ?? -1, reason);
--- a/packages/track-jobs/src/stepRun.ts
+++ b/packages/track-jobs/src/stepRun.ts
@@ -108,6 +108,24 @@
         return listed.sort((left, right) => left.index - right.index);
     }
 
+    /**
+     * Collects the waiting tasks that `listWaiting` would list, without changing the step: a task that doesn't exist as
+     * an object is represented by one that the step doesn't keep.
+     *
+     * @param maxCount The most tasks to collect.
+     */
+    collectWaiting(maxCount: number): readonly Task[] {
+        const collected = [...this.knownWaiting].slice(0, maxCount);
+        const count = Math.min(maxCount, this.waitingTasks);
+        for (let index = this.nextUnknown; collected.length < count; index++) {
+            index = this.forgotten.findMissingFrom(index);
+            if (!this.known.has(index)) {
+                collected.push(new Task(this, index));
+            }
+        }
+        return collected.sort((left, right) => left.index - right.index);
+    }
+
     /**
      * Forgets the waiting tasks that have never run; they are created again when they are listed. Counts as a change of
      * the job, since lists that have these tasks are out of date.
