--- a/packages/cli/src/commands/explain/explain.test.ts
+++ b/packages/cli/src/commands/explain/explain.test.ts
@@ -4,12 +4,15 @@
 import { ExplainOutcome } from "@sardinestage/describe-work";
 import { ErrorKind } from "@sardinestage/errors";
 import { FrameKind, PeerServer } from "@sardinestage/exchange-frames";
+import { spawnSync } from "node:child_process";
+import { fileURLToPath } from "node:url";
 import { formatExplanation } from "./formatExplanation.js";
 import { readJobFile } from "./readJobFile.js";
 import { requestExplanation } from "./requestExplanation.js";
 
 const ADDRESS = "127.0.0.1";
 const PORT = 39_471;
+const COMMAND = fileURLToPath(new URL("../../../bin.js", import.meta.url));
 const target = { address: ADDRESS, port: PORT, peerKey: "secret" };
 const answered = { outcome: ExplainOutcome.Explained, mayStart: true, steps: [], leftOutCount: 0 };
 let server: PeerServer | undefined;
@@ -51,6 +54,14 @@
         expect(result.err && result.val.kind).toBe(kind);
     });
 
+    // Guards against a stack trace, or an error within an error, in place of the remedy.
+    it("prints the problem and its remedy, and exits with 1", () => {
+        const options = ["--file", "/nowhere/job.json", "--queue", "q", "--peer", "h:1", "--peer-key", "k"];
+        const { status, stderr } = spawnSync(process.execPath, [COMMAND, "explain", ...options], { encoding: "utf8" });
+        expect(status).toBe(1);
+        expect(stderr.trim().split("\n")).toEqual([expect.stringMatching(/^The job file .* can't be read: .* Check/)]);
+    });
+
     it("names an unreadable job file", () => {
         const result = readJobFile("/nowhere/job.json");
         expect(result.err && result.val.kind).toBe(ErrorKind.FileUnreadable);
--- a/packages/cli/src/commands/explain/index.ts
+++ b/packages/cli/src/commands/explain/index.ts
@@ -1,5 +1,6 @@
 import { ErrorKind, StageError } from "@sardinestage/errors";
 import type { Command } from "commander";
+import type { Result } from "ts-results";
 import { printJson } from "../../printJson.js";
 import { formatExplanation } from "./formatExplanation.js";
 import { readJobFile } from "./readJobFile.js";
@@ -34,7 +35,7 @@
             const { address, port } = parsePeer(options.peer);
             const peerKey = resolveOption(options.peerKey, "--peer-key", "or set STAGECTL_PEER_KEY");
             const target = { address, port, peerKey };
-            const explanation = (await requestExplanation(target, chooseQuestion(jobId, options))).unwrap();
+            const explanation = resolveResult(await requestExplanation(target, chooseQuestion(jobId, options)));
             if (options.json) {
                 printJson(explanation);
             }
@@ -54,7 +55,7 @@
     if (file === undefined) {
         return { id };
     }
-    return { spec: readJobFile(file).unwrap(), queue: resolveOption(queue, "--queue", "with the job's queue") };
+    return { spec: resolveResult(readJobFile(file)), queue: resolveOption(queue, "--queue", "with the job's queue") };
 }
 
 function resolveOption(value: string | undefined, name: string, hint: string): string {
@@ -75,3 +76,11 @@
 function createUsageError(problem: string, remedy: string): StageError {
     return new StageError(ErrorKind.InvalidArgument, problem, remedy);
 }
+
+/** Returns the value of a result, or throws its error, which the process prints with its remedy. */
+function resolveResult<T>(result: Result<T, StageError>): T {
+    if (result.err) {
+        throw result.val;
+    }
+    return result.val;
+}
--- a/packages/run-entry-vm/src/testing/takeoverHarness.ts
+++ b/packages/run-entry-vm/src/testing/takeoverHarness.ts
@@ -1,4 +1,4 @@
-import type { CoordinatorCall, JobService } from "@sardinestage/accept-jobs";
+import type { CoordinatorCall, CoordinatorReply, JobService } from "@sardinestage/accept-jobs";
 import { JobStateCache } from "@sardinestage/accept-jobs";
 import { Coordinator, noSchedulingFeatures } from "@sardinestage/coordinate-work";
 import { Metrics } from "@sardinestage/count-metrics";
@@ -243,6 +243,11 @@
         void this.appendUntilConfirmed(Topic.Jobs, { key: id, value });
     }
 
+    /** Sends a call to the coordinator over the peer frames of a VM, as another process would. */
+    async callOver(vm: string, call: CoordinatorCall): Promise<CoordinatorReply | undefined> {
+        return this.processes.get(vm)?.membership.answerCall(call, CALL_TIMEOUT_MS);
+    }
+
     /** Repeats an append until the store confirms it, as callers and the platform do. */
     private async appendUntilConfirmed(topic: Topic, record: KeyedRecord): Promise<void> {
         const answer = await this.store.append({ topic, records: [record], timeoutMs: APPEND_TIMEOUT_MS });
