Copies keep the limit of a step's tasks on a worker

Cause: copies that are planned in one check didn't see each other, so that two of a step could come to one worker; and a run that a copy had outrun wasn't counted on its worker until it was gone. Change: a step lists its active runs beside the tasks' own, and planned copies count at once.

--- a/packages/coordinate-work/src/planning/copyStarter.ts
+++ b/packages/coordinate-work/src/planning/copyStarter.ts
@@ -11,7 +11,7 @@
     isStepLimitReached,
     WorkerTrust,
 } from "@sardinestage/plan-starts";
-import type { Task } from "@sardinestage/track-jobs";
+import type { StepRun, Task } from "@sardinestage/track-jobs";
 import { applyRunStart, chooseNextRun, createCopy, TaskPhase } from "@sardinestage/track-jobs";
 import type { CoordinatorParts } from "../coordinatorParts.js";
 import type { DurationEstimator } from "../jobs/durationEstimator.js";
@@ -56,7 +56,14 @@
             return;
         }
         const capacities = listCapacities();
-        const { copies, refused } = planCopies(candidates, queueUse, task => this.takeWorker(task, capacities, nowMs));
+        const takenIds = new Map<StepRun, string[]>();
+        const { copies, refused } = planCopies(candidates, queueUse, task => {
+            const workerId = this.takeWorker(task, capacities, takenIds.get(task.step) ?? [], nowMs);
+            if (workerId !== undefined) {
+                takenIds.set(task.step, [...takenIds.get(task.step) ?? [], workerId]);
+            }
+            return workerId;
+        });
         copies.forEach(({ item, workerId }) => this.startCopy(item, workerId, nowMs));
         if (refused > 0) {
             this.parts.metrics.count("copies_refused_total", "bound", refused);
@@ -98,10 +105,19 @@
             : { item: task, queue: job.queue.name, cpuMillis: spec.cpuMillis, remainingMs, newRunMs };
     }
 
-    /** Takes the room of the emptiest worker that is sound, as far as its recent runs tell. */
-    private takeWorker(task: Task, capacities: readonly WorkerCapacity[], nowMs: number): string | undefined {
+    /**
+     * Takes the room of the emptiest worker that is sound, as far as its recent runs tell.
+     *
+     * @param takenIds Workers on which copies of the step are planned already, one entry per copy.
+     */
+    private takeWorker(
+        task: Task,
+        capacities: readonly WorkerCapacity[],
+        takenIds: readonly string[],
+        nowMs: number,
+    ): string | undefined {
         const { step } = task;
-        const perWorker = countTasksPerWorker(step);
+        const perWorker = countTasksPerWorker(step, takenIds);
         const minTrust = hasOneAttemptLeft(task) ? WorkerTrust.Proven : WorkerTrust.Unknown;
         let best: WorkerCapacity | undefined;
         for (const capacity of capacities) {
--- a/packages/plan-starts/src/countTasksPerWorker.ts
+++ b/packages/plan-starts/src/countTasksPerWorker.ts
@@ -11,7 +11,7 @@
     if (step.spec.maxTasksPerWorker === 0) {
         return counts;
     }
-    const activeWorkerIds = [...step.listKnown()].flatMap(task => task.copy === undefined ? [task] : [task, task.copy])
+    const activeWorkerIds = [...step.listKnown(), ...step.listExtraRuns()]
         .filter(task => task.isActive).map(task => task.workerId);
     [...activeWorkerIds, ...plannedWorkerIds].forEach(workerId =>
         counts.set(workerId, (counts.get(workerId) ?? 0) + 1)
--- a/packages/track-jobs/src/stepRun.ts
+++ b/packages/track-jobs/src/stepRun.ts
@@ -13,6 +13,8 @@
     /** Numbers of the failed runs of a gang; a run of a gang fails as a whole. */
     readonly gangFailedRuns = new Set<number>();
     private readonly known = new Map<number, Task>();
+    /** Active runs beside the tasks' own: copies, and runs that copies have outrun. */
+    private readonly extraRuns = new Set<Task>();
     /** The known tasks that wait for a worker. */
     private readonly knownWaiting = new Set<Task>();
     /** Indexes of the done tasks that are only counted. */
@@ -192,6 +194,11 @@
         job.noteChanged();
     }
 
+    /** Lists the active runs beside the tasks' own: copies, and runs that copies have outrun. They count on their workers. */
+    listExtraRuns(): Iterable<Task> {
+        return this.extraRuns;
+    }
+
     /** Updates the active runs for a copy that has changed its phase; a copy that isn't active any more is dropped. */
     noteCopyPhase(copy: Task, before: TaskPhase, after: TaskPhase): void {
         const { job } = this.occurrence;
@@ -199,6 +206,12 @@
         if (isActivePhase(before) !== isActivePhase(after)) {
             this.noteRecordChanged(copy.index);
         }
+        if (isActivePhase(after)) {
+            this.extraRuns.add(copy);
+        }
+        else {
+            this.extraRuns.delete(copy);
+        }
         if (!isActivePhase(after) && copy.original?.copy === copy) {
             copy.original.copy = undefined;
         }
