Test of drained workers: wait until all tasks run, not for a number of starts

Seen: DrainWorker was refused once in evictionsResume.test.ts on a busy machine.

Cause: the test waited for 8 starts and then took the worker of the first task. A task may start twice, or end before another one starts: then the first task may run nowhere, the worker's name is empty, and DrainWorker rightly answers unknown-worker.

Change: the test waits until all 8 tasks run at the same time, and the tasks run 15 s instead of 6 s. Resumes are counted from the drain on. The check is as strict: the call must succeed, and each task of the drained worker resumes exactly once.

--- a/packages/prove-promises/src/evictionsResume.test.ts
+++ b/packages/prove-promises/src/evictionsResume.test.ts
@@ -5,8 +5,10 @@
 import { waitForPhase } from "./waitForPhase.js";
 
 const TOTAL_SLOTS = 4 * 8;
-const WORK_MS = 6_000;
-/** Longer than `URGENT_START_MS`, so that no task ends and frees capacity before the urgent tasks must start. */
+/**
+ * Longer than `URGENT_START_MS`, so that no task ends and frees capacity before the urgent tasks must start, and longer
+ * than the delays of starts on a busy machine, so that no task ends before the last one has started.
+ */
 const LONG_WORK_MS = 15_000;
 /** Required maximum time until urgent tasks start, in milliseconds. */
 const URGENT_START_MS = 10_000;
@@ -47,21 +49,28 @@
     describe("when an operator drains the worker", () => {
         it("resumes exactly once on another worker, and the drained worker gets no new task", async () => {
             const taskIds = Array.from({ length: 8 }, (_, i) => `${testHarness.domain}/t${i}`);
-            await submitTasks(installation, taskIds.map(taskId => createBatchTask(taskId, WORK_MS)));
-            await waitUntil("all tasks run", () => installation.recorder.starts >= 8, testHarness.waitTimeoutMs);
-            const worker = installation.recorder.getRunningWorker(taskIds[0]) ?? "";
-            const tasksOnWorker = taskIds.filter(taskId => installation.recorder.getRunningWorker(taskId) === worker);
+            await submitTasks(installation, taskIds.map(taskId => createBatchTask(taskId, LONG_WORK_MS)));
+            const { recorder } = installation;
+            // The number of starts doesn't show this: a task may start twice, or end before another one starts.
+            await waitUntil(
+                "all tasks run at once",
+                () => taskIds.every(taskId => recorder.getRunningWorker(taskId) !== undefined),
+                testHarness.waitTimeoutMs,
+            );
+            const worker = recorder.getRunningWorker(taskIds[0]) ?? "";
+            const tasksOnWorker = taskIds.filter(taskId => recorder.getRunningWorker(taskId) === worker);
+            const resumesBefore = recorder.resumes;
             const calls = new OperatorJsonClient([...installation.entryVms.values()][0].ports.admin);
-            expect((await calls.call("DrainWorker", { changeId: "drain", worker })).ok).toBe(true);
+            expect(await calls.call("DrainWorker", { changeId: "drain", worker })).toMatchObject({ ok: true });
             await waitUntil(
                 "the worker has no running task",
-                () => taskIds.every(taskId => installation.recorder.getRunningWorker(taskId) !== worker),
+                () => taskIds.every(taskId => recorder.getRunningWorker(taskId) !== worker),
                 testHarness.waitTimeoutMs,
             );
             const startedOnWorker: string[] = [];
-            installation.recorder.onStart = (taskId, on) => on === worker && startedOnWorker.push(taskId);
+            recorder.onStart = (taskId, on) => on === worker && startedOnWorker.push(taskId);
             await waitForPhase(installation, taskIds, "finished", testHarness.waitTimeoutMs);
-            expect(installation.recorder.resumes).toBe(tasksOnWorker.length);
+            expect(recorder.resumes - resumesBefore).toBe(tasksOnWorker.length);
             expect(startedOnWorker).toEqual([]);
         });
     });
