Copies: leave the capacity that last attempts wait for

A task held back for a trusted worker wasn't among the unmet demands of its round, so copies took the room of proven workers that it waited for.

Plans now list the demands that are held back, and copies of the same or a lower priority wait for these as for unmet ones.

--- a/packages/coordinate-work/src/planning/copyStarter.ts
+++ b/packages/coordinate-work/src/planning/copyStarter.ts
@@ -41,7 +41,8 @@
     /**
      * Starts the copies that are worthwhile now.
      *
-     * @param unmet Demands that found no room in this round: no copy takes room that these wait for.
+     * @param unmet Demands that found no room in this round, or none on a trusted worker: no copy takes room that these
+     *   wait for.
      * @param listCapacities Lists the free capacity of the workers after the round.
      */
     startCopies(unmet: readonly StepDemand[], listCapacities: () => readonly WorkerCapacity[]): void {
--- a/packages/coordinate-work/src/planning/planningRound.ts
+++ b/packages/coordinate-work/src/planning/planningRound.ts
@@ -187,7 +187,7 @@
         this.unusedTasks.noteListed(demands.map(demand => demand.step));
         const isPartial = demands.length < waiting.length;
         if (!isPartial && !this.isStartLimited) {
-            this.copies.startCopies(plan.unmet, () => capacities);
+            this.copies.startCopies([...plan.unmet, ...plan.heldBack], () => capacities);
         }
         return isPartial ? clock.getWallTime() : nextDueMs;
     }
--- a/packages/plan-starts/src/planGang.ts
+++ b/packages/plan-starts/src/planGang.ts
@@ -1,5 +1,6 @@
 import type { CapacityLedger } from "./capacityLedger.js";
 import { chooseRequiredTrust } from "./chooseRequiredTrust.js";
+import type { DemandOutcome } from "./demandOutcome.js";
 import { EligibleWorkers } from "./eligibleWorkers.js";
 import { hasCapacity } from "./hasCapacity.js";
 import { isAllowedOn } from "./isAllowedOn.js";
@@ -16,8 +17,8 @@
  * is tried on each rack first.
  *
  * @param starts Receives the starts when the whole gang fits.
- * @returns False when the gang doesn't fit; true also when not all of its tasks are waiting, or it waits
- *   for trusted workers, so that nothing is placed.
+ * @returns Whether the demand is met: not when the gang doesn't fit, but also when not all of its tasks are waiting, or it
+ *   waits for trusted workers, so that nothing is placed.
  */
 export function planGang(
     demand: StepDemand,
@@ -25,10 +26,10 @@
     rankings: RankingCache,
     rules: StartRules,
     starts: PlannedStart[],
-): boolean {
+): DemandOutcome {
     const { step, waiting } = demand;
     if (waiting.length < step.spec.taskCount || waiting.length === 0) {
-        return true;
+        return { isMet: true, heldBackCount: 0 };
     }
     const allowed = ledger.workers.filter(worker => isAllowedOn(step, worker));
     const withRoom = allowed.filter(worker =>
@@ -36,14 +37,14 @@
         && rules.reservations?.checkStart(worker, demand, countMostThere(demand)) !== false
     );
     if (!isGangFitting(demand, withRoom)) {
-        return false;
+        return { isMet: false, heldBackCount: 0 };
     }
     const requiredTrust = chooseRequiredTrust(demand, waiting[0], ledger.workers, rules);
     const usable = withRoom.filter(({ workerId }) =>
         (rules.estimateTrust?.(workerId) ?? requiredTrust) >= requiredTrust
     );
     if (!isGangFitting(demand, usable)) {
-        return true;
+        return { isMet: true, heldBackCount: waiting.length };
     }
     const racks = step.spec.sameRack ? [...new Set(allowed.map(worker => worker.rack))] : [];
     const rack = racks.find(each => isGangFitting(demand, usable.filter(worker => worker.rack === each)));
@@ -51,7 +52,7 @@
         ? rankings.resolve(demand, false)
         : rankings.createRanking(demand, false, worker => worker.rack === rack);
     bindMembers(demand, ledger, ranking, new Set(usable), starts);
-    return true;
+    return { isMet: true, heldBackCount: 0 };
 }
 
 /** The tasks of a gang are equal, so whether they fit doesn't depend on which task goes to which worker. */
--- a/packages/plan-starts/src/planStarts.ts
+++ b/packages/plan-starts/src/planStarts.ts
@@ -1,5 +1,6 @@
 import { CapacityLedger } from "./capacityLedger.js";
 import { compareDemands } from "./compareDemands.js";
+import type { DemandOutcome } from "./demandOutcome.js";
 import { planGang } from "./planGang.js";
 import type { PlannedStart } from "./plannedStart.js";
 import { planTasks } from "./planTasks.js";
@@ -11,6 +12,9 @@
 import { UnplaceableDemands } from "./unplaceableDemands.js";
 import type { WorkerCapacity } from "./workerCapacity.js";
 
+/** Outcome of a demand whose tasks don't fit, as those of an earlier one didn't. */
+const NOT_TRIED: DemandOutcome = { isMet: false, heldBackCount: 0 };
+
 /**
  * Decides which waiting tasks start on which workers.
  *
@@ -25,6 +29,7 @@
 ): StartPlan {
     const starts: PlannedStart[] = [];
     const unmet: StepDemand[] = [];
+    const heldBack: StepDemand[] = [];
     const unplaceable = new UnplaceableDemands(rules);
     const ledger = new CapacityLedger(workers, rules.reservations);
     const rankings = new RankingCache(ledger, rules);
@@ -36,9 +41,12 @@
         const plan = demand.step.spec.gang ? planGang : planTasks;
         // A reserved start needs the same room as others that didn't fit, but may use what these may not.
         const mayFit = !unplaceable.has(demand) || rules.reservations?.has(demand.step) === true;
-        const isMet = mayFit && plan(demand, ledger, rankings, rules, starts);
+        const { isMet, heldBackCount } = mayFit ? plan(demand, ledger, rankings, rules, starts) : NOT_TRIED;
         const placed = starts.slice(before);
         rules.reservations?.releaseStarted(demand, placed, ledger);
+        if (heldBackCount > 0) {
+            heldBack.push(demand);
+        }
         if (!isMet) {
             if (rules.reservations?.isHeldBack(demand, workers) !== true) {
                 unplaceable.add(demand);
@@ -52,5 +60,5 @@
             }
         }
     }
-    return { starts, unmet };
+    return { starts, unmet, heldBack };
 }
--- a/packages/plan-starts/src/planTasks.ts
+++ b/packages/plan-starts/src/planTasks.ts
@@ -2,6 +2,7 @@
 import type { CapacityLedger } from "./capacityLedger.js";
 import { chooseRequiredTrust } from "./chooseRequiredTrust.js";
 import { countTasksPerWorker } from "./countTasksPerWorker.js";
+import type { DemandOutcome } from "./demandOutcome.js";
 import { EligibleWorkers } from "./eligibleWorkers.js";
 import { hasOneAttemptLeft } from "./hasOneAttemptLeft.js";
 import { HELD_BACK } from "./heldBack.js";
@@ -21,8 +22,7 @@
  * Places the tasks of a step one by one, as many as fit.
  *
  * @param starts Receives the starts.
- * @returns Whether all tasks that the round may still start were placed, or wait only for a trusted worker: such a wait
- *   is no reason to reserve or free capacity.
+ * @returns Whether the demand is met. A wait for a trusted worker is no reason to reserve or free capacity.
  */
 export function planTasks(
     demand: StepDemand,
@@ -30,7 +30,7 @@
     rankings: RankingCache,
     rules: StartRules,
     starts: PlannedStart[],
-): boolean {
+): DemandOutcome {
     const { step, waiting } = demand;
     const perWorker = countTasksPerWorker(step);
     const ranking = rankings.resolve(demand, isDeferrable(demand, rules));
@@ -49,6 +49,7 @@
             : takeTrusted(task, { requiredTrust, canWaitForProof: demand.slackMs > 0 }, ledger, eligible, rules);
     };
     const startable = listByAttemptsLeft(waiting.slice(0, rules.maxStarts - starts.length), rules);
+    let heldBackCount = 0;
     const isMet = startable.every(task => {
         let index = take(task);
         if (avoidsSlow && (index === undefined || index === HELD_BACK)) {
@@ -60,6 +61,7 @@
             avoidsSlow = wasHeldBack;
         }
         if (index === HELD_BACK) {
+            heldBackCount++;
             return true;
         }
         if (index === undefined) {
@@ -72,7 +74,7 @@
         return true;
     });
     eligible.close();
-    return isMet;
+    return { isMet, heldBackCount };
 }
 
 /** Lists the tasks with one attempt left first, which have the smallest choice of workers. */
--- a/packages/plan-starts/src/testing/planStartsExhaustively.ts
+++ b/packages/plan-starts/src/testing/planStartsExhaustively.ts
@@ -56,7 +56,8 @@
             }
         }
     }
-    return { starts, unmet };
+    // The random fleets have no trust, so that no demand is held back.
+    return { starts, unmet, heldBack: [] };
 }
 
 /** Whether one more worker may be reserved for a demand until its present work ends. */
