Reservations: none for tasks that wait only for a trusted worker

A step whose last attempt found no room at all got a reservation. Once an untrusted worker had room, the task was held back, and the reservation stayed until it expired, since reservations ended only with starts. A step with other tasks that found no room also got reservations for those held back.

Rounds now drop the reservations that the step's other tasks don't need, and make none for tasks held back.

--- a/packages/plan-starts/src/planStarts.ts
+++ b/packages/plan-starts/src/planStarts.ts
@@ -46,6 +46,7 @@
         rules.reservations?.releaseStarted(demand, placed, ledger);
         if (heldBackCount > 0) {
             heldBack.push(demand);
+            rules.reservations?.dropUnneeded(demand, demand.waiting.length - placed.length - heldBackCount, ledger);
         }
         if (!isMet) {
             if (rules.reservations?.isHeldBack(demand, workers) !== true) {
@@ -56,7 +57,7 @@
                 reserveWorkers(demand, placed, ledger, rules);
             }
             else {
-                rules.reservations.reserve(demand, placed, ledger, rules);
+                rules.reservations.reserve(demand, placed, ledger, rules, heldBackCount);
             }
         }
     }
--- a/packages/plan-starts/src/reservationOutcome.ts
+++ b/packages/plan-starts/src/reservationOutcome.ts
@@ -5,6 +5,6 @@
     Kept = "kept",
     /** The reservation has lapsed before there was room. */
     Missed = "missed",
-    /** The worker gets no start now, or the step waits no more. */
+    /** The worker gets no start now, or the step waits no more, or only for trusted workers. */
     Dropped = "dropped",
 }
--- a/packages/plan-starts/src/reservationPlanner.test.ts
+++ b/packages/plan-starts/src/reservationPlanner.test.ts
@@ -4,10 +4,12 @@
 import { planStarts } from "./planStarts.js";
 import { ReservationOutcome } from "./reservationOutcome.js";
 import { ReservationPlanner } from "./reservationPlanner.js";
+import type { StartRules } from "./startRules.js";
 import type { StepDemand } from "./stepDemand.js";
 import { planFixture } from "./testing/planFixture.js";
 import { WaitReason } from "./waitReason.js";
 import type { WorkerCapacity } from "./workerCapacity.js";
+import { WorkerTrust } from "./workerTrust.js";
 
 const { createDemand, createWorker, rules } = planFixture;
 
@@ -18,26 +20,69 @@
 }
 
 /** Plans rounds with one reservation planner, and notes its outcomes. */
-function createRounds() {
+function createRounds(changes: Partial<StartRules> = {}) {
     const outcomes: string[] = [];
     const reservations = new ReservationPlanner({
         estimateDuration: step => step.spec.estimateMs,
         noteOutcome: (outcome, { workerId }) => outcomes.push(`${outcome} ${workerId}`),
     });
-    const ahead = { ...rules, reservations };
+    const ahead = { ...rules, ...changes, reservations };
     const plan = (demands: StepDemand[], workers: WorkerCapacity[], nowMs: number) => {
         reservations.startRound(workers, nowMs);
         const { starts } = planStarts(demands, workers, ahead);
         return starts.map(({ task, workerId }) => `${task.step.spec.image} ${workerId}`);
     };
-    return { outcomes, plan, ahead };
+    return { outcomes, plan, ahead, reservations };
 }
 
 const createLarge = () => createDemand({ cpuMillis: 14_000, image: "large" }, { slackMs: -1 });
 const createSmall = (estimateMs: number, priority = 0) =>
     createDemand({ cpuMillis: 3000, estimateMs, image: `small${estimateMs}` }, {}, { priority });
 
+/** Rules by which one worker isn't trusted with last attempts. */
+const trustRules: Partial<StartRules> = {
+    estimateTrust: workerId => workerId === "suspect" ? WorkerTrust.Suspect : WorkerTrust.Proven,
+    getProvenAt: () => 0,
+};
+
+/** Creates a demand of large tasks, of which some have one attempt left. */
+function createLastAttempts(taskCount: number, lastAttempts: number): StepDemand {
+    const demand = createDemand({ cpuMillis: 14_000, estimateMs: 9000, image: "large", taskCount }, { slackMs: -1 }, {
+        maxAttempts: 2,
+    });
+    demand.waiting.slice(0, lastAttempts).forEach(task => task.failedRuns.add(1));
+    return demand;
+}
+
 describe("ReservationPlanner", () => {
+    describe("when a task waits only for a trusted worker for its last attempt", () => {
+        // Guards against room that stands idle for a task that wouldn't start there before the reservation lapses.
+        it("drops the reservation that the task got while no worker had room", () => {
+            const { plan, outcomes, reservations } = createRounds(trustRules);
+            const large = createLastAttempts(1, 1);
+            plan([large], [createBusyWorker("sound", 8000, 2000), createBusyWorker("suspect", 0, 90_000)], 0);
+            expect(outcomes).toEqual(["made sound"]);
+            const workers = [createBusyWorker("sound", 8000, 2000), createBusyWorker("suspect", 16_000, 0)];
+            expect(plan([large], workers, 100)).toEqual([]);
+            expect(outcomes).toEqual(["made sound", "dropped sound"]);
+            expect(reservations.count).toBe(0);
+            expect(workers[0].ahead?.reservations).toEqual([]);
+        });
+
+        it("keeps the reservations of the step's other tasks and makes none for the one held back", () => {
+            const { plan, outcomes } = createRounds(trustRules);
+            const large = createLastAttempts(3, 1);
+            const createWorkers = () => [
+                createBusyWorker("sound", 8000, 2000),
+                createBusyWorker("other", 8000, 2500),
+                createBusyWorker("suspect", 16_000, 0),
+            ];
+            // The suspect worker has room for one task, so that one is held back, one starts there and one needs room.
+            expect(plan([large], createWorkers(), 0)).toEqual(["large suspect"]);
+            expect(outcomes).toEqual(["made sound"]);
+        });
+    });
+
     describe("when a large task waits for room that comes free later", () => {
         // Guards against small tasks that take the room piece by piece, and against room that stands idle.
         it("starts only those small tasks on its worker that end before", () => {
--- a/packages/plan-starts/src/reservationPlanner.ts
+++ b/packages/plan-starts/src/reservationPlanner.ts
@@ -147,13 +147,21 @@
         const released = ordered.slice(0, placed.length);
         released.forEach(reservation => this.parts.noteOutcome(ReservationOutcome.Kept, reservation));
         this.setHeld(demand.step, ordered.slice(placed.length));
-        ledger.workers.forEach((worker, index) => {
-            const { reservations } = worker.ahead ?? { reservations: [] };
-            if (reservations.some(reservation => released.includes(reservation))) {
-                setReservations(worker, reservations.filter(reservation => !released.includes(reservation)));
-                ledger.noteChange(index);
-            }
-        });
+        removeReservations(ledger, released);
+    }
+
+    /**
+     * Drops the latest reservations of a demand that no task would use, because some of its tasks wait only for trusted
+     * workers.
+     *
+     * @param neededCount Number of tasks that wait for room.
+     */
+    dropUnneeded(demand: StepDemand, neededCount: number, ledger: CapacityLedger): void {
+        const held = [...this.held.get(demand.step) ?? []].sort((left, right) => left.fromMs - right.fromMs);
+        const dropped = held.slice(neededCount);
+        dropped.forEach(reservation => this.parts.noteOutcome(ReservationOutcome.Dropped, reservation));
+        this.setHeld(demand.step, held.slice(0, neededCount));
+        removeReservations(ledger, dropped);
     }
 
     /**
@@ -163,17 +171,19 @@
      * @param placed Starts of the demand's tasks in this round.
      * @param ledger Free capacity of the workers.
      * @param rules Limits of the planning round.
+     * @param heldBackCount Number of the demand's tasks that wait only for a trusted worker and get no reservation.
      */
     reserve(
         demand: StepDemand,
         placed: readonly PlannedStart[],
         ledger: CapacityLedger,
         rules: Pick<StartRules, "isAdvised">,
+        heldBackCount = 0,
     ): void {
         const { step, waiting } = demand;
         const preemptedIds = this.reservePreempted(demand, ledger);
         const held = this.held.get(step) ?? [];
-        const missingCount = waiting.length - placed.length - held.length - preemptedIds.length;
+        const missingCount = waiting.length - heldBackCount - placed.length - held.length - preemptedIds.length;
         const isTried = this.vainPlans >= MAX_VAIN_PLANS_PER_ROUND
             || this.nowMs - (this.vainAtMs.get(step) ?? -Infinity) < RETRY_MS;
         if (missingCount <= 0 || isTried || (step.spec.gang && held.length > 0)) {
@@ -317,6 +327,16 @@
     return maxTasksPerWorker === 0 ? MAX_PER_WORKER : Math.min(MAX_PER_WORKER, maxTasksPerWorker);
 }
 
+function removeReservations(ledger: CapacityLedger, removed: readonly HeldReservation[]): void {
+    ledger.workers.forEach((worker, index) => {
+        const { reservations } = worker.ahead ?? { reservations: [] };
+        if (reservations.some(reservation => removed.includes(reservation))) {
+            setReservations(worker, reservations.filter(reservation => !removed.includes(reservation)));
+            ledger.noteChange(index);
+        }
+    });
+}
+
 function addReservation(worker: WorkerCapacity | undefined, reservation: HeldReservation): void {
     setReservations(worker, [...worker?.ahead?.reservations ?? [], reservation]);
 }
