Gangs: prefer workers that aren't slow

planGang didn't look at isSlow, so that a gang started on a worker more than twice as slow as expected while others had room, and every member waited for the slowest one.

A gang that fits on the other workers gets only these, before its preference for one rack counts. If it doesn't, the others are filled first. Without isSlow, that is with both features off, gangs are placed as before.

--- a/packages/plan-starts/src/planGang.ts
+++ b/packages/plan-starts/src/planGang.ts
@@ -12,9 +12,16 @@
 import type { WorkerCapacity } from "./workerCapacity.js";
 import type { WorkerRanking } from "./workerRanking.js";
 
+/** The workers that may get tasks of a gang. */
+interface GangWorkers {
+    /** Those that get tasks first. */
+    readonly preferred: ReadonlySet<WorkerCapacity>;
+    readonly usable: ReadonlySet<WorkerCapacity>;
+}
+
 /**
  * Places all tasks of a gang or none, because part of a gang would only occupy capacity. A gang that prefers one rack
- * is tried on each rack first.
+ * is tried on each rack first. Slow workers get tasks only where others have no room.
  *
  * @param starts Receives the starts when the whole gang fits.
  * @returns Whether the demand is met: not when the gang doesn't fit, but also when not all of its tasks are waiting, or it
@@ -46,12 +53,16 @@
     if (!isGangFitting(demand, usable)) {
         return { isMet: true, heldBackCount: waiting.length };
     }
+    const preferred = usable.filter(({ workerId }) => rules.isSlow?.(workerId) !== true);
+    // Every member waits for the slowest one, so that workers that aren't slow go before the same rack.
+    const chosen = isGangFitting(demand, preferred) ? preferred : usable;
     const racks = step.spec.sameRack ? [...new Set(allowed.map(worker => worker.rack))] : [];
-    const rack = racks.find(each => isGangFitting(demand, usable.filter(worker => worker.rack === each)));
+    const rack = racks.find(each => isGangFitting(demand, chosen.filter(worker => worker.rack === each)));
     const ranking = rack === undefined
         ? rankings.resolve(demand, false)
         : rankings.createRanking(demand, false, worker => worker.rack === rack);
-    bindMembers(demand, ledger, ranking, new Set(usable), starts);
+    const workers = { preferred: new Set(preferred), usable: new Set(chosen) };
+    bindMembers(demand, ledger, ranking, workers, starts);
     return { isMet: true, heldBackCount: 0 };
 }
 
@@ -91,18 +102,24 @@
     demand: StepDemand,
     ledger: CapacityLedger,
     ranking: WorkerRanking,
-    usable: ReadonlySet<WorkerCapacity>,
+    { preferred, usable }: GangWorkers,
     starts: PlannedStart[],
 ): void {
     const { step } = demand;
     const { maxTasksPerWorker } = step.spec;
     const perWorker = new Map<number, number>();
+    let candidates = preferred;
     const eligible = new EligibleWorkers(ranking, ({ index }) => {
         const isFull = maxTasksPerWorker > 0 && (perWorker.get(index) ?? 0) >= maxTasksPerWorker;
-        return !isFull && usable.has(ledger.workers[index]);
+        return !isFull && candidates.has(ledger.workers[index]);
     });
     for (const task of demand.waiting) {
-        const best = eligible.removeBest();
+        let best = eligible.removeBest();
+        if (best === undefined && candidates !== usable) {
+            candidates = usable;
+            eligible.close();
+            best = eligible.removeBest();
+        }
         if (best === undefined) {
             throw new Error("A gang that was found to fit ran out of workers; isGangFitting and the ranking disagree.");
         }
--- a/packages/plan-starts/src/unevenWorkers.test.ts
+++ b/packages/plan-starts/src/unevenWorkers.test.ts
@@ -1,6 +1,8 @@
 import { describe, expect, it } from "@jest/globals";
+import type { StepSpec } from "@sardinestage/describe-work";
 import { planStarts } from "./planStarts.js";
 import { planFixture } from "./testing/planFixture.js";
+import type { WorkerCapacity } from "./workerCapacity.js";
 import { WorkerTrust } from "./workerTrust.js";
 
 const { createDemand, createWorker, rules } = planFixture;
@@ -89,4 +91,39 @@
         const { starts } = planStarts([demand], workers, slowRules);
         expect(starts.map(start => start.workerId)).toEqual(["usual", "usual", "slow"]);
     });
+
+    describe("beside a gang", () => {
+        const list = (step: Partial<StepSpec>, workers: readonly WorkerCapacity[]) => {
+            const { starts, unmet } = planStarts([createDemand({ gang: true, ...step })], workers, slowRules);
+            return { workerIds: starts.map(start => start.workerId), unmet: unmet.length };
+        };
+        const createSlow = () => createWorker("slow", { rack: "near" });
+        const createUsual = (free: number) => createWorker("usual", { freeCpuMillis: free, rack: "near" });
+
+        it("gets no member while the others have room for the gang", () => {
+            expect(list({ taskCount: 3 }, [createSlow(), createUsual(3000)]).workerIds)
+                .toEqual(["usual", "usual", "usual"]);
+        });
+
+        it("gets the members for which the others have no room", () => {
+            expect(list({ taskCount: 3 }, [createSlow(), createUsual(2000)]).workerIds)
+                .toEqual(["usual", "usual", "slow"]);
+            expect(list({ taskCount: 3, maxTasksPerWorker: 1 }, [createSlow(), createUsual(2000)]).unmet).toBe(1);
+        });
+
+        it("is avoided also by a gang that prefers one rack, before the rack counts", () => {
+            const far = createWorker("far", { freeCpuMillis: 1000, rack: "far" });
+            const step = { taskCount: 3, sameRack: true };
+            expect(list(step, [createSlow(), createUsual(2000), far]).workerIds.sort()).toEqual([
+                "far",
+                "usual",
+                "usual",
+            ]);
+            expect(list(step, [createSlow(), createUsual(1000), far]).workerIds.sort()).toEqual([
+                "slow",
+                "slow",
+                "usual",
+            ]);
+        });
+    });
 });
