Tasks with little slack prefer fast workers (scheduling.preferFastWorkers)

Cause: workers that are up to 2 times slower than expected, and cold ones, got tasks like all others, also tasks whose job then misses its target. `cold_remaining_ms` of a worker's entry wasn't read.

Change: with the feature prefersFastWorkers, the rankings of demands with little slack rank slow and cold workers lower. There are two classes of slack, so that equal demands still share a ranking. A demand has little slack if its job would miss its target on the slowest worker of the round, with a factor of 2 for wrong estimates. Slowness is that of WorkerSlowness; coldness is in the worker's entry, counts from when the entry is read, and ends within 30 s. Best-effort tasks get a weaker preference, as they find room anywhere. The feature is off by default, and plans then are as before. `stagectl explain` names the reasons; the counter is uneven_starts_total.

The reference planner of randomFleet.test.ts knows the preference, and is compared with and without it.

--- a/packages/bench/src/coordinatorLoad.ts
+++ b/packages/bench/src/coordinatorLoad.ts
@@ -1,3 +1,4 @@
+import type { SchedulingFeatures } from "@sardinestage/coordinate-work";
 import { Coordinator, noEvacuations, noSchedulingFeatures } from "@sardinestage/coordinate-work";
 import { Metrics } from "@sardinestage/count-metrics";
 import type { ActiveRun, LeaseReport, WorkerPort } from "@sardinestage/describe-ports";
@@ -25,6 +26,8 @@
 const BURST_FACTOR = 2.2;
 /** Long-running tasks per worker, submitted at the start. */
 const LONG_RUNNING_TASKS_PER_WORKER = 1.2;
+/** How many times as long tasks take on slow workers. */
+const SLOW_FACTOR = 3;
 const APPEND_TIMEOUT_MS = 1000;
 const FOREVER_MS = 1e9;
 /** Lowest emulated headroom (target latency divided by measured latency); values span `HEADROOM_RANGE`. */
@@ -103,8 +106,15 @@
     /**
      * @param workers Number of workers.
      * @param random Returns numbers from 0 to 1, generated from a seed.
+     * @param features The optional parts of scheduling that are on.
+     * @param slowEvery One of this many workers takes 3 times as long; none by default.
      */
-    constructor(private readonly workers: number, private readonly random: () => number) {
+    constructor(
+        private readonly workers: number,
+        private readonly random: () => number,
+        private readonly features: SchedulingFeatures = noSchedulingFeatures,
+        private readonly slowEvery = Infinity,
+    ) {
         this.store = new MemoryStore(this.clock, random);
         this.fleet = new EmulatedFleet(this.clock, random);
     }
@@ -115,11 +125,12 @@
         const appends: Promise<unknown>[] = [];
         for (let index = 0; index < this.workers; index++) {
             const id = `w${index}`;
+            const slowness = index % this.slowEvery === this.slowEvery - 1 ? SLOW_FACTOR : 1;
             const worker = new EmulatedWorker(
                 id,
                 this.clock,
                 invariantChecker,
-                task => this.durations.get(task.jobId) ?? MS_PER_SECOND,
+                task => (this.durations.get(task.jobId) ?? MS_PER_SECOND) * slowness,
             );
             this.fleet.workers.set(id, worker);
             const value = Buffer.from(JSON.stringify(worker.describeEntry()));
@@ -161,7 +172,7 @@
                 harmMs: 4500,
                 paceMs: 100,
                 entryReturnMs: 2000,
-                features: noSchedulingFeatures,
+                features: this.features,
             },
             evacuations: noEvacuations,
             term: 1,
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -11,9 +11,10 @@
 import { retries } from "./scenarios/retries.js";
 import { slopes } from "./scenarios/slopes.js";
 import { takeover } from "./scenarios/takeover.js";
+import { uneven } from "./scenarios/uneven.js";
 
 const DEFAULT_SEED = 20261204;
-const scenarios: readonly Scenario[] = [coordinate, decide, jobMemory, path, retries, slopes, takeover];
+const scenarios: readonly Scenario[] = [coordinate, decide, jobMemory, path, retries, slopes, takeover, uneven];
 
 interface BenchOptions {
     readonly list?: boolean;
--- a/packages/coordinate-work/src/explaining/describeChoice.ts
+++ b/packages/coordinate-work/src/explaining/describeChoice.ts
@@ -1,5 +1,6 @@
 import type { StepSpec } from "@sardinestage/describe-work";
-import type { StartRules, WorkerCapacity } from "@sardinestage/plan-starts";
+import type { StartRules, StepDemand, WorkerCapacity } from "@sardinestage/plan-starts";
+import { describeSpeed } from "./describeSpeed.js";
 
 const MILLIS_PER_CORE = 1000;
 
@@ -7,10 +8,11 @@
  * Describes in words what speaks for or against a worker that was chosen for a step.
  *
  * @param worker The worker's free capacity before the step's tasks are placed there.
- * @param spec The step.
+ * @param demand The demand of the step.
  * @param rules The rules of the plan.
  */
-export function describeChoice(worker: WorkerCapacity, spec: StepSpec, rules: StartRules): readonly string[] {
+export function describeChoice(worker: WorkerCapacity, demand: StepDemand, rules: StartRules): readonly string[] {
+    const { spec } = demand.step;
     const { latencyRatio } = rules.describePlacement(worker, spec);
     const hasReservations = (worker.ahead?.reservations.length ?? 0) > 0;
     const reasons: readonly (string | false)[] = [
@@ -29,6 +31,7 @@
         worker.isReserved && "reserved in the last round for waiting tasks, which an interrupted task may use",
         worker.startsLeft === 1 && "one start left, as on a worker on trial",
         rules.isSlow?.(worker.workerId) === true && "slower than expected, as no other worker has room",
+        ...describeSpeed(worker.workerId, demand, rules),
     ];
     return reasons.filter(reason => reason !== false);
 }
--- a/packages/coordinate-work/src/explaining/placementExplainer.ts
+++ b/packages/coordinate-work/src/explaining/placementExplainer.ts
@@ -100,7 +100,7 @@
                 return described;
             }
             const placed = starts.filter(({ task }) => task.step === step);
-            const placements = listPlacements(placed, step, before, plan.rules);
+            const placements = listPlacements(placed, demand, before, plan.rules);
             const waitReason = explainRest(demand, placed.length, unmet.includes(demand), plan);
             return {
                 ...described,
@@ -173,7 +173,7 @@
 
 function listPlacements(
     placed: readonly PlannedStart[],
-    step: StepRun,
+    demand: StepDemand,
     before: ReadonlyMap<string, WorkerCapacity>,
     rules: StartRules,
 ): StepExplanation["placements"] {
@@ -181,7 +181,7 @@
     placed.forEach(({ task, workerId }) => byWorker.set(workerId, [...byWorker.get(workerId) ?? [], task.index]));
     return [...byWorker].map(([workerId, tasks]) => {
         const worker = before.get(workerId);
-        return { workerId, tasks, reasons: worker === undefined ? [] : describeChoice(worker, step.spec, rules) };
+        return { workerId, tasks, reasons: worker === undefined ? [] : describeChoice(worker, demand, rules) };
     });
 }
 
--- a/packages/coordinate-work/src/noSchedulingFeatures.ts
+++ b/packages/coordinate-work/src/noSchedulingFeatures.ts
@@ -6,4 +6,5 @@
     sharesCapacity: false,
     copiesSlowTasks: false,
     protectsLastAttempts: false,
+    prefersFastWorkers: false,
 };
--- a/packages/coordinate-work/src/planning/buildWorkerRules.ts
+++ b/packages/coordinate-work/src/planning/buildWorkerRules.ts
@@ -2,6 +2,7 @@
 import { WorkerTrust } from "@sardinestage/plan-starts";
 import type { SchedulingFeatures } from "../schedulingFeatures.js";
 import type { TrackedWorker } from "../workers/trackedWorker.js";
+import { buildWorkerSpeeds } from "./buildWorkerSpeeds.js";
 
 /** Workers on which tasks take more than this many times as long as expected are avoided while others have room. */
 const MAX_SLOWNESS = 2;
@@ -15,16 +16,18 @@
  */
 export function buildWorkerRules(
     workers: ReadonlyMap<string, TrackedWorker>,
-    { copiesSlowTasks, protectsLastAttempts }: SchedulingFeatures,
+    { copiesSlowTasks, protectsLastAttempts, prefersFastWorkers }: SchedulingFeatures,
     nowMs: number,
-): Pick<StartRules, "isSlow" | "estimateTrust" | "getProvenAt"> {
+): Pick<StartRules, "isSlow" | "speeds" | "estimateTrust" | "getProvenAt"> {
     const isSlow = (workerId: string) => (workers.get(workerId)?.slowness.estimateSlowness(nowMs) ?? 1) > MAX_SLOWNESS;
     const trustRules = {
         estimateTrust: (workerId: string) =>
             workers.get(workerId)?.recentEnds.estimateTrust(nowMs) ?? WorkerTrust.Unknown,
         getProvenAt: (workerId: string) => workers.get(workerId)?.recentEnds.provenAtMs ?? -Infinity,
     };
+    const speeds = prefersFastWorkers ? buildWorkerSpeeds(workers.values(), nowMs) : undefined;
     return {
+        ...speeds !== undefined && { speeds },
         ...(copiesSlowTasks || protectsLastAttempts) && { isSlow },
         ...protectsLastAttempts && trustRules,
     };
--- a/packages/coordinate-work/src/planning/demandBuilder.ts
+++ b/packages/coordinate-work/src/planning/demandBuilder.ts
@@ -36,10 +36,11 @@
         const remainingMs = computeRemainingCriticalPath(occurrence, estimate);
         const criticalPathMs = computeCriticalPath(occurrence, each => estimate(each.spec));
         const objectiveMs = queue.stretch * criticalPathMs + queue.targetLatencyMs;
-        const nowMs = this.clock.getNow();
-        const readyAtMs = this.readyAtMs.get(step) ?? nowMs;
         const wallNowMs = this.clock.getWallTime();
         const elapsedMs = wallNowMs - occurrence.dueMs;
+        const slackMs = objectiveMs - elapsedMs - remainingMs;
+        const nowMs = this.clock.getNow();
+        const readyAtMs = this.readyAtMs.get(step) ?? nowMs;
         // A takeover doesn't begin the wait of long-running tasks anew.
         const dueAgeMs = step.spec.longRunning ? computeDueAge(step, wallNowMs) : 0;
         return {
@@ -51,7 +52,11 @@
             isStarted: occurrence.isStarted,
             remainingMs,
             waitedMs: Math.max(nowMs - readyAtMs, dueAgeMs),
-            slackMs: objectiveMs - elapsedMs - remainingMs,
+            slackMs,
+            // Read only while some worker is slow or cold.
+            get maxSlowness() {
+                return 1 + slackMs / estimate(step.spec);
+            },
             reservedWorkerIds: this.reservations.list(step, nowMs),
             lateSlackMs: objectiveMs * USELESS_AFTER_FACTOR - elapsedMs - remainingMs,
         };
--- a/packages/coordinate-work/src/planning/planningRound.ts
+++ b/packages/coordinate-work/src/planning/planningRound.ts
@@ -25,6 +25,7 @@
 import { CapacityTable } from "./capacityTable.js";
 import { chooseBestEffortWait } from "./chooseBestEffortWait.js";
 import { CopyStarter } from "./copyStarter.js";
+import { countUnevenStarts } from "./countUnevenStarts.js";
 import { DemandBuilder } from "./demandBuilder.js";
 import { DemandSelector } from "./demandSelector.js";
 import { estimateRunEnd } from "./estimateRunEnd.js";
@@ -181,6 +182,7 @@
         this.waitExplainer.noteRound({ unmet: plan.unmet, capacities, rules, plannedAtMs: nowMs });
         this.isStartLimited = plan.starts.length >= maxStarts;
         plan.starts.forEach(({ task, workerId }) => this.startTask(task, workerId, nowMs));
+        countUnevenStarts(plan.starts, rules.speeds, this.parts.metrics);
         this.demandSelector.recordRound(demands.length, clock.getNow() - planningStartedAtMs);
         plan.unmet.forEach(demand => this.requestAdvice(demand, capacities));
         this.preemption.runPreemption(plan.unmet, capacities, planningStartedAtMs);
--- a/packages/coordinate-work/src/runs/runTracker.ts
+++ b/packages/coordinate-work/src/runs/runTracker.ts
@@ -257,10 +257,10 @@
      * as their beginning isn't known, and those that had a head start or were slowed down by order.
      */
     private learnSpread(worker: TrackedWorker, task: Task, nowMs: number): void {
-        const { copiesSlowTasks, protectsLastAttempts } = this.parts.rules.features;
+        const { copiesSlowTasks, protectsLastAttempts, prefersFastWorkers } = this.parts.rules.features;
         const isAdopted = task.orderedAtMs === task.firstSeenAtMs;
         const isUsual = task.isActive && !isAdopted && task.checkpoint === "" && task.pace === 100;
-        if (isUsual && (copiesSlowTasks || protectsLastAttempts)) {
+        if (isUsual && (copiesSlowTasks || protectsLastAttempts || prefersFastWorkers)) {
             const { step } = task;
             const { queue } = step.occurrence.job;
             const ratio = this.collaborators.durations.learnSpread(queue.name, step.spec, nowMs - task.orderedAtMs);
--- a/packages/coordinate-work/src/schedulingFeatures.ts
+++ b/packages/coordinate-work/src/schedulingFeatures.ts
@@ -11,4 +11,6 @@
     readonly copiesSlowTasks: boolean;
     /** Whether a task that has only one attempt left is kept off workers that may be faulty. */
     readonly protectsLastAttempts: boolean;
+    /** Whether tasks with little slack prefer workers that are neither slow nor cold. */
+    readonly prefersFastWorkers: boolean;
 }
--- a/packages/coordinate-work/src/testing/createTrackedWorker.ts
+++ b/packages/coordinate-work/src/testing/createTrackedWorker.ts
@@ -28,6 +28,7 @@
             labels: [],
             rack: "",
             remainingMs: 0,
+            coldRemainingMs: 0,
         },
         () => earlierLeasesExpireAtMs,
         () => 1,
--- a/packages/coordinate-work/src/workers/fleet.ts
+++ b/packages/coordinate-work/src/workers/fleet.ts
@@ -136,6 +136,7 @@
             }
         }
         const worker = this.workers.get(entry.id);
+        worker?.coldPhase.noteEntry(entry, this.parts.clock.getNow());
         if (entry.state === WorkerState.Draining && worker !== undefined) {
             this.handlers.noteDraining(worker);
         }
@@ -159,6 +160,7 @@
             labels: [],
             rack: "",
             remainingMs: 0,
+            coldRemainingMs: 0,
         };
         const worker = this.createWorker(entry);
         worker.isUnlisted = true;
--- a/packages/coordinate-work/src/workers/trackedWorker.ts
+++ b/packages/coordinate-work/src/workers/trackedWorker.ts
@@ -5,6 +5,7 @@
 import type { Task } from "@sardinestage/track-jobs";
 import { limits } from "../limits.js";
 import { CallLimiter } from "../orders/callLimiter.js";
+import { ColdPhase } from "./coldPhase.js";
 import { RecentEnds } from "./recentEnds.js";
 import { UnappliedEnds } from "./unappliedEnds.js";
 import { WorkerLife } from "./workerLife.js";
@@ -70,6 +71,8 @@
     recentEnds = new RecentEnds();
     /** How slow the life's recent runs were. */
     slowness = new WorkerSlowness();
+    /** Until when the life stays slow after its start. */
+    readonly coldPhase = new ColdPhase();
     /** How often the worker has been put on probation. */
     probationCount = 0;
     /** No new work before this, in steady milliseconds. */
--- a/packages/describe-work/src/workerEntry.ts
+++ b/packages/describe-work/src/workerEntry.ts
@@ -19,4 +19,6 @@
     readonly rack: string;
     /** For a draining worker, the minimum time until it leaves, in milliseconds. */
     readonly remainingMs: number;
+    /** How much longer the worker stays slow after its start, in milliseconds; 0 if it doesn't. */
+    readonly coldRemainingMs: number;
 }
--- a/packages/emulate-platform/src/emulatedWorker.ts
+++ b/packages/emulate-platform/src/emulatedWorker.ts
@@ -86,6 +86,7 @@
             labels: ["kind", "rack"],
             rack: "rack",
             remainingMs: 0,
+            coldRemainingMs: this.traits.coldMs ?? 0,
         };
     }
 
--- a/packages/emulate-platform/src/emulatedWorkerTraits.ts
+++ b/packages/emulate-platform/src/emulatedWorkerTraits.ts
@@ -13,4 +13,6 @@
     readonly getDemand: ((task: TaskRef) => { readonly cpuMillis: number; readonly memoryMb: number }) | undefined;
     /** The worker's failure domain; `here` by default. */
     readonly domain?: string;
+    /** How long the worker's entry says that it stays slow after its start, in milliseconds; 0 by default. */
+    readonly coldMs?: number;
 }
--- a/packages/plan-starts/src/randomFleet.test.ts
+++ b/packages/plan-starts/src/randomFleet.test.ts
@@ -15,6 +15,7 @@
 import { planPreemptionExhaustively } from "./testing/planPreemptionExhaustively.js";
 import { planStartsExhaustively } from "./testing/planStartsExhaustively.js";
 import { RandomFleet } from "./testing/randomFleet.js";
+import type { UnevenWorker } from "./unevenWorker.js";
 import type { WorkerCapacity } from "./workerCapacity.js";
 
 /** Expected tail latency, as a share of its target, above which a deferrable best-effort task isn't placed. */
@@ -79,9 +80,53 @@
                 expect(fleet.workers.map(describeCapacity)).toEqual(reference.workers.map(describeCapacity));
             }
         });
+
+        // Guards against shared rankings that mix demands with little and with enough slack, and against other plans than
+        // without the feature while no worker is uneven: the reference then reads nothing of speeds.
+        it.each([true, false])("plans the same starts also where workers are uneven (%s)", isUneven => {
+            let differentCount = 0;
+            const seeds = SEEDS.filter((_seed, index) => index % 4 === 0);
+            for (const seed of seeds) {
+                const [fleet, reference, usual] = [0, 1, 2].map(() => new RandomFleet(seed));
+                const uneven = new Map(
+                    fleet.workers.map(({ workerId }, index): [string, UnevenWorker] => [
+                        workerId,
+                        { slowness: 1 + index % 5, isCold: index % 3 === 0 },
+                    ]),
+                );
+                const changes = isUneven ? { speeds: { worstSlowness: 2, uneven } } : {};
+                const plan = describePlan(
+                    planStarts(addMaxSlowness(fleet.demands), fleet.workers, {
+                        ...buildRules(fleet, seed),
+                        ...changes,
+                    }),
+                );
+                const expected = describePlan(
+                    planStartsExhaustively(
+                        isUneven ? addMaxSlowness(reference.demands) : reference.demands,
+                        reference.workers,
+                        { ...buildRules(reference, seed), ...changes },
+                    ),
+                );
+                expect({ seed, plan }).toEqual({ seed, plan: expected });
+                const withoutSpeeds = describePlan(planStarts(usual.demands, usual.workers, buildRules(usual, seed)));
+                differentCount += JSON.stringify(plan) === JSON.stringify(withoutSpeeds) ? 0 : 1;
+            }
+            if (isUneven) {
+                expect(differentCount).toBeGreaterThan(seeds.length / 2);
+            }
+            else {
+                expect(differentCount).toBe(0);
+            }
+        });
     });
 });
 
+/** Some jobs would miss their target on a slow worker, others wouldn't. */
+function addMaxSlowness(demands: readonly StepDemand[]): readonly StepDemand[] {
+    return demands.map((demand, index) => ({ ...demand, maxSlowness: index % 2 === 0 ? 1.5 : 9 }));
+}
+
 /** Whether a task that the round left waiting fits on a worker with the capacity that the round left free. */
 function isOverlooked(
     demand: StepDemand,
--- a/packages/plan-starts/src/rankingCache.ts
+++ b/packages/plan-starts/src/rankingCache.ts
@@ -1,6 +1,8 @@
 import type { CapacityLedger } from "./capacityLedger.js";
 import { computePlacementScore } from "./computePlacementScore.js";
+import { computeSpeedPenalty } from "./computeSpeedPenalty.js";
 import { hasCapacity } from "./hasCapacity.js";
+import { hasLittleSlack } from "./hasLittleSlack.js";
 import { isAllowedOn } from "./isAllowedOn.js";
 import { isInterrupted } from "./isInterrupted.js";
 import { MAX_LATENCY_RATIO } from "./maxLatencyRatio.js";
@@ -28,7 +30,7 @@
      * @param canWait Whether the tasks wait rather than start where a serving task comes too close to its target.
      */
     resolve(demand: StepDemand, canWait: boolean): WorkerRanking {
-        const key = createKey(demand, canWait);
+        const key = createKey(demand, canWait, hasLittleSlack(demand, this.rules));
         const ranking = this.rankings.get(key) ?? this.createRanking(demand, canWait, () => true);
         this.rankings.set(key, ranking);
         return ranking;
@@ -43,14 +45,17 @@
         const { step } = demand;
         const { spec } = step;
         const mayUseReserved = isInterrupted(demand);
+        const uneven = hasLittleSlack(demand, this.rules) ? this.rules.speeds?.uneven : undefined;
         return new WorkerRanking(this.ledger, worker => isAllowedOn(step, worker) && isIncluded(worker), worker => {
             if (!hasCapacity(worker, spec, mayUseReserved)) {
                 return undefined;
             }
             const view = this.rules.describePlacement(worker, spec);
+            const slowWorker = uneven?.get(worker.workerId);
             return canWait && view.latencyRatio > MAX_LATENCY_RATIO
                 ? undefined
-                : this.computeScore(worker, spec, view) - (hasReservation(worker) ? RESERVED_WORKER_PENALTY : 0);
+                : this.computeScore(worker, spec, view) - (hasReservation(worker) ? RESERVED_WORKER_PENALTY : 0)
+                    - (slowWorker === undefined ? 0 : computeSpeedPenalty(slowWorker, spec));
         });
     }
 }
@@ -60,7 +65,7 @@
 }
 
 /** Builds a key from everything about a demand that a worker's score depends on. */
-function createKey(demand: StepDemand, canWait: boolean): string {
+function createKey(demand: StepDemand, canWait: boolean, prefersFast: boolean): string {
     const { spec, occurrence } = demand.step;
     return [
         occurrence.job.queue.service,
@@ -74,5 +79,6 @@
         spec.isBestEffort,
         canWait,
         isInterrupted(demand),
+        prefersFast,
     ].join("|");
 }
--- a/packages/plan-starts/src/startRules.ts
+++ b/packages/plan-starts/src/startRules.ts
@@ -3,6 +3,7 @@
 import type { PlacementView } from "./placementView.js";
 import type { ReservationPlanner } from "./reservationPlanner.js";
 import type { WorkerCapacity } from "./workerCapacity.js";
+import type { WorkerSpeeds } from "./workerSpeeds.js";
 import type { WorkerTrust } from "./workerTrust.js";
 
 /** Limits of a planning round, and its access to placement data. */
@@ -21,6 +22,8 @@
     readonly reservations?: ReservationPlanner;
     /** Whether a worker is so slow that it is avoided while others have room; undefined if speeds don't matter. */
     readonly isSlow?: (workerId: string) => boolean;
+    /** The slow and cold workers, which tasks with little slack avoid; undefined if there are none or it doesn't matter. */
+    readonly speeds?: WorkerSpeeds;
     /** Estimates the soundness of a worker for tasks with one attempt left; undefined if these are placed like all others. */
     readonly estimateTrust?: (workerId: string) => WorkerTrust;
     /** Returns when the newest run was started that proves a worker, in steady milliseconds; with `estimateTrust`. */
--- a/packages/plan-starts/src/stepDemand.ts
+++ b/packages/plan-starts/src/stepDemand.ts
@@ -16,6 +16,11 @@
     readonly slackMs: number;
     /** How much longer the step can wait until the job's result is no longer useful, in milliseconds. */
     readonly lateSlackMs: number;
+    /**
+     * How many times as long as expected the step's tasks may take without its job missing its target time; below 1 if
+     * the job is late. Undefined if the speed of workers doesn't matter.
+     */
+    readonly maxSlowness?: number;
     /**
      * Rank by the share of the step's queue, the lowest first; undefined if queues don't share capacity. Set once all
      * demands of the round are known.
--- a/packages/plan-starts/src/testing/planStartsExhaustively.ts
+++ b/packages/plan-starts/src/testing/planStartsExhaustively.ts
@@ -2,7 +2,9 @@
 import { allocateCapacity } from "../allocateCapacity.js";
 import { compareDemands } from "../compareDemands.js";
 import { computePlacementScore } from "../computePlacementScore.js";
+import { computeSpeedPenalty } from "../computeSpeedPenalty.js";
 import { hasCapacity } from "../hasCapacity.js";
+import { hasLittleSlack } from "../hasLittleSlack.js";
 import { isAllowedOn } from "../isAllowedOn.js";
 import { isInterrupted } from "../isInterrupted.js";
 import { isOverdueFirstStart } from "../isOverdueFirstStart.js";
@@ -135,7 +137,7 @@
         if (starts.length >= rules.maxStarts) {
             return true;
         }
-        const worker = chooseWorker(task, usable, perWorker, { canWait, mayUseReserved: isInterrupted(demand) }, rules);
+        const worker = chooseWorker(task, demand, usable, perWorker, canWait, rules);
         if (worker === undefined) {
             return false;
         }
@@ -158,11 +160,13 @@
 
 function chooseWorker(
     task: Task,
+    demand: StepDemand,
     workers: readonly WorkerCapacity[],
     perWorker: ReadonlyMap<string, number>,
-    { canWait, mayUseReserved }: { canWait: boolean; mayUseReserved: boolean },
+    canWait: boolean,
     rules: StartRules,
 ): WorkerCapacity | undefined {
+    const mayUseReserved = isInterrupted(demand);
     const { spec } = task.step;
     let best: WorkerCapacity | undefined;
     let bestScore = -Infinity;
@@ -177,7 +181,8 @@
         }
         const reserved = worker.isReserved ? RESERVED_WORKER_PENALTY : 0;
         const failed = worker.workerId === task.lastFailedWorkerId ? FAILED_WORKER_PENALTY : 0;
-        const score = (rules.computeScore ?? computePlacementScore)(worker, spec, view) - failed - reserved;
+        const score = (rules.computeScore ?? computePlacementScore)(worker, spec, view) - failed - reserved
+            - computeSlowPenalty(demand, worker, rules);
         if (score > bestScore) {
             best = worker;
             bestScore = score;
@@ -186,6 +191,11 @@
     return best;
 }
 
+function computeSlowPenalty(demand: StepDemand, { workerId }: WorkerCapacity, rules: StartRules): number {
+    const uneven = hasLittleSlack(demand, rules) ? rules.speeds?.uneven.get(workerId) : undefined;
+    return uneven === undefined ? 0 : computeSpeedPenalty(uneven, demand.step.spec);
+}
+
 function planGang(
     demand: StepDemand,
     workers: readonly WorkerCapacity[],
@@ -231,7 +241,8 @@
     const placed: PlacedTask[] = [];
     const score = (worker: WorkerCapacity) =>
         (rules.computeScore ?? computePlacementScore)(worker, spec, rules.describePlacement(worker, spec))
-        - (worker.isReserved ? RESERVED_WORKER_PENALTY : 0);
+        - (worker.isReserved ? RESERVED_WORKER_PENALTY : 0)
+        - computeSlowPenalty(demand, worker, rules);
     for (const task of demand.waiting) {
         const best = copies
             .filter(entry => hasCapacity(entry.copy, spec, isInterrupted(demand)))
