Copies: log the end of those that were refused or never sent

A start that its worker refused, or that wasn't sent, went through the coordinator's own handler, which doesn't know copies, so that the copy had a copy-started line and no copy-ended line, and wasn't counted.

CopyTracker now handles these starts, with the results refused and never-sent. copyTracker.test.ts steps by 1 ms instead of 10 until a copy is planned, so that its faults begin before the start is sent; its late-start test reaches the start itself only since then.

--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -1,8 +1,8 @@
 import type { LeaseReport } from "@sardinestage/describe-ports";
 import { JobState, WorkerState } from "@sardinestage/describe-work";
 import { TopicFollower } from "@sardinestage/follow-topic";
-import type { Job, Task } from "@sardinestage/track-jobs";
-import { applyCancel, applyRunLost } from "@sardinestage/track-jobs";
+import type { Job } from "@sardinestage/track-jobs";
+import { applyCancel } from "@sardinestage/track-jobs";
 import { MeteredWork } from "@sardinestage/watch-loop";
 import { applyInBatches } from "./applyInBatches.js";
 import { CleanupTimer } from "./cleanupTimer.js";
@@ -87,7 +87,7 @@
         const recorder = new JobRecorder(parts, this.writer);
         this.advice = new AdviceCache(parts, () => this.scheduleRound(limits.roundDelayMs));
         this.orders = new OrderSender(parts, {
-            handleNotStarted: (task, worker) => this.handleNotStarted(task, worker),
+            handleNotStarted: (...start) => this.runs.copies.handleNotStarted(...start),
             handleStarted: worker => this.pace.handleMeasurements(worker),
             handleStartSettled: () => this.scheduleRound(this.planningRound.nextStartDelayMs),
             isClosed: () => this.isClosed,
@@ -313,12 +313,6 @@
         this.scheduleRound(limits.roundDelayMs);
     }
 
-    private handleNotStarted(task: Task, worker: TrackedWorker): void {
-        worker.tasks.delete(task);
-        applyRunLost(task);
-        this.handleChange(task.step.occurrence.job);
-    }
-
     private handleChange(job: Job): void {
         if (!this.isClosed) {
             this.finisher.handleChange(job);
--- a/packages/coordinate-work/src/orders/orderSender.ts
+++ b/packages/coordinate-work/src/orders/orderSender.ts
@@ -19,8 +19,8 @@
 
 /** Callbacks into the coordinator. */
 interface OrderHandlers {
-    /** Called when a run certainly didn't start. */
-    readonly handleNotStarted: (task: Task, worker: TrackedWorker) => void;
+    /** Called when a run certainly didn't start, because its worker refused it or its start wasn't sent. */
+    readonly handleNotStarted: (task: Task, worker: TrackedWorker, wasSent: boolean) => void;
     /** Called when a worker has accepted a start. */
     readonly handleStarted: (worker: TrackedWorker) => void;
     /** Called when the outcome of a start has become known. */
@@ -206,7 +206,7 @@
             worker: worker.entry.id,
             outcome: OrderOutcome[outcome],
         });
-        this.handlers.handleNotStarted(task, worker);
+        this.handlers.handleNotStarted(task, worker, outcome !== OrderOutcome.Unsent);
     }
 
     private async sendStopUntilAnswered(
--- a/packages/coordinate-work/src/runs/copyTracker.test.ts
+++ b/packages/coordinate-work/src/runs/copyTracker.test.ts
@@ -38,8 +38,9 @@
     void harness.submit("usual", createSpec(20, "usual"), createQueue());
     await harness.clock.runFor(3000);
     void harness.submit("slow", createSpec(1, "usual"), createQueue({ maxAttempts: 2 }));
-    for (let waitedMs = 0; waitedMs < 3000 && !hasEvent(harness, "copy-started"); waitedMs += 10) {
-        await harness.clock.runFor(10);
+    for (let waitedMs = 0; waitedMs < 3000 && !hasEvent(harness, "copy-started"); waitedMs++) {
+        // Stops before the start order is sent.
+        await harness.clock.runFor(1);
     }
     expect(hasEvent(harness, "copy-started")).toBe(true);
     return harness;
@@ -49,6 +50,14 @@
     return harness.events.some(event => event.includes(words));
 }
 
+/** Lists the logged ends of copies: their runs and results. */
+function listEnds(harness: CoordinatorHarness): string[] {
+    return harness.events.flatMap(event => {
+        const [, run, result] = /copy-ended.*"run":(\d+).*"result":"([\w-]+)"/.exec(event) ?? [];
+        return run === undefined ? [] : [`${run} ${result}`];
+    });
+}
+
 async function checkEnd(harness: CoordinatorHarness, state: JobState): Promise<void> {
     await harness.clock.runFor(STOP_BOUND_MS);
     expect(await harness.coordinator?.getState("slow")).toBe(state);
@@ -107,6 +116,29 @@
         expect(summary).toContain(`"jobs":1,"waiting":0,"tasks":${BACKGROUND_TASKS}`);
     });
 
+    // Guards against copies whose end can't be told from the log: each copy-started has its copy-ended.
+    describe("that isn't started", () => {
+        it("has its end logged if the worker refuses it", async () => {
+            const harness = await startCopy([FOREVER_MS, USUAL_MS, USUAL_MS]);
+            harness.fleet.faults.unhealthyShare = 1;
+            await harness.clock.runFor(100);
+            harness.fleet.faults.unhealthyShare = 0;
+            expect(hasEvent(harness, "\"outcome\":\"Unhealthy\"")).toBe(true);
+            expect(listEnds(harness)).toEqual(["2 refused"]);
+            await checkEnd(harness, JobState.Completed);
+        });
+
+        it("has its end logged if its start isn't sent", async () => {
+            const harness = await startCopy([FOREVER_MS, USUAL_MS, USUAL_MS]);
+            harness.hasAuthority = false;
+            await harness.clock.runFor(100);
+            harness.hasAuthority = true;
+            expect(hasEvent(harness, "\"outcome\":\"Unsent\"")).toBe(true);
+            expect(listEnds(harness)).toEqual(["2 never-sent"]);
+            await checkEnd(harness, JobState.Completed);
+        });
+    });
+
     it("has a copy that would start late prevented or stopped", async () => {
         const harness = await startCopy([2000, FOREVER_MS]);
         const { faults } = harness.fleet;
--- a/packages/coordinate-work/src/runs/copyTracker.ts
+++ b/packages/coordinate-work/src/runs/copyTracker.ts
@@ -69,6 +69,20 @@
         }
     }
 
+    /**
+     * Handles a task's run, a copy or its own, that certainly didn't start.
+     *
+     * @param wasSent Whether the worker refused the start; false if the start wasn't sent.
+     */
+    handleNotStarted(task: Task, worker: TrackedWorker, wasSent: boolean): void {
+        worker.tasks.delete(task);
+        if (task.original !== undefined) {
+            this.reportEnd(task, worker, wasSent ? "refused" : "never-sent");
+        }
+        applyRunLost(task);
+        this.collaborators.noteChanged(task.step.occurrence.job);
+    }
+
     /** Counts and logs the end of a copy. */
     reportEnd(copy: Task, worker: TrackedWorker, result: string): void {
         const fields = { task: formatTaskKey(copy.ref), run: copy.run, worker: worker.entry.id, result };
--- a/packages/coordinate-work/src/runs/runTracker.ts
+++ b/packages/coordinate-work/src/runs/runTracker.ts
@@ -33,7 +33,8 @@
 
 /** Applies the workers' reports to the jobs: which runs are active, which have ended and which are lost. */
 export class RunTracker {
-    private readonly copies: CopyTracker;
+    /** Handles the ends of copies, and starts that weren't carried out. */
+    readonly copies: CopyTracker;
 
     constructor(private readonly parts: CoordinatorParts, private readonly collaborators: RunTrackerParts) {
         this.copies = new CopyTracker(parts, collaborators);
