Slack classes: compute how slow a worker may be only while speeds matter

Cause: maxSlowness, which is computed when it is read, was read for each demand also with prefersFastWorkers off.

Change: it is read last, if some worker is slow or cold and the demand is neither long-running nor useless.

--- a/packages/plan-starts/src/hasLittleSlack.ts
+++ b/packages/plan-starts/src/hasLittleSlack.ts
@@ -9,7 +9,11 @@
  * workers. Left out are long-running tasks, whose end isn't waited for, and jobs whose result is no longer useful.
  */
 export function hasLittleSlack(demand: StepDemand, { speeds }: Pick<StartRules, "speeds">): boolean {
-    const { maxSlowness, lateSlackMs, step: { spec } } = demand;
-    return speeds !== undefined && maxSlowness !== undefined && maxSlowness < speeds.worstSlowness * DURATION_MARGIN
-        && lateSlackMs > 0 && !spec.longRunning;
+    const { lateSlackMs, step: { spec } } = demand;
+    if (speeds === undefined || spec.longRunning || lateSlackMs <= 0) {
+        return false;
+    }
+    // Read last, as it is computed when it is read.
+    const { maxSlowness } = demand;
+    return maxSlowness !== undefined && maxSlowness < speeds.worstSlowness * DURATION_MARGIN;
 }
