--- a/packages/coordinate-work/src/planning/fastWorkers.test.ts
+++ b/packages/coordinate-work/src/planning/fastWorkers.test.ts
@@ -20,9 +20,11 @@
 /** Jobs submitted before this aren't counted: speeds are learned meanwhile. */
 const COUNTED_FROM_MS = 10_000;
 const SAMPLE_MS = 50;
+const TAKEOVER_MS = 20_000;
 
 const quickQueue = createQueue({ name: "quick", maxAttempts: 4, stretch: 1.5, targetLatencyMs: 500 });
 const batchQueue = createQueue({ name: "batch", priority: 2, maxAttempts: 4, stretch: 2, targetLatencyMs: 1000 });
+const quickLimitMs = quickQueue.stretch * QUICK_MS + quickQueue.targetLatencyMs;
 const batchLimitMs = batchQueue.stretch * 2 * BATCH_MS + batchQueue.targetLatencyMs;
 /** The other features that deployment B has on. */
 const featuresOfB: SchedulingFeatures = {
@@ -57,8 +59,9 @@
  * Runs both queues of deployment B on a fleet with slow workers.
  *
  * @param slowForMs How long workers are slow until others are slow instead.
+ * @param takeoverMs When another coordinator takes over, in milliseconds; never by default.
  */
-async function runJobs(seed: number, features: SchedulingFeatures, slowForMs = Infinity) {
+async function runJobs(seed: number, features: SchedulingFeatures, slowForMs = Infinity, takeoverMs = Infinity) {
     const random = createRandom(seed);
     const harness = new CoordinatorHarness(
         random,
@@ -87,6 +90,9 @@
         if (elapsedMs < RUN_MS && elapsedMs % BATCH_INTERVAL_MS === 0) {
             void harness.submit(`batch-${elapsedMs / BATCH_INTERVAL_MS}`, batchSpec, batchQueue);
         }
+        if (elapsedMs === takeoverMs) {
+            harness.startTerm(true);
+        }
         await harness.clock.runFor(SAMPLE_MS);
     }
     expect(harness.runChecker.violations).toEqual([]);
@@ -98,6 +104,7 @@
     return {
         p95: quickTimes[Math.floor(quickTimes.length * 0.95)],
         median: quickTimes[quickTimes.length >> 1],
+        inTarget: quickTimes.filter(tookMs => tookMs <= quickLimitMs).length,
         batchInTime: batchTimes.filter(tookMs => tookMs <= batchLimitMs).length,
     };
 }
@@ -112,9 +119,22 @@
         async ({ features }) => {
             const off = await runJobs(1, features);
             const on = await runJobs(1, { ...features, prefersFastWorkers: true });
-            process.stderr.write(JSON.stringify({ off, on }) + "\n");
             expect(on.p95).toBeLessThan(off.p95 * 0.75);
             expect(on.batchInTime).toBeGreaterThanOrEqual(off.batchInTime);
         },
     );
+
+    // Guards against a successor that breaks a rule, or loses jobs, as it doesn't know the speeds that its predecessor knew.
+    it("a successor serves all jobs, and learns the speeds anew", async () => {
+        const off = await runJobs(1, featuresOfB, Infinity, TAKEOVER_MS);
+        const on = await runJobs(1, { ...featuresOfB, prefersFastWorkers: true }, Infinity, TAKEOVER_MS);
+        expect(on.inTarget).toBeGreaterThan(off.inTarget);
+    });
+
+    // Guards against speeds that are learned too late, or forgotten too late, where slow workers come and go.
+    it("more quick jobs meet their target although the slow workers change every 8 s", async () => {
+        const off = await runJobs(2, featuresOfB, 8000);
+        const on = await runJobs(2, { ...featuresOfB, prefersFastWorkers: true }, 8000);
+        expect(on.inTarget).toBeGreaterThan(off.inTarget);
+    });
 });
