--- a/packages/coordinate-work/src/describeFleet.ts
+++ b/packages/coordinate-work/src/describeFleet.ts
@@ -25,7 +25,7 @@
         silent: workers.filter(worker => worker.missedRenewals > 0).length,
         onTrial: workers.filter(worker => worker.isOnTrial).length,
         jobs: jobs.live.size,
-        waiting: steps.reduce((sum, { waiting }) => sum + waiting.length, 0),
+        waiting: steps.reduce((sum, { step }) => sum + step.waitingCount, 0),
         tasks: tasks.length,
         fillers: bestEffortTasks.length,
         fillCpuMillis: computeCpu(bestEffortTasks),
--- a/packages/coordinate-work/src/jobs/jobRegistry.ts
+++ b/packages/coordinate-work/src/jobs/jobRegistry.ts
@@ -114,7 +114,8 @@
 
     /** Finds a task by its reference, if its occurrence is open. */
     findTask(ref: TaskRef): Task | undefined {
-        const step = this.live.get(ref.jobId)?.openOccurrences.get(ref.occurrence)?.steps[ref.step];
+        const occurrence = this.live.get(ref.jobId)?.openOccurrences.get(ref.occurrence);
+        const step = occurrence?.hasStep(ref.step) === true ? occurrence.getStep(ref.step) : undefined;
         const isValid = step !== undefined && ref.index >= 0 && ref.index < step.spec.taskCount;
         return isValid ? step.getTask(ref.index) : undefined;
     }
--- a/packages/coordinate-work/src/planning/demandBuilder.ts
+++ b/packages/coordinate-work/src/planning/demandBuilder.ts
@@ -1,6 +1,6 @@
 import type { Clock } from "@sardinestage/describe-ports";
 import type { StepDemand } from "@sardinestage/plan-starts";
-import type { StepRun } from "@sardinestage/track-jobs";
+import type { Occurrence, StepRun } from "@sardinestage/track-jobs";
 import { computeCriticalPath, computeRemainingCriticalPath } from "@sardinestage/track-jobs";
 import { computeDueAge } from "../jobs/computeDueAge.js";
 import type { DurationEstimator } from "../jobs/durationEstimator.js";
@@ -9,10 +9,24 @@
 
 /** A job's result is worth nothing once the job takes longer than this many times its allowed duration. */
 const USELESS_AFTER_FACTOR = 3;
+/**
+ * An occurrence with more steps than this has its critical path computed only once in so many milliseconds: each of its
+ * ready steps needs the path, which takes time that grows with its steps.
+ */
+const MAX_STEPS_COMPUTED_ANEW = 64;
+const CRITICAL_PATH_KEPT_MS = 50;
+
+/** Durations of an occurrence's critical path, in milliseconds. */
+interface CriticalPath {
+    readonly remainingMs: number;
+    readonly criticalPathMs: number;
+    readonly computedAtMs: number;
+}
 
 /** Builds the demands of a planning round: how long waiting steps have waited, and how much longer they can wait. */
 export class DemandBuilder {
     private readonly readyAtMs = new WeakMap<StepRun, number>();
+    private readonly criticalPaths = new WeakMap<Occurrence, CriticalPath>();
 
     constructor(
         private readonly clock: Clock,
@@ -32,9 +46,7 @@
         const { step } = ready;
         const { occurrence } = step;
         const { queue } = occurrence.job;
-        const estimate = (spec: StepRun["spec"]) => this.durations.estimateDuration(queue.name, spec);
-        const remainingMs = computeRemainingCriticalPath(occurrence, estimate);
-        const criticalPathMs = computeCriticalPath(occurrence, each => estimate(each.spec));
+        const { remainingMs, criticalPathMs } = this.getCriticalPath(occurrence);
         const objectiveMs = queue.stretch * criticalPathMs + queue.targetLatencyMs;
         const nowMs = this.clock.getNow();
         const readyAtMs = this.readyAtMs.get(step) ?? nowMs;
@@ -56,4 +68,23 @@
             lateSlackMs: objectiveMs * USELESS_AFTER_FACTOR - elapsedMs - remainingMs,
         };
     }
+
+    private getCriticalPath(occurrence: Occurrence): CriticalPath {
+        const { queue, spec } = occurrence.job;
+        const nowMs = this.clock.getNow();
+        const kept = this.criticalPaths.get(occurrence);
+        if (kept !== undefined && nowMs - kept.computedAtMs < CRITICAL_PATH_KEPT_MS) {
+            return kept;
+        }
+        const estimate = (step: StepRun["spec"]) => this.durations.estimateDuration(queue.name, step);
+        const path = {
+            remainingMs: computeRemainingCriticalPath(occurrence, estimate),
+            criticalPathMs: computeCriticalPath(occurrence, estimate),
+            computedAtMs: nowMs,
+        };
+        if (spec.steps.length > MAX_STEPS_COMPUTED_ANEW) {
+            this.criticalPaths.set(occurrence, path);
+        }
+        return path;
+    }
 }
--- a/packages/coordinate-work/src/planning/unusedTaskLimiter.ts
+++ b/packages/coordinate-work/src/planning/unusedTaskLimiter.ts
@@ -1,7 +1,7 @@
 import type { StepRun } from "@sardinestage/track-jobs";
 
-/** Waiting tasks that may stay in memory as objects between rounds, over all steps. */
-const MAX_WAITING_TASKS = 20_000;
+/** Waiting tasks that may stay in memory as objects between rounds, over all steps: 700 bytes each with its step's lists. */
+const MAX_WAITING_TASKS = 5000;
 
 /**
  * Limits the waiting tasks that stay in memory because a round has considered them. Most are considered again in the
--- a/packages/plan-starts/src/unevenWorkers.test.ts
+++ b/packages/plan-starts/src/unevenWorkers.test.ts
@@ -22,7 +22,7 @@
 function planLastAttempt(workerIds: readonly string[], slack: { slackMs: number; lateSlackMs: number }, failedOn = "") {
     const demand = createDemand({}, slack, { maxAttempts: 2 });
     const [task] = demand.waiting;
-    task.failedRuns.add(1);
+    task.addFailedRun(1);
     task.orderedAtMs = FAILED_AT_MS;
     task.lastFailedWorkerId = failedOn;
     const plan = planStarts([demand], workerIds.map(id => createWorker(id)), trustRules);
@@ -47,7 +47,7 @@
     it("takes no worker that isn't proven until waiting would make its job useless", () => {
         const full = createWorker("newer", { freeCpuMillis: 0 });
         const demand = createDemand({}, late, { maxAttempts: 2 });
-        demand.waiting[0].failedRuns.add(1);
+        demand.waiting[0].addFailedRun(1);
         expect(planStarts([demand], [full, createWorker("unknown")], trustRules)).toEqual({ starts: [], unmet: [] });
         expect(planLastAttempt(["suspect"], useless).startsOn).toEqual(["suspect"]);
     });
@@ -61,7 +61,7 @@
     // Guards against a last attempt that waits, and then starts on a suspect worker, while a proven one has room.
     it("takes a proven worker that is slow, while other tasks still avoid it", () => {
         const demand = createDemand({ taskCount: 2 }, late, { maxAttempts: 2 });
-        demand.waiting[1].failedRuns.add(1);
+        demand.waiting[1].addFailedRun(1);
         const slowRules = { ...trustRules, isSlow: (id: string) => id === "newer" };
         const workers = ["newer", "suspect"].map(id => createWorker(id));
         expect(planStarts([demand], workers, slowRules).starts).toEqual([
--- a/packages/track-jobs/src/applyProgress.ts
+++ b/packages/track-jobs/src/applyProgress.ts
@@ -23,8 +23,9 @@
     for (const [number, steps] of open) {
         const occurrence = job.addOccurrence(number);
         for (const [step, gangFailedRuns, rows] of steps) {
-            gangFailedRuns.forEach(run => occurrence.steps[step].gangFailedRuns.add(run));
-            rows.forEach(row => applyTaskRow(occurrence.steps[step], row));
+            const restored = occurrence.getStep(step);
+            gangFailedRuns.forEach(run => restored.addGangFailedRun(run));
+            rows.forEach(row => applyTaskRow(restored, row));
         }
     }
     if (doneBounds !== undefined) {
--- a/packages/track-jobs/src/applyProgressPart.ts
+++ b/packages/track-jobs/src/applyProgressPart.ts
@@ -20,14 +20,15 @@
         return;
     }
     openOccurrence(job, key.occurrence);
-    const step = job.openOccurrences.get(key.occurrence)?.steps.at(key.step);
+    const occurrence = job.openOccurrences.get(key.occurrence);
+    const step = occurrence?.hasStep(key.step) === true ? occurrence.getStep(key.step) : undefined;
     if (step === undefined || key.firstIndex >= step.spec.taskCount) {
         throw new RangeError(`The job has no part ${key.format()}.`);
     }
     if (job.state === JobState.Queued) {
         job.state = JobState.Running;
     }
-    gangFailedRuns.forEach(run => step.gangFailedRuns.add(run));
+    gangFailedRuns.forEach(run => step.addGangFailedRun(run));
     for (let position = 0; position + 1 < doneBounds.length; position += 2) {
         for (let index = doneBounds[position]; index < doneBounds[position + 1]; index++) {
             step.getTask(index).phase = TaskPhase.Done;
--- a/packages/track-jobs/src/applyTaskRow.ts
+++ b/packages/track-jobs/src/applyTaskRow.ts
@@ -13,7 +13,7 @@
     }
     const task = step.getTask(index);
     task.run = run;
-    failedRuns.forEach(failed => task.failedRuns.add(failed));
+    failedRuns.forEach(failed => task.addFailedRun(failed));
     task.workerId = workerId;
     task.checkpoint = checkpoint;
     task.phase = phase;
--- a/packages/track-jobs/src/computeCriticalPath.ts
+++ b/packages/track-jobs/src/computeCriticalPath.ts
@@ -1,18 +1,27 @@
+import type { StepSpec } from "@sardinestage/describe-work";
 import type { Occurrence } from "./occurrence.js";
-import type { StepRun } from "./stepRun.js";
 
 /**
  * Computes the critical path through the steps of an occurrence, assuming enough free capacity for all tasks.
  *
  * @param occurrence The occurrence.
- * @param estimateStep Returns the estimated duration of a step, in milliseconds.
+ * @param estimateStep Returns the estimated duration of the step of this number, in milliseconds.
  * @returns The duration of the critical path, in milliseconds.
  */
-export function computeCriticalPath(occurrence: Occurrence, estimateStep: (step: StepRun) => number): number {
+export function computeCriticalPath(
+    occurrence: Occurrence,
+    estimateStep: (spec: StepSpec, number: number) => number,
+): number {
     const pathEnds: number[] = [];
-    for (const step of occurrence.steps) {
-        const readyAt = Math.max(0, ...step.spec.dependsOn.map(earlier => pathEnds[earlier]));
-        pathEnds.push(readyAt + estimateStep(step));
-    }
-    return Math.max(0, ...pathEnds);
+    let longestMs = 0;
+    occurrence.job.spec.steps.forEach((spec, number) => {
+        let readyAtMs = 0;
+        for (const earlier of spec.dependsOn) {
+            readyAtMs = Math.max(readyAtMs, pathEnds[earlier]);
+        }
+        const endMs = readyAtMs + estimateStep(spec, number);
+        pathEnds.push(endMs);
+        longestMs = Math.max(longestMs, endMs);
+    });
+    return longestMs;
 }
--- a/packages/track-jobs/src/computeRemainingCriticalPath.ts
+++ b/packages/track-jobs/src/computeRemainingCriticalPath.ts
@@ -11,8 +11,12 @@
  * @returns The remaining duration, in milliseconds.
  */
 export function computeRemainingCriticalPath(occurrence: Occurrence, estimateTask: (step: StepSpec) => number): number {
-    return computeCriticalPath(occurrence, step => {
-        const estimate = estimateTask(step.spec);
+    return computeCriticalPath(occurrence, (spec, number) => {
+        const step = occurrence.findKnownStep(number);
+        if (step === undefined) {
+            return occurrence.isStepDone(number) ? 0 : estimateTask(spec);
+        }
+        const estimate = estimateTask(spec);
         if (step.isWaiting) {
             return estimate;
         }
--- a/packages/track-jobs/src/decodeJobRecord.ts
+++ b/packages/track-jobs/src/decodeJobRecord.ts
@@ -23,6 +23,11 @@
     number,
 ];
 
+/** The values that a short row may leave out. */
+const EMPTY_ROW: StepRow = [0, 0, 0, 0, 0, [], false, false, false, "", "", 0, false, false, "", 0, false, 0];
+/** Shared by all steps that depend on none, so that these take less memory. */
+const NO_STEPS: readonly number[] = [];
+
 /**
  * Decodes a record written by `encodeJobRecord`.
  *
@@ -33,15 +38,21 @@
         number,
         QueueConfig,
         string,
-        StepRow[],
+        StepRow[] | { rows: Partial<StepRow>[] },
         number,
         number,
         number,
     ];
-    const spec = { payload, steps: steps.map(convertStep), repeatCount, firstRunMs, intervalMs };
+    const rows = Array.isArray(steps) ? steps : steps.rows.map(buildFullRow);
+    const spec = { payload, steps: rows.map(convertStep), repeatCount, firstRunMs, intervalMs };
     return { spec, queue, acceptedAtMs };
 }
 
+/** Adds the empty values that were left out at the end of a row. */
+function buildFullRow(row: Partial<StepRow>): StepRow {
+    return [...row, ...EMPTY_ROW.slice(row.length)] as StepRow;
+}
+
 function convertStep(row: StepRow): StepSpec {
     return {
         taskCount: row[0],
@@ -49,7 +60,7 @@
         memoryMb: row[2],
         accelerators: row[3],
         estimateMs: row[4],
-        dependsOn: row[5],
+        dependsOn: row[5].length === 0 ? NO_STEPS : row[5],
         savesProgress: row[6],
         gang: row[7],
         sameRack: row[8],
--- a/packages/track-jobs/src/encodeProgress.ts
+++ b/packages/track-jobs/src/encodeProgress.ts
@@ -17,9 +17,9 @@
     const done = [...job.doneOccurrences.listNumbers()];
     const occurrences = job.isFinished ? [] : [...job.openOccurrences.values()];
     return encodeTaskRows(convertTasks => {
-        const open = occurrences.map(({ number, steps }) => [
-            number,
-            steps.flatMap(step => {
+        const open = occurrences.map(occurrence => [
+            occurrence.number,
+            [...occurrence.listKnownSteps()].flatMap(step => {
                 const rows = convertTasks(step.listKnown());
                 return rows.length === 0 ? [] : [[step.number, [...step.gangFailedRuns], rows]];
             }),
--- a/packages/track-jobs/src/job.ts
+++ b/packages/track-jobs/src/job.ts
@@ -135,7 +135,7 @@
     /** Lists the tasks of the open occurrences that exist as objects: among others all that are active. */
     *listKnownTasks(): Iterable<Task> {
         for (const occurrence of this.openOccurrences.values()) {
-            for (const step of occurrence.steps) {
+            for (const step of occurrence.listKnownSteps()) {
                 yield* step.listKnown();
             }
         }
--- a/packages/track-jobs/src/stepRun.ts
+++ b/packages/track-jobs/src/stepRun.ts
@@ -4,21 +4,26 @@
 import { Task } from "./task.js";
 import { TaskPhase } from "./taskPhase.js";
 
+/** Stands for the collections of a step of which nothing is known, so that such a step takes little memory. */
+const NO_TASKS: ReadonlyMap<number, Task> = new Map();
+const NO_RUNS: ReadonlySet<Task> = new Set();
+const NO_NUMBERS: ReadonlySet<number> = new Set();
+const NO_INDEXES = new IndexRanges();
+
 /**
  * A step in one occurrence of a job, with its tasks. A task is an object only while it is of use: a step may have far
  * more tasks than all workers can run, and those that haven't been considered yet, and those of a partitioned job that
  * are done, are only counted.
  */
 export class StepRun {
-    /** Numbers of the failed runs of a gang; a run of a gang fails as a whole. */
-    readonly gangFailedRuns = new Set<number>();
-    private readonly known = new Map<number, Task>();
+    private gangFailures: Set<number> | undefined;
+    private knownTasks: Map<number, Task> | undefined;
     /** Active runs beside the tasks' own: copies, and runs that copies have outrun. */
-    private readonly extraRuns = new Set<Task>();
+    private extraRuns: Set<Task> | undefined;
     /** The known tasks that wait for a worker. */
-    private readonly knownWaiting = new Set<Task>();
+    private waitingKnown: Set<Task> | undefined;
     /** Indexes of the done tasks that are only counted. */
-    private readonly forgotten = new IndexRanges();
+    private forgottenTasks: IndexRanges | undefined;
     /** All tasks with a lower index are known or forgotten. */
     private nextUnknown = 0;
     private doneTasks = 0;
@@ -28,6 +33,38 @@
         this.waitingTasks = spec.taskCount;
     }
 
+    /** Creates a step that stands for a done one of which the occurrence keeps no object. */
+    static createForgotten(occurrence: Occurrence, number: number): StepRun {
+        const step = new StepRun(occurrence, number, occurrence.job.spec.steps[number]);
+        step.forgottenTasks = new IndexRanges([0, step.spec.taskCount]);
+        step.doneTasks = step.spec.taskCount;
+        step.waitingTasks = 0;
+        return step;
+    }
+
+    /** Numbers of the failed runs of a gang; a run of a gang fails as a whole. */
+    get gangFailedRuns(): ReadonlySet<number> {
+        return this.gangFailures ?? NO_NUMBERS;
+    }
+
+    /** Adds a failed run of a gang, as it was recorded. */
+    addGangFailedRun(run: number): void {
+        this.gangFailures ??= new Set();
+        this.gangFailures.add(run);
+    }
+
+    private get known(): ReadonlyMap<number, Task> {
+        return this.knownTasks ?? NO_TASKS;
+    }
+
+    private get knownWaiting(): ReadonlySet<Task> {
+        return this.waitingKnown ?? NO_RUNS;
+    }
+
+    private get forgotten(): Pick<IndexRanges, "has" | "findMissingFrom"> {
+        return this.forgottenTasks ?? NO_INDEXES;
+    }
+
     /** All tasks of the step, as objects. Only for steps that are short or whose tasks run together. */
     get tasks(): readonly Task[] {
         return Array.from({ length: this.spec.taskCount }, (_unused, index) => this.getTask(index));
@@ -40,7 +77,7 @@
 
     /** Whether all steps that this step depends on are done. */
     get isReady(): boolean {
-        return this.spec.dependsOn.every(earlier => this.occurrence.steps[earlier].isDone);
+        return this.occurrence.isStepReady(this.number);
     }
 
     /** Whether any task of the step waits for a worker. */
@@ -85,8 +122,9 @@
             return Task.createForgotten(this, index);
         }
         const task = new Task(this, index);
-        this.known.set(index, task);
-        this.knownWaiting.add(task);
+        this.knownTasks ??= new Map();
+        this.knownTasks.set(index, task);
+        this.addWaiting(task);
         return task;
     }
 
@@ -135,11 +173,13 @@
     releaseUnused(): void {
         for (const task of this.knownWaiting) {
             if (task.isUnused) {
-                this.known.delete(task.index);
-                this.knownWaiting.delete(task);
+                this.knownTasks?.delete(task.index);
+                this.waitingKnown?.delete(task);
                 this.nextUnknown = Math.min(this.nextUnknown, task.index);
             }
         }
+        this.knownTasks = this.known.size === 0 ? undefined : this.knownTasks;
+        this.waitingKnown = this.knownWaiting.size === 0 ? undefined : this.waitingKnown;
         this.occurrence.job.noteChanged();
     }
 
@@ -159,10 +199,10 @@
 
     /** Notes a failed run of a task, each run once, however often it is reported. */
     noteFailedRun(task: Task, run: number): void {
-        task.failedRuns.add(run);
+        task.addFailedRun(run);
         this.noteRecordChanged(task.index);
         if (this.spec.gang && !this.gangFailedRuns.has(run)) {
-            this.gangFailedRuns.add(run);
+            this.addGangFailedRun(run);
             this.noteRecordChanged(0);
         }
     }
@@ -175,28 +215,32 @@
     /** Updates the counters for a task that has changed its phase, and notifies the job's watcher. */
     notePhase(task: Task, before: TaskPhase, after: TaskPhase): void {
         const { job } = this.occurrence;
+        const wasDone = this.isDone;
         this.doneTasks += Number(after === TaskPhase.Done) - Number(before === TaskPhase.Done);
         this.waitingTasks += Number(after === TaskPhase.Waiting) - Number(before === TaskPhase.Waiting);
         job.noteActive(Number(isActivePhase(after)) - Number(isActivePhase(before)));
+        this.occurrence.noteStepDone(Number(this.isDone) - Number(wasDone));
         if (after === TaskPhase.Waiting) {
-            this.knownWaiting.add(task);
+            this.addWaiting(task);
         }
         else {
-            this.knownWaiting.delete(task);
+            this.waitingKnown?.delete(task);
         }
         if (isActivePhase(before) !== isActivePhase(after) || after === TaskPhase.Done) {
             this.noteRecordChanged(task.index);
         }
         if (after === TaskPhase.Done && job.isPartitioned) {
-            this.known.delete(task.index);
-            this.forgotten.add(task.index);
+            this.knownTasks?.delete(task.index);
+            this.forgottenTasks ??= new IndexRanges();
+            this.forgottenTasks.add(task.index);
+            this.dropIfUnneeded();
         }
         job.noteChanged();
     }
 
     /** Lists the active runs beside the tasks' own: copies, and runs that copies have outrun. They count on their workers. */
     listExtraRuns(): Iterable<Task> {
-        return this.extraRuns;
+        return this.extraRuns ?? NO_RUNS;
     }
 
     /** Updates the active runs for a copy that has changed its phase; a copy that isn't active any more is dropped. */
@@ -207,17 +251,31 @@
             this.noteRecordChanged(copy.index);
         }
         if (isActivePhase(after)) {
+            this.extraRuns ??= new Set();
             this.extraRuns.add(copy);
         }
         else {
-            this.extraRuns.delete(copy);
+            this.extraRuns?.delete(copy);
         }
         if (!isActivePhase(after) && copy.original?.copy === copy) {
             copy.original.copy = undefined;
         }
+        this.dropIfUnneeded();
         job.noteChanged();
     }
 
+    /** Has the occurrence forget the step, if it is done, its tasks are only counted and no copy is active. */
+    private dropIfUnneeded(): void {
+        if (this.isDone && this.known.size === 0 && (this.extraRuns?.size ?? 0) === 0) {
+            this.occurrence.dropStep(this.number);
+        }
+    }
+
+    private addWaiting(task: Task): void {
+        this.waitingKnown ??= new Set();
+        this.waitingKnown.add(task);
+    }
+
     private findUnknown(): number {
         while (this.known.has(this.nextUnknown) || this.forgotten.has(this.nextUnknown)) {
             this.nextUnknown = this.forgotten.findMissingFrom(this.nextUnknown + 1);
--- a/packages/track-jobs/src/task.ts
+++ b/packages/track-jobs/src/task.ts
@@ -3,13 +3,14 @@
 import { TaskPhase } from "./taskPhase.js";
 
 const FULL_PERCENT = 100;
+/** The failed runs of a task that has none, so that it takes little memory. */
+const NO_RUNS: ReadonlySet<number> = new Set();
 
 /** A task of a job, with its newest run. */
 export class Task {
     private currentPhase = TaskPhase.Waiting;
     private newestRun = 0;
-    /** Numbers of the failed runs; a set, because a failure may be reported again after a takeover. */
-    readonly failedRuns = new Set<number>();
+    private failures: Set<number> | undefined;
     /** Checkpoint from which the next run resumes; empty to start from the beginning. */
     checkpoint = "";
     /** Id of the worker that has the active run; empty if no run is active. */
@@ -67,6 +68,17 @@
         return task;
     }
 
+    /** Numbers of the failed runs; a set, because a failure may be reported again after a takeover. */
+    get failedRuns(): ReadonlySet<number> {
+        return this.failures ?? NO_RUNS;
+    }
+
+    /** Adds a failed run; each run counts once. */
+    addFailedRun(run: number): void {
+        this.failures ??= new Set();
+        this.failures.add(run);
+    }
+
     /** Phase of the task; setting it updates the counters of the step. */
     get phase(): TaskPhase {
         return this.currentPhase;
