What open jobs take of the coordinator is bounded, with a truthful refusal

Cause: accepted jobs stay in the coordinator's memory until they end, and nothing bounded their number. A crowd of jobs of 3,000 steps, each inside the limits, filled the heap of one process after the other. A VM accepts small jobs on its own within its part of that, and asks about others. A job is refused with 503 and Retry-After before anything is written, only after the newest jobs were read from the store; with 504, without a write, if the store doesn't tell in time whether it has the job. Jobs over 64 KB leave an eighth to smaller ones, and what they exceed doesn't count against those. Without a coordinator every job is accepted as before. Counter jobs_refused_total, gauges open_job_steps and open_job_bytes, log line job-refused (once a second).

--- a/packages/accept-jobs/src/coordinatorCallKind.ts
+++ b/packages/accept-jobs/src/coordinatorCallKind.ts
@@ -10,4 +10,6 @@
     Cancel = 4,
     /** Asks where the tasks of a job would start now, and why. */
     Explain = 5,
+    /** Asks whether there is room for a new job. */
+    Admit = 6,
 }
--- a/packages/accept-jobs/src/coordinatorReply.ts
+++ b/packages/accept-jobs/src/coordinatorReply.ts
@@ -9,6 +9,8 @@
     readonly isUnsure?: boolean;
     /** Number of accepted jobs of the queue of which no task has run yet. */
     readonly pending?: number;
+    /** Set if there is no room for the job; with `isUnsure` if the store may have the job nevertheless. */
+    readonly isRefused?: boolean;
     /** Where the tasks of the job would start. */
     readonly explanation?: PlacementExplanation;
     /** Outcome of the append. */
--- a/packages/accept-jobs/src/jobService.ts
+++ b/packages/accept-jobs/src/jobService.ts
@@ -3,13 +3,14 @@
 import type { JobSpec, QueueConfig } from "@sardinestage/describe-work";
 import { JobState } from "@sardinestage/describe-work";
 import type { EventLogger } from "@sardinestage/log-events";
-import { CANCEL_SUFFIX, encodeJobRecord } from "@sardinestage/track-jobs";
+import { CANCEL_SUFFIX, encodeJobRecord, estimateJobBytes } from "@sardinestage/track-jobs";
 import { AnswerSource } from "./answerSource.js";
 import { CoordinatorCallKind } from "./coordinatorCallKind.js";
 import type { CoordinatorClient } from "./coordinatorClient.js";
 import { CoordinatorSilence } from "./coordinatorSilence.js";
 import { findSilence } from "./findSilence.js";
 import { GuardedCoordinatorClient } from "./guardedCoordinatorClient.js";
+import { JobAdmission } from "./jobAdmission.js";
 import type { JobStateAnswer } from "./jobStateAnswer.js";
 import type { JobStateCache } from "./jobStateCache.js";
 import type { JobStateReader } from "./jobStateReader.js";
@@ -46,6 +47,11 @@
     readonly clock: Clock;
     readonly logger: EventLogger;
     readonly metrics: Metrics;
+    /**
+     * Returns the memory that this VM may let new jobs take of the coordinator without a question, in bytes; undefined
+     * if no coordinator has told of it lately. Without it, there is room for every job.
+     */
+    readonly getFreeJobBytes?: () => number | undefined;
 }
 
 /**
@@ -56,6 +62,7 @@
     private readonly coordinator: GuardedCoordinatorClient;
     private readonly pendingCounts: PendingCountCache;
     private readonly answerReporter: StateAnswerReporter;
+    private readonly admission: JobAdmission;
 
     constructor(private readonly parts: JobServiceParts) {
         this.coordinator = new GuardedCoordinatorClient({
@@ -65,6 +72,11 @@
         });
         this.pendingCounts = new PendingCountCache(parts.clock);
         this.answerReporter = new StateAnswerReporter(parts.clock, parts.logger);
+        this.admission = new JobAdmission({
+            ...parts,
+            callCoordinator: call => this.coordinator.call(call),
+            getFreeJobBytes: parts.getFreeJobBytes ?? (() => undefined),
+        });
     }
 
     /**
@@ -80,9 +92,14 @@
     ): Promise<SubmitOutcome> {
         const sentAtMs = this.parts.clock.getNow();
         const value = encodeJobRecord({ spec, queue, acceptedAtMs: this.parts.clock.getWallTime() });
+        const refusal = await this.findRefusal(id, estimateJobBytes(spec, value.length));
+        if (refusal !== undefined) {
+            return refusal;
+        }
+        const waitedMs = this.parts.clock.getNow() - sentAtMs;
         const appended = await this.parts.recordAppender.append(
             { key: id, value },
-            callerTimeoutMs * USABLE_TIMEOUT_SHARE,
+            Math.max(0, callerTimeoutMs * USABLE_TIMEOUT_SHARE - waitedMs),
         );
         // Callers submit a job again whose acceptance they haven't heard of.
         const isKnown = this.parts.jobStateCache.findLastState(id) !== undefined;
@@ -154,6 +171,14 @@
         this.parts.stateReader.close();
     }
 
+    /** Finds out why there is no room for a job. One that may have been accepted before isn't refused. */
+    private async findRefusal(id: string, bytes: number): Promise<SubmitOutcome | undefined> {
+        const { jobStateCache, recordAppender } = this.parts;
+        const isKnown = () => jobStateCache.findLastState(id) !== undefined || recordAppender.hasPossiblyStored(id);
+        const refusal = isKnown() ? undefined : await this.admission.findRefusal(id, bytes);
+        return isKnown() ? undefined : refusal;
+    }
+
     private async resolveState(id: string, callerTimeoutMs: number, sentAtMs: number): Promise<SourcedAnswer> {
         const { clock, jobStateCache, metrics, stateReader } = this.parts;
         const finalState = jobStateCache.findFinalState(id);
--- a/packages/accept-jobs/src/possiblyStoredKeys.ts
+++ b/packages/accept-jobs/src/possiblyStoredKeys.ts
@@ -37,6 +37,11 @@
         return outcome === SubmitOutcome.Refused && isUnsure ? SubmitOutcome.Unknown : outcome;
     }
 
+    /** Whether a record of this key may be in the store, or may still be written. */
+    has(key: string): boolean {
+        return this.pending.has(key) || this.unknown.has(key);
+    }
+
     private remember(key: string): void {
         this.unknown.delete(key);
         this.unknown.add(key);
--- a/packages/accept-jobs/src/recordAppender.ts
+++ b/packages/accept-jobs/src/recordAppender.ts
@@ -87,6 +87,11 @@
         });
     }
 
+    /** Whether a record of this key may be in the store, or may still be written. */
+    hasPossiblyStored(key: string): boolean {
+        return this.possiblyStored.has(key);
+    }
+
     /** Creates a pending record that is settled when its caller stops waiting, if not before. */
     private createPending(
         record: KeyedRecord,
--- a/packages/accept-jobs/src/testing/jobServiceHarness.ts
+++ b/packages/accept-jobs/src/testing/jobServiceHarness.ts
@@ -21,12 +21,14 @@
 /** Step in which the pages in flight get their share of a link, in milliseconds. */
 const LINK_STEP_MS = 5;
 
-/** How a harness's store answers reads. */
+/** How a harness's store answers reads, and the room that its coordinator has for jobs. */
 interface PageTraits {
     /** Maximum number of records in a page. */
     readonly pageRecords?: number;
     /** Bandwidth of the VM's link in bytes a millisecond, which the pages in flight share. */
     readonly bytesPerMs?: number;
+    /** Memory that new jobs may take of the coordinator, in bytes; undefined if no coordinator tells of it. */
+    readonly freeJobBytes?: number;
 }
 
 /** A job service with an emulated store, a virtual clock and a coordinator that the test defines. */
@@ -86,6 +88,7 @@
             clock,
             logger,
             metrics,
+            getFreeJobBytes: () => traits.freeJobBytes,
         });
     }
 
--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -12,6 +12,7 @@
 import { countPending } from "./jobs/countPending.js";
 import { JobFinisher } from "./jobs/jobFinisher.js";
 import { JobIntake } from "./jobs/jobIntake.js";
+import { JobLookup } from "./jobs/jobLookup.js";
 import { JobRegistry } from "./jobs/jobRegistry.js";
 import { limits } from "./limits.js";
 import { OrderSender } from "./orders/orderSender.js";
@@ -47,7 +48,9 @@
 
 /** Renews the leases of all workers during one term, and schedules the accepted jobs on these workers. */
 export class Coordinator {
-    private readonly jobs = new JobRegistry();
+    /** Answers which jobs are known, and whether there is room for new ones. */
+    readonly lookup: JobLookup;
+    private readonly jobs = new JobRegistry((id, size) => this.lookup.noteSize(id, size));
     private readonly learned = new LearnedEstimates();
     private readonly writer: ProgressWriter;
     private readonly orders: OrderSender;
@@ -75,6 +78,7 @@
 
     constructor(private readonly parts: CoordinatorParts) {
         this.openedAtMs = parts.clock.getNow();
+        this.lookup = new JobLookup(parts, this.jobs, () => this.jobsFollower.refresh());
         this.takeoverGate = new TakeoverGate(parts.clock, parts.rules.leaseMs * TAKEOVER_RENEWAL_SHARE);
         this.timer = new RoundTimer(
             parts.clock,
@@ -222,6 +226,7 @@
     /** Ends the term in this process: no further order is sent. */
     close(): void {
         this.isClosed = true;
+        this.lookup.close();
         this.writer.close();
         this.jobsFollower.close();
         this.workersFollower.close();
@@ -284,7 +289,7 @@
         }
         const loop = new LeaseRenewalLoop(this.parts, worker, {
             waitUntilOpen: () => this.takeoverGate.waitUntilOpen(),
-            hasAllJobs: report => this.hasAllJobs(report),
+            hasAllJobs: report => this.lookup.hasAllJobs(report),
             applyReport: (renewed, report, request) =>
                 this.parts.meter.measure(MeteredWork.Answers, () => this.handleReport(renewed, report, request)),
             noteEndsLeftAside: () => this.scheduleRound(limits.roundDelayMs),
@@ -293,15 +298,6 @@
         void loop.run();
     }
 
-    /**
-     * Whether all jobs named in a worker's report are known. The earlier coordinator may have read and started a job
-     * after this coordinator last read the store; unknown jobs cause another read.
-     */
-    private hasAllJobs(report: LeaseReport): boolean | Promise<boolean> {
-        const isUnread = [...report.ended, ...report.running].some(row => !this.jobs.isKnown(row.task.jobId));
-        return isUnread ? this.jobsFollower.refresh() : true;
-    }
-
     private handleReport(worker: TrackedWorker, report: LeaseReport, request: ReportRequest): void {
         this.runs.applyReport(worker, report, request);
         this.monitor.stopEndedJobs(worker);
--- a/packages/coordinate-work/src/coordinatorRules.ts
+++ b/packages/coordinate-work/src/coordinatorRules.ts
@@ -20,5 +20,7 @@
     /** An entry that disappeared while the store was unavailable is listed again within this time, in milliseconds. */
     readonly entryReturnMs: number;
     readonly storeLimits: StoreLimits;
+    /** Memory that open jobs may take, by estimate, in bytes; beyond it new ones are refused. No limit if left out. */
+    readonly maxOpenJobBytes?: number;
     readonly features: SchedulingFeatures;
 }
--- a/packages/coordinate-work/src/jobs/jobRegistry.ts
+++ b/packages/coordinate-work/src/jobs/jobRegistry.ts
@@ -8,11 +8,13 @@
     CANCEL_SUFFIX,
     decodeFinishedJob,
     decodeJobRecord,
+    estimateJobBytes,
     Job,
     openOccurrence,
     PartKey,
 } from "@sardinestage/track-jobs";
 import { StoredProgress } from "../records/storedProgress.js";
+import type { JobSize } from "./jobSize.js";
 import type { ReadyList } from "./readyList.js";
 import { ReadySteps } from "./readySteps.js";
 
@@ -34,6 +36,9 @@
     private readonly throttled = new Set<Task>();
     private readonly ready = new ReadySteps();
 
+    /** @param noteSize Called with the size of each live job, and with none once the job isn't live any more. */
+    constructor(private readonly noteSize: (id: string, size?: JobSize) => void = () => undefined) {}
+
     /**
      * Loads a progress record at a takeover: ended jobs are complete with it, the others are added to `pending`. So is
      * a record that can't be read: `addJob` then fails on it too, rather than treat the job as one that never ran.
@@ -74,6 +79,10 @@
         }
         progress?.parts.forEach(({ key, value }) => applyProgressPart(job, key, value));
         this.live.set(job.id, job);
+        this.noteSize(job.id, {
+            bytes: estimateJobBytes(spec, record.value.length),
+            steps: spec.steps.length,
+        });
         this.ready.addJob(job, task => this.throttled.add(task));
         return job;
     }
@@ -95,6 +104,7 @@
     /** Moves a job without active runs from the live jobs to the ended ones. */
     finishJob(job: Job): void {
         this.live.delete(job.id);
+        this.noteSize(job.id);
         this.ready.removeJob(job);
         this.cancelledBeforeRead.delete(job.id);
         this.finished.set(job.id, { state: job.state, finishedAtMs: job.finishedAtMs });
--- a/packages/run-entry-vm/src/coordinatorReport.ts
+++ b/packages/run-entry-vm/src/coordinatorReport.ts
@@ -10,6 +10,8 @@
     readonly storeSilentMs: number;
     /** How long the answering process's calls to the store have failed, in milliseconds. */
     readonly storeLostMs: number;
+    /** Memory that further jobs may take of the answering process as the coordinator, in bytes. */
+    readonly freeJobBytes?: number;
     /** What has changed of the jobs, if the answering process is the coordinator and the request says what is known. */
     readonly jobFacts?: JobFacts;
 }
--- a/packages/run-entry-vm/src/createEntryVm.ts
+++ b/packages/run-entry-vm/src/createEntryVm.ts
@@ -96,6 +96,7 @@
             stateReader: context.get(JobStateReader),
             jobStateCache: context.get(JobStateCache),
             coordinatorClient: context.get(Membership),
+            getFreeJobBytes: () => context.get(Membership).freeJobBytes,
         })
     ).inSingletonScope();
     return new EntryVm({
--- a/packages/run-entry-vm/src/localCoordinator.ts
+++ b/packages/run-entry-vm/src/localCoordinator.ts
@@ -84,6 +84,11 @@
         return this.holder === undefined ? 0 : this.parts.clock.getNow() - this.termWonAtMs;
     }
 
+    /** Memory that further jobs may take of the coordinator in this process, in bytes; undefined if there is none. */
+    get freeJobBytes(): number | undefined {
+        return this.isReady ? this.coordinator?.lookup.freeJobBytes : undefined;
+    }
+
     /** Whether the takeover of the coordinator in this process is complete. */
     private get isReady(): boolean {
         return this.coordinator?.isReady === true;
@@ -188,6 +193,7 @@
             isLeaving: this.isLeaving,
             storeSilentMs: this.storeSilentMs,
             storeLostMs: this.storeLostMs,
+            freeJobBytes: this.freeJobBytes,
             jobFacts: known === undefined ? undefined : this.jobFactLog?.collectSince(known, this.isReady),
         };
     }
@@ -223,6 +229,10 @@
                 const pending = coordinator.getPending(call.queue ?? "");
                 return pending === undefined ? { isUnsure: true } : { pending };
             }
+            case CoordinatorCallKind.Admit: {
+                const answer = await coordinator.lookup.admitJob(call.id ?? "", call.bytes ?? 0);
+                return { isRefused: answer !== true, isUnsure: answer === "unknown" };
+            }
             case CoordinatorCallKind.Explain:
                 return { explanation: this.explainPlacement(coordinator, call) };
             case CoordinatorCallKind.Cancel:
--- a/packages/run-entry-vm/src/membership.ts
+++ b/packages/run-entry-vm/src/membership.ts
@@ -19,6 +19,7 @@
 import type { FollowRequest } from "./followRequest.js";
 import { HolderHistory } from "./holderHistory.js";
 import type { JobFactFollower } from "./jobFactFollower.js";
+import { JobRoom } from "./jobRoom.js";
 import { listRelayVms } from "./listRelayVms.js";
 import type { LocalCoordinator } from "./localCoordinator.js";
 import type { PeerQuery } from "./peerQuery.js";
@@ -85,7 +86,7 @@
     private isClosed = false;
     private isDraining = false;
 
-    constructor(private readonly parts: MembershipParts) {
+    constructor(private readonly parts: MembershipParts, private readonly jobRoom = new JobRoom(parts.clock)) {
         this.lastAnswerAtMs = parts.loopMonitor.getResponsiveTime();
         this.followTimeout = new AdaptiveTimeout({ leastMs: parts.rules.silenceMs / 2, mostMs: MAX_FOLLOW_TIMEOUT_MS });
         this.holderHistory = new HolderHistory(parts.clock, parts.self);
@@ -143,6 +144,11 @@
         return this.holder?.term ?? 0;
     }
 
+    /** Memory that this VM may let new jobs take of the coordinator, in bytes; undefined if none told of it lately. */
+    get freeJobBytes(): number | undefined {
+        return this.jobRoom.computePart(this.members.length, this.parts.localCoordinator.freeJobBytes);
+    }
+
     /** The VMs that may relay calls for this coordinator. */
     get relays(): readonly Candidate[] {
         return listRelayVms(this.parts, this.members);
@@ -236,8 +242,8 @@
         const asked = this.holder;
         const sentAtMs = clock.getNow();
         const request = this.buildFollowRequest();
-        const { currentMs } = this.followTimeout;
-        const answer = await this.parts.peers.request(asked, FrameKind.FollowCoordinator, request, currentMs);
+        const timeoutMs = this.followTimeout.currentMs;
+        const answer = await this.parts.peers.request(asked, FrameKind.FollowCoordinator, request, timeoutMs);
         this.isRefused = answer.isConnectionRefused;
         this.followTimeout.noteOutcome(answer.hasAnswered, clock.getNow() - sentAtMs);
         return answer.hasAnswered && this.applyFollowReply(answer.body as FollowReply, asked, sentAtMs);
@@ -284,6 +290,7 @@
         this.isLeaving = reply.isLeaving;
         this.storeLostMs = reply.storeLostMs;
         this.term.noteStoreContact(sentAtMs - reply.storeSilentMs);
+        this.jobRoom.note(reply.freeJobBytes, sentAtMs);
         this.members = reply.members ?? this.members;
         this.membersVersion = reply.membersVersion;
         return !reply.isLeaving && reply.storeLostMs < this.parts.rules.storeSilenceMs;
--- a/packages/track-jobs/src/index.ts
+++ b/packages/track-jobs/src/index.ts
@@ -17,6 +17,7 @@
 export { encodeJobRecord } from "./encodeJobRecord.js";
 export { encodeProgress } from "./encodeProgress.js";
 export { encodeProgressPart } from "./encodeProgressPart.js";
+export { estimateJobBytes } from "./estimateJobBytes.js";
 export { Job } from "./job.js";
 export type { JobRecord } from "./jobRecord.js";
 export type { JobWatcher } from "./jobWatcher.js";
