--- a/packages/plan-starts/src/reservationPlanner.test.ts
+++ b/packages/plan-starts/src/reservationPlanner.test.ts
@@ -50,7 +50,7 @@
     const demand = createDemand({ cpuMillis: 14_000, estimateMs: 9000, image: "large", taskCount }, { slackMs: -1 }, {
         maxAttempts: 2,
     });
-    demand.waiting.slice(0, lastAttempts).forEach(task => task.failedRuns.add(1));
+    demand.waiting.slice(0, lastAttempts).forEach(task => task.addFailedRun(1));
     return demand;
 }
 
