--- a/packages/accept-jobs/src/jobService.ts
+++ b/packages/accept-jobs/src/jobService.ts
@@ -148,6 +148,11 @@
         return this.waitAtMost(fromCoordinator, hedgeDelayMs === 0 ? Math.min(PROBE_ANSWER_MS, leftMs) : leftMs);
     }
 
+    /** Ends all submissions and cancellations that wait for the store, with an outcome that holds whatever follows. */
+    expireRecords(): void {
+        this.parts.recordAppender.expirePending();
+    }
+
     /** Writes the counts that aren't logged yet. */
     close(): void {
         this.answerReporter.flush();
--- a/packages/accept-jobs/src/recordAppender.test.ts
+++ b/packages/accept-jobs/src/recordAppender.test.ts
@@ -175,6 +175,42 @@
         });
     });
 
+    describe("when the process is about to exit", () => {
+        // Guards against a refusal of a record that may be in the store, and against records that are sent after a refusal.
+        it("refuses records that were never sent, and reports an unknown outcome of the others", async () => {
+            const clock = new VirtualClock();
+            const sentKeys: string[] = [];
+            const store: StorePort = {
+                append: ({ records }) => {
+                    sentKeys.push(...records.map(({ key }) => key));
+                    return new Promise(() => undefined);
+                },
+                read: () => new Promise(() => undefined),
+                readNewest: () => new Promise(() => undefined),
+            };
+            const appender = new RecordAppender({
+                limits: emulatedStoreLimits,
+                store,
+                coordinatorClient: { call: () => new Promise(() => undefined) },
+                clock,
+                logger: silentLogger,
+                metrics: new Metrics(),
+            });
+            const outcomes: SubmitOutcome[] = [];
+            const submit = (key: string, index: number) =>
+                void appender.append({ key, value: new Uint8Array([1]) }).then(outcome => outcomes[index] = outcome);
+            // The first is sent; the others collect for the next batch, one of them with the first one's key.
+            submit("sent", 0);
+            await clock.runFor(1);
+            submit("unsent", 1);
+            submit("sent", 2);
+            appender.expirePending();
+            await clock.runFor(5000);
+            expect(outcomes).toEqual([SubmitOutcome.Unknown, SubmitOutcome.Refused, SubmitOutcome.Unknown]);
+            expect(sentKeys).toEqual(["sent"]);
+        });
+    });
+
     describe("when the store answers no append, and the coordinator doesn't answer", () => {
         const TIMEOUT_MS = 2700;
 
--- a/packages/accept-jobs/src/recordAppender.ts
+++ b/packages/accept-jobs/src/recordAppender.ts
@@ -57,6 +57,8 @@
     private readonly confirmer: RecordConfirmer;
     private readonly storeWatch: StoreWatch;
     private readonly possiblyStored = new PossiblyStoredKeys();
+    /** Each settles a pending record as if its caller had stopped waiting. */
+    private readonly expirations = new Set<() => void>();
     /** Highest known end offset of the topic; records sent from now on are stored at or after it. */
     private knownEnd: number | undefined;
 
@@ -87,6 +89,11 @@
         });
     }
 
+    /** Settles all pending records now: those that were never sent are refused, and the outcome of others is unknown. */
+    expirePending(): void {
+        [...this.expirations].forEach(expire => expire());
+    }
+
     /** Creates a pending record that is settled when its caller stops waiting, if not before. */
     private createPending(
         record: KeyedRecord,
@@ -99,14 +106,17 @@
             if (!isSettled) {
                 isSettled = true;
                 cancel();
+                this.expirations.delete(expire);
                 resolve(this.possiblyStored.noteOutcome(record.key, outcome));
             }
         };
-        const cancel = clock.schedule(timeoutMs, () => {
+        const expire = () => {
             const isUnsent = this.waiting.includes(pending);
             this.waiting = this.waiting.filter(waiting => waiting !== pending);
             settle(isUnsent ? SubmitOutcome.Refused : SubmitOutcome.Unknown);
-        });
+        };
+        const cancel = clock.schedule(timeoutMs, expire);
+        this.expirations.add(expire);
         const pending = { record, untilMs: clock.getNow() + timeoutMs, settle };
         return pending;
     }
