Test installations: reserve the ports that they hand out

Cause: installations that started side by side could be given the same ports, as a port was only checked to be free.

--- a/packages/stand-ins/src/installation.ts
+++ b/packages/stand-ins/src/installation.ts
@@ -136,6 +136,7 @@
         this.fleet.close();
         this.platformServer?.close();
         this.platformServer?.closeAllConnections();
+        this.portAllocator.close();
         if (process.env.SARDINESTAGE_KEEP_LOGS === undefined) {
             rmSync(this.directory, { recursive: true, force: true });
         }
