--- a/packages/accept-jobs/src/jobAdmission.ts
+++ b/packages/accept-jobs/src/jobAdmission.ts
@@ -1,13 +1,12 @@
 import type { Metrics } from "@sardinestage/count-metrics";
 import type { Clock } from "@sardinestage/describe-ports";
 import type { EventLogger } from "@sardinestage/log-events";
+import { SMALL_JOB_BYTES } from "@sardinestage/track-jobs";
 import type { CoordinatorCall } from "./coordinatorCall.js";
 import { CoordinatorCallKind } from "./coordinatorCallKind.js";
 import type { CoordinatorReply } from "./coordinatorReply.js";
 import { SubmitOutcome } from "./submitOutcome.js";
 
-/** Jobs that take at most this much are accepted without a question to the coordinator while there is room, in bytes. */
-const SMALL_JOB_BYTES = 65_536;
 /** Jobs accepted so long ago are in what the coordinator tells of the room, in milliseconds. */
 const COUNTED_MS = 3000;
 /** A coordinator that takes longer to answer doesn't delay a job, which is accepted then, in milliseconds. */
--- a/packages/coordinate-work/src/jobs/openJobBudget.ts
+++ b/packages/coordinate-work/src/jobs/openJobBudget.ts
@@ -1,12 +1,12 @@
 import type { Metrics } from "@sardinestage/count-metrics";
 import type { Clock } from "@sardinestage/describe-ports";
+import { SMALL_JOB_BYTES } from "@sardinestage/track-jobs";
 import type { JobSize } from "./jobSize.js";
 
 /**
- * Jobs that take more than this use at most a share of the budget, in bytes. What they take beyond it, because they were
- * accepted without a coordinator, doesn't count against smaller ones.
+ * Jobs that aren't small use at most this share of the budget. What they take beyond it, because they were accepted without
+ * a coordinator, doesn't count against smaller ones.
  */
-const SMALL_JOB_BYTES = 65_536;
 const LARGE_JOBS_SHARE = 7 / 8;
 /** A job that was admitted and hasn't been read from the store after this time wasn't accepted, in milliseconds. */
 const RESERVATION_MS = 15_000;
--- a/packages/coordinate-work/src/planning/buildWorkerSpeeds.ts
+++ b/packages/coordinate-work/src/planning/buildWorkerSpeeds.ts
@@ -1,10 +1,9 @@
 import type { UnevenWorker, WorkerSpeeds } from "@sardinestage/plan-starts";
+import { COLD_SLOWNESS } from "@sardinestage/plan-starts";
 import type { TrackedWorker } from "../workers/trackedWorker.js";
 
 /** Workers below this slowness count as equally fast: single runs scatter more than this around their estimates. */
 const MIN_SLOWNESS = 1.2;
-/** How many times as long as expected tasks are assumed to take on a cold worker of which nothing else is known. */
-const COLD_SLOWNESS = 2;
 
 /**
  * Lists the workers that are slow or cold now.
--- a/packages/plan-starts/src/computeSpeedPenalty.ts
+++ b/packages/plan-starts/src/computeSpeedPenalty.ts
@@ -1,4 +1,5 @@
 import type { StepSpec } from "@sardinestage/describe-work";
+import { COLD_SLOWNESS } from "./coldSlowness.js";
 import type { UnevenWorker } from "./unevenWorker.js";
 
 /**
@@ -10,8 +11,6 @@
 const COLD_PENALTY = 2;
 /** Below the penalty of reserved workers: tasks with little slack don't take what other tasks wait for. */
 const MAX_PENALTY = 4;
-/** How many times as long as expected best-effort tasks are assumed to take on a cold worker. */
-const COLD_SLOWNESS = 2;
 
 /**
  * Computes by how much the score of a slow or cold worker is lowered for a task with little slack.
--- a/packages/plan-starts/src/index.ts
+++ b/packages/plan-starts/src/index.ts
@@ -1,5 +1,6 @@
 export { allocateCapacity } from "./allocateCapacity.js";
 export type { CapacityAhead } from "./capacityAhead.js";
+export { COLD_SLOWNESS } from "./coldSlowness.js";
 export { compareDemands } from "./compareDemands.js";
 export { computePackingScore } from "./computePackingScore.js";
 export { countRuledOut } from "./countRuledOut.js";
--- a/packages/track-jobs/src/index.ts
+++ b/packages/track-jobs/src/index.ts
@@ -28,6 +28,7 @@
 export { PartKey } from "./partKey.js";
 export type { RecordChange } from "./recordChange.js";
 export { recordEncoder } from "./recordEncoder.js";
+export { SMALL_JOB_BYTES } from "./smallJobBytes.js";
 export type { StepRun } from "./stepRun.js";
 export { takeRecords } from "./takeRecords.js";
 export { Task } from "./task.js";
