--- a/review/stand/runCase.mjs
+++ b/review/stand/runCase.mjs
@@ -1,4 +1,5 @@
 /** Sets a small installation up, runs a case in it and ends with the exit code that the case's outcome asks for. */
+import { Advice } from "./advice.mjs";
 import { Machine, Record, createFolder, findPorts, wait } from "./installation.mjs";
 import { Store } from "./store.mjs";
 
@@ -47,17 +48,19 @@
  * @param url The URL of the case's module, beside which `record.txt` is written.
  * @param run Gets the installation and returns a list of what broke the rule; throws if the case couldn't run.
  */
-export async function runCase(url, { machineCount = 3, config = createConfig(1), keepMs }, run) {
+export async function runCase(url, { machineCount = 3, config = createConfig(1), keepMs, advice }, run) {
     const record = new Record(new URL("record.txt", url).pathname);
     const report = record.add;
     const machines = [];
     const workers = [];
     const store = new Store({ keepMs });
+    const service = advice === undefined ? undefined : new Advice({ ...advice, report });
     let code = EXIT_NOT_RUN;
     const finish = () => {
         machines.forEach(machine => machine.child?.kill("SIGKILL"));
         workers.filter(worker => worker.isUp).forEach(worker => worker.crash());
         store.close();
+        service?.close();
         record.save();
     };
     const timer = setTimeout(() => {
@@ -70,9 +73,10 @@
         const hosts = Array.from({ length: machineCount }, (_unused, index) => `127.0.0.${11 + index}`);
         const ports = await findPorts(hosts, 4);
         const storeAddress = await store.listen();
+        const adviceAddress = await service?.listen();
         store.put("keyed.op", "config", config);
         hosts.forEach((host, index) =>
-            machines.push(new Machine({ name: `front-${index + 1}`, zone: "zone-a", host, ports, storeAddress, report, folder }))
+            machines.push(new Machine({ name: `front-${index + 1}`, zone: "zone-a", host, ports, storeAddress, adviceAddress, report, folder }))
         );
         machines.forEach(machine => machine.start());
         const areReady = await Promise.all(machines.map(machine => machine.waitUntilReady()));
@@ -80,7 +84,7 @@
             throw new Error("A machine isn't ready.");
         }
         await wait(1000);
-        const broken = await run({ record, report, machines, workers, store });
+        const broken = await run({ record, report, machines, workers, store, advice: service });
         broken.slice(0, 20).forEach(each => {
             report({ event: "BROKEN", ...each });
             console.log(JSON.stringify(each));
--- a/review/stand/worker.mjs
+++ b/review/stand/worker.mjs
@@ -194,6 +194,9 @@
             return reply(409, { reason: "late" });
         }
         this.extendLease(life, body.deadline_ms);
+        if (this.advice !== undefined && !this.advice.isValid(body.ticket, task, this.id)) {
+            return reply(409, { reason: "ticket" });
+        }
         const need = this.demand(task);
         const used = { cpu: 0, mem_mb: 0, gpu: 0 };
         for (const other of life.running.values()) {
