--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,68 +1,76 @@
-/** Case 8: workers crash and start again at once, under their ids, as workers of another kind. */
-import { call, wait } from "../stand/installation.mjs";
+/** Case 8: a take-over whose first try fails, and a worker that is cut off after that try has renewed its lease. */
+import { findOverlaps } from "../stand/checks.mjs";
+import { call, findCoordinator, wait } from "../stand/installation.mjs";
 import { HOST, PREFIX, runCase, withTrouble } from "../stand/runCase.mjs";
 import { Worker } from "../stand/worker.mjs";
 
-const WORKERS_A = 12;
-const WORKERS_B = 6;
-const SETTLE_MS = 4000;
-/** One crash after the other, each of one worker: 2 of 18 at a time at most, and up again after so long. */
-const CRASHES = 8;
-const CRASH_EVERY_MS = 4000;
-const DOWN_MS = 600;
-/** Tasks that keep all workers of kind a busy, with some that wait. */
-const TASK_MS = 1500;
-const JOB_EVERY_MS = 250;
+const WORKERS = 8;
+const TASKS = 6;
+const JOBS = 3;
+const SETTLE_MS = 8000;
+/** The store is partly down for so long: the partition of one topic leaves all calls unanswered. */
+const PARTLY_DOWN_MS = 4500;
+const TOPIC_DOWN = "keyed.stage-jobs";
+/** When workers are cut off after the coordinator was killed, and for how long. */
+const CUT_AFTER_MS = 3400;
+const CUT_MS = 5500;
+const CUT_WORKERS = 1;
+const RESTART_AFTER_MS = 3500;
+const OBSERVE_MS = 14_000;
 
 await runCase(import.meta.url, {}, async ({ record, report, machines, workers, store }) => {
-    const addWorker = async (id, kind) => {
+    for (let index = 0; index < WORKERS; index++) {
         const worker = new Worker({
-            id,
-            kind,
+            id: `i-${index}`,
             store,
             report,
-            capacity: { cpu: 4000, mem_mb: 16_000, gpu: 0 },
-            plan: () => ({ ms: TASK_MS }),
-            demand: () => ({ cpu: 1000, mem_mb: 256, gpu: 0 }),
+            plan: () => ({ ms: Infinity }),
+            demand: () => ({ cpu: 1000, mem_mb: 512, gpu: 0 }),
         });
         workers.push(worker);
         await worker.start();
-    };
-    for (let index = 0; index < WORKERS_A; index++) {
-        await addWorker(`i-a${index}`, "a");
-    }
-    for (let index = 0; index < WORKERS_B; index++) {
-        await addWorker(`i-b${index}`, "b");
     }
     await wait(1500);
-    let number = 0;
-    const submit = async () => {
-        const { host, ports } = machines[number % machines.length];
-        const id = number.toString(16).padStart(16, "0");
-        number++;
-        const steps = [{ count: 9, cpu: 1000, mem_mb: 256, estimate_ms: TASK_MS, requires: "a" }];
+    const steps = [{ count: TASKS, cpu: 1000, mem_mb: 512, estimate_ms: 1000, long_running: true, anti_affinity: 1 }];
+    for (let index = 0; index < JOBS; index++) {
+        const { host, ports } = machines[index % machines.length];
+        const id = `00000000000000a${index}`.slice(-16);
         const { status } = await call(host, ports[0], "POST", PREFIX + id, {
             headers: { Host: HOST, "Timeout-Ms": "3000" },
-            body: { spec: "needs a", steps },
+            body: { spec: "lasting", steps },
         });
         report({ event: "client", method: "POST", id, status });
-    };
-    const timer = setInterval(submit, JOB_EVERY_MS);
-    await wait(SETTLE_MS);
-    for (let crash = 0; crash < CRASHES; crash++) {
-        if (withTrouble) {
-            const worker = workers[crash];
-            worker.crash();
-            await wait(DOWN_MS);
-            worker.kind = "b";
-            await worker.start();
+        if (status !== 200) {
+            throw new Error(`A job wasn't accepted: ${status}.`);
         }
-        await wait(CRASH_EVERY_MS - (withTrouble ? DOWN_MS : 0));
     }
-    clearInterval(timer);
-    const starts = record.rows.filter(row => row.event === "start");
-    if (starts.length < 100) {
-        throw new Error(`Only ${starts.length} tasks were started.`);
+    await wait(SETTLE_MS);
+    const running = workers.reduce((sum, worker) => sum + worker.life.running.size, 0);
+    if (running !== TASKS * JOBS) {
+        throw new Error(`Only ${running} tasks run.`);
+    }
+    if (withTrouble) {
+        const coordinator = findCoordinator(machines);
+        const downUntil = performance.now() + PARTLY_DOWN_MS;
+        store.fault = ({ query }) => query.topic === TOPIC_DOWN && performance.now() < downUntil ? "silent" : undefined;
+        report({ event: "store-partly-down", topic: TOPIC_DOWN, forMs: PARTLY_DOWN_MS });
+        coordinator.signal("SIGKILL");
+        setTimeout(() => coordinator.start(), RESTART_AFTER_MS);
+        await wait(CUT_AFTER_MS);
+        const cut = [...workers].sort((left, right) => right.life.running.size - left.life.running.size);
+        for (const worker of cut.slice(0, CUT_WORKERS)) {
+            const handle = worker.handle.bind(worker);
+            worker.handle = (life, request, response) => {
+                if (performance.now() < cutUntil) {
+                    request.resume();
+                    return;
+                }
+                handle(life, request, response);
+            };
+            report({ event: "worker-cut", worker: worker.id, forMs: CUT_MS });
+        }
     }
-    return starts.filter(row => row.kind !== "a");
+    const cutUntil = performance.now() + CUT_MS;
+    await wait(OBSERVE_MS);
+    return findOverlaps(record.rows);
 });
--- a/review/stand/installation.mjs
+++ b/review/stand/installation.mjs
@@ -99,6 +99,7 @@
             }
             this.exits.push({ code, signal });
             this.report({ event: "process-ended", machine: this.name, code, signal });
+            this.onEnd?.({ code, signal });
         });
         this.report({ event: "process-started", machine: this.name, pid: child.pid });
     }
--- a/review/stand/worker.mjs
+++ b/review/stand/worker.mjs
@@ -142,7 +142,12 @@
             if (late !== undefined) {
                 // The order gets no answer and is carried out late.
                 this.report({ event: "order-delayed", worker: this.id, path: request.url, task: body.task, run: body.run, ms: late });
-                setTimeout(() => this.life === life && perform(() => undefined), late);
+                setTimeout(() => {
+                    const reached = this.reachesNextLife ? this.life : life;
+                    if (this.isUp && reached === this.life) {
+                        this.perform(reached, request.url, body, () => undefined);
+                    }
+                }, late);
                 return;
             }
             perform();
