--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -20,7 +20,10 @@
 const FINISH_MS = 14_000;
 const IDLE_MS = 3000;
 
-const route = { advice: { decide_ms: ADVICE.decideMs, each_ms: ADVICE.eachMs, valid_ms: ADVICE.validMs }, target_latency_ms: 1000 };
+const route = {
+    advice: { decide_ms: ADVICE.decideMs, each_ms: ADVICE.eachMs, valid_ms: ADVICE.validMs },
+    target_latency_ms: 1000,
+};
 
 await runCase(import.meta.url, { config: createConfig(1, [route]), advice: ADVICE }, async parts => {
     const { record, report, machines, workers, store, advice } = parts;
@@ -78,9 +81,10 @@
 function findStarved(rows, accepted, fromMs, toMs) {
     const runs = listRuns(rows);
     const overlapping = runs.filter(run => run.from <= toMs && run.to >= fromMs);
-    const mostInUse = Math.max(0, ...overlapping.map(run =>
-        overlapping.filter(other => other.from <= run.from && other.to > run.from).length
-    ));
+    const mostInUse = Math.max(
+        0,
+        ...overlapping.map(run => overlapping.filter(other => other.from <= run.from && other.to > run.from).length),
+    );
     const capacity = WORKERS * WORKER_CPU / 1000;
     console.log(`${accepted.length} jobs accepted; at most ${mostInUse} of ${capacity} cores in use while watched.`);
     if (mostInUse >= capacity / 2) {
--- a/review/stand/advice.mjs
+++ b/review/stand/advice.mjs
@@ -65,6 +65,7 @@
     /** Whether a ticket lets a task of a step start on a worker now. */
     isValid(ticket, task, id) {
         const found = this.tickets.get(ticket);
-        return found !== undefined && found.id === id && task.startsWith(`${found.step}.`) && found.endsAt > performance.now();
+        return found !== undefined && found.id === id && task.startsWith(`${found.step}.`)
+            && found.endsAt > performance.now();
     }
 }
--- a/review/stand/installation.mjs
+++ b/review/stand/installation.mjs
@@ -60,18 +60,21 @@
     constructor({ name, zone, host, ports, storeAddress, report, folder, adviceAddress = "" }) {
         Object.assign(this, { name, zone, host, ports, report });
         this.settingsPath = join(folder, `${name}.toml`);
-        writeFileSync(this.settingsPath, renderSettings({
-            node: name,
-            ip: host,
-            zone,
-            limits,
-            bounds,
-            listen: { front: `${host}:${ports[0]}`, ready: `${host}:${ports[1]}` },
-            internal_ports: [ports[2], ports[3]],
-            platform: { address: storeAddress, record_bytes: 262_144, call_bytes: 2_097_152 },
-            cloud: { address: "" },
-            advice: adviceAddress,
-        }));
+        writeFileSync(
+            this.settingsPath,
+            renderSettings({
+                node: name,
+                ip: host,
+                zone,
+                limits,
+                bounds,
+                listen: { front: `${host}:${ports[0]}`, ready: `${host}:${ports[1]}` },
+                internal_ports: [ports[2], ports[3]],
+                platform: { address: storeAddress, record_bytes: 262_144, call_bytes: 2_097_152 },
+                cloud: { address: "" },
+                advice: adviceAddress,
+            }),
+        );
         this.log = [];
         this.exits = [];
     }
@@ -134,7 +137,8 @@
             path,
             agent: false,
             headers: {
-                ...text !== undefined && { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(text) },
+                ...text !== undefined
+                    && { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(text) },
                 ...headers,
             },
         }, response => {
@@ -142,7 +146,11 @@
             response.on("data", chunk => chunks.push(chunk));
             response.on("end", () => {
                 clearTimeout(timer);
-                resolve({ status: response.statusCode, body: parse(Buffer.concat(chunks).toString()), headers: response.headers });
+                resolve({
+                    status: response.statusCode,
+                    body: parse(Buffer.concat(chunks).toString()),
+                    headers: response.headers,
+                });
             });
             response.on("error", () => resolve({ status: 0 }));
         });
--- a/review/stand/runCase.mjs
+++ b/review/stand/runCase.mjs
@@ -1,6 +1,6 @@
 /** Sets a small installation up, runs a case in it and ends with the exit code that the case's outcome asks for. */
 import { Advice } from "./advice.mjs";
-import { Machine, Record, createFolder, findPorts, wait } from "./installation.mjs";
+import { createFolder, findPorts, Machine, Record, wait } from "./installation.mjs";
 import { Store } from "./store.mjs";
 
 export const HOST = "jobs.example";
@@ -76,7 +76,18 @@
         const adviceAddress = await service?.listen();
         store.put("keyed.op", "config", config);
         hosts.forEach((host, index) =>
-            machines.push(new Machine({ name: `front-${index + 1}`, zone: "zone-a", host, ports, storeAddress, adviceAddress, report, folder }))
+            machines.push(
+                new Machine({
+                    name: `front-${index + 1}`,
+                    zone: "zone-a",
+                    host,
+                    ports,
+                    storeAddress,
+                    adviceAddress,
+                    report,
+                    folder,
+                }),
+            )
         );
         machines.forEach(machine => machine.start());
         const areReady = await Promise.all(machines.map(machine => machine.waitUntilReady()));
@@ -100,7 +111,9 @@
     finish();
     if (process.env.KEEP_LOGS !== undefined) {
         const { writeFileSync } = await import("node:fs");
-        machines.forEach(machine => writeFileSync(`${process.env.KEEP_LOGS}/${machine.name}.log`, machine.log.join("")));
+        machines.forEach(machine =>
+            writeFileSync(`${process.env.KEEP_LOGS}/${machine.name}.log`, machine.log.join(""))
+        );
     }
     process.exit(code);
 }
--- a/review/stand/store.mjs
+++ b/review/stand/store.mjs
@@ -37,7 +37,11 @@
 
     /** Writes a record as the operator or a worker does; undefined deletes the key. */
     put(topic, key, value) {
-        const bytes = value === undefined ? undefined : Buffer.isBuffer(value) ? value : Buffer.from(JSON.stringify(value));
+        const bytes = value === undefined
+            ? undefined
+            : Buffer.isBuffer(value)
+            ? value
+            : Buffer.from(JSON.stringify(value));
         this.add(this.topic(topic), [{ key, value: bytes }]);
     }
 
@@ -48,7 +52,15 @@
     topic(name) {
         let topic = this.topics.get(name);
         if (topic === undefined) {
-            topic = { name, records: [], first: 0, newest: new Map(), waiters: new Set(), writers: new Map(), busyUntil: 0 };
+            topic = {
+                name,
+                records: [],
+                first: 0,
+                newest: new Map(),
+                waiters: new Set(),
+                writers: new Map(),
+                busyUntil: 0,
+            };
             this.topics.set(name, topic);
         }
         return topic;
--- a/review/stand/worker.mjs
+++ b/review/stand/worker.mjs
@@ -141,7 +141,14 @@
             const late = this.delayOrder?.(request.url, body);
             if (late !== undefined) {
                 // The order gets no answer and is carried out late.
-                this.report({ event: "order-delayed", worker: this.id, path: request.url, task: body.task, run: body.run, ms: late });
+                this.report({
+                    event: "order-delayed",
+                    worker: this.id,
+                    path: request.url,
+                    task: body.task,
+                    run: body.run,
+                    ms: late,
+                });
                 setTimeout(() => {
                     const reached = this.reachesNextLife ? this.life : life;
                     if (this.isUp && reached === this.life) {
@@ -155,7 +162,8 @@
     }
 
     perform(life, path, body, answer) {
-        const reply = (status, fields = {}) => answer(status, { clock_ms: this.clock(life), born: life.born, ...fields });
+        const reply = (status, fields = {}) =>
+            answer(status, { clock_ms: this.clock(life), born: life.born, ...fields });
         const fence = body.fence ?? 0;
         if (fence < life.highestFence) {
             return reply(409, { reason: "fence" });
