--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -24,10 +24,8 @@
 import { RoundTimer } from "./planning/roundTimer.js";
 import { JobRecorder } from "./records/jobRecorder.js";
 import { LearnedEstimates } from "./records/learnedEstimates.js";
-import { loadProgress } from "./records/loadProgress.js";
 import { ProgressWriter } from "./records/progressWriter.js";
 import { RecordCleaner } from "./records/recordCleaner.js";
-import type { StoredProgress } from "./records/storedProgress.js";
 import { LeaseRenewalLoop } from "./renewals/leaseRenewalLoop.js";
 import type { ReportRequest } from "./renewals/reportRequest.js";
 import { RunTracker } from "./runs/runTracker.js";
@@ -35,6 +33,8 @@
 import { followedTopics } from "./takeover/followedTopics.js";
 import { StartGate } from "./takeover/startGate.js";
 import { TakeoverGate } from "./takeover/takeoverGate.js";
+import { TakeoverReads } from "./takeover/takeoverReads.js";
+import { describeLeases } from "./workers/describeLeases.js";
 import { expireLeases } from "./workers/expireLeases.js";
 import { Fleet } from "./workers/fleet.js";
 import type { TrackedWorker } from "./workers/trackedWorker.js";
@@ -73,11 +73,10 @@
     private isOpen = false;
     private isRenewingLeases = false;
     private readonly takeoverGate: TakeoverGate;
-    private readonly openedAtMs: number;
+    private readonly takeoverReads: TakeoverReads;
     private readonly timer: RoundTimer;
 
     constructor(private readonly parts: CoordinatorParts) {
-        this.openedAtMs = parts.clock.getNow();
         this.lookup = new JobLookup(parts, this.jobs, () => this.jobsFollower.refresh());
         this.takeoverGate = new TakeoverGate(parts.clock, parts.rules.leaseMs * TAKEOVER_RENEWAL_SHARE);
         this.timer = new RoundTimer(
@@ -159,68 +158,60 @@
             ...followedTopics.workers,
             takeRecord: record => this.fleet.handleRecord(record),
         });
+        this.takeoverReads = new TakeoverReads(parts, {
+            writer: this.writer,
+            learned: this.learned,
+            jobs: this.jobs,
+            jobsFollower: this.jobsFollower,
+            workersFollower: this.workersFollower,
+            noteWorkersLoaded: () => this.startRenewingAll(),
+        });
     }
 
     /**
      * Takes over from earlier coordinators: fences them off from the store, starts to renew the workers' leases, and
      * loads the state of all jobs.
      *
-     * @returns False if the store can't be fenced or read; the caller may try again with a new coordinator.
+     * @returns False if the store can't be fenced or read; the caller may try again with the same coordinator, which goes
+     *   on renewing leases meanwhile. Another one for the same term wouldn't know what this one has ordered.
      */
     async open(): Promise<boolean> {
         const { clock, logger, term } = this.parts;
-        const pending = new Map<string, StoredProgress>();
-        const progress = new TopicFollower({
-            ...this.parts,
-            ...followedTopics.progress,
-            takeRecord: record => loadProgress(this.parts, this.learned, this.jobs, pending, record),
-        });
-        const isWriter = await this.writer.open();
-        const writableAtMs = clock.getNow();
-        const loads = isWriter
-            ? await Promise.all([progress.load(), this.jobsFollower.load(), this.loadWorkers()])
-            : [false];
-        if (loads.includes(false) || this.isClosed) {
-            const tookMs = Math.round(clock.getNow() - this.openedAtMs);
-            logger.warn("takeover-failed", { term, step: isWriter ? "read" : "fence", tookMs });
+        const isRead = !this.isClosed && await this.takeoverReads.run();
+        if (!isRead || this.isClosed) {
+            const leases = describeLeases(this.fleet.workers.values(), clock.getNow());
+            logger.warn("takeover-failed", { term, ...this.takeoverReads.describeTry(), ...leases });
             return false;
         }
-        const readAtMs = clock.getNow();
-        this.intake.applyDeferred(pending);
+        this.finishTakeover();
+        return true;
+    }
+
+    private finishTakeover(): void {
+        const { logger, term } = this.parts;
+        const { triedAtMs, progress } = this.takeoverReads;
+        this.intake.applyDeferred(progress);
+        progress.clear();
         this.isOpen = true;
-        logger.info("takeover", {
-            term,
-            jobs: this.jobs.live.size,
-            workers: this.fleet.workers.size,
-            fencedMs: Math.round(writableAtMs - this.openedAtMs),
-            readMs: Math.round(readAtMs - writableAtMs),
-            appliedMs: Math.round(clock.getNow() - readAtMs),
-            tookMs: Math.round(clock.getNow() - this.openedAtMs),
-        });
-        void this.jobsFollower.run();
-        void this.workersFollower.run();
+        const counts = { jobs: this.jobs.live.size, workers: this.fleet.workers.size };
+        logger.info("takeover", { term, ...counts, ...this.takeoverReads.describeTimes() });
         this.startGate = new StartGate([...this.fleet.workers.values()], {
             ...this.parts,
             ...this.parts.rules,
             listWorkers: () => this.fleet.workers.values(),
             getListReadAt: () => this.workersFollower.freshAtMs ?? -Infinity,
-            openedAtMs: this.openedAtMs,
+            openedAtMs: triedAtMs,
             getExpiredAt: () => this.fleet.earlierLeasesExpireAtMs,
         });
-        this.takeoverGate.openWhenSettled(() => this.startGate?.isSettled() === true);
+        this.takeoverGate.openWhenSettled(() => this.startGate?.isSettled() === true, triedAtMs);
         this.scheduleRound(limits.roundDelayMs);
         this.cleanup.start();
-        return true;
     }
 
-    /** Loads the worker list and renews leases at once, without waiting for the jobs to be loaded. */
-    private async loadWorkers(): Promise<boolean> {
-        const isLoaded = await this.workersFollower.load();
-        if (isLoaded) {
-            this.isRenewingLeases = true;
-            applyInBatches(this.parts.clock, [...this.fleet.workers.values()], worker => this.startRenewing(worker));
-        }
-        return isLoaded;
+    /** Renews leases as soon as the workers are known, without waiting for the jobs to be loaded. */
+    private startRenewingAll(): void {
+        this.isRenewingLeases = true;
+        applyInBatches(this.parts.clock, [...this.fleet.workers.values()], worker => this.startRenewing(worker));
     }
 
     /** Ends the term in this process: no further order is sent. */
--- a/packages/coordinate-work/src/jobs/jobIntake.ts
+++ b/packages/coordinate-work/src/jobs/jobIntake.ts
@@ -20,8 +20,11 @@
 
 /** Applies the records of accepted jobs and cancellations that are read from the store. */
 export class JobIntake {
-    /** Records read during a takeover, before the progress of all jobs is loaded; undefined after that. */
-    private deferred: KeyedRecord[] | undefined = [];
+    /**
+     * The newest records read during a takeover, by key, before the progress of all jobs is loaded; undefined after that.
+     * A takeover may read the same records several times.
+     */
+    private deferred: Map<string, KeyedRecord> | undefined = new Map<string, KeyedRecord>();
 
     constructor(private readonly parts: CoordinatorParts, private readonly collaborators: JobIntakeParts) {}
 
@@ -31,7 +34,7 @@
             this.applyRecord(record, undefined);
         }
         else {
-            this.deferred.push(record);
+            this.deferred.set(record.key, record);
         }
     }
 
@@ -41,7 +44,7 @@
      * @param progress The recorded progress of jobs that haven't ended, by job id.
      */
     applyDeferred(progress: ReadonlyMap<string, StoredProgress>): void {
-        const records = this.deferred ?? [];
+        const records = [...this.deferred?.values() ?? []];
         this.deferred = undefined;
         records.forEach(record => this.applyRecord(record, progress.get(record.key)));
         this.collaborators.jobs.finished.forEach(({ state }, id) => this.parts.onJobState?.(id, state));
--- a/packages/coordinate-work/src/runs/runTracker.ts
+++ b/packages/coordinate-work/src/runs/runTracker.ts
@@ -104,7 +104,7 @@
             worker: worker.entry.id,
             reason,
             phase: TaskPhase[task.phase],
-            ...describeRunTimes(task, this.parts.clock.getNow(), askedAtMs),
+            ...describeRunTimes(task, worker, this.parts.clock.getNow(), askedAtMs),
         });
         if (task.original !== undefined) {
             this.copies.reportEnd(task, worker, "lost");
--- a/packages/coordinate-work/src/takeover/takeoverGate.ts
+++ b/packages/coordinate-work/src/takeover/takeoverGate.ts
@@ -10,16 +10,13 @@
  */
 export class TakeoverGate {
     private isOpen = false;
-    private readonly createdAtMs: number;
     private readonly waiting = new Set<() => void>();
 
     /**
      * @param clock Steady time.
      * @param maxWaitMs How long a renewal loop may wait before it renews its lease again, in milliseconds.
      */
-    constructor(private readonly clock: Clock, private readonly maxWaitMs: number) {
-        this.createdAtMs = clock.getNow();
-    }
+    constructor(private readonly clock: Clock, private readonly maxWaitMs: number) {}
 
     /**
      * Waits until reports can be applied. Returns false on a timeout, after which the lease has to be renewed first.
@@ -42,16 +39,18 @@
     /**
      * Opens once all leases are renewed, or after the longest wait. Applying the reports of workers whose lease is
      * renewed would delay the renewals of the others.
+     *
+     * @param sinceMs Since when the longest wait counts, in steady milliseconds.
      */
-    openWhenSettled(isSettled: () => boolean): void {
-        const isLate = this.clock.getNow() - this.createdAtMs >= this.maxWaitMs;
+    openWhenSettled(isSettled: () => boolean, sinceMs: number): void {
+        const isLate = this.clock.getNow() - sinceMs >= this.maxWaitMs;
         if (isLate || isSettled()) {
             this.isOpen = true;
             // The renewal loops are released in batches, so that renewals can be sent in between.
             applyInBatches(this.clock, [...this.waiting], wake => wake());
         }
         else {
-            this.clock.schedule(CHECK_INTERVAL_MS, () => this.openWhenSettled(isSettled));
+            this.clock.schedule(CHECK_INTERVAL_MS, () => this.openWhenSettled(isSettled, sinceMs));
         }
     }
 }
--- a/packages/coordinate-work/src/testing/coordinatorHarness.ts
+++ b/packages/coordinate-work/src/testing/coordinatorHarness.ts
@@ -1,6 +1,6 @@
 import { Metrics } from "@sardinestage/count-metrics";
 import type { AdvicePort, KeyedRecord } from "@sardinestage/describe-ports";
-import { Topic } from "@sardinestage/describe-ports";
+import { Topic, waitFor } from "@sardinestage/describe-ports";
 import type { JobSpec, QueueConfig, TaskRef } from "@sardinestage/describe-work";
 import { WorkerState } from "@sardinestage/describe-work";
 import {
@@ -25,6 +25,9 @@
 import { PartitionedFleet } from "./partitionedFleet.js";
 
 const APPEND_TIMEOUT_MS = 1000;
+/** Pause between two tries to take over, in milliseconds, and the number of tries, as in a VM's process. */
+const TAKEOVER_RETRY_MS = 100;
+const MAX_TAKEOVER_TRIES = 40;
 /** Distance between two terms: the fencing tokens of a term lie between it and the next one. */
 const TERM_DISTANCE = 1_000_000;
 /** Interval at which a term gets another fencing token, in milliseconds, as if the term were renewed then. */
@@ -240,15 +243,17 @@
         void this.openWhenPossible(coordinator);
     }
 
+    /** Tries to take over as a VM's process does; if that fails for long, another VM begins the next term. */
     private async openWhenPossible(coordinator: Coordinator): Promise<void> {
-        const isOpen = await coordinator.open();
-        if (!isOpen && this.coordinator === coordinator) {
+        for (let tries = 0; tries < MAX_TAKEOVER_TRIES && this.coordinator === coordinator; tries++) {
+            if (await coordinator.open()) {
+                return;
+            }
+            await waitFor(this.clock, TAKEOVER_RETRY_MS);
+        }
+        if (this.coordinator === coordinator) {
             coordinator.close();
-            this.clock.schedule(100, () => {
-                if (this.coordinator === coordinator) {
-                    this.startTerm(true);
-                }
-            });
+            this.startTerm(true);
         }
     }
 
--- a/packages/coordinate-work/src/workers/trackedWorker.ts
+++ b/packages/coordinate-work/src/workers/trackedWorker.ts
@@ -6,6 +6,8 @@
 import { limits } from "../limits.js";
 import { CallLimiter } from "../orders/callLimiter.js";
 import { ColdPhase } from "./coldPhase.js";
+import type { LeaseEnd } from "./leaseEnd.js";
+import { LeaseSource } from "./leaseSource.js";
 import { RecentEnds } from "./recentEnds.js";
 import { UnappliedEnds } from "./unappliedEnds.js";
 import { WorkerLife } from "./workerLife.js";
@@ -136,12 +138,19 @@
 
     /** When the worker's lease has certainly expired if no further order renews it, in steady milliseconds. */
     getLeaseExpiry(): number {
+        return this.findLeaseEnd().atMs;
+    }
+
+    /** Finds when the worker's lease has certainly expired if no further order renews it, and what that follows from. */
+    findLeaseEnd(): LeaseEnd {
         if (this.answeredAtMs === 0) {
-            return this.getEarlierLeasesExpiry(this.entry.bornMs);
+            return { atMs: this.getEarlierLeasesExpiry(this.entry.bornMs), source: LeaseSource.EarlierTerms };
         }
         const leaseEndMs = this.answeredAtMs
             + Math.max(0, this.leaseUntilMs - this.clockMs) / limits.slowestClockRate;
-        return this.lastStartAtMs > this.answeredAtMs ? Math.max(leaseEndMs, this.startLeaseEndMs) : leaseEndMs;
+        return this.lastStartAtMs > this.answeredAtMs && this.startLeaseEndMs > leaseEndMs
+            ? { atMs: this.startLeaseEndMs, source: LeaseSource.StartOnUnknownLife }
+            : { atMs: leaseEndMs, source: LeaseSource.Order };
     }
 
     /**
--- a/packages/emulate-platform/src/memoryStore.ts
+++ b/packages/emulate-platform/src/memoryStore.ts
@@ -17,6 +17,8 @@
 const DEFAULT_PAGE_RECORDS = 50;
 /** Default timeout of a page, in milliseconds, as on the platform. */
 const PAGE_TIMEOUT_MS = 1000;
+/** Time beyond its wait after which a read of the tail times out, in milliseconds. */
+const READ_TIMEOUT_MS = 1000;
 /** Response time of a nearby store, in milliseconds. */
 const DEFAULT_ANSWER_MS = 4;
 
@@ -32,7 +34,14 @@
 
 /** The platform's store in memory: conditional appends, writer epochs and the newest record of each key. */
 export class MemoryStore implements StorePort {
-    readonly faults: StoreFaults = { isDown: false, lostAnswerShare: 0, applyDelayMs: 0, answerMs: DEFAULT_ANSWER_MS };
+    readonly faults: StoreFaults = {
+        isDown: false,
+        silentTopics: new Set(),
+        refusedTopics: new Set(),
+        lostAnswerShare: 0,
+        applyDelayMs: 0,
+        answerMs: DEFAULT_ANSWER_MS,
+    };
     private readonly topics = new Map<Topic, TopicState>();
 
     /**
@@ -49,9 +58,12 @@
     /** Appends records; the outcome says why if nothing was appended. */
     async append(call: AppendCall): Promise<AppendAnswer> {
         await waitFor(this.clock, this.faults.answerMs / 2);
-        if (this.faults.isDown) {
+        if (this.faults.isDown || this.faults.silentTopics.has(call.topic)) {
             return this.waitForTimeout(call.timeoutMs);
         }
+        if (this.faults.refusedTopics.has(call.topic)) {
+            return { outcome: AppendOutcome.Refused, offset: 0, end: 0 };
+        }
         if (this.random() < this.faults.lostAnswerShare) {
             const { applyDelayMs } = this.faults;
             if (applyDelayMs > 0) {
@@ -75,8 +87,11 @@
     /** Reads the records from an offset on; waits up to `waitMs` for the first one. */
     async read(topic: Topic, from: number, waitMs: number): Promise<ReadAnswer> {
         await waitFor(this.clock, this.faults.answerMs);
-        if (this.faults.isDown) {
-            await waitFor(this.clock, waitMs);
+        if (this.faults.isDown || this.faults.silentTopics.has(topic)) {
+            await waitFor(this.clock, this.faults.isDown ? waitMs : waitMs + READ_TIMEOUT_MS);
+            return { outcome: ReadOutcome.Failed, records: [], next: from };
+        }
+        if (this.faults.refusedTopics.has(topic)) {
             return { outcome: ReadOutcome.Failed, records: [], next: from };
         }
         const state = this.getTopicState(topic);
@@ -94,8 +109,9 @@
         { timeoutMs, onStart }: PageOptions = { timeoutMs: PAGE_TIMEOUT_MS },
     ): Promise<NewestRecordsPage> {
         const { answerMs } = this.faults;
-        await waitFor(this.clock, Math.min(answerMs, timeoutMs));
-        if (this.faults.isDown || answerMs > timeoutMs) {
+        const isSilent = this.faults.silentTopics.has(topic);
+        await waitFor(this.clock, isSilent ? timeoutMs : Math.min(answerMs, timeoutMs));
+        if (isSilent || this.faults.refusedTopics.has(topic) || this.faults.isDown || answerMs > timeoutMs) {
             return { succeeded: false, records: [], hasMore: false, end: 0 };
         }
         onStart?.();
--- a/packages/run-entry-vm/src/candidacy.ts
+++ b/packages/run-entry-vm/src/candidacy.ts
@@ -48,8 +48,8 @@
      * @param members The VMs that follow it.
      */
     async run(before: TermView, coordinator: CoordinatorView, members: readonly Candidate[]): Promise<void> {
-        const { clock, termLog, localCoordinator, self, promise, mayCompete } = this.parts;
-        if (before.holder?.incarnation !== self.incarnation) {
+        const { clock, termLog, localCoordinator, promise, mayCompete } = this.parts;
+        if (!this.isUnusedTerm(before.holder)) {
             await waitFor(clock, this.computeDelay(before, members));
         }
         const readAt = Instant.readNow(clock);
@@ -57,7 +57,7 @@
         if (view === undefined || !mayCompete()) {
             return;
         }
-        const isOurs = view.holder?.incarnation === self.incarnation;
+        const isOurs = this.isUnusedTerm(view.holder);
         if (!isOurs && (view.holder?.term !== before.holder?.term || promise.isKept)) {
             return;
         }
@@ -79,6 +79,12 @@
         await localCoordinator.start(won, isOurs ? readAt : triedAt, hadUnrecordedStarts, earlierTerm);
     }
 
+    /** Whether this process holds a term, won by an append whose answer was lost, in which it hasn't coordinated yet. */
+    private isUnusedTerm(holder: TermHolder | undefined): boolean {
+        return holder?.incarnation === this.parts.self.incarnation
+            && !this.parts.localCoordinator.hasGivenUp(holder.term);
+    }
+
     /** A process that knows no member, such as one that has just started, compares its VM with the last coordinator's. */
     private computeDelay(before: TermView, members: readonly Candidate[]): number {
         const { rules, self, term } = this.parts;
--- a/packages/run-entry-vm/src/localCoordinator.ts
+++ b/packages/run-entry-vm/src/localCoordinator.ts
@@ -58,6 +58,8 @@
      */
     private renewalsFailingSinceMs = Infinity;
     private termWonAtMs = 0;
+    /** The newest term in which this process has coordinated; 0 if there is none. */
+    private newestTerm = 0;
     private authority: TermAuthority | undefined;
     private hadAuthority = true;
     /** Whether a read that may confirm the term is under way. */
@@ -79,6 +81,14 @@
         return this.holder === undefined ? undefined : this.authority;
     }
 
+    /**
+     * Whether this process has given a term up, for good: what it ordered in that term is forgotten, so that it may only
+     * coordinate again in a term of its own that it wins later.
+     */
+    hasGivenUp(term: number): boolean {
+        return this.holder === undefined && term === this.newestTerm;
+    }
+
     /** How long this process has held the term, in milliseconds. */
     get termHeldMs(): number {
         return this.holder === undefined ? 0 : this.parts.clock.getNow() - this.termWonAtMs;
@@ -143,6 +153,7 @@
     ): Promise<void> {
         const { clock, logger } = this.parts;
         this.holder = holder;
+        this.newestTerm = holder.term;
         this.authority = new TermAuthority(wonAt);
         this.hadAuthority = true;
         this.termWonAtMs = clock.getNow();
@@ -152,26 +163,26 @@
         this.jobFactLog = jobFactLog;
         logger.info("term-won", { term: holder.term, hadUnrecordedStarts });
         void this.runRenewals(holder.term);
+        // One coordinator for all tries: what has been ordered in a term must be known until the term ends.
+        const coordinator = this.parts.createCoordinator({
+            term: holder.term,
+            hadUnrecordedStarts,
+            earlierTerm,
+            hasAuthority: () => this.checkAuthority(holder.term),
+            getAuthorityAge: () => this.termAuthority?.ageMs ?? Infinity,
+            getTermRenewalAge: () => this.renewalAgeMs,
+            getNewestFence: () => this.findNewestFence(holder.term),
+            onTermLost: reason => this.stop(holder.term, reason),
+            onJobState: (id, state) => {
+                jobFactLog.note(id, state);
+                this.parts.jobStateCache.noteState(id, state);
+            },
+        });
+        this.coordinator = coordinator;
         for (let tries = 0; tries < MAX_TAKEOVER_TRIES && this.holder === holder; tries++) {
-            const coordinator = this.parts.createCoordinator({
-                term: holder.term,
-                hadUnrecordedStarts,
-                earlierTerm,
-                hasAuthority: () => this.checkAuthority(holder.term),
-                getAuthorityAge: () => this.termAuthority?.ageMs ?? Infinity,
-                getTermRenewalAge: () => this.renewalAgeMs,
-                getNewestFence: () => this.findNewestFence(holder.term),
-                onTermLost: reason => this.stop(holder.term, reason),
-                onJobState: (id, state) => {
-                    jobFactLog.note(id, state);
-                    this.parts.jobStateCache.noteState(id, state);
-                },
-            });
-            this.coordinator = coordinator;
             if (await coordinator.open()) {
                 return;
             }
-            coordinator.close();
             await waitFor(clock, TAKEOVER_RETRY_MS);
         }
         this.stop(holder.term, "takeover-failed");
