--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -19,6 +19,7 @@
 import { HeadroomTracker } from "./pace/headroomTracker.js";
 import { PaceController } from "./pace/paceController.js";
 import { AdviceCache } from "./planning/adviceCache.js";
+import { AdviceRequester } from "./planning/adviceRequester.js";
 import { PlacementScorer } from "./planning/placementScorer.js";
 import { PlanningRound } from "./planning/planningRound.js";
 import { RoundTimer } from "./planning/roundTimer.js";
@@ -57,6 +58,7 @@
     private readonly runs: RunTracker;
     private readonly pace: PaceController;
     private readonly advice: AdviceCache;
+    private readonly adviceRequester: AdviceRequester;
     private readonly monitor: WorkerMonitor;
     private readonly fleet: Fleet;
     private readonly planningRound: PlanningRound;
@@ -88,7 +90,14 @@
         this.earlierStarts = new EarlierStarts(parts.hadUnrecordedStarts, this.writer);
         const recordCleaner = new RecordCleaner(parts, this.jobs, this.writer);
         const recorder = new JobRecorder(parts, this.writer);
-        this.advice = new AdviceCache(parts, () => this.scheduleRound(limits.roundDelayMs));
+        const getLife = (workerId: string) => this.fleet.workers.get(workerId)?.life.bornMs ?? 0;
+        this.advice = new AdviceCache(parts, getLife);
+        this.adviceRequester = new AdviceRequester(
+            parts,
+            this.advice,
+            getLife,
+            () => this.scheduleRound(limits.roundDelayMs),
+        );
         this.orders = new OrderSender(parts, {
             handleNotStarted: (...start) => this.runs.copies.handleNotStarted(...start),
             handleStarted: worker => this.pace.handleMeasurements(worker),
@@ -143,6 +152,7 @@
             orders: this.orders,
             runs: this.runs,
             advice: this.advice,
+            adviceRequester: this.adviceRequester,
             placementScorer: new PlacementScorer(this.learned.headroom),
             headroomTracker,
             durations: this.learned.durations,
@@ -219,6 +229,7 @@
         this.isClosed = true;
         this.lookup.close();
         this.writer.close();
+        this.adviceRequester.close();
         this.jobsFollower.close();
         this.workersFollower.close();
         this.timer.close();
--- a/packages/coordinate-work/src/orders/orderSender.ts
+++ b/packages/coordinate-work/src/orders/orderSender.ts
@@ -131,6 +131,13 @@
             this.handleRefusal(task, worker, OrderOutcome.Unsent);
             return;
         }
+        const ticket = this.handlers.tickets.getTicket(task, worker.entry.id);
+        if (ticket === "" && task.step.occurrence.job.queue.advice !== undefined) {
+            // The ticket has expired since the start was planned, so that the worker would refuse it.
+            metrics.count("starts_held_back_total", "ticket");
+            this.handleRefusal(task, worker, OrderOutcome.Unsent);
+            return;
+        }
         const sentAtMs = clock.getNow();
         const leaseMs = computeLeaseLength(rules.leaseMs, this.parts.getAuthorityAge());
         const leaseUntilMs = Math.floor(worker.estimateClock(sentAtMs) + leaseMs);
@@ -147,7 +154,7 @@
             leaseUntilMs,
             fence,
             checkpoint: task.checkpoint,
-            ticket: this.handlers.tickets.getTicket(task, worker.entry.id),
+            ticket,
         });
         worker.noteStart(clock.getNow(), rules.maxLeaseMs);
         metrics.recordDuration("start_call", clock.getNow() - sentAtMs);
--- a/packages/coordinate-work/src/planning/adviceCache.ts
+++ b/packages/coordinate-work/src/planning/adviceCache.ts
@@ -1,93 +1,71 @@
 import type { Task } from "@sardinestage/track-jobs";
 import type { CoordinatorParts } from "../coordinatorParts.js";
+import { StepAdvice } from "./stepAdvice.js";
 
-/** The most workers that one call asks about: the advice service takes longer for each. */
-const MAX_WORKERS_PER_CALL = 30;
-/** A ticket is used only if it stays valid for this long, in milliseconds: a start takes time to reach the worker. */
-const TICKET_MARGIN_MS = 300;
-/** Least time between two calls about one step, in milliseconds. */
-const REQUEST_INTERVAL_MS = 400;
-
-/** A ticket permits a step on a worker until the worker restarts. */
-interface Ticket {
-    readonly ticket: string;
-    /** When the ticket expires, in steady milliseconds. */
-    readonly untilMs: number;
-}
-
-/** Caches the advice service's tickets for steps of queues that need them. */
+/** Keeps what the advice service has told of the steps of queues that need advice. */
 export class AdviceCache {
-    private readonly tickets = new Map<string, Map<string, Ticket>>();
-    private readonly requestedAtMs = new Map<string, number>();
-    private readonly offsets = new Map<string, number>();
+    /** By job id, then by occurrence and step. */
+    private readonly jobs = new Map<string, Map<string, StepAdvice>>();
 
-    constructor(private readonly parts: CoordinatorParts, private readonly wake: () => void) {}
+    /** @param getLife Returns when a worker's present life began, in Unix milliseconds. */
+    constructor(
+        private readonly parts: Pick<CoordinatorParts, "clock">,
+        private readonly getLife: (workerId: string) => number,
+    ) {}
 
-    /** Whether the advice service lets a task run on a worker; always true for queues that need no advice. */
+    /** Whether the advice service lets a task start on a worker; always true for queues that need no advice. */
     isAdvised(task: Task, workerId: string): boolean {
-        return task.step.occurrence.job.queue.advice === undefined || this.getTicket(task, workerId) !== "";
+        return task.step.occurrence.job.queue.advice === undefined
+            || this.findStep(task)?.isAdvised(workerId, this.parts.clock.getNow()) === true;
     }
 
     /** Gets the valid ticket for a task on a worker; empty if there is none. */
     getTicket(task: Task, workerId: string): string {
-        const found = this.tickets.get(formatStepKey(task))?.get(workerId);
-        const isValid = found !== undefined && found.untilMs - TICKET_MARGIN_MS > this.parts.clock.getNow();
-        return isValid ? found.ticket : "";
-    }
-
-    /** Requests tickets for a step that found no worker with one; the answer schedules a planning round. */
-    request(task: Task, workers: readonly string[]): void {
-        const key = formatStepKey(task);
-        const nowMs = this.parts.clock.getNow();
-        if (workers.length === 0 || nowMs - (this.requestedAtMs.get(key) ?? -Infinity) < REQUEST_INTERVAL_MS) {
-            return;
-        }
-        this.requestedAtMs.set(key, nowMs);
-        const offset = this.offsets.get(key) ?? 0;
-        this.offsets.set(key, offset + MAX_WORKERS_PER_CALL);
-        const start = offset % workers.length;
-        const chosen = [...workers.slice(start), ...workers.slice(0, start)].slice(0, MAX_WORKERS_PER_CALL);
-        void this.fetchTickets(task, key, chosen);
+        const found = this.findStep(task)?.getTicket(workerId);
+        return found !== undefined && found.untilMs > this.parts.clock.getNow() ? found.ticket : "";
     }
 
     /** Drops a ticket that a worker has refused: it may be one for an earlier life of the worker. */
     dropTicket(task: Task, workerId: string): void {
-        this.tickets.get(formatStepKey(task))?.delete(workerId);
+        this.findStep(task)?.dropTicket(workerId);
     }
 
     /** Drops a job's tickets. */
     dropJob(jobId: string): void {
-        for (const key of [...this.requestedAtMs.keys()]) {
-            if (key.startsWith(`${jobId}/`)) {
-                this.requestedAtMs.delete(key);
-                this.tickets.delete(key);
-                this.offsets.delete(key);
+        this.jobs.delete(jobId);
+    }
+
+    /** Drops the steps that don't wait and hold no ticket any more: a job may have occurrences without end. */
+    dropUnused(waiting: ReadonlySet<StepAdvice>): void {
+        const nowMs = this.parts.clock.getNow();
+        for (const [jobId, steps] of this.jobs) {
+            for (const [key, advice] of steps) {
+                if (!waiting.has(advice) && !advice.isAsked && !advice.hasAnyTicket(nowMs)) {
+                    steps.delete(key);
+                }
+            }
+            if (steps.size === 0) {
+                this.jobs.delete(jobId);
             }
         }
     }
 
-    private async fetchTickets(task: Task, key: string, workers: readonly string[]): Promise<void> {
-        const { advice, clock, metrics, logger } = this.parts;
-        const sentAtMs = clock.getNow();
-        const { jobId, occurrence, step } = task.ref;
-        const answer = await advice.requestTickets(jobId, occurrence, step, workers);
-        metrics.recordDuration("advice_call", clock.getNow() - sentAtMs);
-        if (answer.tickets === undefined) {
-            metrics.count("advice_failures_total", "unanswered");
-            this.requestedAtMs.delete(key);
-            return;
-        }
-        logger.info("advice-taken", { step: key, asked: workers.length, good: answer.tickets.length });
-        const known = this.tickets.get(key) ?? new Map<string, Ticket>();
-        for (const { workerId, ticket } of answer.tickets) {
-            known.set(workerId, { ticket, untilMs: sentAtMs + answer.validMs });
-        }
-        this.tickets.set(key, known);
-        this.wake();
+    /** Gets what is kept of a task's step; creates it if nothing is. */
+    getOrAddStep(task: Task): StepAdvice {
+        const { jobId } = task.ref;
+        const steps = this.jobs.get(jobId) ?? new Map<string, StepAdvice>();
+        const key = formatStepKey(task);
+        const advice = steps.get(key) ?? new StepAdvice(this.getLife);
+        steps.set(key, advice);
+        this.jobs.set(jobId, steps);
+        return advice;
+    }
+
+    private findStep(task: Task): StepAdvice | undefined {
+        return this.jobs.get(task.ref.jobId)?.get(formatStepKey(task));
     }
 }
 
-function formatStepKey(task: Task): string {
-    const { jobId, occurrence, step } = task.ref;
-    return `${jobId}/${occurrence}/${step}`;
+function formatStepKey({ ref }: Task): string {
+    return `${ref.occurrence}/${ref.step}`;
 }
--- /dev/null
+++ b/packages/coordinate-work/src/planning/adviceQuestion.ts
@@ -0,0 +1,14 @@
+import type { AdvicePolicy } from "@sardinestage/describe-work";
+import type { StepDemand } from "@sardinestage/plan-starts";
+import type { StepAdvice } from "./stepAdvice.js";
+
+/** A call to the advice service that would help a step to start. */
+export interface AdviceQuestion {
+    readonly demand: StepDemand;
+    readonly advice: StepAdvice;
+    readonly policy: AdvicePolicy;
+    /** The workers worth asking about, the most useful first. */
+    readonly workerIds: readonly string[];
+    /** Whether earlier tickets or calls haven't helped the step. */
+    readonly isRetry: boolean;
+}
--- a/packages/coordinate-work/src/planning/planningRound.ts
+++ b/packages/coordinate-work/src/planning/planningRound.ts
@@ -18,6 +18,7 @@
 import { computeStartsLeft } from "../workers/computeStartsLeft.js";
 import type { Fleet } from "../workers/fleet.js";
 import type { AdviceCache } from "./adviceCache.js";
+import type { AdviceRequester } from "./adviceRequester.js";
 import { buildWorkerCapacity } from "./buildWorkerCapacity.js";
 import { buildWorkerRules } from "./buildWorkerRules.js";
 import { CapacityReservations } from "./capacityReservations.js";
@@ -54,6 +55,7 @@
     readonly orders: OrderSender;
     readonly runs: RunTracker;
     readonly advice: AdviceCache;
+    readonly adviceRequester: AdviceRequester;
     readonly placementScorer: PlacementScorer;
     readonly headroomTracker: HeadroomTracker;
     readonly durations: DurationEstimator;
@@ -148,6 +150,7 @@
         }
         if (steps.length === 0 || maxStarts <= 0) {
             if (steps.length === 0) {
+                this.collaborators.adviceRequester.noteRound([], []);
                 this.copies.startCopies([], () => this.listCapacities(nowMs));
             }
             return nextDueMs;
@@ -184,7 +187,7 @@
         plan.starts.forEach(({ task, workerId }) => this.startTask(task, workerId, nowMs));
         countUnevenStarts(plan.starts, rules.speeds, this.parts.metrics);
         this.demandSelector.recordRound(demands.length, clock.getNow() - planningStartedAtMs);
-        plan.unmet.forEach(demand => this.requestAdvice(demand, capacities));
+        this.collaborators.adviceRequester.noteRound(plan.unmet, capacities);
         this.preemption.runPreemption(plan.unmet, capacities, planningStartedAtMs);
         this.unusedTasks.noteListed(demands.map(demand => demand.step));
         const isPartial = demands.length < waiting.length;
@@ -342,14 +345,6 @@
             }
         }
     }
-
-    private requestAdvice(demand: StepDemand, capacities: readonly WorkerCapacity[]): void {
-        const isAdviceNeeded = demand.step.occurrence.job.queue.advice !== undefined;
-        const task = isAdviceNeeded ? demand.waiting.at(0) : undefined;
-        if (task !== undefined) {
-            this.collaborators.advice.request(task, capacities.map(capacity => capacity.workerId));
-        }
-    }
 }
 
 /** Gives all waiting members of a gang that isn't active the same checkpoint: a gang resumes as a whole. */
--- a/packages/emulate-platform/src/index.ts
+++ b/packages/emulate-platform/src/index.ts
@@ -1,5 +1,7 @@
+export type { AdviceFaults } from "./adviceFaults.js";
 export { createRandom } from "./createRandom.js";
 export { createStep } from "./createStep.js";
+export { EmulatedAdvice } from "./emulatedAdvice.js";
 export { emulatedCodec } from "./emulatedCodec.js";
 export { EmulatedFleet } from "./emulatedFleet.js";
 export { emulatedStoreLimits } from "./emulatedStoreLimits.js";
