--- a/packages/coordinate-work/src/planning/adviceOverload.test.ts
+++ b/packages/coordinate-work/src/planning/adviceOverload.test.ts
@@ -112,6 +112,7 @@
         { name: "as in the review", workers: 12, times: { decideMs: 10, eachMs: 1, validMs: 3000 } },
         { name: "with tickets of half a second", workers: 12, times: { decideMs: 5, eachMs: 0.5, validMs: 500 } },
         { name: "with a long decision", workers: 12, times: { decideMs: 30, eachMs: 0, validMs: 2000 } },
+        { name: "with tickets that cost much each", workers: 12, times: { decideMs: 5, eachMs: 15, validMs: 3000 } },
         { name: "with more workers", workers: 24, times: { decideMs: 4, eachMs: 0.2, validMs: 3000 } },
     ])("$name", ({ workers, times }) => {
         it("ends with all work done, and wastes no start", async () => {
--- a/packages/coordinate-work/src/planning/adviceRequester.ts
+++ b/packages/coordinate-work/src/planning/adviceRequester.ts
@@ -46,6 +46,8 @@
     private notedAtMs = -Infinity;
     private callsUnderWay = 0;
     private callCount = 0;
+    /** How many workers the calls have named. */
+    private namedCount = 0;
     private readonly callSize = new AdviceCallSize();
     private readonly timeout = new AdaptiveTimeout(TIMEOUT_BOUNDS);
     private consecutiveFailures = 0;
@@ -148,19 +150,21 @@
     ): AdviceQuestion | undefined {
         const { step } = demand;
         const policy = step.occurrence.job.queue.advice;
-        const ranked = listAdviceWorkers(demand, advice, this.capacities, nowMs);
-        if (policy === undefined || ranked.missingIds.length === 0 || !(ranked.hasMissingRoom || mayPrepare)) {
+        const listed = listAdviceWorkers(demand, advice, this.capacities, this.namedCount, nowMs);
+        if (policy === undefined || listed.missing.length === 0 || !(listed.hasMissingRoom || mayPrepare)) {
             advice.nextCallAtMs = nowMs + NEXT_LOOK_MS;
             return undefined;
         }
-        const isHeldElsewhere = ranked.hasTicketedRoom && !step.spec.gang;
+        const isHeldElsewhere = listed.hasTicketedRoom && !step.spec.gang;
         const isRetry = advice.fruitlessCalls > 0 || isHeldElsewhere;
-        return { demand, advice, policy, workerIds: ranked.missingIds, isRetry };
+        return { demand, advice, policy, workers: listed.missing, isRetry };
     }
 
-    private async sendCall({ demand, advice, policy, workerIds }: AdviceQuestion): Promise<void> {
+    private async sendCall({ demand, advice, policy, workers }: AdviceQuestion): Promise<void> {
         const { clock, metrics } = this.parts;
-        const named = workerIds.slice(0, this.callSize.chooseSize(policy));
+        const isCrowded = this.unmet.length > MAX_PREPARED_STEPS;
+        const size = this.callSize.chooseSize(policy, workers, demand.waiting.length, isCrowded);
+        const named = workers.slice(0, size).map(({ workerId }) => workerId);
         const lives = new Map(named.map(workerId => [workerId, this.getLife(workerId)]));
         const serviceMs = policy.decideMs + policy.eachMs * named.length;
         const { jobId, occurrence, step } = demand.waiting[0].ref;
@@ -168,7 +172,7 @@
         this.callsUnderWay++;
         this.callCount++;
         advice.isAsked = true;
-        advice.namedCount += named.length;
+        this.namedCount += named.length;
         const timeoutMs = Math.round(this.timeout.currentMs + 2 * serviceMs);
         const answer = await this.parts.advice.requestTickets(jobId, occurrence, step, named, timeoutMs);
         const nowMs = clock.getNow();
@@ -179,9 +183,10 @@
             this.noteFailure(demand, advice, named.length, nowMs - sentAtMs, timeoutMs);
         }
         else {
-            this.noteAnswer(nowMs - sentAtMs);
             const permitted = readTickets(answer, policy, lives, sentAtMs + serviceMs, nowMs);
-            advice.applyAnswer(named, permitted, named.length === workerIds.length, nowMs);
+            this.callSize.noteAnswer(named.length, permitted.size);
+            this.noteAnswer(nowMs - sentAtMs);
+            advice.applyAnswer(named, permitted, named.length === workers.length, nowMs);
             const fields = { asked: named.length, good: permitted.size, tookMs: Math.round(nowMs - sentAtMs) };
             this.parts.logger.info("advice-taken", { step: describeStep(demand), ...fields });
             this.wake();
@@ -191,7 +196,6 @@
 
     private noteAnswer(tookMs: number): void {
         this.timeout.noteAnswer(tookMs);
-        this.callSize.noteAnswer();
         if (this.consecutiveFailures > 0) {
             this.parts.logger.info("advice-regained", { failures: this.consecutiveFailures });
         }
--- a/packages/coordinate-work/src/planning/stepAdvice.ts
+++ b/packages/coordinate-work/src/planning/stepAdvice.ts
@@ -18,8 +18,6 @@
     fruitlessCalls = 0;
     /** No call for the step before this, in steady milliseconds. */
     nextCallAtMs = -Infinity;
-    /** How many workers the calls have named, so that each names others first. */
-    namedCount = 0;
 
     /** @param getLife Returns when a worker's present life began, in Unix milliseconds. */
     constructor(private readonly getLife: (workerId: string) => number) {}
