--- a/packages/coordinate-work/src/renewals/leaseRenewalLoop.ts
+++ b/packages/coordinate-work/src/renewals/leaseRenewalLoop.ts
@@ -76,7 +76,7 @@
                 return;
             }
             if (report.outcome === OrderOutcome.Accepted) {
-                this.worker.missedRenewals = 0;
+                this.noteHeard();
                 await this.handleAnswer(report, { sentAtMs, receivedAtMs: this.parts.clock.getNow(), fence }, hasLease);
             }
             else if (report.outcome === OrderOutcome.StaleFence) {
@@ -248,6 +248,18 @@
         return parts.workers.renewLease(worker.entry, order);
     }
 
+    private noteHeard(): void {
+        const { worker, parts } = this;
+        if (worker.missedRenewals >= limits.maxMissedRenewals) {
+            const silentMs = worker.answeredAtMs === 0
+                ? undefined
+                : Math.round(parts.clock.getNow() - worker.answeredAtMs);
+            const fields = { worker: worker.entry.id, silentMs, missedRenewals: worker.missedRenewals };
+            parts.logger.info("worker-heard-again", fields);
+        }
+        worker.missedRenewals = 0;
+    }
+
     private noteMissedRenewal(outcome: OrderOutcome): void {
         const { worker, parts } = this;
         worker.missedRenewals++;
--- a/packages/coordinate-work/src/runs/runTracker.ts
+++ b/packages/coordinate-work/src/runs/runTracker.ts
@@ -16,6 +16,7 @@
 import { compareRuns } from "./compareRuns.js";
 import { CopyTracker } from "./copyTracker.js";
 import { describeRunTimes } from "./describeRunTimes.js";
+import { reportExpiredLeases } from "./reportExpiredLeases.js";
 
 /** Dependencies of a run tracker. */
 interface RunTrackerParts {
@@ -50,7 +51,7 @@
         this.applyUnappliedEnds(worker);
         const isRestarted = worker.bornMs !== 0 && worker.bornMs !== report.bornMs;
         this.handleNewLife(worker, report, request);
-        this.reportExpiredLeases(worker, report.ended, nowMs);
+        reportExpiredLeases(this.parts, worker, report.ended);
         worker.clockMs = report.clockMs;
         worker.answeredAtMs = request.receivedAtMs;
         [...report.ended, ...report.running].forEach(row => this.collaborators.jobs.openReportedOccurrence(row.task));
@@ -113,21 +114,6 @@
         this.collaborators.noteChanged(task.step.occurrence.job);
     }
 
-    /** Logs runs whose lease expired in one line per worker, so that they aren't lost among many ordinary ends. */
-    private reportExpiredLeases(worker: TrackedWorker, ended: readonly EndedRun[], nowMs: number): void {
-        const expired = ended.filter(row => row.number > worker.appliedEndNumber && row.end === RunEnd.Lapsed);
-        if (expired.length === 0) {
-            return;
-        }
-        this.parts.metrics.count("leases_lapsed_total", "run", expired.length);
-        this.parts.logger.warn("leases-lapsed", {
-            worker: worker.entry.id,
-            runs: expired.length,
-            first: formatTaskKey(expired[0].task),
-            heardMsAgo: worker.hasReported ? Math.round(nowMs - worker.answeredAtMs) : undefined,
-        });
-    }
-
     /** Begins to follow a life of the worker that hasn't reported before. */
     private handleNewLife(worker: TrackedWorker, report: LeaseReport, request: ReportRequest): void {
         if (worker.bornMs === report.bornMs) {
@@ -186,6 +172,10 @@
             return;
         }
         const assignedWorker = this.collaborators.findWorker(task.workerId);
+        if (isElsewhere && row.end === RunEnd.Done) {
+            this.parts.metrics.count("runs_done_late_total", "run");
+            this.parts.logger.warn("run-done-late", { ...fields, newestRun: task.run, newestWorker: task.workerId });
+        }
         const isDuplicate = isElsewhere && row.run === task.run;
         const isCopy = task.isActive && row.run > task.run && row.run <= task.lastCopyRun;
         applyRunEnd(task, { ...row, isDuplicate, isCopy }, this.parts.clock.getWallTime());
