--- a/packages/run-entry-vm/src/partitions.fuzz.test.ts
+++ b/packages/run-entry-vm/src/partitions.fuzz.test.ts
@@ -1,62 +1,21 @@
 import { afterEach, beforeEach, describe, expect, it, jest } from "@jest/globals";
-import type { QueueConfig } from "@sardinestage/describe-work";
-import { createRandom, createStep } from "@sardinestage/emulate-platform";
-import { TakeoverHarness } from "./testing/takeoverHarness.js";
+import { createRandom } from "@sardinestage/emulate-platform";
+import { ZonedInstallation } from "./testing/zonedInstallation.js";
 
 const SEEDS = Array.from({ length: 24 }, (_unused, index) => 20261205 + index);
-/** Zones that can be cut off, each with a VM and workers; the store, a VM and workers are in none of them. */
-const ZONES = ["east", "west"];
-const WORKERS_PER_ZONE = 2;
+const ZONES = ZonedInstallation.zones;
+const WORKERS_PER_ZONE = ZonedInstallation.workersPerZone;
 const LASTING_TASKS = 6;
 /** Length of a long cut, in milliseconds: far longer than every authority, lease and takeover. */
 const LONG_CUT_MS = 20_000;
 /** Time after which the state of the others has settled after a cut began or ended, in milliseconds. */
 const SETTLE_MS = 15_000;
 const CUTS = 5;
-const queue: QueueConfig = {
-    name: "queue",
-    host: "host",
-    pathPrefix: "/queue/",
-    service: "service",
-    priority: 0,
-    maxAttempts: 50,
-    stretch: 2,
-    targetLatencyMs: 1000,
-};
-
-/** VMs and workers in several zones, of which one VM coordinates. */
-class Installation {
-    readonly harness: TakeoverHarness;
-    private jobs = 0;
 
+/** Cuts at random in an installation of several zones. */
+class PartitionScenario extends ZonedInstallation {
     constructor(private readonly random: () => number, getDuration: () => number, usesRelays = false) {
-        this.harness = new TakeoverHarness(random, getDuration, usesRelays);
-        ZONES.forEach(zone => this.harness.network.zones.set(`vm-${zone}`, zone));
-    }
-
-    /** Starts all VMs and workers, the VM of a zone first, so that it coordinates. */
-    async start(firstZone: string): Promise<void> {
-        const { harness } = this;
-        harness.startVm(`vm-${firstZone}`);
-        await harness.clock.runFor(1000);
-        ["vm-home", "vm-home2", ...ZONES.filter(zone => zone !== firstZone).map(zone => `vm-${zone}`)]
-            .forEach(vm => harness.startVm(vm));
-        for (const zone of [...ZONES, "home"]) {
-            for (let index = 0; index < WORKERS_PER_ZONE; index++) {
-                const worker = `worker-${zone}${index}`;
-                if (zone !== "home") {
-                    harness.network.zones.set(worker, zone);
-                }
-                harness.addWorker(worker);
-            }
-        }
-        await harness.clock.runFor(4000);
-    }
-
-    submit(taskCount: number, longRunning = false): void {
-        const steps = [createStep({ taskCount, longRunning, maxTasksPerWorker: longRunning ? 1 : 0 })];
-        const spec = { payload: "", steps, repeatCount: 0, firstRunMs: 0, intervalMs: 0 };
-        this.harness.submit(`job${this.jobs++}`, spec, queue);
+        super(random, getDuration, usesRelays);
     }
 
     /** Cuts zones off at random and ends that, beside outages of the store and failures of the coordinator. */
@@ -121,7 +80,7 @@
         ["but other VMs still reach it and tell it of its successor", false],
     ])("with the coordinator's zone among them, %s", (_title, areVmLinksCut) => {
         it("no task runs twice, and the zone's tasks run elsewhere", async () => {
-            const installation = new Installation(random, () => 600_000);
+            const installation = new PartitionScenario(random, () => 600_000);
             const { harness } = installation;
             await installation.start("east");
             expect(harness.coordinator).toBe("vm-east");
@@ -140,7 +99,7 @@
     });
 
     it("a successor that is cut off next keeps no task running either", async () => {
-        const installation = new Installation(random, () => 600_000);
+        const installation = new PartitionScenario(random, () => 600_000);
         const { harness } = installation;
         await installation.start("east");
         installation.submit(WORKERS_PER_ZONE, true);
@@ -163,7 +122,7 @@
             async (_title, usesRelays) => {
                 random = createRandom(seed);
                 const draw = random;
-                const installation = new Installation(random, () => 300 + draw() * 5000, usesRelays);
+                const installation = new PartitionScenario(random, () => 300 + draw() * 5000, usesRelays);
                 await installation.start(ZONES[seed % 2]);
                 await installation.runCuts();
                 const { harness } = installation;
@@ -188,7 +147,7 @@
     });
 
     it("running work goes on for as long as all VMs reach each other", async () => {
-        const installation = new Installation(random, () => 600_000);
+        const installation = new PartitionScenario(random, () => 600_000);
         const { harness } = installation;
         await installation.start("east");
         installation.submit(LASTING_TASKS, true);
@@ -204,7 +163,7 @@
     });
 
     it("running work goes on beside VMs whose processes have ended", async () => {
-        const installation = new Installation(random, () => 600_000);
+        const installation = new PartitionScenario(random, () => 600_000);
         const { harness } = installation;
         await installation.start("east");
         installation.submit(LASTING_TASKS, true);
@@ -220,7 +179,7 @@
     });
 
     it("work is resumed afterwards if a VM was silent, which might have had the store", async () => {
-        const installation = new Installation(random, () => 600_000);
+        const installation = new PartitionScenario(random, () => 600_000);
         const { harness } = installation;
         await installation.start("east");
         installation.submit(WORKERS_PER_ZONE * 2, true);
--- a/packages/run-entry-vm/src/testing/takeoverHarness.ts
+++ b/packages/run-entry-vm/src/testing/takeoverHarness.ts
@@ -272,6 +272,7 @@
             lost: this.lost,
             random: this.random,
             isCut: () => this.network.isStoreCut(vm),
+            waitForFailure: timeoutMs => this.network.waitForFailure(vm, timeoutMs),
             isSilentAbout: topic => topic === Topic.Operator && this.withoutOperatorRecords.has(vm),
         });
     }
@@ -304,7 +305,7 @@
     ): Promise<RelayReply | undefined> {
         const { clock, relayFaults } = this;
         if (this.network.isVmLinkCut(from, vm)) {
-            await waitFor(clock, timeoutMs);
+            await this.network.waitForFailure(from, timeoutMs);
             return undefined;
         }
         const isLate = this.random() < relayFaults.lateShare;
@@ -321,8 +322,8 @@
 
     private async request(vm: string, peer: Candidate, kind: FrameKind, body: unknown, timeoutMs: number) {
         if (this.network.isVmLinkCut(vm, peer.vm)) {
-            await waitFor(this.clock, timeoutMs);
-            return { body: undefined, isConnectionRefused: false, hasAnswered: false };
+            const isConnectionRefused = await this.network.waitForFailure(vm, timeoutMs);
+            return { body: undefined, isConnectionRefused, hasAnswered: false };
         }
         this.requests.push({ from: vm, to: peer.vm, kind });
         await waitFor(this.clock, ONE_WAY_DELAY_MS * 2);
