--- a/packages/keep-term/src/coordinatorView.ts
+++ b/packages/keep-term/src/coordinatorView.ts
@@ -4,7 +4,10 @@
     readonly isKnown: boolean;
     /** Time since the coordinator last answered this process, in milliseconds. */
     readonly silentMs: number;
-    /** Whether a connection to the coordinator was refused: its process has ended. */
+    /**
+     * Whether the coordinator's process has probably ended: a connection to it was refused, which a cut can do too, or
+     * another process answers at its address.
+     */
     readonly isConnectionRefused: boolean;
     /** Whether the coordinator has announced that it is about to stop. */
     readonly isLeaving: boolean;
--- a/packages/keep-term/src/earlierTerm.ts
+++ b/packages/keep-term/src/earlierTerm.ts
@@ -33,7 +33,7 @@
         return this.untilMs;
     }
 
-    /** Notes that the last coordinator certainly acts no more: its process has ended, or it has confirmed it. */
+    /** Notes that the last coordinator certainly acts no more: it, or the next process at its address, has confirmed it. */
     noteStopped(): void {
         this.untilMs = Math.min(this.untilMs, Math.max(this.clock.getNow(), this.predecessorsUntilMs));
     }
--- a/packages/run-entry-vm/src/authorityKeeper.ts
+++ b/packages/run-entry-vm/src/authorityKeeper.ts
@@ -42,7 +42,8 @@
 
     /**
      * Asks all VMs that might compete for their promise not to, while the store doesn't answer the coordinator in this
-     * process. Of VMs that have been silent for long before that it is assumed that they are gone.
+     * process. Of VMs that have been silent for long before that it is assumed that they are gone. A VM that refuses the
+     * connection promises nothing: its process may be there behind a cut and have the store.
      */
     async requestPromises(): Promise<void> {
         const { localCoordinator, followers, peers, clock } = this.parts;
@@ -58,17 +59,16 @@
         );
         const reports = answers.map(({ hasAnswered, body }) => hasAnswered ? body as PeerReport : undefined);
         reports.forEach(report => this.noteHolder(report?.holder));
-        // A process that has ended doesn't compete.
-        const arePromised = answers.every(({ isConnectionRefused }, index) =>
-            isConnectionRefused || reports[index]?.isPromised === true
-        );
+        const arePromised = reports.every(report => report?.isPromised === true);
         if (arePromised && localCoordinator.holder?.term === holder.term) {
             termAuthority.notePromised(askedAt);
         }
     }
 
     /**
-     * Tells the others of a term that this process has won, and finds out whether its predecessor has stopped.
+     * Tells the others of a term that this process has won, and finds out whether its predecessor has stopped. Only an
+     * answer shows that: the predecessor itself or the next process at its address knows the term. A refused connection
+     * may be the work of a cut.
      *
      * @param predecessor The coordinator of the term before; undefined if there was none.
      * @param members The VMs that followed it.
@@ -96,7 +96,7 @@
         followers.noteHeard(predecessor, clock.getNow());
         const answer = await peers.request(predecessor, FrameKind.AskPeer, query, ANNOUNCE_TIMEOUT_MS);
         const report = answer.hasAnswered ? answer.body as PeerReport : undefined;
-        const hasStopped = answer.isConnectionRefused || (report?.holder?.term ?? 0) >= won.term;
+        const hasStopped = (report?.holder?.term ?? 0) >= won.term;
         if (hasStopped) {
             earlierTerm.noteStopped();
         }
--- a/packages/run-entry-vm/src/peers.ts
+++ b/packages/run-entry-vm/src/peers.ts
@@ -6,7 +6,10 @@
 /** The result of a request to a peer. */
 interface PeerAnswer {
     readonly body: unknown;
-    /** Whether the peer's address refused the connection: no process listens there. */
+    /**
+     * Whether the connection was refused, so that the request was certainly not sent. That doesn't show that no process
+     * listens at the address: a cut or a firewall may refuse connections too.
+     */
     readonly isConnectionRefused: boolean;
     /** Whether an answer came within the timeout. */
     readonly hasAnswered: boolean;
