--- a/packages/accept-jobs/src/jobAdmission.test.ts
+++ b/packages/accept-jobs/src/jobAdmission.test.ts
@@ -69,6 +69,24 @@
         expect(outcomes.at(-1)).toBe(SubmitOutcome.NoRoom);
     });
 
+    it("tells the coordinator the queue and the address that a job comes from", async () => {
+        const harness = createHarness(MUCH_ROOM, () => Promise.resolve({ isRefused: false }));
+        const address = "10.0.0.1";
+        await harness.runUntilSettled(
+            harness.jobService.submit(createId(1), queue, largeSpec, CALLER_TIMEOUT_MS, address),
+        );
+        expect(harness.calls).toContainEqual(
+            expect.objectContaining({ kind: CoordinatorCallKind.Admit, queue: queue.name, address }),
+        );
+    });
+
+    it("asks about each small job when the coordinator has told of no room", async () => {
+        const harness = createHarness(0, () => Promise.resolve({ isRefused: false }));
+        expect(await submit(harness, 1)).toMatchObject({ outcome: SubmitOutcome.Accepted });
+        expect(await submit(harness, 2)).toMatchObject({ outcome: SubmitOutcome.Accepted });
+        expect(countQuestions(harness)).toBe(2);
+    });
+
     it("logs refusals at most once a second", async () => {
         const harness = createHarness(MUCH_ROOM);
         await Promise.all(Array.from({ length: 20 }, (_unused, index) => submit(harness, index, largeSpec)));
--- a/packages/accept-jobs/src/jobAdmission.ts
+++ b/packages/accept-jobs/src/jobAdmission.ts
@@ -1,5 +1,6 @@
 import type { Metrics } from "@sardinestage/count-metrics";
 import type { Clock } from "@sardinestage/describe-ports";
+import type { JobOrigin } from "@sardinestage/describe-work";
 import type { EventLogger } from "@sardinestage/log-events";
 import { SMALL_JOB_BYTES } from "@sardinestage/track-jobs";
 import type { CoordinatorCall } from "./coordinatorCall.js";
@@ -43,18 +44,23 @@
      * Decides whether a job may be accepted.
      *
      * @param bytes Memory that the job would take of the coordinator, in bytes.
+     * @param origin Where the job comes from: there may be room for callers with few open jobs alone.
      * @returns Why the job isn't written to the store; undefined if it may be.
      */
-    async findRefusal(id: string, bytes: number): Promise<SubmitOutcome.NoRoom | SubmitOutcome.Unknown | undefined> {
+    async findRefusal(
+        id: string,
+        bytes: number,
+        origin: JobOrigin,
+    ): Promise<SubmitOutcome.NoRoom | SubmitOutcome.Unknown | undefined> {
         const freeBytes = this.parts.getFreeJobBytes();
         if (freeBytes === undefined || this.tryAccepting(bytes, freeBytes)) {
             return undefined;
         }
-        const reply = await this.requestAdmission({ kind: CoordinatorCallKind.Admit, id, bytes });
+        const reply = await this.requestAdmission({ kind: CoordinatorCallKind.Admit, id, bytes, ...origin });
         if (reply?.isRefused !== true) {
             return undefined;
         }
-        this.recordRefusal(id, bytes);
+        this.recordRefusal(id, bytes, origin);
         return reply.isUnsure === true ? SubmitOutcome.Unknown : SubmitOutcome.NoRoom;
     }
 
@@ -79,13 +85,13 @@
         });
     }
 
-    private recordRefusal(id: string, bytes: number): void {
+    private recordRefusal(id: string, bytes: number, origin: JobOrigin): void {
         const { clock, logger, metrics } = this.parts;
         metrics.count("jobs_refused_total", "open-jobs");
         this.refusedSinceLogged++;
         const nowMs = clock.getNow();
         if (nowMs - this.loggedAtMs >= LOG_INTERVAL_MS) {
-            logger.warn("job-refused", { job: id, bytes, refused: this.refusedSinceLogged });
+            logger.warn("job-refused", { job: id, bytes, ...origin, refused: this.refusedSinceLogged });
             this.loggedAtMs = nowMs;
             this.refusedSinceLogged = 0;
         }
--- a/packages/accept-jobs/src/jobService.ts
+++ b/packages/accept-jobs/src/jobService.ts
@@ -1,6 +1,6 @@
 import type { Metrics } from "@sardinestage/count-metrics";
 import type { Clock } from "@sardinestage/describe-ports";
-import type { JobSpec, QueueConfig } from "@sardinestage/describe-work";
+import type { JobOrigin, JobSpec, QueueConfig } from "@sardinestage/describe-work";
 import { JobState } from "@sardinestage/describe-work";
 import type { EventLogger } from "@sardinestage/log-events";
 import { CANCEL_SUFFIX, encodeJobRecord, estimateJobBytes } from "@sardinestage/track-jobs";
@@ -83,16 +83,19 @@
      * Accepts a job. Submitting the same id again has no further effect.
      *
      * @param callerTimeoutMs How long the caller waits, in milliseconds.
+     * @param address The caller's address.
      */
     async submit(
         id: string,
         queue: QueueConfig,
         spec: JobSpec,
         callerTimeoutMs = DEFAULT_CALLER_TIMEOUT_MS,
+        address?: string,
     ): Promise<SubmitOutcome> {
         const sentAtMs = this.parts.clock.getNow();
         const value = encodeJobRecord({ spec, queue, acceptedAtMs: this.parts.clock.getWallTime() });
-        const refusal = await this.findRefusal(id, estimateJobBytes(spec, value.length));
+        const origin = { queue: queue.name, address };
+        const refusal = await this.findRefusal(id, estimateJobBytes(spec, value.length), origin);
         if (refusal !== undefined) {
             return refusal;
         }
@@ -177,10 +180,10 @@
     }
 
     /** Finds out why there is no room for a job. One that may have been accepted before isn't refused. */
-    private async findRefusal(id: string, bytes: number): Promise<SubmitOutcome | undefined> {
+    private async findRefusal(id: string, bytes: number, origin: JobOrigin): Promise<SubmitOutcome | undefined> {
         const { jobStateCache, recordAppender } = this.parts;
         const isKnown = () => jobStateCache.findLastState(id) !== undefined || recordAppender.hasPossiblyStored(id);
-        const refusal = isKnown() ? undefined : await this.admission.findRefusal(id, bytes);
+        const refusal = isKnown() ? undefined : await this.admission.findRefusal(id, bytes, origin);
         return isKnown() ? undefined : refusal;
     }
 
--- a/packages/coordinate-work/src/jobs/jobLookup.ts
+++ b/packages/coordinate-work/src/jobs/jobLookup.ts
@@ -1,6 +1,7 @@
 import type { Metrics } from "@sardinestage/count-metrics";
 import type { Clock, LeaseReport } from "@sardinestage/describe-ports";
 import { waitFor } from "@sardinestage/describe-ports";
+import type { JobOrigin } from "@sardinestage/describe-work";
 import type { JobRegistry } from "./jobRegistry.js";
 import type { JobSize } from "./jobSize.js";
 import { OpenJobBudget } from "./openJobBudget.js";
@@ -35,7 +36,7 @@
         this.openJobs = new OpenJobBudget(parts, parts.rules.maxOpenJobBytes);
     }
 
-    /** Memory that further jobs may take, in bytes; undefined without a limit. */
+    /** Memory that further jobs may take, reserved rooms aside, in bytes; undefined without a limit. */
     get freeJobBytes(): number | undefined {
         return this.openJobs.freeBytes;
     }
@@ -64,10 +65,11 @@
      * isn't refused.
      *
      * @param bytes Memory that the job would take, in bytes.
+     * @param origin Where the job comes from.
      * @returns Whether there is room; `"unknown"` if there is none and the store doesn't tell soon whether it has the job.
      */
-    async admitJob(id: string, bytes: number): Promise<boolean | "unknown"> {
-        if (this.jobs.isKnown(id) || this.openJobs.tryReserving(id, bytes)) {
+    async admitJob(id: string, bytes: number, origin: JobOrigin = {}): Promise<boolean | "unknown"> {
+        if (this.jobs.isKnown(id) || this.openJobs.tryReserving(id, bytes, origin)) {
             return true;
         }
         const isRead = await Promise.race([this.refresh(), waitFor(this.parts.clock, MAX_READ_MS).then(() => false)]);
--- a/packages/coordinate-work/src/jobs/jobRegistry.ts
+++ b/packages/coordinate-work/src/jobs/jobRegistry.ts
@@ -82,6 +82,7 @@
         this.noteSize(job.id, {
             bytes: estimateJobBytes(spec, record.value.length),
             steps: spec.steps.length,
+            queue: queue.name,
         });
         this.ready.addJob(job, task => this.throttled.add(task));
         return job;
--- a/packages/coordinate-work/src/jobs/openJobBudget.test.ts
+++ b/packages/coordinate-work/src/jobs/openJobBudget.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from "@jest/globals";
 import { Metrics } from "@sardinestage/count-metrics";
+import type { JobOrigin } from "@sardinestage/describe-work";
 import { VirtualClock } from "@sardinestage/emulate-platform";
 import { OpenJobBudget } from "./openJobBudget.js";
 
@@ -82,4 +83,78 @@
         budget.setSize("stored", undefined);
         expect(budget.tryReserving("large", LARGE_BYTES)).toBe(true);
     });
+
+    describe("when jobs of one queue and address have used it up", () => {
+        const crowd = { queue: "crowded", address: "10.0.0.1" };
+        /** Small jobs that fit into the room of queues, and into that of addresses. */
+        const RESERVED_JOBS = 12;
+
+        /** Admits jobs until one is refused. Returns how many were admitted. */
+        function admitJobs(budget: OpenJobBudget, name: string, origin: JobOrigin, bytes = SMALL_BYTES): number {
+            let admitted = 0;
+            while (admitted < 1000 && budget.tryReserving(`${name}-${admitted}`, bytes, origin)) {
+                admitted++;
+            }
+            return admitted;
+        }
+
+        function createUsedUp() {
+            const created = createBudget();
+            expect(admitJobs(created.budget, "crowd", crowd)).toBe(MAX_BYTES / SMALL_BYTES);
+            return created;
+        }
+
+        it("refuses further ones of them", () => {
+            const { budget } = createUsedUp();
+            expect(budget.tryReserving("late", SMALL_BYTES, crowd)).toBe(false);
+        });
+
+        it("admits jobs of another queue, at most half of what is reserved", () => {
+            const { budget } = createUsedUp();
+            expect(admitJobs(budget, "other", { ...crowd, queue: "other" })).toBe(RESERVED_JOBS / 2);
+        });
+
+        it("admits a job from another address", () => {
+            const { budget } = createUsedUp();
+            expect(admitJobs(budget, "ordinary", { ...crowd, address: "10.0.0.2" })).toBe(1);
+        });
+
+        it("admits no job whose queue and address it doesn't know", () => {
+            expect(createUsedUp().budget.tryReserving("unknown", SMALL_BYTES)).toBe(false);
+        });
+
+        it("admits no large job", () => {
+            const { budget } = createUsedUp();
+            expect(budget.tryReserving("large", LARGE_BYTES, { queue: "other", address: "10.0.0.2" })).toBe(false);
+        });
+
+        it("admits jobs of a queue from many addresses no further than what is reserved", () => {
+            const { budget } = createUsedUp();
+            const admitted = Array.from(
+                { length: 100 },
+                (_unused, index) => admitJobs(budget, `address-${index}`, { ...crowd, address: `10.0.1.${index}` }),
+            );
+            expect(admitted.reduce((sum, count) => sum + count)).toBe(RESERVED_JOBS);
+            expect(admitJobs(budget, "other", { ...crowd, queue: "other" })).toBe(RESERVED_JOBS / 2);
+        });
+
+        it("counts a job in its reserved room until it has ended", () => {
+            const { budget } = createUsedUp();
+            const other = { ...crowd, queue: "other" };
+            admitJobs(budget, "other", other);
+            budget.setSize("other-0", { bytes: SMALL_BYTES, steps: 1, queue: other.queue });
+            expect(budget.tryReserving("late", SMALL_BYTES, other)).toBe(false);
+            budget.setSize("other-0", undefined);
+            expect(budget.tryReserving("late", SMALL_BYTES, other)).toBe(true);
+            expect(budget.freeBytes).toBe(0);
+        });
+
+        it("counts jobs that the store has for their queue", () => {
+            const { budget } = createBudget();
+            budget.setSize("stored", { bytes: MAX_BYTES, steps: 5000, queue: crowd.queue });
+            admitJobs(budget, "small", {});
+            expect(budget.tryReserving("late", SMALL_BYTES, { queue: crowd.queue })).toBe(false);
+            expect(budget.tryReserving("late", SMALL_BYTES, { queue: "other" })).toBe(true);
+        });
+    });
 });
--- a/packages/describe-work/src/index.ts
+++ b/packages/describe-work/src/index.ts
@@ -3,6 +3,7 @@
 export type { Capacity } from "./capacity.js";
 export { ExplainOutcome } from "./explainOutcome.js";
 export { formatTaskKey } from "./formatTaskKey.js";
+export type { JobOrigin } from "./jobOrigin.js";
 export type { JobSpec } from "./jobSpec.js";
 export { JobState } from "./jobState.js";
 export type { OperatorConfig } from "./operatorConfig.js";
--- a/packages/run-entry-vm/src/localCoordinator.ts
+++ b/packages/run-entry-vm/src/localCoordinator.ts
@@ -241,7 +241,8 @@
                 return pending === undefined ? { isUnsure: true } : { pending };
             }
             case CoordinatorCallKind.Admit: {
-                const answer = await coordinator.lookup.admitJob(call.id ?? "", call.bytes ?? 0);
+                const { id = "", bytes = 0, queue, address } = call;
+                const answer = await coordinator.lookup.admitJob(id, bytes, { queue, address });
                 return { isRefused: answer !== true, isUnsure: answer === "unknown" };
             }
             case CoordinatorCallKind.Explain:
