--- a/packages/exchange-frames/src/peerClient.ts
+++ b/packages/exchange-frames/src/peerClient.ts
@@ -41,7 +41,7 @@
      * @param kind Kind of the request.
      * @param body A value that CBOR can encode.
      * @param timeoutMs Timeout of the reply, in milliseconds; when it expires the connection is closed.
-     * @returns The reply's body; `PeerRefusedConnection` when no process listens at the address; `FrameTooLarge` or
+     * @returns The reply's body; `PeerRefusedConnection` when the connection was refused, by the machine or by a cut; `FrameTooLarge` or
      *     `FrameInvalid` when the peer sends a malformed frame; `PeerUnreachable` on any other failure.
      */
     request(kind: FrameKind, body: unknown, timeoutMs: number): Promise<Result<unknown, StageError>> {
