--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -56,14 +56,22 @@
 for (const id of ids) {
     const { text } = await world.call(nodes[0], "GET", `/${id === ids[0] ? "batch" : "jobs"}/${id}`);
     const starts = world.events.filter(event => event.kind === "start" && event.task.startsWith(id));
-    const used = [...world.workers.values()].map(worker => [...worker.runs.values()].reduce((sum, run) => sum + run.step.cpu, 0));
+    const used = [...world.workers.values()].map(worker =>
+        [...worker.runs.values()].reduce((sum, run) => sum + run.step.cpu, 0)
+    );
     const usedShare = used.reduce((sum, cpu) => sum + cpu, 0) / (WORKERS * CORES);
     const room = used.reduce((sum, cpu) => sum + Math.floor((CORES - cpu) / small.cpu), 0);
-    console.log(`${id}: ${text}, starts ${starts.length}, first ${starts[0]?.at - acceptedAt}, room for ${room}, in use ${usedShare.toFixed(3)}`);
+    console.log(
+        `${id}: ${text}, starts ${starts.length}, first ${starts[0]?.at - acceptedAt}, room for ${room}, in use ${
+            usedShare.toFixed(3)
+        }`,
+    );
     if (starts.length === 0 && room >= 2 * small.count && usedShare < 0.5) {
         broken.push(
             `LOST: ${id}, accepted at ${acceptedAt} ms, had no run from ${judgedAt} ms to ${world.now} ms`
-                + ` with room for ${room} of its ${small.count} tasks and ${usedShare.toFixed(3)} of the capacity in use`,
+                + ` with room for ${room} of its ${small.count} tasks and ${
+                    usedShare.toFixed(3)
+                } of the capacity in use`,
         );
     }
 }
--- a/review/stand-3/worker.mjs
+++ b/review/stand-3/worker.mjs
@@ -72,9 +72,18 @@
         this.seq++;
         const more = state === "draining" ? { remaining_ms: 4000 } : {};
         return JSON.stringify({
-            service: this.service, address: `${this.host}:${this.port}`, zone: this.zone, version: "1", slots: 8, state,
-            cold_remaining_ms: 0, seq: this.seq, born: this.born, labels: ["a", this.rack],
-            capacity: { cpu: this.cpu, mem_mb: this.memory, gpu: 0 }, ...more,
+            service: this.service,
+            address: `${this.host}:${this.port}`,
+            zone: this.zone,
+            version: "1",
+            slots: 8,
+            state,
+            cold_remaining_ms: 0,
+            seq: this.seq,
+            born: this.born,
+            labels: ["a", this.rack],
+            capacity: { cpu: this.cpu, mem_mb: this.memory, gpu: 0 },
+            ...more,
         });
     }
 
@@ -150,12 +159,21 @@
         const { step } = found;
         const used = [...this.runs.values()].reduce((sum, each) => sum + (each.step.fills ? 0 : each.step.cpu ?? 0), 0);
         const usedMemory = [...this.runs.values()].reduce((sum, each) => sum + (each.step.mem_mb ?? 0), 0);
-        const isOver = (!step.fills && used + (step.cpu ?? 0) > this.cpu) || usedMemory + (step.mem_mb ?? 0) > this.memory;
+        const isOver = (!step.fills && used + (step.cpu ?? 0) > this.cpu)
+            || usedMemory + (step.mem_mb ?? 0) > this.memory;
         if (isOver) {
             this.world.record({ kind: "refused", reason: "room", task, run, worker: this.id });
             return [409, { reason: "room" }];
         }
-        const entry = { key, task, run, step, startedAt: performance.now(), durationMs: found.durationMs, fails: found.fails };
+        const entry = {
+            key,
+            task,
+            run,
+            step,
+            startedAt: performance.now(),
+            durationMs: found.durationMs,
+            fails: found.fails,
+        };
         this.runs.set(key, entry);
         this.world.record({ kind: "start", task, run, worker: this.id, spec, last_checkpoint, fence: this.fence });
         if (step.gang) {
@@ -267,8 +285,16 @@
             });
         }
         const running = [...this.runs.values()].map(({ task, run, step, worksAt, durationMs }) => {
-            const share = worksAt === undefined ? 0 : Math.min(1, (performance.now() - worksAt) / Math.max(1, durationMs));
-            return [task, run, "", step.long_running ? 100 : Math.floor(share * 99), step.target_ms ? 5 : step.cpu ?? 0];
+            const share = worksAt === undefined
+                ? 0
+                : Math.min(1, (performance.now() - worksAt) / Math.max(1, durationMs));
+            return [
+                task,
+                run,
+                "",
+                step.long_running ? 100 : Math.floor(share * 99),
+                step.target_ms ? 5 : step.cpu ?? 0,
+            ];
         });
         return [200, { running, ended_runs: this.ends.slice(0, MAX_ENDS) }];
     }
--- a/review/stand-3/world.mjs
+++ b/review/stand-3/world.mjs
@@ -13,14 +13,31 @@
 export const hasTrouble = process.env.TROUBLE !== "0";
 export const HOST_NAME = "case.example";
 export const bounds = {
-    contact_ms: 4000, ack_ms: 5000, grace_s: 6, hold_max_ms: 6000, status_s: 120, harm_ms: 4000, pace_ms: 100,
-    stop_timeout_ms: 900, gang_timeout_ms: 3000, cancel_ms: 3000, visible_ms: 3000, early_ms: 250, config_apply_ms: 2500,
+    contact_ms: 4000,
+    ack_ms: 5000,
+    grace_s: 6,
+    hold_max_ms: 6000,
+    status_s: 120,
+    harm_ms: 4000,
+    pace_ms: 100,
+    stop_timeout_ms: 900,
+    gang_timeout_ms: 3000,
+    cancel_ms: 3000,
+    visible_ms: 3000,
+    early_ms: 250,
+    config_apply_ms: 2500,
 };
 
 /** The routes and services of a small deployment. */
 export const config = {
     routes: [{
-        name: "q", host: HOST_NAME, path_prefix: "/jobs/", service: "work", priority: 0, max_attempts: 3, stretch: 2,
+        name: "q",
+        host: HOST_NAME,
+        path_prefix: "/jobs/",
+        service: "work",
+        priority: 0,
+        max_attempts: 3,
+        stretch: 2,
         target_latency_ms: 1000,
     }],
     services: [{ name: "work", enforces_capacity: true }],
@@ -98,7 +115,13 @@
 
     /** Workers say of themselves what they do every heartbeat. */
     async addWorker(id, options) {
-        const worker = await new Worker(id, this, { host: "127.0.0.1", service: "work", zone: "a", rack: "r1", ...options })
+        const worker = await new Worker(id, this, {
+            host: "127.0.0.1",
+            service: "work",
+            zone: "a",
+            rack: "r1",
+            ...options,
+        })
             .listen();
         this.workers.set(id, worker);
         this.store.put("keyed.servers", id, worker.describe());
@@ -111,14 +134,23 @@
         const host = `127.0.1.${index}`;
         const known = this.nodes.get(name);
         const ports = known?.ports ?? {
-            front: await findPort(host), ready: await findPort(host), metrics: await findPort(host),
+            front: await findPort(host),
+            ready: await findPort(host),
+            metrics: await findPort(host),
         };
         this.peerPort ??= await findPort(host);
         const fields = {
-            node: name, ip: host, zone, region, limits: { cpu_share: 0.675, cores: 1, memory_mb: 350, max_fds: 4100 },
+            node: name,
+            ip: host,
+            zone,
+            region,
+            limits: { cpu_share: 0.675, cores: 1, memory_mb: 350, max_fds: 4100 },
             listen: { front: `${host}:${ports.front}`, ready: `${host}:${ports.ready}` },
-            internal_ports: [this.peerPort, ports.metrics], bounds: { ...bounds, ...this.bounds }, advice: this.advice ?? "",
-            platform: { address: this.storeAddress, record_bytes: 262_144, call_bytes: 2_097_152 }, cloud: { address: "" },
+            internal_ports: [this.peerPort, ports.metrics],
+            bounds: { ...bounds, ...this.bounds },
+            advice: this.advice ?? "",
+            platform: { address: this.storeAddress, record_bytes: 262_144, call_bytes: 2_097_152 },
+            cloud: { address: "" },
         };
         const deploy = readFileSync(join(root, "deploy", "system.toml"), "utf8");
         const command = /^run = "(.*)"$/m.exec(deploy)[1].split(" ");
@@ -127,7 +159,9 @@
         writeFileSync(settings, fill(template, fields));
         const { PATH, HOME, LANG } = process.env;
         const child = spawn(process.execPath, command.slice(1), {
-            cwd: root, env: { PATH, HOME, LANG, SARDINESTAGE_BOOT: settings }, stdio: ["ignore", "pipe", "pipe"],
+            cwd: root,
+            env: { PATH, HOME, LANG, SARDINESTAGE_BOOT: settings },
+            stdio: ["ignore", "pipe", "pipe"],
         });
         const node = { name, index, host, ports, child, log: known?.log ?? [], zone };
         this.nodes.set(name, node);
@@ -177,7 +211,15 @@
     async call(node, method, path, body, timeoutMs = 3000) {
         const sentAt = this.now;
         const answer = await request(node.host, node.ports.front, method, path, body, timeoutMs);
-        this.record({ kind: "client", node: node.name, method, path, status: answer.status, sentAt, body: answer.text.slice(0, 200) });
+        this.record({
+            kind: "client",
+            node: node.name,
+            method,
+            path,
+            status: answer.status,
+            sentAt,
+            body: answer.text.slice(0, 200),
+        });
         return answer;
     }
 
