No copy of a task whose earlier run is being stopped

Cause: after a takeover the coordinator finds two runs of a copied task, follows the newer one and stops the other. The stop takes a while, and meanwhile the followed run looked slow, so that a copy was a third run. Change: tasks with a run that no task needs get no copy until a worker's report no longer lists that run. Result: the new test fails before ("slow/0/0/0 runs twice", and the same for slow/0/0/1) and passes now.

--- a/packages/coordinate-work/src/planning/copyStarter.test.ts
+++ b/packages/coordinate-work/src/planning/copyStarter.test.ts
@@ -80,4 +80,18 @@
         expect(findTime("copy-started")).toBeGreaterThanOrEqual(retriedAtMs);
         expect(findTime("copy-started")).toBeLessThan(Infinity);
     });
+
+    // Guards against a third run of a task: a new coordinator stops one of the two runs that it finds, which takes a while.
+    it("starts no copy of a task while an earlier run of it is being stopped after a takeover", async () => {
+        const harness = await startFleet(({ jobId }) => jobId === "usual" ? USUAL_MS : FOREVER_MS);
+        submitSlow(harness);
+        await harness.clock.runFor(4000);
+        const countCopies = () => harness.events.filter(event => event.includes("copy-started")).length;
+        expect(countCopies()).toBe(SLOW_TASKS);
+        harness.coordinator?.close();
+        harness.startTerm(false);
+        await harness.clock.runFor(4000);
+        expect(countCopies()).toBe(2 * SLOW_TASKS);
+        expect(harness.runChecker.violations).toEqual([]);
+    });
 });
--- a/packages/coordinate-work/src/planning/copyStarter.ts
+++ b/packages/coordinate-work/src/planning/copyStarter.ts
@@ -74,6 +74,7 @@
     private collectCandidates(waitingPriority: number, nowMs: number) {
         const candidates: CopyCandidate<Task>[] = [];
         const queueUse = new Map<string, QueueUse>();
+        const strayTasks = this.listStrayTasks();
         for (const worker of this.collaborators.fleet.workers.values()) {
             for (const task of worker.tasks) {
                 const { queue } = task.step.occurrence.job;
@@ -86,13 +87,24 @@
                         ? { ownCpuMillis: ownCpuMillis + cpuMillis, copyCpuMillis }
                         : { ownCpuMillis, copyCpuMillis: copyCpuMillis + cpuMillis },
                 );
-                const candidate = queue.priority < waitingPriority ? this.buildCandidate(task, nowMs) : undefined;
+                const isAlone = strayTasks.size === 0 || !strayTasks.has(formatTaskKey(task.ref));
+                const mayCopy = queue.priority < waitingPriority && isAlone;
+                const candidate = mayCopy ? this.buildCandidate(task, nowMs) : undefined;
                 candidates.push(...candidate === undefined ? [] : [candidate]);
             }
         }
         return { candidates, queueUse };
     }
 
+    /**
+     * Lists the keys of the tasks that have a run beside those that are followed, such as the earlier one of two that the
+     * coordinator has found at its takeover. Until it has ended, a copy would be one run too many.
+     */
+    private listStrayTasks(): ReadonlySet<string> {
+        const runs = [...this.collaborators.fleet.workers.values()].flatMap(({ strayRuns }) => [...strayRuns]);
+        return new Set(runs.map(key => key.slice(0, key.lastIndexOf("#"))));
+    }
+
     private buildCandidate(task: Task, nowMs: number): CopyCandidate<Task> | undefined {
         const { spec, occurrence: { job } } = task.step;
         if (!isCopyable(task)) {
