Fuzzing of copies: a failure after the task's acknowledged success doesn't have to fail the job

Cause: the check demanded that a job fails once a task has had as many failed runs as attempts. With copies, a run can fail after another one was done and that end was acknowledged; the job is completed by then. Change: only failures that ended before an acknowledged end as done have to count. All else is as before: a failure that came earlier still has to fail the job, and a job may only be failed after as many failures as attempts.

Emulated workers can also have tasks that make no progress.

--- a/packages/emulate-platform/src/emulatedWorker.ts
+++ b/packages/emulate-platform/src/emulatedWorker.ts
@@ -36,6 +36,8 @@
     private unacknowledgedEnds: EndedRun[] = [];
     /** How often the task of each unacknowledged end had been started by then, by the end's number; none after a lapse. */
     private readonly startCounts = new Map<number, number>();
+    /** Numbers of the unacknowledged ends of runs that failed before an end as done of their task was acknowledged. */
+    private readonly countedFailures = new Set<number>();
     /** The highest run number of each task that was stopped or has ended here. */
     private readonly refusedRunNumbers = new Map<string, number>();
     private readonly waiters = new Set<() => void>();
@@ -190,7 +192,7 @@
             if (ended.end === RunEnd.Done) {
                 this.invariantChecker.noteAcknowledged(ended.task, this.startCounts.get(ended.number));
             }
-            if (ended.end === RunEnd.Failed) {
+            if (this.countedFailures.delete(ended.number)) {
                 this.invariantChecker.noteFailureAcknowledged(ended.task);
             }
             this.startCounts.delete(ended.number);
@@ -207,7 +209,9 @@
             task,
             run,
             checkpoint,
-            percent: Math.floor(this.clock.getNow() / MS_PER_PERCENT) % 100,
+            percent: this.traits.isStalled?.(task) === true
+                ? 0
+                : Math.floor(this.clock.getNow() / MS_PER_PERCENT) % 100,
             measurement: 0,
         }));
         const ended = this.unacknowledgedEnds.slice(0, MAX_REPORTED_ENDS);
@@ -267,6 +271,9 @@
         this.runs.delete(key);
         this.refuseRunsUpTo(run.task, run.run);
         this.lastEndNumber++;
+        if (end === RunEnd.Failed && !this.invariantChecker.isDoneAcknowledged(run.task)) {
+            this.countedFailures.add(this.lastEndNumber);
+        }
         this.startCounts.set(this.lastEndNumber, this.invariantChecker.countStarts(run.task));
         this.unacknowledgedEnds.push({
             number: this.lastEndNumber,
--- a/packages/emulate-platform/src/emulatedWorkerTraits.ts
+++ b/packages/emulate-platform/src/emulatedWorkerTraits.ts
@@ -15,4 +15,6 @@
     readonly domain?: string;
     /** How long the worker's entry says that it stays slow after its start, in milliseconds; 0 by default. */
     readonly coldMs?: number;
+    /** Whether a task's runs make no progress here; none does by default. */
+    readonly isStalled?: (task: TaskRef) => boolean;
 }
--- a/packages/emulate-platform/src/runInvariantChecker.ts
+++ b/packages/emulate-platform/src/runInvariantChecker.ts
@@ -17,7 +17,7 @@
     private readonly acknowledgedTasks = new Map<string, number>();
     /** How many runs of each task have failed. */
     readonly failureCounts = new Map<string, number>();
-    /** Of how many of these a coordinator has acknowledged the end. */
+    /** Of how many of these a coordinator has acknowledged the end; only those before an acknowledged end as done. */
     readonly acknowledgedFailureCounts = new Map<string, number>();
     /** Tasks of which a start was carried out late. */
     private readonly lateTasks = new Set<string>();
@@ -95,7 +95,12 @@
         this.acknowledgedTasks.set(key, Math.min(this.getNow(), this.acknowledgedTasks.get(key) ?? Infinity));
     }
 
-    /** Records that a coordinator acknowledged the end of a failed run. */
+    /** Whether a coordinator has acknowledged an end as done of a task, so that runs that fail from then on don't matter. */
+    isDoneAcknowledged(task: TaskRef): boolean {
+        return this.acknowledgedTasks.has(formatTaskKey(task));
+    }
+
+    /** Records that a coordinator acknowledged the end of a run that failed before any end as done was acknowledged. */
     noteFailureAcknowledged(task: TaskRef): void {
         const key = formatTaskKey(task);
         this.acknowledgedFailureCounts.set(key, (this.acknowledgedFailureCounts.get(key) ?? 0) + 1);
