--- a/packages/coordinate-work/src/coordinator.ts
+++ b/packages/coordinate-work/src/coordinator.ts
@@ -37,6 +37,7 @@
 import { TakeoverReads } from "./takeover/takeoverReads.js";
 import { describeLeases } from "./workers/describeLeases.js";
 import { expireLeases } from "./workers/expireLeases.js";
+import { FailureAttribution } from "./workers/failureAttribution.js";
 import { Fleet } from "./workers/fleet.js";
 import type { TrackedWorker } from "./workers/trackedWorker.js";
 import { WorkerMonitor } from "./workers/workerMonitor.js";
@@ -105,7 +106,8 @@
             isClosed: () => this.isClosed,
             tickets: this.advice,
         });
-        this.monitor = new WorkerMonitor(parts, this.orders, this.learned.durations);
+        const attribution = new FailureAttribution(parts, { listWorkers: () => this.fleet.workers.values() });
+        this.monitor = new WorkerMonitor(parts, this.orders, this.learned.durations, attribution);
         this.fleet = new Fleet(parts, {
             noteListed: worker => this.startRenewing(worker),
             noteDraining: worker => this.monitor.drainWorker(worker),
@@ -123,6 +125,7 @@
             writer: this.writer,
             orders: this.orders,
             durations: this.learned.durations,
+            attribution,
             findWorker: workerId => this.fleet.workers.get(workerId),
             noteChanged: job => this.handleChange(job),
         });
--- a/packages/coordinate-work/src/planning/buildWorkerCapacity.ts
+++ b/packages/coordinate-work/src/planning/buildWorkerCapacity.ts
@@ -1,6 +1,7 @@
 import type { WorkerCapacity } from "@sardinestage/plan-starts";
 import { allocateCapacity } from "@sardinestage/plan-starts";
 import type { Task } from "@sardinestage/track-jobs";
+import { computeTrialState } from "../workers/computeTrialState.js";
 import type { TrackedWorker } from "../workers/trackedWorker.js";
 import { WorkerAhead } from "./workerAhead.js";
 
@@ -35,6 +36,7 @@
         bestEffortSpecs: [],
         startsLeft,
         isReserved: false,
+        trial: computeTrialState(worker),
         ...estimateEnd === undefined ? {} : { ahead: new WorkerAhead(worker, estimateEnd) },
     };
     for (const task of worker.tasks) {
--- a/packages/coordinate-work/src/planning/capacityTable.ts
+++ b/packages/coordinate-work/src/planning/capacityTable.ts
@@ -1,5 +1,6 @@
 import type { WorkerCapacity } from "@sardinestage/plan-starts";
 import type { Task } from "@sardinestage/track-jobs";
+import { computeTrialState } from "../workers/computeTrialState.js";
 import type { TrackedWorker } from "../workers/trackedWorker.js";
 import { buildWorkerCapacity } from "./buildWorkerCapacity.js";
 
@@ -48,6 +49,7 @@
                 const cached = this.updateCapacity(worker, nowMs, estimateHeadroom, estimateEnd);
                 cached.startsLeft = startsLeft;
                 cached.capacity.startsLeft = startsLeft;
+                cached.capacity.trial = computeTrialState(worker);
                 cached.capacity.isReserved = false;
                 capacities.push(cached.capacity);
             }
--- a/packages/coordinate-work/src/planning/planningRound.ts
+++ b/packages/coordinate-work/src/planning/planningRound.ts
@@ -17,6 +17,7 @@
 import type { RunTracker } from "../runs/runTracker.js";
 import { computeStartsLeft } from "../workers/computeStartsLeft.js";
 import type { Fleet } from "../workers/fleet.js";
+import { isTrialRun } from "../workers/isTrialRun.js";
 import type { AdviceCache } from "./adviceCache.js";
 import type { AdviceRequester } from "./adviceRequester.js";
 import { buildWorkerCapacity } from "./buildWorkerCapacity.js";
@@ -35,6 +36,7 @@
 import type { PlacementScorer } from "./placementScorer.js";
 import { PreemptionController } from "./preemptionController.js";
 import { ReservationReporter } from "./reservationReporter.js";
+import { shareCheckpoint } from "./shareCheckpoint.js";
 import { UnusedTaskLimiter } from "./unusedTaskLimiter.js";
 import { WaitExplainer } from "./waitExplainer.js";
 import { WaitReporter } from "./waitReporter.js";
@@ -297,7 +299,11 @@
         worker.tasks.add(task);
         this.reservations.release(task, workerId);
         const fields = { task: formatTaskKey(task.ref), run, worker: workerId };
-        this.parts.logger.info("run-order", { ...fields, tasksThere: worker.tasks.size });
+        this.parts.logger.info("run-order", {
+            ...fields,
+            tasksThere: worker.tasks.size,
+            ...isTrialRun(task, worker) && { isTrial: true },
+        });
         this.collaborators.recorder.recordJob(job);
         this.collaborators.writer.runWhenRecorded(() => this.sendStart(task, run, workerId), true);
     }
@@ -346,13 +352,3 @@
         }
     }
 }
-
-/** Gives all waiting members of a gang that isn't active the same checkpoint: a gang resumes as a whole. */
-function shareCheckpoint(step: StepRun): void {
-    const members = [...step.listKnown()];
-    if (members.some(member => member.isActive)) {
-        return;
-    }
-    const checkpoint = members.find(member => member.checkpoint !== "")?.checkpoint ?? "";
-    members.forEach(member => member.checkpoint = checkpoint);
-}
--- a/packages/coordinate-work/src/runs/runTracker.ts
+++ b/packages/coordinate-work/src/runs/runTracker.ts
@@ -9,9 +9,7 @@
 import type { OrderSender } from "../orders/orderSender.js";
 import type { ProgressWriter } from "../records/progressWriter.js";
 import type { ReportRequest } from "../renewals/reportRequest.js";
-import { finishProbation } from "../workers/finishProbation.js";
-import { hasPassedTrial } from "../workers/hasPassedTrial.js";
-import { noteFailedRun } from "../workers/probation.js";
+import type { FailureAttribution } from "../workers/failureAttribution.js";
 import type { TrackedWorker } from "../workers/trackedWorker.js";
 import { compareRuns } from "./compareRuns.js";
 import { CopyTracker } from "./copyTracker.js";
@@ -24,14 +22,12 @@
     readonly writer: ProgressWriter;
     readonly orders: OrderSender;
     readonly durations: DurationEstimator;
+    readonly attribution: FailureAttribution;
     readonly findWorker: (workerId: string) => TrackedWorker | undefined;
     /** Called for each job whose progress has changed. */
     readonly noteChanged: (job: Job) => void;
 }
 
-/** With so few attempts a queue's jobs are spared further failures on a worker that may be faulty. */
-const FEW_ATTEMPTS = 2;
-
 /** Applies the workers' reports to the jobs: which runs are active, which have ended and which are lost. */
 export class RunTracker {
     /** Handles the ends of copies, and starts that weren't carried out. */
@@ -71,9 +67,7 @@
         difference.lost.forEach(task => this.handleLostRun(task, worker, lostReason, request.sentAtMs));
         difference.uncertain.forEach(task => this.collaborators.orders.cancelUnansweredStart(task, worker));
         worker.hasReported = true;
-        if (hasPassedTrial(worker, nowMs)) {
-            finishProbation(worker);
-        }
+        this.collaborators.attribution.updateActiveRuns(worker);
     }
 
     /**
@@ -222,12 +216,9 @@
     private updateWorkerHealth(worker: TrackedWorker, task: Task, row: EndedRun): void {
         const nowMs = this.parts.clock.getNow();
         const { job } = task.step.occurrence;
-        const { protectsLastAttempts } = this.parts.rules.features;
         if (row.end === RunEnd.Done) {
             const isTelling = row.run === task.run && worker.recentEnds.noteDone(task.orderedAtMs, nowMs);
-            if (isTelling || !protectsLastAttempts) {
-                finishProbation(worker);
-            }
+            this.collaborators.attribution.noteDoneRun(worker, task, isTelling);
             if (task.firstSeenAtMs > 0 && task.checkpoint === "" && task.pace === 100 && row.run === task.run) {
                 this.collaborators.durations.learnDuration(job.queue.name, task.step.spec, nowMs - task.orderedAtMs);
             }
@@ -235,11 +226,8 @@
         if (row.end === RunEnd.Done && row.run === task.run) {
             this.learnSpread(worker, task, nowMs);
         }
-        const isEarly = protectsLastAttempts && job.queue.maxAttempts <= FEW_ATTEMPTS;
-        if (row.end === RunEnd.Failed && noteFailedRun(worker, job.id, nowMs, isEarly)) {
-            this.parts.metrics.count("probations_total", "failures");
-            const untilMs = Math.round(worker.probationUntilMs - nowMs);
-            this.parts.logger.warn("worker-probation", { worker: worker.entry.id, reason: "failures", untilMs });
+        if (row.end === RunEnd.Failed) {
+            this.collaborators.attribution.noteFailedRun(worker, task);
         }
     }
 
--- a/packages/coordinate-work/src/workers/finishProbation.ts
+++ b/packages/coordinate-work/src/workers/finishProbation.ts
@@ -1,8 +1,7 @@
 import type { TrackedWorker } from "./trackedWorker.js";
 
-/** Ends a worker's probation after a run that shows that the worker is healthy. */
+/** Ends a worker's probation and trial, and forgets the failures that they follow from. */
 export function finishProbation(worker: TrackedWorker): void {
-    worker.consecutiveFailures = 0;
-    worker.failedJobs.clear();
+    worker.failures = [];
     worker.isOnTrial = false;
 }
--- a/packages/coordinate-work/src/workers/hasPassedTrial.ts
+++ b/packages/coordinate-work/src/workers/hasPassedTrial.ts
@@ -1,6 +1,5 @@
-import type { Task } from "@sardinestage/track-jobs";
-import { TaskPhase } from "@sardinestage/track-jobs";
 import { isTrialRun } from "./isTrialRun.js";
+import { isWorking } from "./isWorking.js";
 import type { TrackedWorker } from "./trackedWorker.js";
 
 /**
@@ -8,7 +7,6 @@
  * one after it, this is less than long-running tasks may be without a run.
  */
 const SOUND_AFTER_MS = 1000;
-const FULL_PERCENT = 100;
 
 /**
  * Whether a worker has passed its trial by a run that is still active. Only a long-running run counts, which never ends
@@ -17,11 +15,6 @@
 export function hasPassedTrial(worker: TrackedWorker, nowMs: number): boolean {
     return worker.isOnTrial
         && [...worker.tasks].some(task =>
-            task.step.spec.longRunning && isTrialRun(task, worker) && isWorking(task, nowMs)
+            task.step.spec.longRunning && isTrialRun(task, worker) && isWorking(task, SOUND_AFTER_MS, nowMs)
         );
 }
-
-function isWorking(task: Task, nowMs: number): boolean {
-    const hasProgressed = task.progressAtMs > task.firstSeenAtMs || task.percent >= FULL_PERCENT;
-    return task.phase === TaskPhase.Running && hasProgressed && nowMs - task.firstSeenAtMs >= SOUND_AFTER_MS;
-}
--- a/packages/coordinate-work/src/workers/probation.ts
+++ b/packages/coordinate-work/src/workers/probation.ts
@@ -1,11 +1,8 @@
+import { isFaultLikely } from "./isFaultLikely.js";
+import { isInterchangeable } from "./isInterchangeable.js";
+import { ProbationOutcome } from "./probationOutcome.js";
 import type { TrackedWorker } from "./trackedWorker.js";
 
-/** Consecutive failed runs after which a worker is put on probation. */
-const PROBATION_AFTER_FAILURES = 3;
-/** The same if any job that fails there has so few attempts that the third failure may be its last. */
-const EARLY_PROBATION_AFTER_FAILURES = 2;
-/** Number of jobs to which these runs have to belong, since the runs of a broken job fail on any worker. */
-const PROBATION_AFTER_JOBS = 2;
 /** Length of a worker's first probation, in milliseconds; it doubles each time. */
 const FIRST_PROBATION_MS = 1000;
 /**
@@ -13,27 +10,47 @@
  * fault; the rest of this time is for the trial.
  */
 const MAX_PROBATION_MS = 4000;
+/** A worker without a probation for so long begins again with the shortest one, in milliseconds. */
+const PROBATIONS_KEPT_MS = 30_000;
+/** The largest share of interchangeable workers that are on probation or on trial at once; one is in any case. */
+const MAX_PROBATION_SHARE = 0.5;
 
 /**
- * Notes a failed run. A worker on which runs of several jobs fail in a row is put on probation: it gets no work for a
- * while, then one task at a time until a run succeeds or a long-running one works for a while.
+ * Puts a worker on probation if its failures say that it is at fault: it gets no work for a while, then one task at a
+ * time until a run succeeds or a long-running one works for a while. If very many workers seem to be at fault, the
+ * failures rather have a cause that they share, and the others stay in use.
  *
- * @param isEarly Whether fewer failures suffice, to spare jobs with few attempts.
- * @returns Whether this put the worker on probation.
+ * @param worker A worker on which a run has failed that counts against it.
+ * @param minFailures How many failures say so.
+ * @param workers All workers.
+ * @param nowMs Steady milliseconds.
  */
-export function noteFailedRun(worker: TrackedWorker, jobId: string, nowMs: number, isEarly = false): boolean {
-    worker.consecutiveFailures++;
-    worker.failedJobs.add(jobId);
-    worker.recentEnds.noteFailed(nowMs);
-    const maxFailures = isEarly ? EARLY_PROBATION_AFTER_FAILURES : PROBATION_AFTER_FAILURES;
-    const isSuspect = worker.isOnTrial
-        || (worker.consecutiveFailures >= maxFailures && worker.failedJobs.size >= PROBATION_AFTER_JOBS);
+export function startProbation(
+    worker: TrackedWorker,
+    minFailures: number,
+    workers: Iterable<TrackedWorker>,
+    nowMs: number,
+): ProbationOutcome {
+    const isSuspect = worker.isOnTrial || isFaultLikely(worker, minFailures);
     if (!isSuspect || nowMs < worker.probationUntilMs) {
-        return false;
+        return ProbationOutcome.NotNeeded;
     }
-    const lengthMs = Math.min(MAX_PROBATION_MS, FIRST_PROBATION_MS * 2 ** Math.min(worker.probationCount, 10));
+    const peers = [...workers].filter(other =>
+        other !== worker && !other.isLeaving && isInterchangeable(other, worker)
+    );
+    const restrictedCount = peers.filter(({ isOnTrial }) => isOnTrial).length;
+    const maxCount = Math.max(1, Math.floor((peers.length + 1) * MAX_PROBATION_SHARE));
+    if (!worker.isOnTrial && restrictedCount >= maxCount) {
+        return ProbationOutcome.TooMany;
+    }
+    if (nowMs - worker.probationUntilMs > PROBATIONS_KEPT_MS) {
+        worker.probationCount = 0;
+    }
+    const hasOpenPeer = restrictedCount < peers.length;
+    const doublings = hasOpenPeer ? Math.min(worker.probationCount, 10) : 0;
     worker.probationCount++;
-    worker.probationUntilMs = nowMs + lengthMs;
+    worker.probationFailureCount = minFailures;
+    worker.probationUntilMs = nowMs + Math.min(MAX_PROBATION_MS, FIRST_PROBATION_MS * 2 ** doublings);
     worker.isOnTrial = true;
-    return true;
+    return ProbationOutcome.Started;
 }
--- a/packages/coordinate-work/src/workers/recentEnds.ts
+++ b/packages/coordinate-work/src/workers/recentEnds.ts
@@ -35,6 +35,16 @@
         this.hasFailedSinceDone = true;
     }
 
+    /**
+     * Withdraws failures that turned out not to be the worker's.
+     *
+     * @param lastFailedAtMs When the last other run failed, in steady milliseconds; undefined if none has.
+     */
+    withdrawFailures(lastFailedAtMs = -Infinity): void {
+        this.lastFailedAtMs = Math.min(this.lastFailedAtMs, lastFailedAtMs);
+        this.hasFailedSinceDone &&= this.lastFailedAtMs > this.lastDoneAtMs;
+    }
+
     /** Estimates the soundness of the worker from these ends. */
     estimateTrust(nowMs: number): WorkerTrust {
         if (this.hasFailedSinceDone) {
--- a/packages/coordinate-work/src/workers/trackedWorker.ts
+++ b/packages/coordinate-work/src/workers/trackedWorker.ts
@@ -10,6 +10,7 @@
 import { LeaseSource } from "./leaseSource.js";
 import { RecentEnds } from "./recentEnds.js";
 import { UnappliedEnds } from "./unappliedEnds.js";
+import type { WorkerFailure } from "./workerFailure.js";
 import { WorkerLife } from "./workerLife.js";
 
 /** The coordinator's state of one worker. */
@@ -65,18 +66,20 @@
     pace: PaceState = { overSinceMs: undefined, noIncreaseUntilMs: 0 };
     /** Wakes the lease renewal loop after run ends have been recorded. */
     wakeRenewal: (() => void) | undefined;
-    /** Ids of the jobs to which the consecutive failed runs belong. */
-    readonly failedJobs = new Set<string>();
-    /** Number of consecutive failed runs. */
-    consecutiveFailures = 0;
+    /** The failed runs since the worker last proved sound, the oldest first. */
+    failures: readonly WorkerFailure[] = [];
+    /** How often a run has shown that the worker is sound after others had failed. */
+    proofCount = 0;
     /** What the ends of the life's recent runs tell. */
     recentEnds = new RecentEnds();
     /** How slow the life's recent runs were. */
     slowness = new WorkerSlowness();
     /** Until when the life stays slow after its start. */
     readonly coldPhase = new ColdPhase();
-    /** How often the worker has been put on probation. */
+    /** How often the worker has been put on probation lately. */
     probationCount = 0;
+    /** The number of failures that the present probation follows from. */
+    probationFailureCount = 0;
     /** No new work before this, in steady milliseconds. */
     probationUntilMs = 0;
     /** Whether the worker gets only one task at a time after a probation, until a run shows that it is sound. */
@@ -167,10 +170,9 @@
         this.leaseUntilMs = leaseUntilMs;
         this.answeredAtMs = 0;
         this.startUnansweredAtMs = -Infinity;
-        this.consecutiveFailures = 0;
+        this.failures = [];
         this.recentEnds = new RecentEnds();
         this.slowness = new WorkerSlowness();
-        this.failedJobs.clear();
         this.isOnTrial = false;
         this.probationUntilMs = 0;
         this.pace = { overSinceMs: undefined, noIncreaseUntilMs: 0 };
--- a/packages/coordinate-work/src/workers/workerMonitor.ts
+++ b/packages/coordinate-work/src/workers/workerMonitor.ts
@@ -3,8 +3,8 @@
 import type { CoordinatorParts } from "../coordinatorParts.js";
 import type { DurationEstimator } from "../jobs/durationEstimator.js";
 import type { OrderSender } from "../orders/orderSender.js";
+import type { FailureAttribution } from "./failureAttribution.js";
 import { findStalled } from "./findStalled.js";
-import { noteFailedRun } from "./probation.js";
 import type { TrackedWorker } from "./trackedWorker.js";
 
 /** Stops runs of ended jobs, stalled runs, and runs that a draining worker can't finish. */
@@ -13,6 +13,7 @@
         private readonly parts: CoordinatorParts,
         private readonly orders: OrderSender,
         private readonly durations: DurationEstimator,
+        private readonly attribution: FailureAttribution,
     ) {}
 
     /** Stops reported runs of jobs that have ended. */
@@ -29,15 +30,14 @@
      * nothing if only best-effort tasks have stalled, since these may lack leftover CPU.
      */
     stopStalled(worker: TrackedWorker): void {
-        const { clock, logger, metrics } = this.parts;
+        const { clock, logger } = this.parts;
         const nowMs = clock.getNow();
         const stalled = findStalled(worker.tasks, nowMs, task => this.estimateTask(task));
         const notBestEffort = stalled.filter(task => !task.step.spec.isBestEffort);
         if (notBestEffort.length === 0) {
             return;
         }
-        metrics.count("probations_total", "stalled");
-        noteFailedRun(worker, `${notBestEffort[0].step.occurrence.job.id}`, nowMs);
+        this.attribution.noteStalledRuns(worker, notBestEffort);
         logger.warn("worker-stalls", { worker: worker.entry.id, stalled: stalled.length, tasks: worker.tasks.size });
         stalled.forEach(task => {
             task.lastFailedWorkerId = worker.entry.id;
--- a/packages/plan-starts/src/index.ts
+++ b/packages/plan-starts/src/index.ts
@@ -25,6 +25,7 @@
 export type { StartPlan } from "./startPlan.js";
 export type { StartRules } from "./startRules.js";
 export type { StepDemand } from "./stepDemand.js";
+export { TrialState } from "./trialState.js";
 export type { UnevenWorker } from "./unevenWorker.js";
 export { WaitReason } from "./waitReason.js";
 export type { WorkerCapacity } from "./workerCapacity.js";
--- a/packages/plan-starts/src/planGang.ts
+++ b/packages/plan-starts/src/planGang.ts
@@ -5,10 +5,12 @@
 import { hasCapacity } from "./hasCapacity.js";
 import { isAllowedOn } from "./isAllowedOn.js";
 import { isInterrupted } from "./isInterrupted.js";
+import { isTrialAllowed } from "./isTrialAllowed.js";
 import type { PlannedStart } from "./plannedStart.js";
 import type { RankingCache } from "./rankingCache.js";
 import type { StartRules } from "./startRules.js";
 import type { StepDemand } from "./stepDemand.js";
+import { TrialAccess } from "./trialAccess.js";
 import type { WorkerCapacity } from "./workerCapacity.js";
 import type { WorkerRanking } from "./workerRanking.js";
 
@@ -24,6 +26,7 @@
  * is tried on each rack first. Slow workers get tasks only where others have no room.
  *
  * @param starts Receives the starts when the whole gang fits.
+ * @param trialAccess Which tasks may start on workers that are on trial.
  * @returns Whether the demand is met: not when the gang doesn't fit, but also when not all of its tasks are waiting, or it
  *   waits for trusted workers, so that nothing is placed.
  */
@@ -33,6 +36,7 @@
     rankings: RankingCache,
     rules: StartRules,
     starts: PlannedStart[],
+    trialAccess = TrialAccess.Telling,
 ): DemandOutcome {
     const { step, waiting } = demand;
     if (waiting.length < step.spec.taskCount || waiting.length === 0) {
@@ -40,7 +44,8 @@
     }
     const allowed = ledger.workers.filter(worker => isAllowedOn(step, worker));
     const withRoom = allowed.filter(worker =>
-        hasCapacity(worker, step.spec, isInterrupted(demand)) && rules.isAdvised(waiting[0], worker.workerId)
+        hasCapacity(worker, step.spec, isInterrupted(demand)) && isTrialAllowed(waiting[0], worker, trialAccess)
+        && rules.isAdvised(waiting[0], worker.workerId)
         && rules.reservations?.checkStart(worker, demand, countMostThere(demand)) !== false
     );
     if (!isGangFitting(demand, withRoom)) {
--- a/packages/plan-starts/src/workerCapacity.ts
+++ b/packages/plan-starts/src/workerCapacity.ts
@@ -1,6 +1,7 @@
 import type { StepSpec } from "@sardinestage/describe-work";
 import type { CapacityAhead } from "./capacityAhead.js";
 import type { ServingPlacement } from "./servingPlacement.js";
+import type { TrialState } from "./trialState.js";
 
 /** A worker's free capacity in a planning round, which subtracts the tasks that it plans. */
 export interface WorkerCapacity {
@@ -31,6 +32,8 @@
      * long-running tasks start there.
      */
     isReserved: boolean;
+    /** Which tasks may start on the worker; undefined if it isn't on trial, so that all may. */
+    trial?: TrialState | undefined;
     /** What is expected after now; undefined if capacity isn't planned ahead. */
     readonly ahead?: CapacityAhead;
 }
--- a/packages/track-jobs/src/index.ts
+++ b/packages/track-jobs/src/index.ts
@@ -18,6 +18,7 @@
 export { encodeProgress } from "./encodeProgress.js";
 export { encodeProgressPart } from "./encodeProgressPart.js";
 export { estimateJobBytes } from "./estimateJobBytes.js";
+export { FailureEvidence } from "./failureEvidence.js";
 export { Job } from "./job.js";
 export type { JobRecord } from "./jobRecord.js";
 export type { JobWatcher } from "./jobWatcher.js";
--- a/packages/track-jobs/src/stepRun.ts
+++ b/packages/track-jobs/src/stepRun.ts
@@ -1,4 +1,5 @@
 import type { StepSpec } from "@sardinestage/describe-work";
+import type { FailureEvidence } from "./failureEvidence.js";
 import { IndexRanges } from "./indexRanges.js";
 import type { Occurrence } from "./occurrence.js";
 import { Task } from "./task.js";
@@ -16,6 +17,8 @@
  * are done, are only counted.
  */
 export class StepRun {
+    /** The step's failed runs since the last that succeeded; undefined if there are none, or an earlier term had them. */
+    failureEvidence: FailureEvidence | undefined;
     private gangFailures: Set<number> | undefined;
     private knownTasks: Map<number, Task> | undefined;
     /** Active runs beside the tasks' own: copies, and runs that copies have outrun. */
--- a/packages/track-jobs/src/task.ts
+++ b/packages/track-jobs/src/task.ts
@@ -1,4 +1,5 @@
 import type { TaskRef } from "@sardinestage/describe-work";
+import type { FailureEvidence } from "./failureEvidence.js";
 import type { StepRun } from "./stepRun.js";
 import { TaskPhase } from "./taskPhase.js";
 
@@ -49,6 +50,8 @@
     copy: Task | undefined;
     /** Number of the newest copy; 0 if the task has had none in this term. */
     lastCopyRun = 0;
+    /** The task's failed runs since the last that succeeded; undefined if there are none, or an earlier term had them. */
+    failureEvidence: FailureEvidence | undefined;
     private currentPace = FULL_PERCENT;
     /** When the pace was last changed, in steady milliseconds. */
     pacedAtMs = 0;
@@ -143,6 +146,12 @@
             && this.lastFailedWorkerId === "" && this.failedRuns.size === 0;
     }
 
+    /** Whether the runs of the task, or of its whole step, fail wherever they are tried. */
+    get failsEverywhere(): boolean {
+        const evidence = (this.original ?? this).failureEvidence;
+        return evidence?.failsEverywhere === true || this.step.failureEvidence?.failsEverywhere === true;
+    }
+
     /** Whether a run of the task may be active on a worker. */
     get isActive(): boolean {
         return this.phase === TaskPhase.Ordered || this.phase === TaskPhase.Running
