Tasks that may not use every trial keep their place before those that may

Cause: a demand whose step had failed, and that found no worker, was planned again after all others while any worker was on trial, and reserved capacity only then. On a full fleet, smaller tasks would have used each piece that came free. Change: it reserves at its rank, as before, but never a worker on trial, which has one start to give.

--- a/packages/coordinate-work/src/workers/probation.ts
+++ b/packages/coordinate-work/src/workers/probation.ts
@@ -12,7 +12,7 @@
 const MAX_PROBATION_MS = 4000;
 /** A worker without a probation for so long begins again with the shortest one, in milliseconds. */
 const PROBATIONS_KEPT_MS = 30_000;
-/** The largest share of interchangeable workers that are on probation or on trial at once; one is in any case. */
+/** The largest share of interchangeable workers that are on probation or on trial at once, rounded up. */
 const MAX_PROBATION_SHARE = 0.5;
 
 /**
@@ -39,7 +39,7 @@
         other !== worker && !other.isLeaving && isInterchangeable(other, worker)
     );
     const restrictedCount = peers.filter(({ isOnTrial }) => isOnTrial).length;
-    const maxCount = Math.max(1, Math.floor((peers.length + 1) * MAX_PROBATION_SHARE));
+    const maxCount = Math.ceil((peers.length + 1) * MAX_PROBATION_SHARE);
     if (!worker.isOnTrial && restrictedCount >= maxCount) {
         return ProbationOutcome.TooMany;
     }
--- a/packages/plan-starts/src/reservationPlanner.ts
+++ b/packages/plan-starts/src/reservationPlanner.ts
@@ -286,7 +286,7 @@
         return ledger.workers.map(worker => {
             const reservedCount = worker.ahead?.reservations.length ?? 0;
             const isUsable = (reservedCount === 0 ? mayUseUnreserved : reservedCount < MAX_PER_WORKER)
-                && worker.startsLeft > 0 && isAllowedOn(step, worker)
+                && worker.startsLeft > 0 && worker.trial === undefined && isAllowedOn(step, worker)
                 && lapsedIds?.has(worker.workerId) !== true
                 && !isStepLimitReached(step.spec, perWorker.get(worker.workerId))
                 && rules.isAdvised(demand.waiting[0], worker.workerId);
--- a/packages/plan-starts/src/reserveWorkers.ts
+++ b/packages/plan-starts/src/reserveWorkers.ts
@@ -52,7 +52,8 @@
     const missingCount = waiting.length - placed.length;
     const perWorker = countTasksPerWorker(step, placed.map(start => start.workerId));
     const eligible = workers.map((_worker, index) => index).filter(index =>
-        workers[index].startsLeft > 0 && (!workers[index].isReserved || isInterrupted(demand))
+        workers[index].startsLeft > 0 && workers[index].trial === undefined
+        && (!workers[index].isReserved || isInterrupted(demand))
         && !isStepLimitReached(step.spec, perWorker.get(workers[index].workerId))
     );
     const chosen = eligible.filter(index => reservedIds.has(workers[index].workerId)).slice(0, missingCount);
