--- a/packages/coordinate-work/src/planning/copyStarter.test.ts
+++ b/packages/coordinate-work/src/planning/copyStarter.test.ts
@@ -94,4 +94,29 @@
         expect(countCopies()).toBe(2 * SLOW_TASKS);
         expect(harness.runChecker.violations).toEqual([]);
     });
+
+    // Guards against a task that is started again although it is done: its copy, which is still being stopped when a new
+    // coordinator takes over, was taken for a newer run of the task, so that the recorded end was forgotten.
+    it("doesn't start a done task again whose copy is active at a takeover", async () => {
+        // The copies work on for long after the tasks themselves are done.
+        const harness = await startFleet(({ jobId, step }, run) => {
+            const slowMs = run === 1 && step === 0 ? 2 * USUAL_MS : FOREVER_MS;
+            return jobId === "usual" ? USUAL_MS : jobId === "slow" ? slowMs : FOREVER_MS;
+        });
+        const slow = createStep({ ...usual, estimateMs: USUAL_MS, taskCount: SLOW_TASKS, maxTasksPerWorker: 1 });
+        const spec = { ...createSpec({}), steps: [slow, createStep({ dependsOn: [0] })] };
+        void harness.submit("slow", spec, createQueue());
+        const countEnds = () => harness.events.filter(event => /run-end .*"slow.*"Done"/.test(event)).length;
+        for (let waited = 0; waited < 400 && countEnds() < SLOW_TASKS; waited++) {
+            await harness.clock.runFor(10);
+        }
+        expect(harness.events.filter(event => event.includes("copy-started"))).toHaveLength(SLOW_TASKS);
+        // Long enough for the ends to be recorded and acknowledged, and shorter than the stop of the copies.
+        await harness.clock.runFor(100);
+        harness.coordinator?.close();
+        harness.startTerm(false);
+        await harness.clock.runFor(4000);
+        expect(harness.runChecker.violations).toEqual([]);
+        expect(harness.events.filter(event => event.includes("run-adopted") && event.includes("slow/0/0"))).toEqual([]);
+    });
 });
--- a/packages/coordinate-work/src/runs/compareRuns.ts
+++ b/packages/coordinate-work/src/runs/compareRuns.ts
@@ -63,9 +63,13 @@
 /**
  * Whether a reported run is newer than the newest known run of its task. An earlier coordinator started such a run
  * after the known ones had ended, and couldn't record it. A run with the same number counts as newer too if the task
- * has been set back to waiting. A copy that was given up isn't needed while the task's own run is active.
+ * has been set back to waiting. A copy that was given up isn't needed while the task's own run is active, and no run is
+ * once the task is done: an earlier coordinator may have been stopping a copy then.
  */
 function isNewer(task: Task, run: number): boolean {
+    if (task.phase === TaskPhase.Done) {
+        return false;
+    }
     const isFormerCopy = task.isActive && run <= task.lastCopyRun;
     return (run > task.run && !isFormerCopy) || (task.phase === TaskPhase.Waiting && run === task.run);
 }
